--- /dev/null
+++ b/cmake/sailtiller_libraries.cmake
@@ -0,0 +1,15 @@
+# SPDX-License-Identifier: Apache-2.0
+# The outside libraries, all of them Debian packages that scripts/setup.sh installs.
+find_package(OpenSSL 3.0 REQUIRED)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(h2o REQUIRED IMPORTED_TARGET libh2o-evloop)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+if(SAILTILLER_TESTS)
+  find_package(GTest 1.12 REQUIRED)
+endif()
+if(SAILTILLER_BENCH)
+  find_package(benchmark 1.7 REQUIRED)
+endif()
--- /dev/null
+++ b/src/app/sailtillerd/adminservice.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "adminservice.h"
+
+namespace sailtiller {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+http_response make_response(int status, std::string body, const char* type)
+{
+    return {status, {{"content-type", type}, {"x-request-id", "admin"}}, std::move(body)};
+}
+
+http_response make_json(int status, const json& body)
+{
+    return make_response(
+        status, body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+}
+
+} // namespace
+
+void admin_service::handle(const std::shared_ptr<http_exchange>& exchange) const
+{
+    exchange->respond(this->answer(exchange->request()));
+}
+
+http_response admin_service::answer(const http_request& request) const
+{
+    const std::string_view route = request.route();
+    if (route == "/healthz") {
+        return make_response(status_ok, "alive\n", "text/plain");
+    }
+    if (route == "/readyz") {
+        return this->readiness();
+    }
+    if (route == "/metrics") {
+        return make_response(status_ok, this->view.metrics.write(), "text/plain; version=0.0.4");
+    }
+    if (route == "/status") {
+        return this->status();
+    }
+    if (route == "/explain") {
+        return this->explain(request);
+    }
+    return make_response(status_not_found,
+        "unknown page; there are /healthz, /readyz, /metrics, /status and /explain?request=ID\n",
+        "text/plain");
+}
+
+http_response admin_service::readiness() const
+{
+    if (this->view.is_ready()) {
+        return make_response(status_ok, "ready\n", "text/plain");
+    }
+    const char* reason = this->view.is_stopping() ? "stopping\n" : "no bundle in force yet\n";
+    return make_response(status_unavailable, reason, "text/plain");
+}
+
+http_response admin_service::status() const
+{
+    const follower_status follower = this->view.follower.status();
+    const std::shared_ptr<const bundle_in_force>& applied = this->view.follower.in_force();
+    return make_json(status_ok,
+        {
+            {"host", this->view.self.value()},
+            {"data_hall", this->view.data_hall.value()},
+            {"ready", this->view.is_ready()},
+            {"stopping", this->view.is_stopping()},
+            {"requests_in_flight", this->view.requests_in_flight()},
+            {"generation", follower.applied_generation.value()},
+            {"known_generation", follower.known_generation.value()},
+            {"activation", applied ? applied->source.id.value() : ""},
+            {"bundle", applied ? applied->content.name : ""},
+            {"log_reachable", follower.is_log_reachable},
+            {"log_complete", follower.is_complete},
+            {"log_offset", follower.next_offset.value()},
+            {"missing_parts", follower.missing_parts},
+            {"failure", follower.failure},
+        });
+}
+
+http_response admin_service::explain(const http_request& request) const
+{
+    const std::optional<std::string> id = request.query_value("request");
+    if (!id) {
+        return make_json(status_bad_request, {{"error", "say which request: /explain?request=ID"}});
+    }
+    const std::vector<decision>* decisions = this->view.decisions.find(request_id(*id));
+    if (decisions == nullptr) {
+        return make_json(status_not_found, {{"error", "this host keeps no record of that request"}});
+    }
+    json list = json::array();
+    for (const decision& item : *decisions) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(this->view.now() - item.at);
+        list.push_back(
+            {{"ms_ago", age.count()}, {"step", item.step}, {"peer", item.peer}, {"reason", item.reason}});
+    }
+    return make_json(status_ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "daemonsettings.h"
+
+#include <base/error.h>
+#include <runtime/programsettings.h>
+#include <runtime/textfile.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr std::int64_t most_body_bytes = 1LL << 30;
+constexpr std::int64_t most_request_time = 600'000;
+constexpr std::int64_t most_stop_time = 86'400'000;
+constexpr std::int64_t most_retention = 366LL * 86'400'000;
+
+void declare_all(program_settings& flags)
+{
+    flags.declare("host-id", "name of this host, unique in the fleet", std::nullopt);
+    flags.declare("data-hall", "the data hall in which this host stands", std::nullopt);
+    flags.declare("deployment", "name of the fleet, to which bundles are bound", std::nullopt);
+    flags.declare("listen", "address for callers", "127.0.0.1:8080");
+    flags.declare("admin-listen", "address for health, metrics and status", "127.0.0.1:8081");
+    flags.declare_optional("tls-certificate", "certificate chain in PEM form; callers then use TLS");
+    flags.declare_optional("tls-key", "key of the certificate in PEM form");
+    flags.declare("log-address", "the platform's log service", std::nullopt);
+    flags.declare("log-stream", "stream of the log that holds the bundles", "bundles");
+    flags.declare("log-retention-ms", "how long the log keeps records", "86400000");
+    flags.declare_optional("host-list-address", "the platform's list of hosts");
+    flags.declare_list("trusted-key", "file with an operator's public key in PEM form");
+    flags.declare("most-body-bytes", "largest request body", "4194304");
+    flags.declare("request-time-ms", "time in which a caller must have sent its request", "10000");
+    flags.declare("stop-grace-ms", "time for the balancer to notice, before connections are refused", "3000");
+    flags.declare("longest-stop-ms", "streams that still run after this are cut off", "3600000");
+    flags.declare("log-level", "least level that is logged: debug, info, warning or error", "info");
+    flags.declare("log-layout", "text or json", "text");
+}
+
+std::vector<public_key> read_keys(program_settings& flags)
+{
+    std::vector<public_key> keys;
+    for (const std::string& path : flags.texts("trusted-key")) {
+        try {
+            keys.push_back(public_key::from_pem(read_text_file(path), path));
+        } catch (const error& unusable) {
+            flags.add_fault("trusted-key", path, std::string("a readable Ed25519 key; ") + unusable.what());
+        }
+    }
+    if (keys.empty()) {
+        flags.add_fault("trusted-key", "", "at least one file with a public key");
+    }
+    return keys;
+}
+
+std::optional<tls_files> read_tls(program_settings& flags)
+{
+    const std::optional<std::string> certificate = flags.optional_text("tls-certificate");
+    const std::optional<std::string> key = flags.optional_text("tls-key");
+    if (certificate.has_value() != key.has_value()) {
+        flags.add_fault(certificate ? "tls-key" : "tls-certificate", "", "both TLS files, or neither");
+    }
+    if (!certificate || !key) {
+        return std::nullopt;
+    }
+    return tls_files{*certificate, *key};
+}
+
+log_settings read_log_settings(program_settings& flags)
+{
+    log_settings log;
+    const std::string level = flags.choice("log-level", {"debug", "info", "warning", "error"});
+    log.least = level == "debug" ? log_level::debug
+        : level == "warning"     ? log_level::warning
+        : level == "error"       ? log_level::failure
+                                 : log_level::info;
+    log.layout = flags.choice("log-layout", {"text", "json"}) == "json" ? log_layout::json : log_layout::text;
+    return log;
+}
+
+} // namespace
+
+daemon_settings read_daemon_settings(const std::vector<std::string>& arguments)
+{
+    program_settings flags("sailtillerd", "sailtillerd: one entry host of a sailtiller fleet.");
+    declare_all(flags);
+    flags.parse(arguments);
+    daemon_settings settings;
+    settings.self = host_id(flags.text("host-id"));
+    settings.data_hall = data_hall_id(flags.text("data-hall"));
+    settings.trust.deployment = flags.text("deployment");
+    settings.trust.keys = read_keys(flags);
+    settings.listen = flags.address("listen");
+    settings.admin_listen = flags.address("admin-listen");
+    settings.tls = read_tls(flags);
+    settings.log_address = flags.address("log-address");
+    settings.log_stream = flags.text("log-stream");
+    settings.log_retention = flags.milliseconds("log-retention-ms", 1000, most_retention);
+    settings.host_list_address = flags.optional_address("host-list-address");
+    settings.limits.most_body_bytes =
+        static_cast<std::size_t>(flags.integer("most-body-bytes", 1024, most_body_bytes));
+    settings.limits.request_time = flags.milliseconds("request-time-ms", 100, most_request_time);
+    settings.stop_grace = flags.milliseconds("stop-grace-ms", 0, most_stop_time);
+    settings.longest_stop = flags.milliseconds("longest-stop-ms", 0, most_stop_time);
+    settings.log = read_log_settings(flags);
+    for (const std::string& extra : flags.arguments()) {
+        flags.add_fault("", extra, "no arguments besides flags");
+    }
+    flags.require_sound();
+    return settings;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <bundle/activationfold.h>
+#include <runtime/eventlog.h>
+#include <runtime/httpserver.h>
+
+namespace sailtiller {
+
+/// Everything that a host process is told from outside. docs/operators/running.md lists the flags.
+struct daemon_settings
+{
+    host_id self;
+    data_hall_id data_hall;
+    trust_settings trust;
+    endpoint listen;
+    endpoint admin_listen;
+    std::optional<tls_files> tls;
+    endpoint log_address;
+    std::string log_stream;
+    duration log_retention{};
+    std::optional<endpoint> host_list_address;
+    http_server_limits limits;
+    duration stop_grace{};
+    duration longest_stop{};
+    log_settings log;
+};
+
+/// Reads flags and environment. Throws `settings_stop` with every fault at once.
+daemon_settings read_daemon_settings(const std::vector<std::string>& arguments);
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "hostprocess.h"
+
+#include <platform/logclient.h>
+#include <runtime/programsettings.h>
+
+#include <csignal>
+#include <set>
+
+namespace sailtiller {
+
+namespace {
+
+/// Requests whose decisions are kept for `explain`: at 12 requests a second (letter-size load over 400 hosts)
+/// the last quarter of an hour.
+constexpr std::size_t explained_requests = 10'000;
+constexpr duration host_list_interval = std::chrono::seconds(1);
+constexpr duration idle_look_interval = std::chrono::milliseconds(50);
+constexpr double initial_retry_ratio = 0.2;
+
+std::int64_t read_unix_seconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+} // namespace
+
+host_process::host_process(daemon_settings settings)
+    : settings(std::move(settings))
+    , signals(this->loop, {SIGTERM, SIGINT}, [this](int) { this->begin_stop(); })
+    , client(this->loop, {})
+    , random(make_system_random())
+    , decisions(explained_requests)
+    , retries(initial_retry_ratio)
+    , engines(this->client)
+    , services(this->client)
+    , entry(this->make_entry_context(),
+          [this](std::function<void()> action) { this->loop.post(std::move(action)); })
+    , follower(this->make_follower_settings(), this->make_follower_hooks())
+    , admin(this->make_admin_view())
+    , callers(this->loop, this->settings.limits, this->settings.tls,
+          [this](const std::shared_ptr<http_exchange>& exchange) { this->entry.handle(exchange); })
+    , admin_server(this->loop, this->settings.limits, std::nullopt,
+          [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
+{
+    this->callers.when_rejected([this](const http_server_event& event) {
+        this->metrics.rejected.add("http_" + std::to_string(event.status));
+        log_event(log_level::info, "request_refused",
+            {{"code", "http_" + std::to_string(event.status)}, {"step", "read request"},
+                {"peer", event.peer.value()}});
+    });
+}
+
+entry_context host_process::make_entry_context()
+{
+    return {this->loop.hooks(), &read_unix_seconds, this->random, this->engines, this->services,
+        this->metrics, this->decisions, this->admission, this->retries};
+}
+
+follower_settings host_process::make_follower_settings() const
+{
+    follower_settings item;
+    item.self = this->settings.self;
+    item.trust = this->settings.trust;
+    item.carrier.retention = this->settings.log_retention;
+    return item;
+}
+
+follower_hooks host_process::make_follower_hooks()
+{
+    follower_hooks hooks;
+    hooks.log = make_log_hooks(this->loop, this->client,
+        {.address = this->settings.log_address, .stream = this->settings.log_stream});
+    hooks.timers = this->loop.hooks();
+    hooks.live_hosts = [this] { return this->live_hosts(); };
+    hooks.ask_peers = [](const std::vector<part_digest>&) {};
+    hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) { this->take_bundle(next); };
+    hooks.on_event = [this](const std::string& kind, const std::string& peer, const std::string& reason) {
+        this->metrics.bundle_events.add(kind);
+        log_event(log_level::warning, kind, {{"step", "follow bundles"}, {"peer", peer}, {"reason", reason}});
+    };
+    return hooks;
+}
+
+admin_view host_process::make_admin_view()
+{
+    return {this->settings.self, this->settings.data_hall, this->follower, this->metrics, this->decisions,
+        [this] { return this->entry.current_state() != nullptr && !this->is_stopping; },
+        [this] { return this->is_stopping; }, [this] { return this->entry.requests_in_flight(); },
+        [this] { return this->loop.now(); }};
+}
+
+std::vector<host_id> host_process::live_hosts() const
+{
+    std::vector<host_id> names;
+    if (this->hosts) {
+        for (const listed_host& host : this->hosts->live_hosts()) {
+            names.emplace_back(host.name);
+        }
+    }
+    if (names.empty()) {
+        names.push_back(this->settings.self);
+    }
+    return names;
+}
+
+void host_process::take_bundle(const std::shared_ptr<const bundle_in_force>& next)
+{
+    this->retries.set_ratio(next->content.retries.budget_ratio);
+    this->entry.set_state(std::make_shared<const serving_state>(
+        next->content, next->source.generation, this->settings.self, this->loads, this->random));
+    this->loads.drop_unused();
+    this->metrics.bundle_events.add("in_force");
+    log_event(log_level::info, "bundle_in_force",
+        {{"bundle", next->content.name}, {"generation", std::to_string(next->source.generation.value())},
+            {"activation", next->source.id.value()}, {"operator", next->source.operator_name},
+            {"reason", next->source.reason}});
+}
+
+void host_process::take_host_list()
+{
+    this->admission.set_live_hosts(this->live_hosts().size());
+    for (const listed_host& item : this->hosts->entries()) {
+        if (item.is_upstream) {
+            this->loads.load_of(upstream_id(item.name))->set_leaving(item.state == listed_state::leaving);
+        }
+    }
+    log_event(
+        log_level::info, "host_list_changed", {{"entries", std::to_string(this->hosts->entries().size())}});
+}
+
+int host_process::run()
+{
+    const endpoint address = this->callers.listen(this->settings.listen);
+    const endpoint admin_address = this->admin_server.listen(this->settings.admin_listen);
+    log_event(log_level::info, "started",
+        {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
+            {"listen", address.value()}, {"admin", admin_address.value()}});
+    if (this->settings.host_list_address) {
+        this->hosts.emplace(
+            this->loop, this->client, *this->settings.host_list_address, host_list_interval,
+            [this] { this->take_host_list(); },
+            [](const error& failure) {
+                log_event(log_level::warning, "host_list_unreachable",
+                    {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
+            });
+        this->hosts->start();
+    }
+    this->follower.start();
+    this->loop.run();
+    return this->exit_code;
+}
+
+void host_process::begin_stop()
+{
+    if (this->is_stopping) {
+        return;
+    }
+    this->is_stopping = true;
+    this->stop_limit = this->loop.now() + this->settings.longest_stop;
+    log_event(log_level::info, "stopping",
+        {{"requests_in_flight", std::to_string(this->entry.requests_in_flight())}});
+    this->loop.schedule_after(this->settings.stop_grace, [this] {
+        this->callers.close_listeners();
+        this->finish_stop_when_idle();
+    });
+}
+
+void host_process::finish_stop_when_idle()
+{
+    const bool is_idle = this->entry.requests_in_flight() == 0 && this->callers.connection_count() == 0;
+    const bool is_over = this->loop.now() >= this->stop_limit;
+    if (!is_idle && !is_over) {
+        this->loop.schedule_after(idle_look_interval, [this] { this->finish_stop_when_idle(); });
+        return;
+    }
+    this->exit_code = is_idle ? exit_ok : exit_failed;
+    log_event(log_level::info, "stopped", {{"cut_off", std::to_string(this->entry.requests_in_flight())}});
+    this->follower.stop();
+    this->loop.stop();
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/app/sailtillerd/hostprocess.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "adminservice.h"
+#include "daemonsettings.h"
+
+#include <entry/entryservice.h>
+#include <platform/hostlist.h>
+#include <runtime/signalwatch.h>
+
+namespace sailtiller {
+
+/// One entry host: wires the libraries together and runs until it is told to stop.
+class host_process
+{
+public:
+    explicit host_process(daemon_settings settings);
+
+    /// Runs until a stop signal has been followed. Returns the exit code.
+    int run();
+
+private:
+    entry_context make_entry_context();
+    follower_hooks make_follower_hooks();
+    follower_settings make_follower_settings() const;
+    admin_view make_admin_view();
+    std::vector<host_id> live_hosts() const;
+    void take_bundle(const std::shared_ptr<const bundle_in_force>& next);
+    void take_host_list();
+    void begin_stop();
+    void finish_stop_when_idle();
+
+    daemon_settings settings;
+    event_loop loop;
+    signal_watch signals;
+    http_client client;
+    random_function random;
+    load_table loads;
+    host_metrics metrics;
+    decision_log decisions;
+    account_admission admission;
+    retry_budget retries;
+    engine_client engines;
+    service_client services;
+    entry_service entry;
+    bundle_follower follower;
+    admin_service admin;
+    std::optional<host_list> hosts;
+    http_server callers;
+    http_server admin_server;
+    bool is_stopping = false;
+    time_point stop_limit{};
+    int exit_code = 0;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/base/clock.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+namespace sailtiller {
+
+/// The loop's clock: monotonic, read once for each turn of the loop. The core never reads a clock itself;
+/// it is given a time or a `clock_function`, which tests pause and advance.
+struct loop_clock
+{
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<loop_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = loop_clock::duration;
+using time_point = loop_clock::time_point;
+using clock_function = std::function<time_point()>;
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/bundle/bundlereader.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <bundle/bundle.h>
+
+namespace sailtiller {
+
+/// What reading a bundle gave: the bundle, or every fault that was found in one run.
+struct bundle_reading
+{
+    bundle content;
+    std::vector<json_fault> faults;
+
+    [[nodiscard]] bool is_sound() const { return this->faults.empty(); }
+};
+
+/// Reads and checks a whole bundle.
+bundle_reading read_bundle(const json& document);
+/// Reads JSON text; malformed text and doubled fields are faults as well.
+bundle_reading read_bundle_text(std::string_view text);
+/// One line for each fault: path, value and reason.
+std::string describe_faults(const std::vector<json_fault>& faults);
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/streamrelay.cpp
@@ -0,0 +1,273 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/streamrelay.h>
+
+namespace sailtiller {
+
+stream_relay::stream_relay(relay_request request, relay_hooks hooks, relay_listener listener)
+    : request(std::move(request))
+    , hooks(std::move(hooks))
+    , listener(std::move(listener))
+{
+}
+
+stream_relay::~stream_relay()
+{
+    *this->is_alive = false;
+    if (!this->finished) {
+        this->cancel();
+    }
+}
+
+void stream_relay::start()
+{
+    this->request_timer = this->hooks.timers.schedule_after(this->request.times.request, [this] {
+        this->request_timer = 0;
+        const std::string peer = this->stages.empty() ? "" : this->stage().holder.value();
+        this->end_attempt();
+        this->fail(this->may_have_run ? request_outcome::unknown : request_outcome::not_run,
+            {send_certainty::may_have_run, {"run request", peer}, "the request's time limit has passed", {}});
+    });
+    this->begin_attempt();
+}
+
+void stream_relay::begin_attempt()
+{
+    std::optional<chain> chosen = this->hooks.choose_chain(this->failed_upstreams);
+    if (!chosen) {
+        this->fail(this->may_have_run ? request_outcome::unknown : request_outcome::not_run,
+            {send_certainty::not_sent, {"choose chain", this->request.model.value()},
+                "no chain of live upstreams holds all layers", {}});
+        return;
+    }
+    ++this->counts.attempts;
+    this->counts.moves += this->tokens.empty() ? 0 : 1;
+    this->attempt = attempt_number(this->attempt.value() + 1);
+    this->stages = std::move(*chosen);
+    for (const stage_option& item : this->stages) {
+        item.load->note_sent();
+        this->hooks.note("choose chain", item.holder.value(),
+            "attempt " + std::to_string(this->attempt.value()) + ", layers "
+                + std::to_string(item.layers.first.value()) + " to "
+                + std::to_string(item.layers.last.value()));
+    }
+    this->stage_index = 0;
+    this->kind = step_kind::prefill;
+    this->stage_input = this->request.prompt;
+    this->send_to_stage();
+}
+
+void stream_relay::end_attempt()
+{
+    if (this->call != 0) {
+        this->hooks.cancel_step(this->call);
+        this->call = 0;
+    }
+    ++this->call_serial;
+    if (this->step_timer != 0) {
+        this->hooks.timers.cancel(this->step_timer);
+        this->step_timer = 0;
+    }
+    for (const stage_option& item : this->stages) {
+        item.load->note_finished();
+        this->hooks.release(item, this->request.stream, this->attempt);
+    }
+    this->stages.clear();
+}
+
+step_request stream_relay::make_step() const
+{
+    step_request step;
+    step.stream = this->request.stream;
+    step.attempt = this->attempt;
+    step.position = token_position(static_cast<std::uint32_t>(this->tokens.size()));
+    step.model = this->request.model;
+    step.layers = this->stage().layers;
+    step.kind = this->kind;
+    step.priority = this->request.priority;
+    step.input = this->stage_input;
+    step.most_tokens = this->request.most_tokens;
+    step.parameters = this->request.parameters;
+    if (this->kind == step_kind::prefill && this->stage_index == 0) {
+        step.generated = this->tokens;
+    }
+    return step;
+}
+
+void stream_relay::send_to_stage()
+{
+    const std::uint64_t serial = ++this->call_serial;
+    const std::weak_ptr<bool> alive = this->is_alive;
+    const auto is_current = [this, alive, serial] {
+        const std::shared_ptr<bool> held = alive.lock();
+        return held && *held && !this->finished && serial == this->call_serial;
+    };
+    this->step_sent = this->hooks.timers.now();
+    this->expect_answer(
+        this->kind == step_kind::prefill ? this->request.times.first_answer : this->request.times.step);
+    this->call = this->hooks.send_step(
+        this->stage(), this->make_step(),
+        [this, is_current, serial](const step_answer& answer) {
+            if (is_current()) {
+                this->handle_answer(serial, answer);
+            }
+        },
+        [this, is_current](const send_failure& failure) {
+            if (is_current()) {
+                this->call = 0;
+                this->handle_failure(failure);
+            }
+        });
+}
+
+void stream_relay::expect_answer(duration limit)
+{
+    if (this->step_timer != 0) {
+        this->hooks.timers.cancel(this->step_timer);
+    }
+    this->step_timer = this->hooks.timers.schedule_after(limit, [this] {
+        this->step_timer = 0;
+        this->handle_timeout();
+    });
+}
+
+bool stream_relay::is_expected(const step_answer& answer) const
+{
+    const bool is_last_stage = this->stage_index + 1 == this->stages.size();
+    return answer.stream == this->request.stream && answer.attempt == this->attempt
+        && answer.position.value() == this->tokens.size() && answer.token.has_value() == is_last_stage;
+}
+
+void stream_relay::handle_answer(call_id awaited, const step_answer& answer)
+{
+    this->call = 0;
+    // An answer proves that the upstream ran something for this call, whatever it says.
+    this->may_have_run = true;
+    if (!this->is_expected(answer)) {
+        ++this->counts.stale_answers;
+        this->hooks.note("check answer", this->stage().holder.value(), "dropped: not the step that was sent");
+        this->handle_failure({send_certainty::may_have_run, {"check answer", this->stage().holder.value()},
+            "the answer is for another stream, attempt or position", {}});
+        return;
+    }
+    const time_point now = this->hooks.timers.now();
+    this->stage().load->note_success(now - this->step_sent);
+    if (answer.streams_running) {
+        this->stage().load->note_report(now, *answer.streams_running);
+    }
+    if (answer.token) {
+        this->handle_token(*answer.token);
+    } else if (awaited == this->call_serial) {
+        ++this->stage_index;
+        this->stage_input = answer.output;
+        this->send_to_stage();
+    }
+}
+
+void stream_relay::handle_token(const generated_token& made)
+{
+    generated_token token = made;
+    if (!token.is_last && this->tokens.size() + 1 >= this->request.most_tokens) {
+        token.is_last = true;
+        token.finish_reason = "length";
+    }
+    const token_position position(static_cast<std::uint32_t>(this->tokens.size()));
+    this->tokens.push_back(token.text);
+    const std::weak_ptr<bool> alive = this->is_alive;
+    this->listener.on_token(token, position);
+    if (alive.expired() || this->finished) {
+        return; // the listener has cancelled the stream
+    }
+    if (token.is_last) {
+        this->finish();
+        this->listener.on_end();
+        return;
+    }
+    this->stage_index = 0;
+    this->kind = step_kind::decode;
+    this->stage_input = token.text;
+    this->move_from_leaving();
+}
+
+void stream_relay::move_from_leaving()
+{
+    bool is_leaving = false;
+    for (const stage_option& item : this->stages) {
+        is_leaving = is_leaving || item.load->is_leaving();
+    }
+    const bool may_move = is_leaving && this->request.is_repeatable;
+    if (!may_move || !this->hooks.choose_chain(this->failed_upstreams)) {
+        this->send_to_stage();
+        return;
+    }
+    this->hooks.note("move stream", this->stage().holder.value(), "a stage is leaving");
+    this->end_attempt();
+    this->begin_attempt();
+}
+
+void stream_relay::handle_timeout()
+{
+    this->hooks.cancel_step(this->call);
+    this->call = 0;
+    this->handle_failure({send_certainty::may_have_run, {"await answer", this->stage().holder.value()},
+        "no answer within the time limit", {}});
+}
+
+void stream_relay::handle_failure(const send_failure& failure)
+{
+    const time_point now = this->hooks.timers.now();
+    const stage_option failed_stage = this->stage();
+    if (failure.retry_after) {
+        failed_stage.load->note_asked_to_wait(now, *failure.retry_after);
+    } else {
+        failed_stage.load->note_failure(now);
+    }
+    this->may_have_run = this->may_have_run || failure.certainty == send_certainty::may_have_run;
+    this->failed_upstreams.insert(failed_stage.holder);
+    this->hooks.note(failure.origin.step, failed_stage.holder.value(), failure.reason);
+    this->end_attempt();
+
+    const request_outcome outcome = this->may_have_run ? request_outcome::unknown : request_outcome::not_run;
+    const bool may_repeat = this->request.is_repeatable || !this->may_have_run;
+    if (!may_repeat) {
+        this->hooks.note("retry", "", "not repeated: the request may have run and is not repeatable");
+        this->fail(outcome, failure);
+        return;
+    }
+    if (this->attempt.value() >= this->request.most_attempts) {
+        this->hooks.note("retry", "", "not repeated: the request's attempts are used up");
+        this->fail(outcome, failure);
+        return;
+    }
+    if (!this->hooks.take_retry()) {
+        this->hooks.note("retry", "", "not repeated: the host's retry budget is used up");
+        this->fail(outcome, failure);
+        return;
+    }
+    this->begin_attempt();
+}
+
+void stream_relay::fail(request_outcome outcome, const send_failure& failure)
+{
+    this->finish();
+    this->listener.on_failure({outcome, failure.origin, failure.reason, failure.retry_after});
+}
+
+void stream_relay::finish()
+{
+    this->end_attempt();
+    this->finished = true;
+    if (this->request_timer != 0) {
+        this->hooks.timers.cancel(this->request_timer);
+        this->request_timer = 0;
+    }
+}
+
+void stream_relay::cancel()
+{
+    if (!this->finished) {
+        this->hooks.note("cancel", "", "the caller has gone");
+        this->finish();
+    }
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/streamrelay.h
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/timerqueue.h>
+#include <delivery/outcome.h>
+#include <delivery/stepmessage.h>
+#include <routing/chainpolicy.h>
+
+#include <memory>
+
+namespace sailtiller {
+
+/// Names a message on its way to an upstream, so that it can be given up; 0 is none.
+using call_id = std::uint64_t;
+
+/// What a stream relay needs from outside. All hooks return before their callbacks run.
+struct relay_hooks
+{
+    /// Sends a step; calls exactly one of the callbacks, unless the call is cancelled first.
+    std::function<call_id(const stage_option&, const step_request&, std::function<void(const step_answer&)>,
+        std::function<void(const send_failure&)>)>
+        send_step;
+    std::function<void(call_id)> cancel_step;
+    /// Tells an upstream that it may drop what it keeps for an attempt; best effort.
+    std::function<void(const stage_option&, const stream_id&, attempt_number)> release;
+    /// Chooses a chain that avoids these upstreams.
+    std::function<std::optional<chain>(const std::set<upstream_id>&)> choose_chain;
+    /// Asks the host's retry budget for one more attempt.
+    std::function<bool()> take_retry;
+    /// One decision of this request, for the record that `explain` reads.
+    std::function<void(const std::string& step, const std::string& peer, const std::string& reason)> note;
+    timer_hooks timers;
+};
+
+/// What a stream relay reports.
+struct relay_listener
+{
+    std::function<void(const generated_token&, token_position)> on_token;
+    std::function<void()> on_end;
+    std::function<void(const request_failure&)> on_failure;
+};
+
+/// One request of a model.
+struct relay_request
+{
+    stream_id stream;
+    model_id model;
+    std::string prompt;
+    std::string parameters; ///< the caller's sampling parameters as JSON text
+    std::uint32_t most_tokens = 0;
+    std::int32_t priority = 0;
+    bool is_repeatable = true; ///< false: never sent again once it may have run
+    time_limits times;
+    std::uint32_t most_attempts = 1;
+};
+
+/// Answers that were dropped because they were not the one waited for.
+struct relay_counters
+{
+    std::uint64_t stale_answers = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t moves = 0; ///< attempts that went on in the middle of a stream
+};
+
+/// Runs one stream: each token passes the stages of a chain in order, once. When a stage fails, the stream
+/// goes on under a new attempt on another chain, from the prompt and the tokens already given to the caller,
+/// who sees each token once and in order. The relay holds no reference to itself; its owner destroys it after
+/// `on_end` or `on_failure`, not during the call.
+class stream_relay
+{
+public:
+    stream_relay(relay_request request, relay_hooks hooks, relay_listener listener);
+    ~stream_relay();
+    stream_relay(const stream_relay&) = delete;
+    stream_relay& operator=(const stream_relay&) = delete;
+
+    void start();
+    /// The caller has gone: gives up what is under way and releases every stage.
+    void cancel();
+    [[nodiscard]] bool is_finished() const { return this->finished; }
+    [[nodiscard]] const relay_counters& counters() const { return this->counts; }
+
+private:
+    void begin_attempt();
+    void end_attempt();
+    void send_to_stage();
+    void expect_answer(duration limit);
+    void handle_answer(call_id awaited, const step_answer& answer);
+    void handle_token(const generated_token& made);
+    void move_from_leaving();
+    void handle_failure(const send_failure& failure);
+    void handle_timeout();
+    void fail(request_outcome outcome, const send_failure& failure);
+    void finish();
+    [[nodiscard]] step_request make_step() const;
+    [[nodiscard]] bool is_expected(const step_answer& answer) const;
+    [[nodiscard]] const stage_option& stage() const { return this->stages[this->stage_index]; }
+
+    relay_request request;
+    relay_hooks hooks;
+    relay_listener listener;
+    relay_counters counts;
+
+    chain stages;
+    std::size_t stage_index = 0;
+    attempt_number attempt{0};
+    step_kind kind = step_kind::prefill;
+    std::vector<std::string> tokens;
+    std::string stage_input;
+    std::set<upstream_id> failed_upstreams;
+    bool may_have_run = false;
+    bool finished = false;
+    call_id call = 0;
+    std::uint64_t call_serial = 0; ///< tells apart callbacks of calls given up
+    time_point step_sent{};
+    timer_id step_timer = 0;
+    timer_id request_timer = 0;
+    std::shared_ptr<bool> is_alive = std::make_shared<bool>(true);
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/engines/engineclient.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/streamrelay.h>
+#include <runtime/httpclient.h>
+
+namespace sailtiller {
+
+/// Sends steps to model engines over HTTP (docs/design/engine-protocol.md). The one place that knows their
+/// format.
+class engine_client
+{
+public:
+    explicit engine_client(http_client& client);
+
+    call_id send_step(const stage_option& stage, const step_request& step,
+        std::function<void(const step_answer&)> on_answer,
+        std::function<void(const send_failure&)> on_failure);
+    void cancel(call_id call);
+    /// Tells an engine to drop what it keeps for an attempt, and doesn't wait for its answer.
+    void release(const stage_option& stage, const stream_id& stream, attempt_number attempt);
+
+private:
+    http_client& client;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/entry/completionrequest.cpp
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/json.h>
+#include <entry/completionrequest.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr std::int64_t most_tokens_asked = 10'000'000;
+
+/// Ends the reading with the error for the caller.
+struct reading_stopped
+{
+    caller_error reason;
+};
+
+[[noreturn]] void stop_reading(const std::string& param, const std::string& message)
+{
+    caller_error reason;
+    reason.status = status_bad_request;
+    reason.type = "invalid_request_error";
+    reason.code = "invalid_value";
+    reason.message = message;
+    reason.param = param;
+    throw reading_stopped{reason};
+}
+
+std::string read_model(const json& body)
+{
+    const auto found = body.find("model");
+    if (found == body.end() || !found->is_string() || found->get_ref<const std::string&>().empty()) {
+        stop_reading("model", "the field model must be the name of a model; GET /v1/models lists them");
+    }
+    return found->get<std::string>();
+}
+
+void check_message(const json& message, std::size_t index)
+{
+    const bool has_role = message.is_object() && message.contains("role") && message["role"].is_string();
+    if (!has_role || !message.contains("content")) {
+        stop_reading("messages", "message " + std::to_string(index) + " must have a role and a content");
+    }
+}
+
+std::string read_messages(const json& body)
+{
+    const auto found = body.find("messages");
+    if (found == body.end() || !found->is_array() || found->empty()) {
+        stop_reading("messages", "the field messages must be a list with at least one message");
+    }
+    for (std::size_t index = 0; index < found->size(); ++index) {
+        check_message((*found)[index], index);
+    }
+    return found->dump();
+}
+
+std::string read_prompt(const json& body)
+{
+    const auto found = body.find("prompt");
+    if (found == body.end() || !found->is_string()) {
+        stop_reading("prompt", "the field prompt must be one text");
+    }
+    return found->get<std::string>();
+}
+
+bool read_flag(const json& body, const char* field)
+{
+    const auto found = body.find(field);
+    if (found == body.end() || found->is_null()) {
+        return false;
+    }
+    if (!found->is_boolean()) {
+        stop_reading(field, std::string("the field ") + field + " must be true or false");
+    }
+    return found->get<bool>();
+}
+
+std::uint32_t read_most_tokens(const json& body)
+{
+    for (const char* field : {"max_completion_tokens", "max_tokens"}) {
+        const auto found = body.find(field);
+        if (found == body.end() || found->is_null()) {
+            continue;
+        }
+        const bool is_whole = found->is_number_integer();
+        if (!is_whole || found->get<std::int64_t>() < 1 || found->get<std::int64_t>() > most_tokens_asked) {
+            stop_reading(field, std::string("the field ") + field + " must be a whole number from 1");
+        }
+        return found->get<std::uint32_t>();
+    }
+    return 0;
+}
+
+completion_request read_fields(completion_kind kind, const json& body)
+{
+    completion_request request;
+    request.kind = kind;
+    request.model = model_id(read_model(body));
+    request.prompt = kind == completion_kind::chat ? read_messages(body) : read_prompt(body);
+    request.is_streamed = read_flag(body, "stream");
+    request.most_tokens = read_most_tokens(body);
+    if (body.contains("n") && body["n"] != 1) {
+        stop_reading("n", "only one choice for each request is served; leave n out or set it to 1");
+    }
+    json parameters = body;
+    for (const char* field : {"model", "messages", "prompt", "stream"}) {
+        parameters.erase(field);
+    }
+    request.parameters = parameters.dump();
+    return request;
+}
+
+} // namespace
+
+std::variant<completion_request, caller_error> read_completion_request(
+    completion_kind kind, const std::string& body)
+{
+    try {
+        std::vector<json_fault> faults;
+        const json document = parse_json(body, faults);
+        if (!faults.empty()) {
+            stop_reading(faults.front().path, "the body is not usable: " + faults.front().reason);
+        }
+        if (!document.is_object()) {
+            stop_reading("", "the body must be a JSON object");
+        }
+        return read_fields(kind, document);
+    } catch (const reading_stopped& stopped) {
+        return stopped.reason;
+    } catch (const json::exception& unusable) {
+        caller_error reason;
+        reason.status = status_bad_request;
+        reason.type = "invalid_request_error";
+        reason.code = "invalid_value";
+        reason.message = std::string("the body is not usable: ") + unusable.what();
+        return reason;
+    }
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/entry/entryservice.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <entry/completionexchange.h>
+#include <entry/serviceexchange.h>
+
+#include <unordered_map>
+
+namespace sailtiller {
+
+/// The callers' side of a host: checks each request, lets it in or refuses it, and runs it.
+class entry_service
+{
+public:
+    /// `post` runs an action after the present callback.
+    entry_service(entry_context context, std::function<void(std::function<void()>)> post);
+
+    /// The bundle for requests that start from now on.
+    void set_state(std::shared_ptr<const serving_state> state) { this->state = std::move(state); }
+    [[nodiscard]] const std::shared_ptr<const serving_state>& current_state() const { return this->state; }
+    void handle(const std::shared_ptr<http_exchange>& exchange);
+    [[nodiscard]] std::size_t requests_in_flight() const
+    {
+        return this->completions.size() + this->service_calls.size();
+    }
+
+private:
+    void refuse(http_exchange& exchange, const request_id& id, const caller_error& reason);
+    std::optional<admitted_request> authenticate(const std::shared_ptr<http_exchange>& exchange);
+    bool admit(const admitted_request& request);
+    void list_models(const admitted_request& request);
+    void run_completion(admitted_request request, completion_kind kind);
+    void run_service(admitted_request request, const plain_service& service);
+    std::optional<caller_error> check_completion(
+        const admitted_request& request, const completion_request& wanted) const;
+
+    entry_context context;
+    std::function<void(std::function<void()>)> post;
+    std::shared_ptr<const serving_state> state;
+    std::unordered_map<request_id, std::unique_ptr<completion_exchange>> completions;
+    std::unordered_map<request_id, std::unique_ptr<service_exchange>> service_calls;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/entry/servingstate.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <bundle/activationrecord.h>
+#include <routing/accountindex.h>
+#include <routing/chainpolicy.h>
+
+namespace sailtiller {
+
+/// Everything that one bundle means for serving on this host. Made when the bundle takes force; a request
+/// keeps the one under which it started.
+class serving_state
+{
+public:
+    serving_state(const bundle& content, generation_number generation, const host_id& self, load_table& loads,
+        const random_function& random);
+
+    [[nodiscard]] const bundle& content() const { return this->source; }
+    [[nodiscard]] generation_number generation() const { return this->number; }
+    [[nodiscard]] const account_index& accounts() const { return this->keys; }
+    [[nodiscard]] const routing_table& routes() const { return this->table; }
+    /// Null if there is no such model.
+    [[nodiscard]] const model* find_model(const model_id& name) const;
+    /// The service whose prefix the path has; null if there is none.
+    [[nodiscard]] const plain_service* find_service(std::string_view path) const;
+    /// The policy that applies to an account.
+    [[nodiscard]] const chain_policy& policy_for(const client_account& account) const;
+
+private:
+    bundle source;
+    generation_number number;
+    account_index keys;
+    routing_table table;
+    std::map<policy_id, chain_policy> policies;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/fleet/bundlefollower.h
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/logservice.h>
+#include <base/timerqueue.h>
+#include <bundle/activationfold.h>
+#include <fleet/carrierduty.h>
+#include <fleet/partstore.h>
+
+#include <memory>
+
+namespace sailtiller {
+
+/// Settings of a follower.
+struct follower_settings
+{
+    host_id self;
+    trust_settings trust;
+    carrier_settings carrier;
+    duration read_wait = std::chrono::seconds(5); ///< how long one read of the log may wait for a record
+    duration retry_pause = std::chrono::milliseconds(500); ///< before the log is read again after a failure
+    duration longest_retry_pause = std::chrono::seconds(8);
+    duration peer_interval =
+        std::chrono::seconds(2); ///< between questions to peers while the log doesn't serve
+    duration carry_interval = std::chrono::seconds(5); ///< between looks at what must be carried forward
+    std::size_t most_spare_bytes = 16U << 20U;
+};
+
+/// A bundle that has taken force on this host.
+struct bundle_in_force
+{
+    bundle content;
+    activation source;
+};
+
+/// What a peer tells of the bundle in force.
+struct peer_bundle_state
+{
+    activation_snapshot snapshot;
+    std::vector<std::string> parts; ///< bodies of the parts that were asked for
+};
+
+/// What a follower needs from outside.
+struct follower_hooks
+{
+    log_hooks log;
+    timer_hooks timers;
+    /// The hosts that are live by the platform's list, this one included.
+    std::function<std::vector<host_id>()> live_hosts;
+    /// Asks some peers for their state and for parts; answers come through `take_peer_state`.
+    std::function<void(const std::vector<part_digest>& missing)> ask_peers;
+    /// Takes a checked bundle into force.
+    std::function<void(std::shared_ptr<const bundle_in_force>)> on_bundle;
+    /// Tells an event for logs and metrics: its kind, the peer and the reason.
+    std::function<void(const std::string& kind, const std::string& peer, const std::string& reason)> on_event;
+};
+
+/// What a follower knows, for status pages.
+struct follower_status
+{
+    generation_number known_generation; ///< accepted by the log
+    generation_number applied_generation; ///< in force on this host
+    bool is_complete = false; ///< no expired record has been missed
+    bool is_log_reachable = false;
+    bool has_reached_head = false; ///< the log has been read to its end at least once
+    log_offset next_offset;
+    std::size_t missing_parts = 0;
+    std::string failure; ///< why the known generation is not in force here; empty if it is
+};
+
+/// Follows the operators' stream of the log, keeps the bundle in force on this host, and does this host's
+/// part in carrying it forward before it expires.
+class bundle_follower
+{
+public:
+    bundle_follower(follower_settings settings, follower_hooks hooks);
+
+    void start();
+    void stop();
+    /// A peer has answered `ask_peers`.
+    void take_peer_state(const peer_bundle_state& state);
+    /// What this host answers when a peer asks; empty if it has no confirmed state.
+    [[nodiscard]] std::optional<peer_bundle_state> answer_peer(const std::vector<part_digest>& wanted) const;
+
+    [[nodiscard]] follower_status status() const;
+    [[nodiscard]] const std::shared_ptr<const bundle_in_force>& in_force() const { return this->applied; }
+    [[nodiscard]] const activation_fold& fold() const { return this->activations; }
+    [[nodiscard]] const part_store& parts() const { return this->store; }
+
+private:
+    void read_log();
+    void handle_page(const log_page& page);
+    void handle_entry(const log_entry& entry);
+    void handle_log_failure(const error& failure);
+    void check_with_peers();
+    void apply();
+    void apply_manifest(const activation& source, const std::string& manifest_body);
+    /// Protects the parts of a bundle that is still being gathered, besides those in force.
+    void keep_parts(const bundle_manifest& next, const part_digest& manifest);
+    void refuse(const activation& source, const std::string& reason);
+    void carry_forward();
+    void carry(const std::string& record);
+    [[nodiscard]] std::vector<part_digest> wanted_parts() const;
+
+    follower_settings settings;
+    follower_hooks hooks;
+    activation_fold activations;
+    part_store store;
+    carrier_duty duty;
+    std::shared_ptr<const bundle_in_force> applied;
+    std::vector<part_digest> carried_parts; ///< of the bundle in force, its manifest included
+    activation_id refused; ///< in force by the log, and yet not applicable here
+    std::string refusal;
+    bool is_running = false;
+    bool is_log_reachable = false;
+    bool has_reached_head = false;
+    std::uint32_t failures_in_a_row = 0;
+    timer_id read_timer = 0;
+    timer_id peer_timer = 0;
+    timer_id carry_timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/fleet/ownership.h
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/ids.h>
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace sailtiller {
+
+/// The hosts in the order in which they own a key: the first one owns it, the next follow if it is gone.
+/// Rendezvous hashing: when a host leaves, only the keys that it owned move.
+std::vector<host_id> rank_owners(std::string_view key, const std::vector<host_id>& live_hosts);
+/// The first of `rank_owners`, without sorting; empty if there is no live host.
+std::optional<host_id> find_owner(std::string_view key, const std::vector<host_id>& live_hosts);
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/platform/hostlist.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/json.h>
+#include <platform/hostlist.h>
+#include <platform/timedcall.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr duration answer_limit = std::chrono::seconds(2);
+
+listed_host read_entry(const json& text)
+{
+    listed_host entry;
+    entry.name = text.at("name").get<std::string>();
+    entry.peer_address = endpoint(text.value("peer_address", ""));
+    entry.data_hall = data_hall_id(text.value("data_hall", ""));
+    entry.is_upstream = text.value("kind", "host") == "upstream";
+    entry.state = text.value("state", "live") == "leaving" ? listed_state::leaving : listed_state::live;
+    return entry;
+}
+
+} // namespace
+
+host_list::host_list(event_loop& loop, http_client& client, endpoint address, duration interval,
+    std::function<void()> on_change, std::function<void(const error&)> on_failure)
+    : loop(loop)
+    , client(client)
+    , address(std::move(address))
+    , interval(interval)
+    , on_change(std::move(on_change))
+    , on_failure(std::move(on_failure))
+{
+}
+
+void host_list::start()
+{
+    this->read();
+}
+
+void host_list::read()
+{
+    const error_origin origin{"read host list", this->address.value()};
+    http_request request{
+        .method = "GET", .path = "/v1/hosts", .headers = {}, .body = {}, .protocol = {}, .peer = {}};
+    send_timed(
+        this->loop, this->client, {this->address, request, answer_limit, origin},
+        [this](const std::string& body) { this->take(body); }, this->on_failure);
+    this->loop.schedule_after(this->interval, [this] { this->read(); });
+}
+
+void host_list::take(const std::string& body)
+{
+    if (body == this->last_body) {
+        return;
+    }
+    std::vector<listed_host> entries;
+    try {
+        for (const json& item : json::parse(body).at("hosts")) {
+            entries.push_back(read_entry(item));
+        }
+    } catch (const json::exception& malformed) {
+        throw error({"read host list", this->address.value()}, malformed.what());
+    }
+    this->last_body = body;
+    this->listed = std::move(entries);
+    this->has_been_read = true;
+    this->on_change();
+}
+
+std::vector<listed_host> host_list::live_hosts() const
+{
+    std::vector<listed_host> hosts;
+    for (const listed_host& entry : this->listed) {
+        if (!entry.is_upstream && entry.state == listed_state::live) {
+            hosts.push_back(entry);
+        }
+    }
+    return hosts;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/platform/timedcall.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <platform/timedcall.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr int status_ok = 200;
+
+/// What stays of a call until it ends by one of three ways.
+struct pending_call
+{
+    timer_id timer = 0;
+    http_client::call_id call = 0;
+};
+
+void handle_response(const http_response& response, const error_origin& origin,
+    const std::function<void(const std::string&)>& on_body,
+    const std::function<void(const error&)>& on_failure)
+{
+    try {
+        if (response.status != status_ok) {
+            throw error(origin, "status " + std::to_string(response.status) + ": " + response.body);
+        }
+        on_body(response.body);
+    } catch (const error& failure) {
+        on_failure(failure);
+    }
+}
+
+} // namespace
+
+void send_timed(event_loop& loop, http_client& client, const timed_call& call,
+    std::function<void(const std::string&)> on_body, std::function<void(const error&)> on_failure)
+{
+    const auto pending = std::make_shared<pending_call>();
+    const error_origin origin = call.origin;
+    pending->timer = loop.schedule_after(call.limit, [&client, pending, origin, on_failure] {
+        client.cancel(pending->call);
+        on_failure(error(origin, "no answer within the time limit"));
+    });
+    pending->call = client.send(
+        call.target, call.request,
+        [&loop, pending, origin, on_body, on_failure](const http_response& response) {
+            loop.cancel(pending->timer);
+            handle_response(response, origin, on_body, on_failure);
+        },
+        [&loop, pending, origin, on_failure](const http_failure& failure) {
+            loop.cancel(pending->timer);
+            on_failure(error(origin, failure.step + ": " + failure.reason));
+        });
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/routing/accountindex.cpp
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <bundle/digest.h>
+#include <routing/accountindex.h>
+
+namespace sailtiller {
+
+account_index::account_index(const bundle& content)
+    : accounts(content.accounts)
+{
+    for (std::size_t index = 0; index < this->accounts.size(); ++index) {
+        for (const std::string& digest : this->accounts[index].key_digests) {
+            this->by_digest.emplace(digest, index);
+        }
+    }
+}
+
+const client_account* account_index::find_by_key(std::string_view key) const
+{
+    // The table is looked up by a digest, which a caller can't steer; the compare itself takes constant time.
+    const std::string digest = key_digest_of(key);
+    const auto found = this->by_digest.find(digest);
+    if (found == this->by_digest.end() || !is_equal_in_constant_time(found->first, digest)) {
+        return nullptr;
+    }
+    return &this->accounts[found->second];
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/routing/routingtable.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/random.h>
+#include <bundle/bundle.h>
+#include <routing/loadtable.h>
+
+#include <map>
+
+namespace sailtiller {
+
+/// One stage that this host may use for a model.
+struct stage_option
+{
+    upstream_id holder;
+    endpoint address;
+    layer_range layers;
+    duration step_time{};
+    duration link_delay{};
+    std::uint32_t streams = 1;
+    std::shared_ptr<upstream_load> load;
+};
+
+/// A model's stages, grouped by the layer at which they start.
+struct model_routes
+{
+    model_id name;
+    std::uint32_t layers = 0;
+    std::vector<std::vector<stage_option>> starting_at; ///< index: first layer
+};
+
+/// One upstream of a plain service.
+struct service_option
+{
+    upstream_id name;
+    endpoint address;
+    std::shared_ptr<upstream_load> load;
+};
+
+/// How many holders of one layer range a host considers. More spread the load more evenly, fewer cost less:
+/// the figures are in docs/design/routing.md.
+constexpr std::size_t holders_per_stage = 16;
+
+/// The upstreams of one bundle as one host uses them, made anew for each bundle that takes force.
+class routing_table
+{
+public:
+    /// `self` draws this host's subset of holders by rendezvous hashing, so that load over all hosts stays
+    /// even.
+    routing_table(const bundle& content, const host_id& self, load_table& loads);
+
+    /// Null if the bundle has no such model.
+    [[nodiscard]] const model_routes* routes_of(const model_id& name) const;
+    /// Empty if the bundle has no such service.
+    [[nodiscard]] const std::vector<service_option>& options_of(const service_id& name) const;
+    [[nodiscard]] std::size_t stage_count() const;
+
+private:
+    void add_model(const model& item, const std::map<upstream_id, upstream>& upstreams, const host_id& self,
+        load_table& loads);
+
+    std::map<model_id, model_routes> models;
+    std::map<service_id, std::vector<service_option>> services;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/routing/upstreamload.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <routing/upstreamload.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+/// A report older than this says nothing about the present queue.
+constexpr duration report_lifetime = std::chrono::seconds(5);
+/// Weight of the newest answer in the smoothed time: 1 / 8, as in TCP's round-trip estimate (RFC 6298).
+constexpr std::int64_t smoothing_divisor = 8;
+/// A pause doubles at most this often, so that the shift below stays small.
+constexpr std::uint32_t most_doublings = 16;
+
+} // namespace
+
+upstream_load::upstream_load(breaker_settings settings)
+    : settings(settings)
+{
+}
+
+void upstream_load::note_sent()
+{
+    ++this->own_in_flight;
+}
+
+void upstream_load::note_finished()
+{
+    if (this->own_in_flight > 0) {
+        --this->own_in_flight;
+    }
+}
+
+void upstream_load::note_success(duration time)
+{
+    this->failures_in_a_row = 0;
+    this->pauses_in_a_row = 0;
+    this->is_tripped = false;
+    if (this->smoothed_time) {
+        *this->smoothed_time += (time - *this->smoothed_time) / smoothing_divisor;
+    } else {
+        this->smoothed_time = time;
+    }
+}
+
+void upstream_load::note_failure(time_point now)
+{
+    ++this->failures_in_a_row;
+    const bool was_probe = this->state(now) == breaker_state::half_open;
+    if (!was_probe && this->failures_in_a_row < this->settings.failures_to_open) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(this->pauses_in_a_row, most_doublings);
+    const duration pause = this->settings.first_pause * (std::int64_t{1} << doublings);
+    this->is_tripped = true;
+    this->pause_end = std::max(this->pause_end, now + std::min(pause, this->settings.longest_pause));
+    ++this->pauses_in_a_row;
+}
+
+void upstream_load::note_asked_to_wait(time_point now, duration wait)
+{
+    this->is_tripped = true;
+    this->pause_end = std::max(this->pause_end, now + std::min(wait, this->settings.longest_asked_pause));
+}
+
+void upstream_load::note_report(time_point now, std::uint32_t streams_running)
+{
+    this->reported_streams = streams_running;
+    this->reported_at = now;
+}
+
+breaker_state upstream_load::state(time_point now) const
+{
+    if (!this->is_tripped) {
+        return breaker_state::closed;
+    }
+    return now < this->pause_end ? breaker_state::open : breaker_state::half_open;
+}
+
+bool upstream_load::is_available(time_point now) const
+{
+    switch (this->state(now)) {
+    case breaker_state::closed:
+        return true;
+    case breaker_state::open:
+        return false;
+    case breaker_state::half_open:
+        return this->own_in_flight == 0;
+    }
+    return false;
+}
+
+std::uint32_t upstream_load::expected_streams(time_point now) const
+{
+    const bool is_fresh = this->reported_at && now - *this->reported_at < report_lifetime;
+    return is_fresh ? std::max(this->own_in_flight, this->reported_streams) : this->own_in_flight;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/eventloop.cpp
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <runtime/eventloop.h>
+#include <runtime/h2oheaders.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace sailtiller {
+
+namespace {
+
+/// The longest time that the loop sleeps without looking at its stop flag.
+constexpr duration longest_sleep = std::chrono::seconds(1);
+
+time_point read_clock()
+{
+    const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point(std::chrono::duration_cast<duration>(elapsed));
+}
+
+std::int32_t to_poll_milliseconds(duration wait)
+{
+    // Rounded up, so that a timer is due when the poll returns.
+    return static_cast<std::int32_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+}
+
+} // namespace
+
+event_loop::event_loop()
+    : loop(h2o_evloop_create())
+    , turn_time(read_clock())
+{
+    // A write to a connection that the peer has closed must fail as a write, not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+event_loop::~event_loop()
+{
+    if (h2o_linklist_is_empty(&this->loop->_timeouts) != 0) {
+        h2o_evloop_destroy(this->loop);
+        return;
+    }
+    // A connection that could not be ended still refers to the loop, so the loop must outlive it.
+    static std::vector<h2o_evloop_t*> abandoned;
+    abandoned.push_back(this->loop);
+}
+
+void event_loop::run()
+{
+    while (!this->is_stopping) {
+        this->run_once(longest_sleep);
+    }
+}
+
+void event_loop::run_once(duration longest_wait)
+{
+    duration wait = longest_wait;
+    // h2o polls before it runs pending callbacks, and our actions may have made some since its last turn.
+    const bool has_pending =
+        this->loop->_pending_as_client != nullptr || this->loop->_pending_as_server != nullptr;
+    if (has_pending || !this->posted.empty()) {
+        wait = duration::zero();
+    } else if (const std::optional<time_point> due = this->timers.next_due()) {
+        wait = std::clamp(*due - read_clock(), duration::zero(), longest_wait);
+    }
+    h2o_evloop_run(this->loop, to_poll_milliseconds(wait));
+    this->turn_time = read_clock();
+    this->run_posted();
+    this->timers.run_due(this->turn_time);
+}
+
+void event_loop::run_posted()
+{
+    std::vector<std::function<void()>> actions;
+    actions.swap(this->posted);
+    for (const std::function<void()>& action : actions) {
+        action();
+    }
+}
+
+timer_id event_loop::schedule_after(duration delay, std::function<void()> action)
+{
+    return this->timers.schedule(read_clock() + delay, std::move(action));
+}
+
+void event_loop::post(std::function<void()> action)
+{
+    this->posted.push_back(std::move(action));
+}
+
+timer_hooks event_loop::hooks()
+{
+    timer_hooks hooks;
+    hooks.schedule_after = [this](duration delay, std::function<void()> action) {
+        return this->schedule_after(delay, std::move(action));
+    };
+    hooks.cancel = [this](timer_id timer) { this->cancel(timer); };
+    hooks.now = [this] { return this->now(); };
+    return hooks;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/eventloop.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/timerqueue.h>
+
+#include <vector>
+
+struct st_h2o_evloop_t;
+
+namespace sailtiller {
+
+/// The one loop on the one thread: h2o's sockets and our timers.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Runs until `stop` is called.
+    void run();
+    /// Runs one turn, waiting for at most `longest_wait`.
+    void run_once(duration longest_wait);
+    void stop() { this->is_stopping = true; }
+    [[nodiscard]] bool is_stopped() const { return this->is_stopping; }
+
+    /// The time at which the present turn began.
+    [[nodiscard]] time_point now() const { return this->turn_time; }
+    timer_id schedule_after(duration delay, std::function<void()> action);
+    void cancel(timer_id timer) { this->timers.cancel(timer); }
+    /// Runs `action` after the present turn, outside of any callback of h2o's.
+    void post(std::function<void()> action);
+    /// This loop as the hooks that the core takes.
+    [[nodiscard]] timer_hooks hooks();
+
+    [[nodiscard]] st_h2o_evloop_t* native() const { return this->loop; }
+
+private:
+    void run_posted();
+
+    st_h2o_evloop_t* loop;
+    timer_queue timers;
+    std::vector<std::function<void()>> posted;
+    time_point turn_time;
+    bool is_stopping = false;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpclient.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/eventloop.h>
+#include <runtime/httpmessage.h>
+
+#include <memory>
+
+namespace sailtiller {
+
+/// How far a request had got when it failed.
+enum class http_progress {
+    not_sent, ///< no connection was made, so no byte of the request left this process
+    sent ///< the request may have reached the peer
+};
+
+/// Why a request brought no whole response.
+struct http_failure
+{
+    http_progress progress = http_progress::sent;
+    std::string step;
+    std::string reason;
+};
+
+/// Settings of a client.
+struct http_client_settings
+{
+    duration connect_time = std::chrono::seconds(2); ///< to make a connection
+    duration idle_time = std::chrono::seconds(30); ///< a kept connection is closed after this
+    std::size_t most_response_bytes = 64U << 20U;
+};
+
+/// h2o's HTTP/1.1 client with kept connections for each endpoint. Whole requests and whole responses;
+/// callbacks run from the loop, never within a call of the client's.
+class http_client
+{
+public:
+    using call_id = std::uint64_t;
+    using response_handler = std::function<void(http_response)>;
+    using failure_handler = std::function<void(const http_failure&)>;
+
+    http_client(event_loop& loop, http_client_settings settings);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Sends a request; its `peer` and `protocol` are not looked at. Exactly one handler runs, unless the
+    /// call is cancelled first. A request is never sent twice.
+    call_id send(const endpoint& target, const http_request& request, response_handler on_response,
+        failure_handler on_failure);
+    /// Gives a call up; its connection is closed. Calls that have ended are ignored.
+    void cancel(call_id call);
+    [[nodiscard]] std::size_t calls_in_flight() const;
+
+private:
+    struct call;
+    struct state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpexchange.cpp
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <runtime/h2oheaders.h>
+#include <runtime/httpexchange.h>
+#include <runtime/socketaddress.h>
+
+#include <algorithm>
+#include <cctype>
+#include <sys/socket.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr int first_http2_version = 0x200;
+
+std::string to_string(h2o_iovec_t text)
+{
+    return {text.base, text.len};
+}
+
+std::string to_lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
+
+http_request read_request(h2o_req_t* native)
+{
+    http_request request;
+    request.method = to_string(native->method);
+    request.path = to_string(native->path);
+    request.protocol = native->version >= first_http2_version ? "HTTP/2" : "HTTP/1.1";
+    for (std::size_t index = 0; index < native->headers.size; ++index) {
+        const h2o_header_t& header = native->headers.entries[index];
+        request.headers.push_back({to_lower(to_string(*header.name)), to_string(header.value)});
+    }
+    request.body = to_string(native->entity);
+    socket_address peer;
+    peer.length = native->conn->callbacks->get_peername(native->conn, peer.pointer());
+    request.peer = to_endpoint(peer);
+    return request;
+}
+
+} // namespace
+
+/// Lives in the request's own pool, so that h2o tells by its disposal when the request is gone.
+struct http_exchange::generator
+{
+    h2o_generator_t super;
+    std::shared_ptr<http_exchange>* exchange;
+
+    static void proceed(h2o_generator_t* self, h2o_req_t*)
+    {
+        http_exchange& exchange = **reinterpret_cast<generator*>(self)->exchange;
+        exchange.is_sending = false;
+        exchange.flush();
+    }
+
+    static void dispose(void* memory)
+    {
+        auto* self = static_cast<generator*>(memory);
+        (*self->exchange)->detach();
+        delete self->exchange;
+    }
+};
+
+http_exchange::http_exchange(h2o_req_t* native)
+    : incoming(read_request(native))
+    , native(native)
+{
+}
+
+http_exchange::~http_exchange() = default;
+
+std::shared_ptr<http_exchange> http_exchange::create(h2o_req_t* native)
+{
+    std::shared_ptr<http_exchange> exchange(new http_exchange(native));
+    void* memory = h2o_mem_alloc_shared(&native->pool, sizeof(generator), &generator::dispose);
+    exchange->source = static_cast<generator*>(memory);
+    exchange->source->super = {&generator::proceed, nullptr};
+    exchange->source->exchange = new std::shared_ptr<http_exchange>(exchange);
+    return exchange;
+}
+
+void http_exchange::respond(const http_response& response)
+{
+    if (this->native == nullptr) {
+        return;
+    }
+    this->native->res.content_length = response.body.size();
+    this->start(response.status, response.headers);
+    this->pending = response.body;
+    this->finish();
+}
+
+void http_exchange::start(int status, const http_headers& headers)
+{
+    if (this->native == nullptr || this->started) {
+        return;
+    }
+    this->started = true;
+    this->native->res.status = status;
+    this->native->res.reason = status < 400 ? "OK" : "Error";
+    for (const http_header& header : headers) {
+        const h2o_iovec_t value = h2o_strdup(&this->native->pool, header.value.data(), header.value.size());
+        const h2o_iovec_t name = h2o_strdup(&this->native->pool, header.name.data(), header.name.size());
+        h2o_add_header_by_str(&this->native->pool, &this->native->res.headers, name.base, name.len, 1,
+            nullptr, value.base, value.len);
+    }
+    h2o_start_response(this->native, &this->source->super);
+    this->flush();
+}
+
+void http_exchange::send(std::string_view bytes)
+{
+    this->pending += bytes;
+    this->flush();
+}
+
+void http_exchange::finish()
+{
+    this->is_ending = true;
+    this->flush();
+}
+
+void http_exchange::abort()
+{
+    this->is_aborting = true;
+    this->finish();
+}
+
+void http_exchange::flush()
+{
+    const bool has_work = !this->pending.empty() || this->is_ending;
+    if (this->native == nullptr || !this->started || this->is_sending || this->is_done || !has_work) {
+        return;
+    }
+    this->sending.swap(this->pending);
+    this->pending.clear();
+    this->is_sending = true;
+    this->is_done = this->is_ending;
+    h2o_iovec_t buffer = h2o_iovec_init(this->sending.data(), this->sending.size());
+    const std::size_t buffers = this->sending.empty() ? 0 : 1;
+    const h2o_send_state_t last_state = this->is_aborting ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+    // h2o may dispose of the request within this call, and so drop its reference to this exchange.
+    const std::shared_ptr<http_exchange> keep = this->shared_from_this();
+    h2o_send(this->native, &buffer, buffers, this->is_done ? last_state : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void http_exchange::detach()
+{
+    this->native = nullptr;
+    this->source = nullptr;
+    if (!this->is_done && this->on_abandoned) {
+        this->is_done = true;
+        const std::function<void()> action = std::move(this->on_abandoned);
+        action();
+    }
+    this->on_abandoned = nullptr;
+}
+
+bool http_exchange::has_caller_left() const
+{
+    if (this->native == nullptr) {
+        return true;
+    }
+    if (this->native->version >= first_http2_version) {
+        return false; // h2o reads these connections all the time and disposes of the request itself
+    }
+    h2o_socket_t* socket = this->native->conn->callbacks->get_socket(this->native->conn);
+    char byte = 0;
+    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpexchange.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/eventloop.h>
+#include <runtime/httpmessage.h>
+
+#include <functional>
+#include <memory>
+
+struct st_h2o_req_t;
+
+namespace sailtiller {
+
+/// One request of a caller and the answer to it, over HTTP/1.1 or HTTP/2. Kept by whoever answers; when the
+/// caller goes away first, the exchange stays valid and drops what is sent to it.
+class http_exchange : public std::enable_shared_from_this<http_exchange>
+{
+public:
+    /// Takes over a request of h2o's; only the server makes exchanges.
+    static std::shared_ptr<http_exchange> create(st_h2o_req_t* native);
+    ~http_exchange();
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+
+    [[nodiscard]] const http_request& request() const { return this->incoming; }
+
+    /// Answers at once.
+    void respond(const http_response& response);
+    /// Begins an answer of unknown length.
+    void start(int status, const http_headers& headers);
+    /// Sends a part of the body; parts are queued while the caller is slow.
+    void send(std::string_view bytes);
+    /// Ends the body.
+    void finish();
+    /// Breaks the answer off, so that the caller sees that it isn't whole.
+    void abort();
+
+    /// Calls `action` once if the caller goes away before the answer is finished.
+    void when_abandoned(std::function<void()> action) { this->on_abandoned = std::move(action); }
+    /// True if the caller has closed its side. Over HTTP/1.1 h2o doesn't watch for that, so it is asked here.
+    [[nodiscard]] bool has_caller_left() const;
+    [[nodiscard]] bool is_started() const { return this->started; }
+    /// Bytes queued for a slow caller.
+    [[nodiscard]] std::size_t queued() const { return this->pending.size(); }
+
+private:
+    struct generator;
+
+    explicit http_exchange(st_h2o_req_t* native);
+    void flush();
+    void detach();
+
+    http_request incoming;
+    st_h2o_req_t* native;
+    generator* source = nullptr;
+    std::string sending; ///< owned by h2o until it asks for more
+    std::string pending;
+    bool started = false;
+    bool is_sending = false;
+    bool is_ending = false;
+    bool is_aborting = false;
+    bool is_done = false;
+    std::function<void()> on_abandoned;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpmessage.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/ids.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sailtiller {
+
+/// One header line; names are in lower case.
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// The value of the first header of that name (in lower case).
+std::optional<std::string> find_header(const http_headers& headers, std::string_view name);
+
+/// A whole request.
+struct http_request
+{
+    std::string method;
+    std::string path; ///< with the query, as sent
+    http_headers headers;
+    std::string body;
+    std::string protocol; ///< "HTTP/1.1" or "HTTP/2"
+    endpoint peer;
+
+    /// The path without the query.
+    [[nodiscard]] std::string_view route() const;
+    /// The value of a query parameter, without any decoding.
+    [[nodiscard]] std::optional<std::string> query_value(std::string_view name) const;
+};
+
+/// A whole response.
+struct http_response
+{
+    int status = 0;
+    http_headers headers;
+    std::string body;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpserver.cpp
@@ -0,0 +1,334 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <base/json.h>
+#include <runtime/h2oheaders.h>
+#include <runtime/httpserver.h>
+#include <runtime/socketaddress.h>
+
+#include <cstring>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+/// Connections taken in one turn of the loop, so that a burst of them doesn't hold up the streams.
+constexpr int most_accepts_a_turn = 32;
+/// Turns of the loop in which connections that were told to end must have closed.
+constexpr int most_closing_turns = 100;
+/// An answer of ours always has this header; one that h2o made by itself has not.
+constexpr std::string_view own_answer_header = "x-request-id";
+
+using ssl_context = std::unique_ptr<SSL_CTX, void (*)(SSL_CTX*)>;
+
+ssl_context make_ssl_context(const tls_files& files)
+{
+    ssl_context context(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
+    SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION);
+    const auto require = [](int result, const std::string& file) {
+        if (result != 1) {
+            const char* reason = ERR_reason_error_string(ERR_get_error());
+            throw error({"load TLS files", file}, reason == nullptr ? "can't be used" : reason);
+        }
+    };
+    require(SSL_CTX_use_certificate_chain_file(context.get(), files.certificate.c_str()), files.certificate);
+    require(SSL_CTX_use_PrivateKey_file(context.get(), files.key.c_str(), SSL_FILETYPE_PEM), files.key);
+    require(SSL_CTX_check_private_key(context.get()), files.key);
+    h2o_ssl_register_alpn_protocols(context.get(), h2o_http2_alpn_protocols);
+    return context;
+}
+
+bool is_own_answer(const h2o_req_t* request)
+{
+    for (std::size_t index = 0; index < request->res.headers.size; ++index) {
+        const h2o_iovec_t name = *request->res.headers.entries[index].name;
+        if (std::string_view(name.base, name.len) == own_answer_header) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const char* advice_for(int status)
+{
+    switch (status) {
+    case 400:
+        return "the request is malformed; send valid HTTP";
+    case 408:
+        return "the request came too slowly; send it again";
+    case 413:
+        return "the body is too large; send a smaller one";
+    default:
+        return "the server refused the request";
+    }
+}
+
+/// The body for an answer that h2o made by itself, in the shape that callers' programs parse.
+std::string rejection_body(int status)
+{
+    const json body = {{"error",
+        {{"message", advice_for(status)}, {"type", "invalid_request_error"}, {"code", nullptr},
+            {"param", nullptr}, {"outcome", "not-run"}}}};
+    return body.dump();
+}
+
+/// Replaces the body of h2o's own error answers by ours.
+struct rejection_stream
+{
+    h2o_ostream_t super;
+    std::string* body;
+
+    static void send(h2o_ostream_t* self, h2o_req_t* request, h2o_iovec_t*, size_t, h2o_send_state_t state)
+    {
+        const std::string& body = *reinterpret_cast<rejection_stream*>(self)->body;
+        if (state == H2O_SEND_STATE_IN_PROGRESS) {
+            h2o_ostream_send_next(self, request, nullptr, 0, state);
+            return;
+        }
+        h2o_iovec_t buffer = h2o_strdup(&request->pool, body.data(), body.size());
+        h2o_ostream_send_next(self, request, &buffer, 1, state);
+    }
+};
+
+void set_up_rejection(h2o_filter_t*, h2o_req_t* request, h2o_ostream_t** slot)
+{
+    constexpr int first_error_status = 400;
+    if (request->res.status >= first_error_status && !is_own_answer(request)) {
+        auto** memory = static_cast<std::string**>(h2o_mem_alloc_shared(&request->pool, sizeof(std::string*),
+            [](void* item) { delete *static_cast<std::string**>(item); }));
+        *memory = new std::string(rejection_body(request->res.status));
+        request->res.content_length = (*memory)->size();
+        const char* type = "application/json";
+        h2o_set_header(
+            &request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, type, std::strlen(type), 1);
+        auto* stream =
+            reinterpret_cast<rejection_stream*>(h2o_add_ostream(request, sizeof(rejection_stream), slot));
+        stream->super.do_send = &rejection_stream::send;
+        stream->body = *memory;
+        slot = &stream->super.next;
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
+} // namespace
+
+struct http_server::state
+{
+    state(event_loop& event_loop, http_server_limits server_limits, request_handler on_request)
+        : loop(event_loop)
+        , limits(server_limits)
+        , handler(std::move(on_request))
+        , tls(nullptr, SSL_CTX_free)
+    {
+    }
+
+    void configure();
+    void configure_path(h2o_pathconf_t* path);
+
+    static int handle(h2o_handler_t* self, h2o_req_t* request);
+    static void log(h2o_logger_t* self, h2o_req_t* request);
+    static void accept(h2o_socket_t* listener, const char* failure);
+
+    event_loop& loop;
+    http_server_limits limits;
+    request_handler handler;
+    std::function<void(const http_server_event&)> on_rejected;
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t accept_context{};
+    ssl_context tls;
+    std::vector<h2o_socket_t*> listeners;
+    std::set<h2o_socket_t*> connections;
+
+    static void forget(void* data);
+    void end_connections();
+};
+
+namespace {
+
+/// h2o's handler and logger with a way back to the server.
+struct server_handler
+{
+    h2o_handler_t super;
+    void* server;
+};
+
+/// A connection with a way back to the server, for the moment when h2o closes it.
+struct connection_entry
+{
+    void* server;
+    h2o_socket_t* socket;
+};
+
+struct server_logger
+{
+    h2o_logger_t super;
+    void* server;
+};
+
+} // namespace
+
+void http_server::state::configure_path(h2o_pathconf_t* path)
+{
+    auto* logger = reinterpret_cast<server_logger*>(h2o_create_logger(path, sizeof(server_logger)));
+    logger->super.log_access = &state::log;
+    logger->server = this;
+    h2o_filter_t* filter = h2o_create_filter(path, sizeof(h2o_filter_t));
+    filter->on_setup_ostream = &set_up_rejection;
+    h2o_chunked_register(path);
+}
+
+void http_server::state::configure()
+{
+    using std::chrono::milliseconds;
+    h2o_config_init(&this->config);
+    this->config.server_name = h2o_iovec_init("sailtiller", std::strlen("sailtiller"));
+    this->config.max_request_entity_size = this->limits.most_body_bytes;
+    this->config.http1.req_timeout = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(this->limits.request_time).count());
+    h2o_hostconf_t* host = h2o_config_register_host(&this->config, h2o_iovec_init("default", 7), 65535);
+    h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    auto* handler_entry = reinterpret_cast<server_handler*>(h2o_create_handler(path, sizeof(server_handler)));
+    handler_entry->super.on_req = &state::handle;
+    handler_entry->server = this;
+    this->configure_path(path);
+    this->configure_path(&host->fallback_path);
+    h2o_context_init(&this->context, this->loop.native(), &this->config);
+    this->accept_context.ctx = &this->context;
+    this->accept_context.hosts = this->config.hosts;
+    this->accept_context.ssl_ctx = this->tls.get();
+}
+
+int http_server::state::handle(h2o_handler_t* self, h2o_req_t* request)
+{
+    auto* server = static_cast<state*>(reinterpret_cast<server_handler*>(self)->server);
+    server->handler(http_exchange::create(request));
+    return 0;
+}
+
+void http_server::state::log(h2o_logger_t* self, h2o_req_t* request)
+{
+    auto* server = static_cast<state*>(reinterpret_cast<server_logger*>(self)->server);
+    if (request->res.status == 0 || is_own_answer(request) || !server->on_rejected) {
+        return;
+    }
+    socket_address peer;
+    peer.length = request->conn->callbacks->get_peername(request->conn, peer.pointer());
+    server->on_rejected({request->res.status, to_endpoint(peer)});
+}
+
+void http_server::state::accept(h2o_socket_t* listener, const char* failure)
+{
+    if (failure != nullptr) {
+        return;
+    }
+    auto* server = static_cast<state*>(listener->data);
+    for (int count = 0; count < most_accepts_a_turn; ++count) {
+        h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+        if (socket == nullptr) {
+            return;
+        }
+        auto* entry = new connection_entry{server, socket};
+        server->connections.insert(socket);
+        socket->on_close.cb = &state::forget;
+        socket->on_close.data = entry;
+        h2o_accept(&server->accept_context, socket);
+    }
+}
+
+void http_server::state::forget(void* data)
+{
+    const std::unique_ptr<connection_entry> entry(static_cast<connection_entry*>(data));
+    static_cast<state*>(entry->server)->connections.erase(entry->socket);
+}
+
+void http_server::state::end_connections()
+{
+    for (h2o_socket_t* socket : this->connections) {
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+    for (int turn = 0; turn < most_closing_turns && !this->connections.empty(); ++turn) {
+        this->loop.run_once(duration::zero());
+    }
+}
+
+http_server::http_server(
+    event_loop& loop, http_server_limits limits, const std::optional<tls_files>& tls, request_handler handler)
+    : inner(std::make_unique<state>(loop, limits, std::move(handler)))
+{
+    if (tls) {
+        this->inner->tls = make_ssl_context(*tls);
+    }
+    this->inner->configure();
+}
+
+http_server::~http_server()
+{
+    this->close_listeners();
+    this->inner->end_connections();
+    if (this->inner->connections.empty()) {
+        h2o_timeout_unlink(&this->inner->context.http2._graceful_shutdown_timeout);
+        h2o_context_dispose(&this->inner->context);
+        h2o_config_dispose(&this->inner->config);
+        return;
+    }
+    // Requests that nobody has answered keep their connections, which still refer to this state.
+    static std::vector<std::unique_ptr<state>> abandoned;
+    abandoned.push_back(std::move(this->inner));
+}
+
+endpoint http_server::listen(const endpoint& address)
+{
+    socket_address wanted = to_socket_address(address);
+    const error_origin origin{"listen", address.value()};
+    const int descriptor = socket(wanted.pointer()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0
+        || bind(descriptor, wanted.pointer(), wanted.length) != 0
+        || ::listen(descriptor, listen_backlog) != 0) {
+        const std::string reason = std::strerror(errno);
+        if (descriptor >= 0) {
+            close(descriptor);
+        }
+        throw error(origin, reason);
+    }
+    h2o_socket_t* listener =
+        h2o_evloop_socket_create(this->inner->loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    listener->data = this->inner.get();
+    h2o_socket_read_start(listener, &state::accept);
+    this->inner->listeners.push_back(listener);
+    socket_address bound;
+    bound.length = sizeof(bound.bytes);
+    getsockname(descriptor, bound.pointer(), &bound.length);
+    return to_endpoint(bound);
+}
+
+void http_server::when_rejected(std::function<void(const http_server_event&)> action)
+{
+    this->inner->on_rejected = std::move(action);
+}
+
+void http_server::close_listeners()
+{
+    for (h2o_socket_t* listener : this->inner->listeners) {
+        h2o_socket_read_stop(listener);
+        h2o_socket_close(listener);
+    }
+    const bool was_open = !this->inner->listeners.empty();
+    this->inner->listeners.clear();
+    if (was_open) {
+        h2o_context_request_shutdown(&this->inner->context);
+    }
+}
+
+std::size_t http_server::connection_count() const
+{
+    return this->inner->connections.size();
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/httpserver.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/httpexchange.h>
+
+namespace sailtiller {
+
+/// Limits on what a caller may send.
+struct http_server_limits
+{
+    std::size_t most_body_bytes = 4U << 20U;
+    duration request_time = std::chrono::seconds(10); ///< to send the whole request
+};
+
+/// Paths of a certificate chain and its key, in PEM form.
+struct tls_files
+{
+    std::string certificate;
+    std::string key;
+};
+
+/// Something that went wrong before a request reached the handler, or a connection that could not be taken.
+struct http_server_event
+{
+    int status = 0; ///< what the caller was told
+    endpoint peer;
+};
+
+/// h2o's server for HTTP/1.1 and HTTP/2 (by ALPN under TLS, by prior knowledge or upgrade without).
+class http_server
+{
+public:
+    using request_handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    /// Throws `error` if the certificate or the key can't be used.
+    http_server(event_loop& loop, http_server_limits limits, const std::optional<tls_files>& tls,
+        request_handler handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Throws `error` if the address can't be listened on. Port 0 lets the system choose; returns the
+    /// address.
+    endpoint listen(const endpoint& address);
+    /// Called for each answer that h2o gave by itself, such as to a body that is too large.
+    void when_rejected(std::function<void(const http_server_event&)> action);
+    /// Takes no new connections; those that are open are closed after their present requests.
+    void close_listeners();
+    [[nodiscard]] std::size_t connection_count() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/programsettings.cpp
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <runtime/programsettings.h>
+#include <runtime/socketaddress.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace sailtiller {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::string_view variable_prefix = "SAILTILLER_";
+constexpr const char* program_version = "0.1.0";
+
+/// SAILTILLER_HOST_ID belongs to the flag host-id.
+std::string flag_of_variable(const std::string& variable)
+{
+    if (!variable.starts_with(variable_prefix)) {
+        return "";
+    }
+    std::string flag = variable.substr(variable_prefix.size());
+    std::transform(flag.begin(), flag.end(), flag.begin(),
+        [](unsigned char letter) { return static_cast<char>(letter == '_' ? '-' : std::tolower(letter)); });
+    return flag;
+}
+
+std::string variable_of_flag(const std::string& flag)
+{
+    std::string variable(variable_prefix);
+    for (const char letter : flag) {
+        variable += static_cast<char>(letter == '-' ? '_' : std::toupper(static_cast<unsigned char>(letter)));
+    }
+    return variable;
+}
+
+std::vector<std::string> split_at_commas(const std::vector<std::string>& items)
+{
+    std::vector<std::string> parts;
+    for (const std::string& item : items) {
+        std::size_t begin = 0;
+        while (begin <= item.size()) {
+            const std::size_t end = std::min(item.find(',', begin), item.size());
+            if (end > begin) {
+                parts.push_back(item.substr(begin, end - begin));
+            }
+            begin = end + 1;
+        }
+    }
+    return parts;
+}
+
+} // namespace
+
+program_settings::program_settings(std::string program, std::string summary)
+    : program(std::move(program))
+    , summary(std::move(summary))
+    , options("Settings")
+{
+    this->options.add_options()("help", "show this text and exit")("version", "show the version and exit");
+}
+
+void program_settings::declare(
+    const std::string& name, const std::string& help, const std::optional<std::string>& fallback)
+{
+    const std::string text = help + " [" + variable_of_flag(name) + "]";
+    if (fallback) {
+        this->options.add_options()(
+            name.c_str(), po::value<std::string>()->default_value(*fallback), text.c_str());
+        return;
+    }
+    this->required.push_back(name);
+    this->options.add_options()(name.c_str(), po::value<std::string>(), text.c_str());
+}
+
+void program_settings::declare_optional(const std::string& name, const std::string& help)
+{
+    const std::string text = help + " [" + variable_of_flag(name) + "]";
+    this->options.add_options()(name.c_str(), po::value<std::string>(), text.c_str());
+}
+
+void program_settings::declare_list(const std::string& name, const std::string& help)
+{
+    const std::string text = help + "; may be given several times [" + variable_of_flag(name) + "]";
+    this->options.add_options()(
+        name.c_str(), po::value<std::vector<std::string>>()->composing(), text.c_str());
+}
+
+std::string program_settings::help_text() const
+{
+    std::ostringstream text;
+    text << this->summary << "\n\n"
+         << this->options << "\nExit codes: 0 done, 1 the work failed, 2 wrong settings or command.\n";
+    return text.str();
+}
+
+void program_settings::parse(const std::vector<std::string>& arguments)
+{
+    try {
+        const po::parsed_options parsed =
+            po::command_line_parser(arguments).options(this->options).allow_unregistered().run();
+        for (const po::option& item : parsed.options) {
+            if (item.unregistered && item.position_key < 0) {
+                throw settings_stop{
+                    "unknown flag " + item.original_tokens.front() + "; --help lists the flags\n",
+                    exit_bad_usage};
+            }
+        }
+        po::store(parsed, this->values);
+        this->positional = po::collect_unrecognized(parsed.options, po::include_positional);
+        const auto name_of = [this](const std::string& variable) {
+            const std::string flag = flag_of_variable(variable);
+            const bool is_known = !flag.empty() && this->options.find_nothrow(flag, false) != nullptr;
+            return is_known ? flag : std::string();
+        };
+        po::store(po::parse_environment(this->options, name_of), this->values);
+    } catch (const po::error& wrong) {
+        throw settings_stop{std::string(wrong.what()) + "; --help lists the flags\n", exit_bad_usage};
+    }
+    if (this->values.count("help") != 0) {
+        throw settings_stop{this->help_text(), exit_ok};
+    }
+    if (this->values.count("version") != 0) {
+        throw settings_stop{this->program + " " + program_version + "\n", exit_ok};
+    }
+    for (const std::string& name : this->required) {
+        if (this->values.count(name) == 0) {
+            this->faults.push_back(
+                "--" + name + " (" + variable_of_flag(name) + ") is missing; it must be set");
+        }
+    }
+}
+
+void program_settings::add_fault(
+    const std::string& name, const std::string& value, const std::string& accepted)
+{
+    this->faults.push_back(
+        "--" + name + " (" + variable_of_flag(name) + ") is '" + value + "'; accepted: " + accepted);
+}
+
+void program_settings::require_sound() const
+{
+    if (this->faults.empty()) {
+        return;
+    }
+    std::string text = this->program + ": wrong settings\n";
+    for (const std::string& fault : this->faults) {
+        text += "  " + fault + "\n";
+    }
+    throw settings_stop{text, exit_bad_usage};
+}
+
+std::string program_settings::text(const std::string& name)
+{
+    return this->optional_text(name).value_or("");
+}
+
+std::optional<std::string> program_settings::optional_text(const std::string& name)
+{
+    if (this->values.count(name) == 0) {
+        return std::nullopt;
+    }
+    auto value = this->values[name].as<std::string>();
+    if (value.empty()) {
+        this->add_fault(name, value, "a text that is not empty");
+    }
+    return value;
+}
+
+std::vector<std::string> program_settings::texts(const std::string& name)
+{
+    if (this->values.count(name) == 0) {
+        return {};
+    }
+    return split_at_commas(this->values[name].as<std::vector<std::string>>());
+}
+
+std::int64_t program_settings::integer(const std::string& name, std::int64_t least, std::int64_t most)
+{
+    const std::optional<std::string> value = this->optional_text(name);
+    if (!value) {
+        return least;
+    }
+    std::int64_t number = 0;
+    const char* end = value->data() + value->size();
+    const auto [stop, failure] = std::from_chars(value->data(), end, number);
+    if (failure != std::errc() || stop != end || number < least || number > most) {
+        this->add_fault(
+            name, *value, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return least;
+    }
+    return number;
+}
+
+duration program_settings::milliseconds(const std::string& name, std::int64_t least, std::int64_t most)
+{
+    return std::chrono::milliseconds(this->integer(name, least, most));
+}
+
+endpoint program_settings::check_address(const std::string& name, const std::string& value)
+{
+    try {
+        to_socket_address(endpoint(value));
+    } catch (const error&) {
+        this->add_fault(name, value, "a number with a port, as 127.0.0.1:8080 or [::1]:8080");
+    }
+    return endpoint(value);
+}
+
+endpoint program_settings::address(const std::string& name)
+{
+    const std::optional<std::string> value = this->optional_text(name);
+    return value ? this->check_address(name, *value) : endpoint();
+}
+
+std::optional<endpoint> program_settings::optional_address(const std::string& name)
+{
+    const std::optional<std::string> value = this->optional_text(name);
+    return value ? std::optional<endpoint>(this->check_address(name, *value)) : std::nullopt;
+}
+
+std::string program_settings::choice(const std::string& name, const std::vector<std::string>& accepted)
+{
+    std::string value = this->text(name);
+    if (std::find(accepted.begin(), accepted.end(), value) == accepted.end()) {
+        std::string list;
+        for (const std::string& word : accepted) {
+            list += (list.empty() ? "" : ", ") + word;
+        }
+        this->add_fault(name, value, list);
+    }
+    return value;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/socketaddress.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <runtime/socketaddress.h>
+
+#include <array>
+#include <cstring>
+#include <memory>
+#include <netdb.h>
+
+namespace sailtiller {
+
+socket_address to_socket_address(const endpoint& address)
+{
+    const std::string& text = address.value();
+    const std::size_t colon = text.rfind(':');
+    const error_origin origin{"read address", text};
+    if (colon == std::string::npos) {
+        throw error(origin, "must be a number with a port, as 127.0.0.1:8080");
+    }
+    std::string number = text.substr(0, colon);
+    if (number.size() > 2 && number.front() == '[' && number.back() == ']') {
+        number = number.substr(1, number.size() - 2);
+    }
+    const std::string port = text.substr(colon + 1);
+    addrinfo hints{};
+    hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+    hints.ai_socktype = SOCK_STREAM;
+    addrinfo* found = nullptr;
+    if (port.empty() || getaddrinfo(number.c_str(), port.c_str(), &hints, &found) != 0) {
+        throw error(origin, "must be a number with a port, as 127.0.0.1:8080");
+    }
+    const std::unique_ptr<addrinfo, void (*)(addrinfo*)> owner(found, freeaddrinfo);
+    socket_address result;
+    std::memcpy(&result.bytes, found->ai_addr, found->ai_addrlen);
+    result.length = found->ai_addrlen;
+    return result;
+}
+
+endpoint to_endpoint(const socket_address& address)
+{
+    std::array<char, NI_MAXHOST> number{};
+    std::array<char, NI_MAXSERV> port{};
+    const int failure = getnameinfo(address.pointer(), address.length, number.data(), number.size(),
+        port.data(), port.size(), NI_NUMERICHOST | NI_NUMERICSERV);
+    if (failure != 0) {
+        return endpoint();
+    }
+    const std::string text = number.data();
+    const bool is_version_6 = text.find(':') != std::string::npos;
+    return endpoint((is_version_6 ? "[" + text + "]" : text) + ":" + port.data());
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/socketaddress.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/ids.h>
+
+#include <sys/socket.h>
+
+namespace sailtiller {
+
+/// An endpoint in the form that the system's calls take.
+struct socket_address
+{
+    sockaddr_storage bytes{};
+    socklen_t length = 0;
+
+    [[nodiscard]] sockaddr* pointer() { return reinterpret_cast<sockaddr*>(&this->bytes); }
+    [[nodiscard]] const sockaddr* pointer() const { return reinterpret_cast<const sockaddr*>(&this->bytes); }
+};
+
+/// Reads "127.0.0.1:80" or "[::1]:80". Throws `error` if it is something else.
+socket_address to_socket_address(const endpoint& address);
+/// The endpoint in numbers; empty for an address that is no internet address.
+endpoint to_endpoint(const socket_address& address);
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/bundle/tst_bundleparts.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <bundle/bundleparts.h>
+#include <support/samplebundle.h>
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace sailtiller {
+
+namespace {
+
+using part_map = std::map<part_digest, std::string>;
+
+part_map to_map(const bundle_part_set& set)
+{
+    part_map parts;
+    for (const bundle_part& part : set.parts) {
+        parts.emplace(part.digest, part.body);
+    }
+    return parts;
+}
+
+part_lookup lookup_in(const part_map& parts)
+{
+    return [&parts](const part_digest& digest) {
+        const auto found = parts.find(digest);
+        return found == parts.end() ? nullptr : &found->second;
+    };
+}
+
+std::map<std::string, json> by_name(const json& list)
+{
+    std::map<std::string, json> items;
+    for (const json& item : list) {
+        items.emplace(item["name"].get<std::string>(), item);
+    }
+    return items;
+}
+
+TEST(bundle_parts, are_put_together_to_the_same_bundle)
+{
+    const bundle content = tests::make_sample_bundle({.accounts = 300, .models = 3});
+    const bundle_part_set set = cut_into_parts(content);
+    const part_map parts = to_map(set);
+    const bundle again = assemble_bundle(read_manifest(set.manifest.body), lookup_in(parts));
+    const json before = to_json(content);
+    const json after = to_json(again);
+    for (const char* list : {"accounts", "models", "upstreams", "services"}) {
+        EXPECT_EQ(by_name(before[list]), by_name(after[list]));
+    }
+    EXPECT_EQ(cut_into_parts(again).manifest.digest, set.manifest.digest);
+}
+
+TEST(bundle_parts, a_changed_account_changes_one_part)
+{
+    bundle content = tests::make_sample_bundle({.accounts = 300});
+    const part_map before = to_map(cut_into_parts(content));
+    content.accounts[17].limits.streams = 7;
+    const part_map after = to_map(cut_into_parts(content));
+    std::size_t changed = 0;
+    for (const auto& [digest, body] : after) {
+        changed += before.contains(digest) ? 0 : 1;
+    }
+    EXPECT_EQ(changed, 1U);
+}
+
+TEST(bundle_parts, the_order_of_accounts_and_upstreams_does_not_matter)
+{
+    bundle content = tests::make_sample_bundle({.accounts = 50});
+    const part_digest before = cut_into_parts(content).manifest.digest;
+    std::swap(content.accounts[1], content.accounts[40]);
+    EXPECT_EQ(cut_into_parts(content).manifest.digest, before);
+}
+
+TEST(bundle_parts, a_missing_part_is_named)
+{
+    const bundle_part_set set = cut_into_parts(tests::make_sample_bundle({}));
+    part_map parts = to_map(set);
+    const part_digest lost = parts.begin()->first;
+    parts.erase(lost);
+    const bundle_manifest manifest = read_manifest(set.manifest.body);
+    EXPECT_EQ(missing_parts(manifest, lookup_in(parts)), std::vector<part_digest>{lost});
+    EXPECT_THROW(assemble_bundle(manifest, lookup_in(parts)), error);
+}
+
+TEST(bundle_parts, a_newer_format_is_refused)
+{
+    json manifest = json::parse(cut_into_parts(tests::make_sample_bundle({})).manifest.body);
+    manifest["format"] = newest_bundle_format + 1;
+    EXPECT_THROW(read_manifest(manifest.dump()), error);
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/runtime/tst_http.cpp
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/json.h>
+#include <runtime/httpclient.h>
+#include <runtime/httpserver.h>
+#include <runtime/socketaddress.h>
+#include <support/looprunner.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+using tests::run_until;
+
+class http_test : public testing::Test
+{
+protected:
+    std::unique_ptr<http_server> make_server(
+        http_server::request_handler handler, http_server_limits limits = {})
+    {
+        auto server = std::make_unique<http_server>(this->loop, limits, std::nullopt, std::move(handler));
+        this->address = server->listen(endpoint("127.0.0.1:0"));
+        server->when_rejected([this](const http_server_event& event) { this->rejected = event.status; });
+        return server;
+    }
+
+    http_response get(const std::string& path, std::string body = "")
+    {
+        http_request request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.path = path;
+        request.body = std::move(body);
+        std::optional<http_response> answer;
+        this->client.send(
+            this->address, request, [&](http_response response) { answer = std::move(response); },
+            [&](const http_failure& failure) {
+                this->failure = failure;
+                answer.emplace();
+            });
+        run_until(this->loop, [&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    /// Sends bytes over a plain connection and gives all that comes back until the server closes.
+    std::string exchange_raw(const std::string& bytes, bool closes_its_side = true)
+    {
+        socket_address target = to_socket_address(this->address);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(connect(descriptor, target.pointer(), target.length), 0);
+        EXPECT_EQ(write(descriptor, bytes.data(), bytes.size()), static_cast<ssize_t>(bytes.size()));
+        if (closes_its_side) {
+            shutdown(descriptor, SHUT_WR);
+        }
+        std::string received;
+        bool is_closed = false;
+        run_until(this->loop, [&] {
+            char buffer[4096];
+            ssize_t count = 0;
+            while ((count = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+                received.append(buffer, static_cast<std::size_t>(count));
+            }
+            is_closed = count == 0;
+            return is_closed;
+        });
+        close(descriptor);
+        return received;
+    }
+
+    event_loop loop;
+    http_client client{this->loop, {}};
+    endpoint address;
+    int rejected = 0;
+    std::optional<http_failure> failure;
+};
+
+TEST_F(http_test, carries_a_request_and_its_answer)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({201, {{"x-request-id", "1"}, {"x-seen", exchange->request().path}},
+            exchange->request().body + "!"});
+    });
+    const http_response answer = this->get("/a?b=c", "body");
+    EXPECT_EQ(answer.status, 201);
+    EXPECT_EQ(answer.body, "body!");
+    EXPECT_EQ(find_header(answer.headers, "x-seen"), "/a?b=c");
+}
+
+TEST_F(http_test, keeps_its_connections_and_streams_of_unknown_length)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start(200, {{"x-request-id", "1"}});
+        for (int part = 0; part < 5; ++part) {
+            exchange->send(std::to_string(part));
+        }
+        exchange->finish();
+    });
+    for (int call = 0; call < 3; ++call) {
+        EXPECT_EQ(this->get("/").body, "01234");
+    }
+    EXPECT_EQ(server->connection_count(), 1U);
+}
+
+TEST_F(http_test, a_broken_off_answer_is_a_failure_after_sending)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start(200, {{"x-request-id", "1"}});
+        exchange->send("half");
+        exchange->abort();
+    });
+    this->get("/");
+    ASSERT_TRUE(this->failure);
+    EXPECT_EQ(this->failure->progress, http_progress::sent);
+}
+
+TEST_F(http_test, a_refused_connection_is_a_failure_before_sending)
+{
+    this->make_server([](const std::shared_ptr<http_exchange>&) {}).reset();
+    this->get("/");
+    ASSERT_TRUE(this->failure);
+    EXPECT_EQ(this->failure->progress, http_progress::not_sent);
+    EXPECT_EQ(this->failure->step, "connect");
+}
+
+TEST_F(http_test, a_body_that_is_too_large_gets_an_error_of_our_shape)
+{
+    http_server_limits limits;
+    limits.most_body_bytes = 100;
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); }, limits);
+    const std::string answer =
+        this->exchange_raw("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n");
+    EXPECT_NE(answer.find(" 413 "), std::string::npos);
+    const json body = json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
+    EXPECT_EQ(body["error"]["outcome"], "not-run");
+    EXPECT_EQ(this->rejected, 413);
+}
+
+TEST_F(http_test, a_body_without_end_is_cut_at_the_limit)
+{
+    http_server_limits limits;
+    limits.most_body_bytes = 100;
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); }, limits);
+    const std::string chunk = "40\r\n" + std::string(64, 'x') + "\r\n";
+    const std::string answer = this->exchange_raw(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n" + chunk + chunk);
+    EXPECT_NE(answer.find(" 413 "), std::string::npos);
+}
+
+TEST_F(http_test, malformed_bytes_disturb_nobody_else)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({200, {{"x-request-id", "1"}}, "fine"});
+    });
+    this->exchange_raw("\x01\x02 nonsense\r\n\r\n");
+    EXPECT_EQ(this->get("/").body, "fine");
+}
+
+TEST_F(http_test, a_slow_sender_is_ended_after_the_time_limit)
+{
+    http_server_limits limits;
+    limits.request_time = 100ms;
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); }, limits);
+    this->exchange_raw("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\nonly a part", false);
+    EXPECT_EQ(server->connection_count(), 0U);
+}
+
+TEST_F(http_test, a_connection_half_closed_before_its_body_was_whole_is_ended)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); });
+    this->exchange_raw("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\nonly a part");
+    EXPECT_EQ(server->connection_count(), 0U);
+}
+
+TEST_F(http_test, a_caller_that_goes_away_is_noticed)
+{
+    bool is_abandoned = false;
+    std::shared_ptr<http_exchange> held;
+    const auto server = this->make_server([&](const std::shared_ptr<http_exchange>& exchange) {
+        held = exchange;
+        exchange->when_abandoned([&] { is_abandoned = true; });
+        exchange->start(200, {{"x-request-id", "1"}});
+    });
+    http_request request;
+    request.method = "GET";
+    request.path = "/";
+    const http_client::call_id call = this->client.send(
+        this->address, request, [](const http_response&) {}, [](const http_failure&) {});
+    run_until(this->loop, [&] { return held != nullptr; });
+    EXPECT_FALSE(held->has_caller_left());
+    this->client.cancel(call);
+    run_until(this->loop, [&] { return held->has_caller_left(); });
+    held->send("token");
+    run_until(this->loop, [&] {
+        held->send("token");
+        return is_abandoned;
+    });
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/standins/hostsstandin.h
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/httpserver.h>
+
+namespace sailtiller::standins {
+
+/// The platform's list of hosts: gives back the text that was last put.
+class hosts_standin
+{
+public:
+    void handle(const std::shared_ptr<http_exchange>& exchange);
+    void set_list(std::string body) { this->list = std::move(body); }
+
+private:
+    std::string list = R"({"hosts":[]})";
+};
+
+} // namespace sailtiller::standins
