Engines: raw hidden states behind a CBOR head

Cause: nlohmann's CBOR copies a binary value byte by byte, so a hidden state of 16 KiB cost 16.1 us to encode and 51.2 us to decode, more than the rest of a step together. Ruled out: the head, which costs the same at 16 bytes.

Change: a step message is a length, a CBOR head and the raw bytes to its end.

--- a/src/libs/engines/engineclient.cpp
+++ b/src/libs/engines/engineclient.cpp
@@ -15,7 +15,7 @@
     http_request request;
     request.method = "POST";
     request.path = path;
-    request.headers = {{"content-type", "application/cbor"}};
+    request.headers = {{"content-type", "application/octet-stream"}};
     request.body = std::move(body);
     return request;
 }
--- a/src/libs/engines/stepcodec.cpp
+++ b/src/libs/engines/stepcodec.cpp
@@ -7,29 +7,47 @@
 
 namespace {
 
-std::string to_cbor(const json& item)
+/// A message is the length of its head (4 bytes, most significant first), the head as CBOR, and raw bytes to
+/// the end. The raw bytes are a hidden state of many kilobytes, which a CBOR library copies byte by byte.
+constexpr std::size_t length_bytes = 4;
+
+std::string to_message(const json& head, const std::string& raw)
 {
-    std::string bytes;
-    json::to_cbor(item, bytes);
-    return bytes;
+    std::string encoded;
+    json::to_cbor(head, encoded);
+    std::string message;
+    message.reserve(length_bytes + encoded.size() + raw.size());
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        message += static_cast<char>(encoded.size() >> (8 * (length_bytes - 1 - index)));
+    }
+    return message.append(encoded).append(raw);
 }
 
-json to_binary(const std::string& bytes)
+/// A message taken apart.
+struct message_parts
 {
-    return json::binary(json::binary_t::container_type(bytes.begin(), bytes.end()));
-}
+    json head;
+    std::string_view raw;
+};
 
-std::string from_binary(const json& item)
+message_parts from_message(std::string_view message, const char* step)
 {
-    const json::binary_t& bytes = item.get_binary();
-    return {bytes.begin(), bytes.end()};
+    std::size_t head_size = 0;
+    for (std::size_t index = 0; index < length_bytes && index < message.size(); ++index) {
+        head_size = head_size * 256 + static_cast<unsigned char>(message[index]);
+    }
+    if (message.size() < length_bytes || head_size > message.size() - length_bytes) {
+        throw error({step, ""}, "malformed: the message is shorter than it says");
+    }
+    const std::string_view head = message.substr(length_bytes, head_size);
+    return {json::from_cbor(head), message.substr(length_bytes + head_size)};
 }
 
 template <typename Decode>
 auto decode_or_throw(const char* step, const std::string& bytes, const Decode& decode)
 {
     try {
-        return decode(json::from_cbor(bytes));
+        return decode(from_message(bytes, step));
     } catch (const json::exception& malformed) {
         throw error({step, ""}, std::string("malformed: ") + malformed.what());
     }
@@ -39,7 +57,7 @@
 
 std::string encode_step_request(const step_request& step)
 {
-    json item = {
+    json head = {
         {"stream", step.stream.value()},
         {"attempt", step.attempt.value()},
         {"position", step.position.value()},
@@ -47,34 +65,34 @@
         {"first_layer", step.layers.first.value()},
         {"last_layer", step.layers.last.value()},
         {"kind", step.kind == step_kind::prefill ? "prefill" : "decode"},
-        {"input", to_binary(step.input)},
     };
     if (step.kind == step_kind::prefill) {
-        item["priority"] = step.priority;
-        item["parameters"] = step.parameters;
-        item["generated"] = step.generated;
-        item["most_tokens"] = step.most_tokens;
+        head["priority"] = step.priority;
+        head["parameters"] = step.parameters;
+        head["generated"] = step.generated;
+        head["most_tokens"] = step.most_tokens;
     }
-    return to_cbor(item);
+    return to_message(head, step.input);
 }
 
 step_request decode_step_request(const std::string& bytes)
 {
-    return decode_or_throw("read step request", bytes, [](const json& item) {
+    return decode_or_throw("read step request", bytes, [](const message_parts& message) {
+        const json& head = message.head;
         step_request step;
-        step.stream = stream_id(item.at("stream").get<std::string>());
-        step.attempt = attempt_number(item.at("attempt").get<std::uint32_t>());
-        step.position = token_position(item.at("position").get<std::uint32_t>());
-        step.model = model_id(item.at("model").get<std::string>());
-        step.layers.first = layer_index(item.at("first_layer").get<std::uint32_t>());
-        step.layers.last = layer_index(item.at("last_layer").get<std::uint32_t>());
-        step.kind = item.at("kind") == "prefill" ? step_kind::prefill : step_kind::decode;
-        step.input = from_binary(item.at("input"));
+        step.stream = stream_id(head.at("stream").get<std::string>());
+        step.attempt = attempt_number(head.at("attempt").get<std::uint32_t>());
+        step.position = token_position(head.at("position").get<std::uint32_t>());
+        step.model = model_id(head.at("model").get<std::string>());
+        step.layers.first = layer_index(head.at("first_layer").get<std::uint32_t>());
+        step.layers.last = layer_index(head.at("last_layer").get<std::uint32_t>());
+        step.kind = head.at("kind") == "prefill" ? step_kind::prefill : step_kind::decode;
+        step.input = message.raw;
         if (step.kind == step_kind::prefill) {
-            step.priority = item.at("priority").get<std::int32_t>();
-            step.parameters = item.at("parameters").get<std::string>();
-            step.generated = item.at("generated").get<std::vector<std::string>>();
-            step.most_tokens = item.at("most_tokens").get<std::uint32_t>();
+            step.priority = head.at("priority").get<std::int32_t>();
+            step.parameters = head.at("parameters").get<std::string>();
+            step.generated = head.at("generated").get<std::vector<std::string>>();
+            step.most_tokens = head.at("most_tokens").get<std::uint32_t>();
         }
         return step;
     });
@@ -82,37 +100,37 @@
 
 std::string encode_step_answer(const step_answer& answer)
 {
-    json item = {
+    json head = {
         {"stream", answer.stream.value()},
         {"attempt", answer.attempt.value()},
         {"position", answer.position.value()},
-        {"output", to_binary(answer.output)},
     };
     if (answer.token) {
-        item["token"] = answer.token->text;
-        item["is_last"] = answer.token->is_last;
-        item["finish_reason"] = answer.token->finish_reason;
+        head["token"] = answer.token->text;
+        head["is_last"] = answer.token->is_last;
+        head["finish_reason"] = answer.token->finish_reason;
     }
     if (answer.streams_running) {
-        item["streams_running"] = *answer.streams_running;
+        head["streams_running"] = *answer.streams_running;
     }
-    return to_cbor(item);
+    return to_message(head, answer.output);
 }
 
 step_answer decode_step_answer(const std::string& bytes)
 {
-    return decode_or_throw("read step answer", bytes, [](const json& item) {
+    return decode_or_throw("read step answer", bytes, [](const message_parts& message) {
+        const json& head = message.head;
         step_answer answer;
-        answer.stream = stream_id(item.at("stream").get<std::string>());
-        answer.attempt = attempt_number(item.at("attempt").get<std::uint32_t>());
-        answer.position = token_position(item.at("position").get<std::uint32_t>());
-        answer.output = from_binary(item.at("output"));
-        if (item.contains("token")) {
-            answer.token = generated_token{item.at("token").get<std::string>(),
-                item.at("is_last").get<bool>(), item.at("finish_reason").get<std::string>()};
+        answer.stream = stream_id(head.at("stream").get<std::string>());
+        answer.attempt = attempt_number(head.at("attempt").get<std::uint32_t>());
+        answer.position = token_position(head.at("position").get<std::uint32_t>());
+        answer.output = message.raw;
+        if (head.contains("token")) {
+            answer.token = generated_token{head.at("token").get<std::string>(),
+                head.at("is_last").get<bool>(), head.at("finish_reason").get<std::string>()};
         }
-        if (item.contains("streams_running")) {
-            answer.streams_running = item.at("streams_running").get<std::uint32_t>();
+        if (head.contains("streams_running")) {
+            answer.streams_running = head.at("streams_running").get<std::uint32_t>();
         }
         return answer;
     });
--- a/src/libs/engines/stepcodec.h
+++ b/src/libs/engines/stepcodec.h
@@ -5,7 +5,7 @@
 
 namespace sailtiller {
 
-/// Step messages as CBOR (docs/design/engine-protocol.md).
+/// Step messages: a CBOR head and the raw hidden state behind it (docs/design/engine-protocol.md).
 std::string encode_step_request(const step_request& step);
 std::string encode_step_answer(const step_answer& answer);
 /// Both throw `error` if the bytes have not the shape.
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -99,11 +99,11 @@
         step.kind == step_kind::prefill ? this->settings.prefill_time : this->settings.step_time;
     const std::string body = encode_step_answer(*answer);
     if (time == duration::zero()) {
-        exchange->respond(make_response(200, body, "application/cbor"));
+        exchange->respond(make_response(200, body, "application/octet-stream"));
         return;
     }
     this->loop.schedule_after(
-        time, [exchange, body] { exchange->respond(make_response(200, body, "application/cbor")); });
+        time, [exchange, body] { exchange->respond(make_response(200, body, "application/octet-stream")); });
 }
 
 std::optional<step_answer> engine_standin::run(const step_request& step)
