Bundle: a change costs the reading of what has changed

Ruled out: the checks over the whole bundle, which are a small part of it.

Change: bundle_assembler keeps the last bundle's parts as read; serving_state and account_index share the bundle instead of copying it.

--- a/bench/bench_bundle.cpp
+++ b/bench/bench_bundle.cpp
@@ -4,7 +4,7 @@
 #include "lettersize.h"
 
 #include <bundle/activationfold.h>
-#include <bundle/bundleparts.h>
+#include <bundle/bundleassembler.h>
 #include <entry/servingstate.h>
 #include <support/sampleactivation.h>
 
@@ -33,24 +33,54 @@
 
 BENCHMARK(judge_activation)->Unit(benchmark::kMicrosecond);
 
-void assemble(benchmark::State& state)
+using part_map = std::map<part_digest, std::string>;
+
+part_map to_map(const bundle_part_set& set)
 {
-    const bundle_part_set set = cut_into_parts(bench::make_letter_bundle(share_of(state)));
-    std::map<part_digest, std::string> parts;
+    part_map parts;
     for (const bundle_part& part : set.parts) {
         parts.emplace(part.digest, part.body);
     }
+    return parts;
+}
+
+/// A host's first bundle: every part is read.
+void assemble_first(benchmark::State& state)
+{
+    const bundle_part_set set = cut_into_parts(bench::make_letter_bundle(share_of(state)));
+    const part_map parts = to_map(set);
+    const part_lookup lookup = [&parts](const part_digest& digest) { return &parts.at(digest); };
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(bundle_assembler().assemble(read_manifest(set.manifest.body), lookup));
+    }
+}
+
+BENCHMARK(assemble_first)->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMillisecond);
+
+/// A change of one account: two bundles in turn, of which one part differs.
+void assemble_change(benchmark::State& state)
+{
+    bundle content = bench::make_letter_bundle(share_of(state));
+    const bundle_part_set before = cut_into_parts(content);
+    content.accounts[1].limits.streams = 7;
+    const bundle_part_set after = cut_into_parts(content);
+    part_map parts = to_map(before);
+    parts.merge(to_map(after));
     const part_lookup lookup = [&parts](const part_digest& digest) { return &parts.at(digest); };
+    bundle_assembler assembler;
+    bool is_after = false;
     for (auto _ : state) {
-        benchmark::DoNotOptimize(assemble_bundle(read_manifest(set.manifest.body), lookup));
+        const bundle_part_set& set = is_after ? after : before;
+        is_after = !is_after;
+        benchmark::DoNotOptimize(assembler.assemble(read_manifest(set.manifest.body), lookup));
     }
 }
 
-BENCHMARK(assemble)->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMillisecond);
+BENCHMARK(assemble_change)->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMillisecond);
 
 void build_serving_state(benchmark::State& state)
 {
-    const bundle content = bench::make_letter_bundle(share_of(state));
+    const auto content = std::make_shared<const bundle>(bench::make_letter_bundle(share_of(state)));
     load_table loads;
     const random_function random = make_seeded_random(1);
     for (auto _ : state) {
--- a/bench/bench_routing.cpp
+++ b/bench/bench_routing.cpp
@@ -39,8 +39,9 @@
 
 void find_account(benchmark::State& state)
 {
-    const account_index index(
-        tests::make_sample_bundle({.accounts = static_cast<std::uint32_t>(state.range(0))}));
+    const bundle content =
+        tests::make_sample_bundle({.accounts = static_cast<std::uint32_t>(state.range(0))});
+    const account_index index(content);
     for (auto _ : state) {
         benchmark::DoNotOptimize(index.find_by_key("key-7"));
     }
--- a/bench/bench_sizes.cpp
+++ b/bench/bench_sizes.cpp
@@ -51,8 +51,8 @@
 {
     load_table loads;
     return bytes_for_each(1, [&](std::size_t) {
-        return std::make_shared<serving_state>(
-            content, generation_number(1), host_id("host"), loads, make_seeded_random(1));
+        return std::make_shared<serving_state>(std::make_shared<const bundle>(content), generation_number(1),
+            host_id("host"), loads, make_seeded_random(1));
     });
 }
 
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -108,8 +108,9 @@
 void host_process::take_bundle(const std::shared_ptr<const bundle_in_force>& next)
 {
     this->retries.set_ratio(next->content.retries.budget_ratio);
-    this->entry.set_state(std::make_shared<const serving_state>(
-        next->content, next->source.generation, this->settings.self, this->loads, this->random));
+    this->entry.set_state(
+        std::make_shared<const serving_state>(std::shared_ptr<const bundle>(next, &next->content),
+            next->source.generation, this->settings.self, this->loads, this->random));
     this->loads.drop_unused();
     this->metrics.bundle_events.add("in_force");
     log_event(log_level::info, "bundle_in_force",
--- a/src/libs/bundle/bundleparts.cpp
+++ b/src/libs/bundle/bundleparts.cpp
@@ -2,7 +2,6 @@
 #include <base/error.h>
 #include <base/random.h>
 #include <bundle/bundleparts.h>
-#include <bundle/bundlereader.h>
 #include <bundle/digest.h>
 
 #include <algorithm>
@@ -60,30 +59,6 @@
     }
 }
 
-/// Adds a part's fields to the document; lists are joined.
-void merge_part(json& document, const json& part)
-{
-    for (const auto& [field, value] : part.items()) {
-        if (!value.is_array()) {
-            document[field] = value;
-            continue;
-        }
-        json& list = document[field];
-        for (const json& item : value) {
-            list.push_back(item);
-        }
-    }
-}
-
-const std::string& require_part(const part_digest& digest, const part_lookup& lookup)
-{
-    const std::string* body = lookup(digest);
-    if (body == nullptr) {
-        throw error({"assemble bundle", digest.value()}, "the part is not held here yet");
-    }
-    return *body;
-}
-
 } // namespace
 
 bundle_part_set cut_into_parts(const bundle& content)
@@ -141,27 +116,4 @@
     return missing;
 }
 
-bundle assemble_bundle(const bundle_manifest& manifest, const part_lookup& lookup)
-{
-    json document = json::object();
-    for (const char* list : bucketed_lists) {
-        document[list] = json::array();
-    }
-    for (const char* list : single_lists) {
-        document[list] = json::array();
-    }
-    for (const part_digest& digest : manifest.parts) {
-        const json part = json::parse(require_part(digest, lookup), nullptr, false);
-        if (!part.is_object()) {
-            throw error({"assemble bundle", digest.value()}, "the part is not a JSON object");
-        }
-        merge_part(document, part);
-    }
-    bundle_reading reading = read_bundle(document);
-    if (!reading.is_sound()) {
-        throw error({"check bundle", manifest.name}, describe_faults(reading.faults));
-    }
-    return std::move(reading.content);
-}
-
 } // namespace sailtiller
--- a/src/libs/bundle/bundleparts.h
+++ b/src/libs/bundle/bundleparts.h
@@ -42,8 +42,4 @@
 /// The digests that a manifest lists and `lookup` doesn't hold.
 std::vector<part_digest> missing_parts(const bundle_manifest& manifest, const part_lookup& lookup);
 
-/// Puts a bundle together again and checks it whole.
-/// Throws `error` if a part is missing, malformed, or the bundle has a fault.
-bundle assemble_bundle(const bundle_manifest& manifest, const part_lookup& lookup);
-
 } // namespace sailtiller
--- a/src/libs/bundle/bundlereader.cpp
+++ b/src/libs/bundle/bundlereader.cpp
@@ -63,8 +63,8 @@
     item.name = model_id(reader.read_text("name"));
     item.layers = static_cast<std::uint32_t>(reader.read_integer("layers", 1, most_layers));
     item.longest_answer = static_cast<std::uint32_t>(reader.read_integer("longest_answer", 1, most_tokens));
-    reader.read_objects(
-        "holders", [&item](object_reader& holder) { item.holders.push_back(read_holder(holder)); });
+    reader.read_objects("holders", field_presence::required,
+        [&item](object_reader& holder) { item.holders.push_back(read_holder(holder)); });
     return item;
 }
 
@@ -105,33 +105,52 @@
     });
 }
 
-bundle read_fields(const json& document, std::vector<json_fault>& faults)
+/// What stands once in a bundle: everything but its lists.
+void read_head(object_reader& reader, bundle& content)
 {
-    object_reader reader(document, "", faults);
-    bundle content;
     content.format = static_cast<std::uint32_t>(reader.read_integer("format", 1, newest_bundle_format));
     content.name = reader.read_text("name");
     content.required_sign_offs = static_cast<std::uint32_t>(reader.read_integer("required_sign_offs", 1, 2));
     read_limits(reader, content);
     content.default_policy = policy_id(reader.read_text("default_policy"));
+    reader.read_objects("policies", field_presence::required,
+        [&](object_reader& item) { content.policies.push_back(read_policy(item)); });
+}
+
+void read_lists(object_reader& reader, field_presence presence, bundle& content)
+{
     reader.read_objects(
-        "policies", [&](object_reader& item) { content.policies.push_back(read_policy(item)); });
-    reader.read_objects(
-        "accounts", [&](object_reader& item) { content.accounts.push_back(read_account(item)); });
-    reader.read_objects("models", [&](object_reader& item) { content.models.push_back(read_model(item)); });
+        "accounts", presence, [&](object_reader& item) { content.accounts.push_back(read_account(item)); });
     reader.read_objects(
-        "upstreams", [&](object_reader& item) { content.upstreams.push_back(read_upstream(item)); });
+        "models", presence, [&](object_reader& item) { content.models.push_back(read_model(item)); });
+    reader.read_objects("upstreams", presence,
+        [&](object_reader& item) { content.upstreams.push_back(read_upstream(item)); });
     reader.read_objects(
-        "services", [&](object_reader& item) { content.services.push_back(read_service(item)); });
-    return content;
+        "services", presence, [&](object_reader& item) { content.services.push_back(read_service(item)); });
 }
 
 } // namespace
 
+bundle_fragment read_bundle_fragment(const json& document, std::vector<json_fault>& faults)
+{
+    bundle_fragment fragment;
+    fragment.has_head = document.is_object() && document.contains("format");
+    object_reader reader(document, "", faults);
+    if (fragment.has_head) {
+        read_head(reader, fragment.content);
+    }
+    read_lists(reader, field_presence::optional, fragment.content);
+    return fragment;
+}
+
 bundle_reading read_bundle(const json& document)
 {
     bundle_reading reading;
-    reading.content = read_fields(document, reading.faults);
+    {
+        object_reader reader(document, "", reading.faults);
+        read_head(reader, reading.content);
+        read_lists(reader, field_presence::required, reading.content);
+    }
     check_bundle(reading.content, reading.faults);
     return reading;
 }
--- a/src/libs/bundle/bundlereader.h
+++ b/src/libs/bundle/bundlereader.h
@@ -14,6 +14,15 @@
     [[nodiscard]] bool is_sound() const { return this->faults.empty(); }
 };
 
+/// A part of a bundle: some items of its lists, or its head with everything else.
+struct bundle_fragment
+{
+    bundle content;
+    bool has_head = false;
+};
+
+/// Reads a part of a bundle; adds a fault for each field that is wrong by itself.
+bundle_fragment read_bundle_fragment(const json& document, std::vector<json_fault>& faults);
 /// Reads and checks a whole bundle.
 bundle_reading read_bundle(const json& document);
 /// Reads JSON text; malformed text and doubled fields are faults as well.
--- a/src/libs/bundle/objectreader.cpp
+++ b/src/libs/bundle/objectreader.cpp
@@ -145,9 +145,9 @@
 }
 
 void object_reader::read_objects(
-    const std::string& field, const std::function<void(object_reader&)>& read_item)
+    const std::string& field, field_presence presence, const std::function<void(object_reader&)>& read_item)
 {
-    const json* value = this->find(field, true);
+    const json* value = this->find(field, presence == field_presence::required);
     if (value == nullptr) {
         return;
     }
--- a/src/libs/bundle/objectreader.h
+++ b/src/libs/bundle/objectreader.h
@@ -9,6 +9,9 @@
 
 namespace sailtiller {
 
+/// Whether a field may be left out.
+enum class field_presence { required, optional };
+
 /// Reads the fields of one JSON object and collects a fault for each that is missing, unknown, of the wrong
 /// type or out of bounds, so that one run names them all. Unknown fields are found when the reader is
 /// destroyed.
@@ -33,7 +36,8 @@
     /// A time in whole microseconds, at least 0 and at most a day.
     duration read_microseconds(const std::string& field);
     /// Calls `read_item` for each object of a list.
-    void read_objects(const std::string& field, const std::function<void(object_reader&)>& read_item);
+    void read_objects(const std::string& field, field_presence presence,
+        const std::function<void(object_reader&)>& read_item);
     /// Calls `read_item` for an object.
     void read_object(const std::string& field, const std::function<void(object_reader&)>& read_item);
 
--- a/src/libs/entry/servingstate.h
+++ b/src/libs/entry/servingstate.h
@@ -12,10 +12,10 @@
 class serving_state
 {
 public:
-    serving_state(const bundle& content, generation_number generation, const host_id& self, load_table& loads,
-        const random_function& random);
+    serving_state(std::shared_ptr<const bundle> content, generation_number generation, const host_id& self,
+        load_table& loads, const random_function& random);
 
-    [[nodiscard]] const bundle& content() const { return this->source; }
+    [[nodiscard]] const bundle& content() const { return *this->source; }
     [[nodiscard]] generation_number generation() const { return this->number; }
     [[nodiscard]] const account_index& accounts() const { return this->keys; }
     [[nodiscard]] const routing_table& routes() const { return this->table; }
@@ -27,7 +27,7 @@
     [[nodiscard]] const chain_policy& policy_for(const client_account& account) const;
 
 private:
-    bundle source;
+    std::shared_ptr<const bundle> source;
     generation_number number;
     account_index keys;
     routing_table table;
--- a/src/libs/fleet/bundlefollower.cpp
+++ b/src/libs/fleet/bundlefollower.cpp
@@ -196,7 +196,7 @@
             return;
         }
         auto next = std::make_shared<bundle_in_force>();
-        next->content = assemble_bundle(manifest, this->store.lookup());
+        next->content = this->assembler.assemble(manifest, this->store.lookup());
         next->source = source;
         this->carried_parts = manifest.parts;
         this->carried_parts.push_back(source.manifest);
--- a/src/libs/fleet/bundlefollower.h
+++ b/src/libs/fleet/bundlefollower.h
@@ -4,6 +4,7 @@
 #include <base/logservice.h>
 #include <base/timerqueue.h>
 #include <bundle/activationfold.h>
+#include <bundle/bundleassembler.h>
 #include <fleet/carrierduty.h>
 #include <fleet/partstore.h>
 
@@ -106,6 +107,7 @@
     follower_hooks hooks;
     activation_fold activations;
     part_store store;
+    bundle_assembler assembler;
     carrier_duty duty;
     std::shared_ptr<const bundle_in_force> applied;
     std::vector<part_digest> carried_parts; ///< of the bundle in force, its manifest included
--- a/src/libs/routing/accountindex.cpp
+++ b/src/libs/routing/accountindex.cpp
@@ -5,11 +5,11 @@
 namespace sailtiller {
 
 account_index::account_index(const bundle& content)
-    : accounts(content.accounts)
+    : account_count(content.accounts.size())
 {
-    for (std::size_t index = 0; index < this->accounts.size(); ++index) {
-        for (const std::string& digest : this->accounts[index].key_digests) {
-            this->by_digest.emplace(digest, index);
+    for (const client_account& account : content.accounts) {
+        for (const std::string& digest : account.key_digests) {
+            this->by_digest.emplace(digest, &account);
         }
     }
 }
@@ -22,7 +22,7 @@
     if (found == this->by_digest.end() || !is_equal_in_constant_time(found->first, digest)) {
         return nullptr;
     }
-    return &this->accounts[found->second];
+    return found->second;
 }
 
 } // namespace sailtiller
--- a/src/libs/routing/accountindex.h
+++ b/src/libs/routing/accountindex.h
@@ -11,15 +11,16 @@
 class account_index
 {
 public:
+    /// The bundle must outlive the index.
     explicit account_index(const bundle& content);
 
     /// Null if no account has this key.
     [[nodiscard]] const client_account* find_by_key(std::string_view key) const;
-    [[nodiscard]] std::size_t size() const { return this->accounts.size(); }
+    [[nodiscard]] std::size_t size() const { return this->account_count; }
 
 private:
-    std::vector<client_account> accounts;
-    std::unordered_map<std::string, std::size_t> by_digest;
+    std::size_t account_count;
+    std::unordered_map<std::string_view, const client_account*> by_digest;
 };
 
 } // namespace sailtiller
--- a/tests/auto/bundle/tst_bundleparts.cpp
+++ b/tests/auto/bundle/tst_bundleparts.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
-#include <bundle/bundleparts.h>
+#include <bundle/bundleassembler.h>
 #include <support/samplebundle.h>
 
 #include <gtest/gtest.h>
@@ -43,7 +43,7 @@
     const bundle content = tests::make_sample_bundle({.accounts = 300, .models = 3});
     const bundle_part_set set = cut_into_parts(content);
     const part_map parts = to_map(set);
-    const bundle again = assemble_bundle(read_manifest(set.manifest.body), lookup_in(parts));
+    const bundle again = bundle_assembler().assemble(read_manifest(set.manifest.body), lookup_in(parts));
     const json before = to_json(content);
     const json after = to_json(again);
     for (const char* list : {"accounts", "models", "upstreams", "services"}) {
@@ -81,7 +81,33 @@
     parts.erase(lost);
     const bundle_manifest manifest = read_manifest(set.manifest.body);
     EXPECT_EQ(missing_parts(manifest, lookup_in(parts)), std::vector<part_digest>{lost});
-    EXPECT_THROW(assemble_bundle(manifest, lookup_in(parts)), error);
+    EXPECT_THROW(bundle_assembler().assemble(manifest, lookup_in(parts)), error);
+}
+
+TEST(bundle_parts, an_assembler_that_knows_the_last_bundle_gives_the_next_one_whole)
+{
+    bundle content = tests::make_sample_bundle({.accounts = 100, .models = 2});
+    bundle_assembler assembler;
+    for (std::uint32_t round = 0; round < 5; ++round) {
+        content.accounts[round].limits.streams = 1000 + round;
+        content.times.request += std::chrono::seconds(1);
+        const bundle_part_set set = cut_into_parts(content);
+        const part_map parts = to_map(set);
+        const bundle again = assembler.assemble(read_manifest(set.manifest.body), lookup_in(parts));
+        EXPECT_EQ(cut_into_parts(again).manifest.digest, set.manifest.digest);
+    }
+}
+
+TEST(bundle_parts, a_bundle_without_its_head_or_with_two_is_refused)
+{
+    const bundle_part_set set = cut_into_parts(tests::make_sample_bundle({}));
+    const part_map parts = to_map(set);
+    bundle_manifest manifest = read_manifest(set.manifest.body);
+    manifest.parts.push_back(set.parts.back().digest);
+    EXPECT_THROW(bundle_assembler().assemble(manifest, lookup_in(parts)), error);
+    manifest.parts.pop_back();
+    manifest.parts.pop_back();
+    EXPECT_THROW(bundle_assembler().assemble(manifest, lookup_in(parts)), error);
 }
 
 TEST(bundle_parts, a_newer_format_is_refused)
--- a/tests/auto/entry/tst_entryservice.cpp
+++ b/tests/auto/entry/tst_entryservice.cpp
@@ -67,8 +67,9 @@
 
     void apply()
     {
-        this->entry.set_state(std::make_shared<const serving_state>(
-            this->content, generation_number(3), host_id("host"), this->loads, this->random));
+        this->entry.set_state(
+            std::make_shared<const serving_state>(std::make_shared<const bundle>(this->content),
+                generation_number(3), host_id("host"), this->loads, this->random));
     }
 
     http_response call(const std::string& method, const std::string& path, const std::string& body,
--- a/tests/auto/routing/tst_accountindex.cpp
+++ b/tests/auto/routing/tst_accountindex.cpp
@@ -10,7 +10,8 @@
 
 TEST(account_index, finds_accounts_by_their_keys_only)
 {
-    const account_index index(tests::make_sample_bundle({.accounts = 20}));
+    const bundle content = tests::make_sample_bundle({.accounts = 20});
+    const account_index index(content);
     ASSERT_NE(index.find_by_key("key-7"), nullptr);
     EXPECT_EQ(index.find_by_key("key-7")->name, client_account_id("account-7"));
     EXPECT_EQ(index.find_by_key("key-20"), nullptr);
