Runtime: metrics by class, accounts' histograms on a page of their own

Cause: the page of all metrics held a histogram for each of 2,800 accounts: 13.5 MB and 114 ms of the loop for each reading. Read every 15 s that is 0.9 MB a second, a hundred times what control may cost a host. Ruled out: a terser form; 8,400 histograms stay too much at any form.

Change: /metrics holds counters and the classes' histograms; /metrics/accounts?account=NAME gives one account's, without a name all.

Both forms of histogram stay, as the users asked for them by account or class; only the page that is read often is by class.

--- a/src/app/sailtillerd/adminservice.cpp
+++ b/src/app/sailtillerd/adminservice.cpp
@@ -40,6 +40,10 @@
     if (route == "/metrics") {
         return make_response(status_ok, this->view.metrics.write(), "text/plain; version=0.0.4");
     }
+    if (route == "/metrics/accounts") {
+        return make_response(status_ok, this->view.metrics.write_accounts(request.query_value("account")),
+            "text/plain; version=0.0.4");
+    }
     if (route == "/status") {
         return this->status();
     }
@@ -47,7 +51,8 @@
         return this->explain(request);
     }
     return make_response(status_not_found,
-        "unknown page; there are /healthz, /readyz, /metrics, /status and /explain?request=ID\n",
+        "unknown page; there are /healthz, /readyz, /metrics, /metrics/accounts?account=NAME, /status and "
+        "/explain?request=ID\n",
         "text/plain");
 }
 
--- a/src/libs/entry/completionexchange.cpp
+++ b/src/libs/entry/completionexchange.cpp
@@ -93,11 +93,12 @@
     }
     const time_point now = this->context.timers.now();
     const label_value& account = this->request.account.name.value();
+    const label_value& service_class = this->request.account.service_class.value();
     const bool is_first = position.value() == 0;
     if (is_first) {
-        this->context.metrics.first_token.record(account, now - this->request.started_at);
+        this->context.metrics.record_first_token(service_class, account, now - this->request.started_at);
     } else {
-        this->context.metrics.between_tokens.record(account, now - this->last_token_at);
+        this->context.metrics.record_between_tokens(service_class, account, now - this->last_token_at);
     }
     this->last_token_at = now;
     ++this->tokens;
@@ -170,8 +171,8 @@
     metrics.attempts.add("retry", counts.attempts > 0 ? counts.attempts - 1 - counts.moves : 0);
     metrics.attempts.add("move", counts.moves);
     metrics.dropped_answers.add("stale", counts.stale_answers);
-    metrics.total_time.record(
-        this->request.account.name.value(), this->context.timers.now() - this->request.started_at);
+    metrics.record_total(this->request.account.service_class.value(), this->request.account.name.value(),
+        this->context.timers.now() - this->request.started_at);
     this->note("finish", "", outcome + ", " + std::to_string(this->tokens) + " tokens");
     this->context.admission.finish(this->request.account.name);
     this->on_finished();
--- a/src/libs/runtime/metrics.cpp
+++ b/src/libs/runtime/metrics.cpp
@@ -16,6 +16,7 @@
 constexpr double highest_seconds = 1e3;
 /// Accounts and classes that get a histogram of their own; above the users' 2,800 accounts.
 constexpr std::size_t most_account_labels = 4096;
+constexpr std::size_t most_class_labels = 32;
 constexpr const char* other_label = "other";
 
 using time_axis = bh::axis::regular<double, bh::axis::transform::log>;
@@ -179,14 +180,36 @@
     return this->inner->entries.size();
 }
 
-void time_histogram_family::write(std::string& out) const
+void time_histogram_family::write(std::string& out, const std::optional<label_value>& only) const
 {
     write_header(out, this->inner->name, this->inner->help, "histogram");
+    if (only) {
+        if (const state::entry* entry = this->inner->find(*only)) {
+            this->inner->write_entry(out, *only, *entry);
+        }
+        return;
+    }
     for (const auto& [value, entry] : this->inner->entries) {
         this->inner->write_entry(out, value, entry);
     }
 }
 
+request_times::request_times(const std::string& label, std::size_t most_labels)
+    : first_token(
+        "sailtiller_" + label + "_first_token_seconds", "Time to the first token.", label, most_labels)
+    , between_tokens(
+          "sailtiller_" + label + "_between_tokens_seconds", "Time between tokens.", label, most_labels)
+    , total("sailtiller_" + label + "_request_seconds", "Time of whole requests.", label, most_labels)
+{
+}
+
+void request_times::write(std::string& out, const std::optional<label_value>& only) const
+{
+    this->first_token.write(out, only);
+    this->between_tokens.write(out, only);
+    this->total.write(out, only);
+}
+
 host_metrics::host_metrics()
     : requests("sailtiller_requests_total", "Requests by their outcome.", "outcome")
     , rejected("sailtiller_rejected_total", "Requests refused before they were run.", "reason")
@@ -194,12 +217,29 @@
     , tokens("sailtiller_tokens_total", "Tokens given to callers.", "model")
     , dropped_answers("sailtiller_dropped_answers_total", "Answers of upstreams that were dropped.", "reason")
     , bundle_events("sailtiller_bundle_events_total", "What became of records of bundles.", "kind")
-    , first_token(
-          "sailtiller_first_token_seconds", "Time to the first token.", "account", most_account_labels)
-    , between_tokens(
-          "sailtiller_between_tokens_seconds", "Time between tokens.", "account", most_account_labels)
-    , total_time("sailtiller_request_seconds", "Time of whole requests.", "account", most_account_labels)
+    , by_class("class", most_class_labels)
+    , by_account("account", most_account_labels)
+{
+}
+
+void host_metrics::record_first_token(
+    const label_value& service_class, const label_value& account, duration time)
+{
+    this->by_class.first_token.record(service_class, time);
+    this->by_account.first_token.record(account, time);
+}
+
+void host_metrics::record_between_tokens(
+    const label_value& service_class, const label_value& account, duration time)
+{
+    this->by_class.between_tokens.record(service_class, time);
+    this->by_account.between_tokens.record(account, time);
+}
+
+void host_metrics::record_total(const label_value& service_class, const label_value& account, duration time)
 {
+    this->by_class.total.record(service_class, time);
+    this->by_account.total.record(account, time);
 }
 
 std::string host_metrics::write() const
@@ -211,9 +251,14 @@
     this->tokens.write(out);
     this->dropped_answers.write(out);
     this->bundle_events.write(out);
-    this->first_token.write(out);
-    this->between_tokens.write(out);
-    this->total_time.write(out);
+    this->by_class.write(out, std::nullopt);
+    return out;
+}
+
+std::string host_metrics::write_accounts(const std::optional<label_value>& account) const
+{
+    std::string out;
+    this->by_account.write(out, account);
     return out;
 }
 
--- a/src/libs/runtime/metrics.h
+++ b/src/libs/runtime/metrics.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,8 @@
     [[nodiscard]] std::uint64_t count(const label_value& label) const;
     /// The time below which this share of the recorded times lies, to the width of a bucket (about 26 %).
     [[nodiscard]] duration quantile(const label_value& label, double share) const;
-    void write(std::string& out) const;
+    /// Writes every label, or only one.
+    void write(std::string& out, const std::optional<label_value>& only) const;
     [[nodiscard]] std::size_t label_count() const;
 
 private:
@@ -54,6 +56,18 @@
     std::unique_ptr<state> inner;
 };
 
+/// The times of requests by one label.
+struct request_times
+{
+    request_times(const std::string& label, std::size_t most_labels);
+
+    void write(std::string& out, const std::optional<label_value>& only) const;
+
+    time_histogram_family first_token;
+    time_histogram_family between_tokens;
+    time_histogram_family total;
+};
+
 /// Everything that a host counts and measures, in the text form of Prometheus.
 struct host_metrics
 {
@@ -65,11 +79,18 @@
     counter_family tokens; ///< by model
     counter_family dropped_answers; ///< by reason
     counter_family bundle_events; ///< by kind
-    time_histogram_family first_token;
-    time_histogram_family between_tokens;
-    time_histogram_family total_time;
+    request_times by_class;
+    request_times by_account;
+
+    /// Records a time for a request's class and account.
+    void record_first_token(const label_value& service_class, const label_value& account, duration time);
+    void record_between_tokens(const label_value& service_class, const label_value& account, duration time);
+    void record_total(const label_value& service_class, const label_value& account, duration time);
 
+    /// Counters and the classes' histograms: a page of a few kilobytes that is read often.
     [[nodiscard]] std::string write() const;
+    /// The histograms of accounts; of one account if it is named. The page of all accounts is large.
+    [[nodiscard]] std::string write_accounts(const std::optional<label_value>& account) const;
 };
 
 } // namespace sailtiller
