Runtime: peer streams between hosts by nghttp2 over the loop's sockets

Cause: hosts must ask each other for the state of the bundle when the log is down or has forgotten records.

Change: peer_session (one question and its reply are one HTTP/2 stream), peer_server and peer_client with one kept connection to each peer. The relay benchmark used the same stream names in two runs, which the engine stand-in rightly refused; names are now unique.

Found: h2o_evloop_destroy reads a freed socket when one was closed in the same turn; the loop now takes one more turn before it ends (seen as a crash in tst_runtime, a_peer_that_comes_back_is_asked_again; ruled out: our own sessions, which the address sanitizer found sound).

--- a/bench/relay_load.cpp
+++ b/bench/relay_load.cpp
@@ -2,6 +2,7 @@
 // Load tool: keeps so many completion streams going against one target and prints what came of them as JSON.
 // The target is a host, or with --direct an engine that is called step by step as a host would call it.
 #include <base/json.h>
+#include <base/random.h>
 #include <engines/stepcodec.h>
 #include <runtime/httpclient.h>
 
@@ -82,7 +83,7 @@
     void send_step(std::uint32_t stream, std::uint32_t position, time_point began)
     {
         step_request step;
-        step.stream = stream_id("direct-" + std::to_string(stream));
+        step.stream = stream_id(this->run_id + "-" + std::to_string(stream));
         step.attempt = attempt_number(1);
         step.position = token_position(position);
         step.layers = {layer_index(0), layer_index(this->plan.layers - 1)};
@@ -119,6 +120,7 @@
     }
 
     load_plan plan;
+    std::string run_id = make_random_id(make_system_random());
     event_loop loop;
     http_client client;
     std::uint32_t begun = 0;
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -37,6 +37,8 @@
 event_loop::~event_loop()
 {
     if (h2o_linklist_is_empty(&this->loop->_timeouts) != 0) {
+        // h2o frees a closed socket in the loop's next turn and fails if the loop goes before that.
+        h2o_evloop_run(this->loop, 0);
         h2o_evloop_destroy(this->loop);
         return;
     }
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int listen_backlog = 1024;
 /// Connections taken in one turn of the loop, so that a burst of them doesn't hold up the streams.
 constexpr int most_accepts_a_turn = 32;
 /// Turns of the loop in which connections that were told to end must have closed.
@@ -284,28 +283,13 @@
 
 endpoint http_server::listen(const endpoint& address)
 {
-    socket_address wanted = to_socket_address(address);
-    const error_origin origin{"listen", address.value()};
-    const int descriptor = socket(wanted.pointer()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0
-        || bind(descriptor, wanted.pointer(), wanted.length) != 0
-        || ::listen(descriptor, listen_backlog) != 0) {
-        const std::string reason = std::strerror(errno);
-        if (descriptor >= 0) {
-            close(descriptor);
-        }
-        throw error(origin, reason);
-    }
+    const listening_socket bound = open_listening_socket(address);
     h2o_socket_t* listener =
-        h2o_evloop_socket_create(this->inner->loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+        h2o_evloop_socket_create(this->inner->loop.native(), bound.descriptor, H2O_SOCKET_FLAG_DONT_READ);
     listener->data = this->inner.get();
     h2o_socket_read_start(listener, &state::accept);
     this->inner->listeners.push_back(listener);
-    socket_address bound;
-    bound.length = sizeof(bound.bytes);
-    getsockname(descriptor, bound.pointer(), &bound.length);
-    return to_endpoint(bound);
+    return bound.address;
 }
 
 void http_server::when_rejected(std::function<void(const http_server_event&)> action)
--- /dev/null
+++ b/src/libs/runtime/peerclient.cpp
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <runtime/h2oheaders.h>
+#include <runtime/peerclient.h>
+#include <runtime/socketaddress.h>
+
+namespace sailtiller {
+
+/// One question until its answer, its failure or the end of its time.
+struct peer_client::question
+{
+    std::string method;
+    std::string body;
+    reply_handler on_reply;
+    failure_handler on_failure;
+    timer_id timer = 0;
+    bool is_done = false;
+};
+
+/// The connection to one peer, made when it is first needed and again after it has ended.
+struct peer_client::connection
+{
+    peer_client* owner = nullptr;
+    endpoint peer;
+    h2o_socket_t* connecting = nullptr;
+    timer_id connect_timer = 0;
+    std::unique_ptr<peer_session> session;
+    std::vector<std::shared_ptr<question>> waiting; ///< for the connection
+    std::map<std::int32_t, std::shared_ptr<question>> asked;
+};
+
+peer_client::peer_client(event_loop& loop, duration connect_limit)
+    : loop(loop)
+    , connect_limit(connect_limit)
+{
+}
+
+peer_client::~peer_client()
+{
+    for (auto& [peer, item] : this->connections) {
+        this->loop.cancel(item->connect_timer);
+        if (item->connecting != nullptr) {
+            h2o_socket_close(item->connecting);
+        }
+        for (const auto& waiting : item->waiting) {
+            this->loop.cancel(waiting->timer);
+        }
+        for (const auto& [stream, asked] : item->asked) {
+            this->loop.cancel(asked->timer);
+        }
+    }
+}
+
+peer_client::connection& peer_client::connection_to(const endpoint& peer)
+{
+    std::unique_ptr<connection>& item = this->connections[peer];
+    if (!item) {
+        item = std::make_unique<connection>();
+        item->owner = this;
+        item->peer = peer;
+    }
+    return *item;
+}
+
+void peer_client::ask(const endpoint& peer, const std::string& method, std::string body, duration limit,
+    reply_handler on_reply, failure_handler on_failure)
+{
+    const auto item = std::make_shared<question>(
+        question{method, std::move(body), std::move(on_reply), std::move(on_failure), 0, false});
+    item->timer = this->loop.schedule_after(limit, [item] {
+        if (!item->is_done) {
+            item->is_done = true;
+            item->on_failure({peer_failure_kind::no_answer, "no answer within the time limit"});
+        }
+    });
+    connection& target = this->connection_to(peer);
+    if (target.session && target.session->is_open()) {
+        this->send(target, item);
+        return;
+    }
+    target.waiting.push_back(item);
+    if (target.connecting == nullptr) {
+        this->connect(target);
+    }
+}
+
+void peer_client::connect(connection& target)
+{
+    socket_address address = to_socket_address(target.peer);
+    target.connecting = h2o_socket_connect(
+        this->loop.native(), address.pointer(), address.length, &peer_client::on_connected);
+    if (target.connecting == nullptr) {
+        this->loop.post([this, &target] {
+            this->fail_all(target, peer_failure_kind::not_sent, "the system refused the connection");
+        });
+        return;
+    }
+    target.connecting->data = &target;
+    target.connect_timer = this->loop.schedule_after(this->connect_limit, [this, &target] {
+        h2o_socket_close(target.connecting);
+        target.connecting = nullptr;
+        this->fail_all(target, peer_failure_kind::not_sent, "no connection within the time limit");
+    });
+}
+
+void peer_client::on_connected(h2o_socket_t* socket, const char* failure)
+{
+    connection& target = *static_cast<connection*>(socket->data);
+    peer_client& self = *target.owner;
+    self.loop.cancel(target.connect_timer);
+    target.connecting = nullptr;
+    if (failure != nullptr) {
+        h2o_socket_close(socket);
+        self.fail_all(target, peer_failure_kind::not_sent, failure);
+        return;
+    }
+    const auto on_message = [&target](std::int32_t stream, const peer_message& reply) {
+        const auto found = target.asked.find(stream);
+        if (found == target.asked.end()) {
+            return;
+        }
+        const std::shared_ptr<question> item = found->second;
+        target.asked.erase(found);
+        target.owner->loop.cancel(item->timer);
+        if (item->is_done) {
+            return;
+        }
+        item->is_done = true;
+        if (reply.is_good) {
+            item->on_reply(reply.body);
+        } else {
+            item->on_failure({peer_failure_kind::no_answer, "the peer can't answer"});
+        }
+    };
+    const auto on_end = [&target](std::int32_t stream, const std::string& reason) {
+        if (stream == 0) {
+            target.owner->drop(target, reason);
+            return;
+        }
+        const auto found = target.asked.find(stream);
+        if (found != target.asked.end()) {
+            const std::shared_ptr<question> item = found->second;
+            target.asked.erase(found);
+            target.owner->loop.cancel(item->timer);
+            if (!item->is_done) {
+                item->is_done = true;
+                item->on_failure({peer_failure_kind::no_answer, reason});
+            }
+        }
+    };
+    target.session =
+        std::make_unique<peer_session>(self.loop, socket, peer_session::side::client, on_message, on_end);
+    std::vector<std::shared_ptr<question>> waiting;
+    waiting.swap(target.waiting);
+    for (const std::shared_ptr<question>& item : waiting) {
+        self.send(target, item);
+    }
+}
+
+void peer_client::send(connection& target, const std::shared_ptr<question>& item)
+{
+    if (!item->is_done) {
+        const std::int32_t stream = target.session->send_request({item->method, item->body, true});
+        target.asked.emplace(stream, item);
+    }
+}
+
+void peer_client::fail_all(connection& target, peer_failure_kind kind, const std::string& reason)
+{
+    std::vector<std::shared_ptr<question>> failed;
+    failed.swap(target.waiting);
+    for (const auto& [stream, item] : target.asked) {
+        failed.push_back(item);
+    }
+    target.asked.clear();
+    for (const std::shared_ptr<question>& item : failed) {
+        this->loop.cancel(item->timer);
+        if (!item->is_done) {
+            item->is_done = true;
+            item->on_failure({kind, reason});
+        }
+    }
+}
+
+void peer_client::drop(connection& target, const std::string& reason)
+{
+    target.session.reset();
+    this->fail_all(target, peer_failure_kind::no_answer, reason);
+}
+
+} // namespace sailtiller
--- a/src/libs/runtime/socketaddress.cpp
+++ b/src/libs/runtime/socketaddress.cpp
@@ -6,9 +6,16 @@
 #include <cstring>
 #include <memory>
 #include <netdb.h>
+#include <unistd.h>
 
 namespace sailtiller {
 
+namespace {
+
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
 socket_address to_socket_address(const endpoint& address)
 {
     const std::string& text = address.value();
@@ -50,4 +57,24 @@
     return endpoint((is_version_6 ? "[" + text + "]" : text) + ":" + port.data());
 }
 
+listening_socket open_listening_socket(const endpoint& address)
+{
+    socket_address wanted = to_socket_address(address);
+    const int on = 1;
+    const int descriptor = socket(wanted.pointer()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0
+        || bind(descriptor, wanted.pointer(), wanted.length) != 0
+        || listen(descriptor, listen_backlog) != 0) {
+        const std::string reason = std::strerror(errno);
+        if (descriptor >= 0) {
+            close(descriptor);
+        }
+        throw error({"listen", address.value()}, reason);
+    }
+    socket_address bound;
+    bound.length = sizeof(bound.bytes);
+    getsockname(descriptor, bound.pointer(), &bound.length);
+    return {descriptor, to_endpoint(bound)};
+}
+
 } // namespace sailtiller
--- a/src/libs/runtime/socketaddress.h
+++ b/src/libs/runtime/socketaddress.h
@@ -22,4 +22,14 @@
 /// The endpoint in numbers; empty for an address that is no internet address.
 endpoint to_endpoint(const socket_address& address);
 
+/// A socket that takes connections, not blocking.
+struct listening_socket
+{
+    int descriptor = -1;
+    endpoint address; ///< with the port that the system chose, if it was asked to
+};
+
+/// Throws `error` if the address can't be listened on.
+listening_socket open_listening_socket(const endpoint& address);
+
 } // namespace sailtiller
