--- a/bench/bench_delivery.cpp
+++ b/bench/bench_delivery.cpp
@@ -6,6 +6,7 @@
 #include <engines/stepcodec.h>
 
 #include <benchmark/benchmark.h>
+#include <utility>
 
 namespace {
 
@@ -95,7 +96,7 @@
         stream_relay relay(request, hooks, listener);
         relay.start();
         while (!is_done) {
-            const std::function<void()> step = std::move(next);
+            const std::function<void()> step = std::exchange(next, nullptr);
             step();
         }
     }
--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -21,6 +21,7 @@
     flags.declare("deployment", "name of the fleet, to which bundles are bound", std::nullopt);
     flags.declare("listen", "address for callers", "127.0.0.1:8080");
     flags.declare("admin-listen", "address for health, metrics and status", "127.0.0.1:8081");
+    flags.declare_optional("peer-listen", "address for the other hosts; without it this host works alone");
     flags.declare_optional("tls-certificate", "certificate chain in PEM form; callers then use TLS");
     flags.declare_optional("tls-key", "key of the certificate in PEM form");
     flags.declare("log-address", "the platform's log service", std::nullopt);
@@ -91,6 +92,7 @@
     settings.trust.keys = read_keys(flags);
     settings.listen = flags.address("listen");
     settings.admin_listen = flags.address("admin-listen");
+    settings.peer_listen = flags.optional_address("peer-listen");
     settings.tls = read_tls(flags);
     settings.log_address = flags.address("log-address");
     settings.log_stream = flags.text("log-stream");
--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -15,6 +15,7 @@
     trust_settings trust;
     endpoint listen;
     endpoint admin_listen;
+    std::optional<endpoint> peer_listen;
     std::optional<tls_files> tls;
     endpoint log_address;
     std::string log_stream;
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -1,11 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "hostprocess.h"
 
+#include <base/error.h>
 #include <platform/logclient.h>
 #include <runtime/programsettings.h>
 
+#include <algorithm>
 #include <csignal>
-#include <set>
 
 namespace sailtiller {
 
@@ -15,7 +16,12 @@
 /// the last quarter of an hour.
 constexpr std::size_t explained_requests = 10'000;
 constexpr duration host_list_interval = std::chrono::seconds(1);
+constexpr duration host_list_patience = std::chrono::seconds(1);
 constexpr duration idle_look_interval = std::chrono::milliseconds(50);
+constexpr duration peer_connect_limit = std::chrono::milliseconds(500);
+constexpr duration peer_answer_limit = std::chrono::seconds(2);
+/// Peers that are asked at once, so that one that is gone or behind costs nothing.
+constexpr std::size_t peers_asked = 3;
 constexpr double initial_retry_ratio = 0.2;
 
 std::int64_t read_unix_seconds()
@@ -37,6 +43,10 @@
     , services(this->client)
     , entry(this->make_entry_context(),
           [this](std::function<void()> action) { this->loop.post(std::move(action)); })
+    , peers(this->loop, peer_connect_limit)
+    , peer_side(this->loop,
+          [this](
+              const std::string& method, const std::string& body) { return this->answer_peer(method, body); })
     , follower(this->make_follower_settings(), this->make_follower_hooks())
     , admin(this->make_admin_view())
     , callers(this->loop, this->settings.limits, this->settings.tls,
@@ -74,7 +84,7 @@
         {.address = this->settings.log_address, .stream = this->settings.log_stream});
     hooks.timers = this->loop.hooks();
     hooks.live_hosts = [this] { return this->live_hosts(); };
-    hooks.ask_peers = [](const std::vector<part_digest>&) {};
+    hooks.ask_peers = [this](const std::vector<part_digest>& missing) { return this->ask_peers(missing); };
     hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) { this->take_bundle(next); };
     hooks.on_event = [this](const std::string& kind, const std::string& peer, const std::string& reason) {
         this->metrics.bundle_events.add(kind);
@@ -105,6 +115,62 @@
     return names;
 }
 
+std::vector<listed_host> host_process::choose_peers() const
+{
+    std::vector<listed_host> others;
+    if (this->hosts) {
+        for (const listed_host& host : this->hosts->live_hosts()) {
+            if (host.name != this->settings.self.value() && !host.peer_address.value().empty()) {
+                others.push_back(host);
+            }
+        }
+    }
+    for (std::size_t index = others.size(); index > 1; --index) {
+        std::swap(others[index - 1], others[this->random() % index]);
+    }
+    std::stable_partition(others.begin(), others.end(),
+        [this](const listed_host& host) { return host.data_hall == this->settings.data_hall; });
+    others.resize(std::min(others.size(), peers_asked));
+    return others;
+}
+
+std::size_t host_process::ask_peers(const std::vector<part_digest>& missing)
+{
+    const std::vector<listed_host> chosen = this->choose_peers();
+    for (const listed_host& host : chosen) {
+        this->peers.ask(
+            host.peer_address, bundle_question, encode_bundle_question(missing), peer_answer_limit,
+            [this, name = host.name](const std::string& body) {
+                try {
+                    this->follower.take_peer_state(decode_bundle_state(body));
+                } catch (const error& malformed) {
+                    log_event(log_level::warning, "peer_answer_malformed",
+                        {{"step", malformed.step()}, {"peer", name}, {"reason", malformed.reason()}});
+                }
+            },
+            [name = host.name](const peer_failure& failure) {
+                log_event(log_level::info, "peer_unreachable",
+                    {{"step", "ask for bundle"}, {"peer", name}, {"reason", failure.reason}});
+            });
+    }
+    return chosen.size();
+}
+
+std::optional<std::string> host_process::answer_peer(const std::string& method, const std::string& body)
+{
+    try {
+        if (method == bundle_question) {
+            const std::optional<peer_bundle_state> state =
+                this->follower.answer_peer(decode_bundle_question(body));
+            return state ? std::optional<std::string>(encode_bundle_state(*state)) : std::nullopt;
+        }
+    } catch (const error& malformed) {
+        log_event(log_level::warning, "peer_question_malformed",
+            {{"step", malformed.step()}, {"peer", method}, {"reason", malformed.reason()}});
+    }
+    return std::nullopt;
+}
+
 void host_process::take_bundle(const std::shared_ptr<const bundle_in_force>& next)
 {
     this->retries.set_ratio(next->content.retries.budget_ratio);
@@ -119,14 +185,25 @@
             {"reason", next->source.reason}});
 }
 
+void host_process::set_leaving(const upstream_id& name, bool is_leaving)
+{
+    upstream_load& load = *this->loads.load_of(name);
+    if (load.is_leaving() != is_leaving) {
+        log_event(
+            log_level::info, is_leaving ? "upstream_leaving" : "upstream_back", {{"peer", name.value()}});
+    }
+    load.set_leaving(is_leaving);
+}
+
 void host_process::take_host_list()
 {
     this->admission.set_live_hosts(this->live_hosts().size());
     for (const listed_host& item : this->hosts->entries()) {
         if (item.is_upstream) {
-            this->loads.load_of(upstream_id(item.name))->set_leaving(item.state == listed_state::leaving);
+            this->set_leaving(upstream_id(item.name), item.state == listed_state::leaving);
         }
     }
+    this->start_following();
     log_event(
         log_level::info, "host_list_changed", {{"entries", std::to_string(this->hosts->entries().size())}});
 }
@@ -148,11 +225,25 @@
             });
         this->hosts->start();
     }
-    this->follower.start();
+    if (this->settings.peer_listen) {
+        const endpoint peer_address = this->peer_side.listen(*this->settings.peer_listen);
+        log_event(log_level::info, "peers_welcome", {{"peer_listen", peer_address.value()}});
+    }
+    // The list tells whom to ask for the bundle; a host starts without it if it does not come.
+    this->loop.schedule_after(
+        this->hosts ? host_list_patience : duration::zero(), [this] { this->start_following(); });
     this->loop.run();
     return this->exit_code;
 }
 
+void host_process::start_following()
+{
+    if (!this->is_following) {
+        this->is_following = true;
+        this->follower.start();
+    }
+}
+
 void host_process::begin_stop()
 {
     if (this->is_stopping) {
--- a/src/app/sailtillerd/hostprocess.h
+++ b/src/app/sailtillerd/hostprocess.h
@@ -6,6 +6,8 @@
 
 #include <entry/entryservice.h>
 #include <platform/hostlist.h>
+#include <runtime/peerclient.h>
+#include <runtime/peerserver.h>
 #include <runtime/signalwatch.h>
 
 namespace sailtiller {
@@ -25,8 +27,14 @@
     follower_settings make_follower_settings() const;
     admin_view make_admin_view();
     std::vector<host_id> live_hosts() const;
+    /// Some other hosts to ask, those of the same data hall first.
+    std::vector<listed_host> choose_peers() const;
+    std::size_t ask_peers(const std::vector<part_digest>& missing);
+    std::optional<std::string> answer_peer(const std::string& method, const std::string& body);
     void take_bundle(const std::shared_ptr<const bundle_in_force>& next);
     void take_host_list();
+    void set_leaving(const upstream_id& name, bool is_leaving);
+    void start_following();
     void begin_stop();
     void finish_stop_when_idle();
 
@@ -43,11 +51,14 @@
     engine_client engines;
     service_client services;
     entry_service entry;
+    peer_client peers;
+    peer_server peer_side;
     bundle_follower follower;
     admin_service admin;
     std::optional<host_list> hosts;
     http_server callers;
     http_server admin_server;
+    bool is_following = false;
     bool is_stopping = false;
     time_point stop_limit{};
     int exit_code = 0;
--- a/src/libs/fleet/bundlefollower.cpp
+++ b/src/libs/fleet/bundlefollower.cpp
@@ -27,11 +27,27 @@
 void bundle_follower::start()
 {
     this->is_running = true;
-    this->read_log();
-    this->check_with_peers();
+    this->is_reading = false;
+    // A peer's state spares a starting host the whole log, and the log the reading of many hosts that start
+    // at once.
+    const std::size_t asked = this->hooks.ask_peers({});
+    const duration wait = asked == 0 || this->applied ? duration::zero() : this->settings.first_peer_wait;
+    this->read_timer = this->hooks.timers.schedule_after(wait, [this] { this->begin_reading(); });
+    this->peer_timer =
+        this->hooks.timers.schedule_after(this->settings.peer_interval, [this] { this->check_with_peers(); });
     this->carry_forward();
 }
 
+void bundle_follower::begin_reading()
+{
+    if (this->is_reading) {
+        return;
+    }
+    this->is_reading = true;
+    this->hooks.timers.cancel(this->read_timer);
+    this->read_log();
+}
+
 void bundle_follower::stop()
 {
     this->is_running = false;
@@ -138,6 +154,7 @@
 
 void bundle_follower::take_peer_state(const peer_bundle_state& state)
 {
+    const std::vector<part_digest> wanted_before = this->wanted_parts();
     for (const std::string& body : state.parts) {
         this->store.add(body);
     }
@@ -145,6 +162,13 @@
         this->duty.note_needed(activation_record, this->hooks.timers.now());
     }
     this->apply();
+    if (this->is_running) {
+        this->begin_reading();
+    }
+    const std::vector<part_digest> wanted = this->wanted_parts();
+    if (!wanted.empty() && wanted != wanted_before) {
+        this->hooks.ask_peers(wanted);
+    }
 }
 
 std::optional<peer_bundle_state> bundle_follower::answer_peer(const std::vector<part_digest>& wanted) const
--- a/src/libs/fleet/bundlefollower.h
+++ b/src/libs/fleet/bundlefollower.h
@@ -5,6 +5,7 @@
 #include <base/timerqueue.h>
 #include <bundle/activationfold.h>
 #include <bundle/bundleassembler.h>
+#include <fleet/bundlemessages.h>
 #include <fleet/carrierduty.h>
 #include <fleet/partstore.h>
 
@@ -21,6 +22,8 @@
     duration read_wait = std::chrono::seconds(5); ///< how long one read of the log may wait for a record
     duration retry_pause = std::chrono::milliseconds(500); ///< before the log is read again after a failure
     duration longest_retry_pause = std::chrono::seconds(8);
+    /// How long a starting host waits for a peer's state before it reads the log from its beginning.
+    duration first_peer_wait = std::chrono::milliseconds(500);
     duration peer_interval =
         std::chrono::seconds(2); ///< between questions to peers while the log doesn't serve
     duration carry_interval = std::chrono::seconds(5); ///< between looks at what must be carried forward
@@ -34,13 +37,6 @@
     activation source;
 };
 
-/// What a peer tells of the bundle in force.
-struct peer_bundle_state
-{
-    activation_snapshot snapshot;
-    std::vector<std::string> parts; ///< bodies of the parts that were asked for
-};
-
 /// What a follower needs from outside.
 struct follower_hooks
 {
@@ -48,8 +44,9 @@
     timer_hooks timers;
     /// The hosts that are live by the platform's list, this one included.
     std::function<std::vector<host_id>()> live_hosts;
-    /// Asks some peers for their state and for parts; answers come through `take_peer_state`.
-    std::function<void(const std::vector<part_digest>& missing)> ask_peers;
+    /// Asks some peers for their state and for parts, and returns how many; answers come through
+    /// `take_peer_state`.
+    std::function<std::size_t(const std::vector<part_digest>& missing)> ask_peers;
     /// Takes a checked bundle into force.
     std::function<void(std::shared_ptr<const bundle_in_force>)> on_bundle;
     /// Tells an event for logs and metrics: its kind, the peer and the reason.
@@ -90,6 +87,7 @@
 
 private:
     void read_log();
+    void begin_reading();
     void handle_page(const log_page& page);
     void handle_entry(const log_entry& entry);
     void handle_log_failure(const error& failure);
@@ -116,6 +114,7 @@
     bool is_running = false;
     bool is_log_reachable = false;
     bool has_reached_head = false;
+    bool is_reading = false;
     std::uint32_t failures_in_a_row = 0;
     timer_id read_timer = 0;
     timer_id peer_timer = 0;
--- a/src/libs/platform/hostlist.cpp
+++ b/src/libs/platform/hostlist.cpp
@@ -56,7 +56,8 @@
     }
     std::vector<listed_host> entries;
     try {
-        for (const json& item : json::parse(body).at("hosts")) {
+        const json document = json::parse(body); // must outlive the loop over a part of it
+        for (const json& item : document.at("hosts")) {
             entries.push_back(read_entry(item));
         }
     } catch (const json::exception& malformed) {
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -43,8 +43,8 @@
         return;
     }
     // A connection that could not be ended still refers to the loop, so the loop must outlive it.
-    static std::vector<h2o_evloop_t*> abandoned;
-    abandoned.push_back(this->loop);
+    static auto* const abandoned = new std::vector<h2o_evloop_t*>;
+    abandoned->push_back(this->loop);
 }
 
 void event_loop::run()
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -277,8 +277,8 @@
         return;
     }
     // Requests that nobody has answered keep their connections, which still refer to this state.
-    static std::vector<std::unique_ptr<state>> abandoned;
-    abandoned.push_back(std::move(this->inner));
+    static auto* const abandoned = new std::vector<std::unique_ptr<state>>;
+    abandoned->push_back(std::move(this->inner));
 }
 
 endpoint http_server::listen(const endpoint& address)
--- a/src/libs/runtime/peersession.cpp
+++ b/src/libs/runtime/peersession.cpp
@@ -3,7 +3,6 @@
 #include <runtime/peersession.h>
 
 #include <algorithm>
-#include <cstring>
 #include <nghttp2/nghttp2.h>
 #include <string_view>
 
@@ -99,7 +98,7 @@
     {
         stream_state& state = self(data).state_of(stream);
         const std::size_t size = std::min(length, state.outgoing.size() - state.outgoing_sent);
-        std::memcpy(buffer, state.outgoing.data() + state.outgoing_sent, size);
+        state.outgoing.copy(reinterpret_cast<char*>(buffer), size, state.outgoing_sent);
         state.outgoing_sent += size;
         if (state.outgoing_sent == state.outgoing.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -144,7 +143,6 @@
     event_loop& loop, st_h2o_socket_t* socket, side which, message_handler on_message, end_handler on_end)
     : loop(loop)
     , socket(socket)
-    , which(which)
     , on_message(std::move(on_message))
     , on_end(std::move(on_end))
 {
--- a/src/libs/runtime/peersession.h
+++ b/src/libs/runtime/peersession.h
@@ -65,7 +65,6 @@
 
     event_loop& loop;
     st_h2o_socket_t* socket;
-    side which;
     message_handler on_message;
     end_handler on_end;
     nghttp2_session* session = nullptr;
--- a/tests/auto/fleet/tst_bundlefollower.cpp
+++ b/tests/auto/fleet/tst_bundlefollower.cpp
@@ -44,6 +44,7 @@
             if (this->ask_peers) {
                 this->ask_peers(missing);
             }
+            return std::size_t{this->ask_peers ? 1U : 0U};
         };
         hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) {
             this->generations.push_back(next->source.generation.value());
@@ -207,6 +208,39 @@
     EXPECT_EQ(fresh.generations, std::vector<std::uint64_t>{1});
 }
 
+TEST_F(bundle_follower_test, a_fresh_host_starts_from_a_peer_and_reads_only_the_rest_of_the_log)
+{
+    test_host& peer = this->add_host("a");
+    peer.follower.start();
+    this->activate("one", 3);
+    this->pass(1s);
+    const log_offset end = this->log.end();
+    test_host& fresh = this->add_host("b");
+    fresh.ask_peers = [&](const std::vector<part_digest>& missing) {
+        if (const std::optional<peer_bundle_state> state = peer.follower.answer_peer(missing)) {
+            fresh.follower.take_peer_state(decode_bundle_state(encode_bundle_state(*state)));
+        }
+    };
+    this->log.lowest_read = end;
+    fresh.follower.start();
+    this->pass(1s);
+    EXPECT_EQ(fresh.generations, std::vector<std::uint64_t>{1});
+    EXPECT_EQ(this->log.lowest_read, end) << "nothing before the peer's offset was read again";
+    this->activate("two", 4);
+    this->pass(1s);
+    EXPECT_EQ(fresh.generations.back(), 2U);
+}
+
+TEST_F(bundle_follower_test, a_fresh_host_whose_peers_are_silent_reads_the_log)
+{
+    this->activate("one", 3);
+    test_host& fresh = this->add_host("b");
+    fresh.ask_peers = [](const std::vector<part_digest>&) {};
+    fresh.follower.start();
+    this->pass(1s);
+    EXPECT_EQ(fresh.generations, std::vector<std::uint64_t>{1});
+}
+
 TEST_F(bundle_follower_test, a_host_that_fell_behind_the_retention_catches_up_from_a_peer)
 {
     test_host& peer = this->add_host("a");
--- a/tests/support/fakelog.cpp
+++ b/tests/support/fakelog.cpp
@@ -54,6 +54,7 @@
             this->answer([on_failure] { on_failure(error({"read log", "fake"}, "down")); });
             return;
         }
+        this->lowest_read = std::min(this->lowest_read, from);
         log_page page;
         page.first_retained = log_offset(this->first);
         std::uint64_t offset = std::max(from.value(), this->first);
--- a/tests/support/fakelog.h
+++ b/tests/support/fakelog.h
@@ -25,6 +25,7 @@
     bool is_down = false;
     bool loses_append_answers = false;
     duration latency{};
+    log_offset lowest_read{0}; ///< set by a test; lowered by reads before it
 
 private:
     void answer(std::function<void()> action);
