--- a/scripts/capacity_page.py
+++ b/scripts/capacity_page.py
@@ -62,6 +62,7 @@
 RETENTION = DAY
 SCRAPE_SECONDS = 60
 LONG_READ_SECONDS = 5
+LIST_POLL_BYTES = 300
 
 
 class Results:
@@ -186,14 +187,14 @@
     poll_bytes = 350
     state = sizes["serving_state_bytes"] if is_letter else sizes["today_serving_state_bytes"]
     bundle_bytes = sizes["bundle_bytes"] if is_letter else 5000
-    memory = (2 * state + 2 * bundle_bytes + 3 * bundle_bytes) / 1e6 + (16 if is_letter else 1)
+    memory = (2 * state + 2 * bundle_bytes + 3 * bundle_bytes) / 1e6 + (4 if is_letter else 1)
     core = (fleet.changes * (apply_ms + 3 * 0.25) / 1e3 / DAY + polls * 60e-6) * 100
     return Cost(
         "follower of the bundle", core, memory, rate + polls * poll_bytes,
         [
             f"time: {fleet.changes} changes a day x ({apply_ms:.2f} ms apply + 0.75 ms read) / {DAY} s + {polls:.1f} reads/s x 60 µs = {core:.4f} % of a core",
             f"bytes: {fleet.changes} x {change_bytes:.0f} B x 1.1 (JSON in JSON) / {DAY} s = {rate:.0f} B/s, and {polls:.1f} waiting reads/s x {poll_bytes} B = {polls * poll_bytes:.0f} B/s",
-            f"memory: serving state {state / 1e6:.2f} MB twice during a change, parts and their read forms {5 * bundle_bytes / 1e6:.1f} MB, spare parts up to {16 if is_letter else 1} MB",
+            f"memory: serving state {state / 1e6:.2f} MB twice during a change, parts and their read forms {5 * bundle_bytes / 1e6:.1f} MB, spare parts up to {4 if is_letter else 1} MB",
             f"pause: one turn of the loop of {apply_ms:.1f} ms for each change",
         ],
         "content-addressed parts in buckets, fragments kept as read, waiting reads",
@@ -222,7 +223,8 @@
     stages = fleet.models * fleet.stages * 16 if fleet is LETTER else 2 * fleet.replicas
     watched = min(stages, fleet.replicas * fleet.stages)
     listed = 150 * (fleet.hosts + fleet.replicas * fleet.stages)
-    rate = 150 if fleet is LETTER else listed
+    changes = 2 * fleet.restarts
+    rate = LIST_POLL_BYTES + changes * listed / DAY
     core = fleet.requests_a_host * results.micros("decide/least_time/8/24") * 1e-6 * 100
     return Cost(
         "watcher of upstreams", core, watched * results.sizes["load_bytes_an_upstream"] / 1e6, rate,
@@ -230,11 +232,9 @@
             f"state: at most 16 holders for each layer range, {watched} loads x {results.sizes['load_bytes_an_upstream']:.0f} B",
             f"time: {fleet.requests_a_host:.1f} decisions/s x {results.micros('decide/least_time/8/24'):.2f} µs = {core:.4f} % of a core",
             "messages: none of its own; health comes from its own requests, load reports ride on step answers",
-            f"bytes: the host list of {listed / 1e3:.0f} KB read each second is the platform's and counts "
-            + (f"{listed:.0f} B/s; here only a changed list may be sent ({rate} B/s), so the list must be asked for with its version (assumption: the platform answers 'unchanged')"
-               if fleet is LETTER else f"{listed:.0f} B/s, small as it is"),
+            f"bytes: the host list is asked for each second by its version, {LIST_POLL_BYTES} B/s, and sent whole ({listed / 1e3:.0f} KB) after each of {changes} changes a day = {rate - LIST_POLL_BYTES:.0f} B/s (assumption: the platform's list has versions, as the stand-in's)",
         ],
-        "a subset drawn by rendezvous hashing, passive health, piggybacked load", fleet is LETTER,
+        "a subset drawn by rendezvous hashing, passive health, piggybacked load, the list by version",
     )
 
 
@@ -279,7 +279,7 @@
 def entry_control_cost(results: Results, fleet: Fleet) -> Cost:
     accounts = min(fleet.accounts, 4096)
     histograms = accounts * 3 * results.sizes["histogram_bytes_an_account"] / 1e6
-    decisions = 10_000 * results.sizes["decision_bytes_a_request"] / 1e6 if fleet is LETTER else 10_000 * 1000 / 1e6
+    decisions = 4_000 * results.sizes["decision_bytes_a_request"] / 1e6
     scrape = results.counter("write_metrics/2800", "bytes") / SCRAPE_SECONDS
     per_request = results.micros("find_account/2800") + results.micros("admit_request") + 5 * results.micros("record_time")
     core = (fleet.requests_a_host * per_request * 1e-6
@@ -287,7 +287,7 @@
     return Cost(
         "entry: accounts, metrics, explanations", core, histograms + decisions, scrape,
         [
-            f"memory: {accounts} accounts x 3 histograms x {results.sizes['histogram_bytes_an_account']:.0f} B = {histograms:.1f} MB; decisions of 10,000 requests {decisions:.1f} MB",
+            f"memory: {accounts} accounts x 3 histograms x {results.sizes['histogram_bytes_an_account']:.0f} B = {histograms:.1f} MB; decisions of 4,000 requests {decisions:.1f} MB",
             f"time: {fleet.requests_a_host:.1f} requests/s x {per_request:.1f} µs, and a scrape every {SCRAPE_SECONDS} s",
             f"bytes: {results.counter('write_metrics/2800', 'bytes') / 1e3:.1f} KB of metrics every {SCRAPE_SECONDS} s = {scrape:.0f} B/s",
         ],
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/// Requests whose decisions are kept for `explain`: at 12 requests a second (letter-size load over 400 hosts)
-/// the last quarter of an hour.
-constexpr std::size_t explained_requests = 10'000;
+/// Requests whose decisions are kept for `explain`: at 12 requests a second (4,800 over 400 hosts) the last
+/// five minutes, in a few megabytes (docs/CAPACITY.md).
+constexpr std::size_t explained_requests = 4'000;
 constexpr duration host_list_interval = std::chrono::seconds(1);
 constexpr duration host_list_patience = std::chrono::seconds(1);
 constexpr duration idle_look_interval = std::chrono::milliseconds(50);
--- a/src/libs/delivery/streamrelay.cpp
+++ b/src/libs/delivery/streamrelay.cpp
@@ -43,13 +43,16 @@
     this->counts.moves += this->tokens.empty() ? 0 : 1;
     this->attempt = attempt_number(this->attempt.value() + 1);
     this->stages = std::move(*chosen);
+    std::string names;
+    std::string ranges;
     for (const stage_option& item : this->stages) {
         item.load->note_sent();
-        this->hooks.note("choose chain", item.holder.value(),
-            "attempt " + std::to_string(this->attempt.value()) + ", layers "
-                + std::to_string(item.layers.first.value()) + " to "
-                + std::to_string(item.layers.last.value()));
+        names += (names.empty() ? "" : " > ") + item.holder.value();
+        ranges += (ranges.empty() ? "" : " > ") + std::to_string(item.layers.first.value()) + "-"
+            + std::to_string(item.layers.last.value());
     }
+    this->hooks.note(
+        "choose chain", names, "attempt " + std::to_string(this->attempt.value()) + ", layers " + ranges);
     this->stage_index = 0;
     this->kind = step_kind::prefill;
     this->stage_input = this->request.prompt;
--- a/src/libs/fleet/bundlefollower.cpp
+++ b/src/libs/fleet/bundlefollower.cpp
@@ -10,6 +10,8 @@
 /// Records that one host carries forward in one look, well below the log's some hundred appends a second.
 constexpr std::size_t most_carried_at_once = 20;
 constexpr std::uint32_t most_doublings = 10;
+/// Peers are asked so often for missing parts before the log is searched for them.
+constexpr std::uint32_t questions_before_search = 1;
 constexpr duration pause_at_head = std::chrono::milliseconds(50);
 const std::string activation_record = "activation";
 
@@ -106,6 +108,7 @@
             this->duty.note_seen(part->digest.value(), now);
         } else {
             this->duty.note_seen(activation_record, now);
+            this->protect_accepted();
         }
     } catch (const error& malformed) {
         this->activations.skip(entry.offset);
@@ -114,6 +117,22 @@
     }
 }
 
+void bundle_follower::protect_accepted()
+{
+    const std::optional<accepted_activation>& accepted = this->activations.in_force();
+    const bool is_applied = accepted && this->applied && this->applied->source.id == accepted->content.id;
+    if (!accepted || is_applied) {
+        return;
+    }
+    const std::string* manifest = this->store.find(accepted->content.manifest);
+    try {
+        this->keep_parts(
+            manifest == nullptr ? bundle_manifest{} : read_manifest(*manifest), accepted->content.manifest);
+    } catch (const error&) {
+        return; // `apply` tells that the manifest can't be used
+    }
+}
+
 void bundle_follower::handle_log_failure(const error& failure)
 {
     this->is_log_reachable = false;
@@ -148,10 +167,53 @@
     if (!this->is_log_reachable || has_gap || !missing.empty()) {
         this->hooks.ask_peers(missing);
     }
+    this->asked_in_vain = missing.empty() ? 0 : this->asked_in_vain + 1;
+    if (this->asked_in_vain > questions_before_search && this->is_log_reachable && !this->is_searching) {
+        this->is_searching = true;
+        this->search_log(log_offset(0));
+    }
     this->peer_timer =
         this->hooks.timers.schedule_after(this->settings.peer_interval, [this] { this->check_with_peers(); });
 }
 
+void bundle_follower::search_log(log_offset from)
+{
+    const std::weak_ptr<bool> held = this->alive;
+    this->hooks.log.read(
+        from, duration::zero(),
+        [this, held](const log_page& page) {
+            if (!held.expired()) {
+                this->search_page(page);
+            }
+        },
+        [this, held](const error&) {
+            if (!held.expired()) {
+                this->is_searching = false;
+            }
+        });
+}
+
+void bundle_follower::search_page(const log_page& page)
+{
+    for (const log_entry& entry : page.entries) {
+        const std::vector<part_digest> wanted = this->wanted_parts();
+        try {
+            const log_record record = decode_record(entry.data);
+            const auto* part = std::get_if<bundle_part>(&record);
+            if (part != nullptr && std::find(wanted.begin(), wanted.end(), part->digest) != wanted.end()) {
+                this->store.add(part->body);
+                this->apply();
+            }
+        } catch (const error&) {
+            continue; // told when it was first read
+        }
+    }
+    this->is_searching = !page.entries.empty() && !this->wanted_parts().empty();
+    if (this->is_searching) {
+        this->search_log(page.next);
+    }
+}
+
 void bundle_follower::take_peer_state(const peer_bundle_state& state)
 {
     const std::vector<part_digest> wanted_before = this->wanted_parts();
@@ -199,7 +261,9 @@
     }
     if (const std::string* manifest = this->store.find(source.manifest)) {
         this->apply_manifest(source, *manifest);
+        return;
     }
+    this->keep_parts({}, source.manifest);
 }
 
 void bundle_follower::apply_manifest(const activation& source, const std::string& manifest_body)
--- a/src/libs/fleet/bundlefollower.h
+++ b/src/libs/fleet/bundlefollower.h
@@ -27,7 +27,7 @@
     duration peer_interval =
         std::chrono::seconds(2); ///< between questions to peers while the log doesn't serve
     duration carry_interval = std::chrono::seconds(5); ///< between looks at what must be carried forward
-    std::size_t most_spare_bytes = 16U << 20U;
+    std::size_t most_spare_bytes = 4U << 20U; ///< parts published and not in force; others are found again
 };
 
 /// A bundle that has taken force on this host.
@@ -90,8 +90,13 @@
     void begin_reading();
     void handle_page(const log_page& page);
     void handle_entry(const log_entry& entry);
+    /// Keeps the parts of an accepted bundle from being dropped by what follows it in the log.
+    void protect_accepted();
     void handle_log_failure(const error& failure);
     void check_with_peers();
+    /// Reads the log from its beginning for parts that this host has dropped and no peer gave.
+    void search_log(log_offset from);
+    void search_page(const log_page& page);
     void apply();
     void apply_manifest(const activation& source, const std::string& manifest_body);
     /// Protects the parts of a bundle that is still being gathered, besides those in force.
@@ -115,6 +120,8 @@
     bool is_log_reachable = false;
     bool has_reached_head = false;
     bool is_reading = false;
+    bool is_searching = false;
+    std::uint32_t asked_in_vain = 0; ///< questions to peers since parts are missing
     std::uint32_t failures_in_a_row = 0;
     timer_id read_timer = 0;
     timer_id peer_timer = 0;
--- a/src/libs/platform/hostlist.cpp
+++ b/src/libs/platform/hostlist.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr int status_not_modified = 304;
 constexpr duration answer_limit = std::chrono::seconds(2);
 
 listed_host read_entry(const json& text)
@@ -41,29 +42,35 @@
 void host_list::read()
 {
     const error_origin origin{"read host list", this->address.value()};
-    http_request request{
-        .method = "GET", .path = "/v1/hosts", .headers = {}, .body = {}, .protocol = {}, .peer = {}};
+    http_request request;
+    request.method = "GET";
+    request.path = "/v1/hosts";
+    if (!this->version.empty()) {
+        request.headers.push_back({"if-none-match", this->version});
+    }
     send_timed(
         this->loop, this->client, {this->address, request, answer_limit, origin},
-        [this](const std::string& body) { this->take(body); }, this->on_failure);
+        [this](const http_response& answer) { this->take(answer); }, this->on_failure);
     this->loop.schedule_after(this->interval, [this] { this->read(); });
 }
 
-void host_list::take(const std::string& body)
+void host_list::take(const http_response& answer)
 {
-    if (body == this->last_body) {
+    const bool is_unchanged = answer.status == status_not_modified || answer.body == this->last_body;
+    if (is_unchanged && this->has_been_read) {
         return;
     }
     std::vector<listed_host> entries;
     try {
-        const json document = json::parse(body); // must outlive the loop over a part of it
+        const json document = json::parse(answer.body); // must outlive the loop over a part of it
         for (const json& item : document.at("hosts")) {
             entries.push_back(read_entry(item));
         }
     } catch (const json::exception& malformed) {
         throw error({"read host list", this->address.value()}, malformed.what());
     }
-    this->last_body = body;
+    this->last_body = answer.body;
+    this->version = find_header(answer.headers, "etag").value_or("");
     this->listed = std::move(entries);
     this->has_been_read = true;
     this->on_change();
--- a/src/libs/platform/hostlist.h
+++ b/src/libs/platform/hostlist.h
@@ -38,7 +38,7 @@
 
 private:
     void read();
-    void take(const std::string& body);
+    void take(const http_response& answer);
 
     event_loop& loop;
     http_client& client;
@@ -48,6 +48,8 @@
     std::function<void(const error&)> on_failure;
     std::vector<listed_host> listed;
     std::string last_body;
+    std::string version; ///< the list's entity tag, so that an unchanged list of hundreds of kilobytes isn't
+                         ///< sent again
     bool has_been_read = false;
 };
 
--- a/src/libs/platform/logclient.cpp
+++ b/src/libs/platform/logclient.cpp
@@ -47,7 +47,8 @@
             .method = "POST", .path = path, .headers = {}, .body = data, .protocol = {}, .peer = {}};
         send_timed(
             loop, client, {settings.address, request, settings.append_time, origin},
-            [on_done, origin](const std::string& body) { on_done(read_offset(body, origin)); }, on_failure);
+            [on_done, origin](const http_response& answer) { on_done(read_offset(answer.body, origin)); },
+            on_failure);
     };
     hooks.read = [&loop, &client, settings, path](log_offset from, duration wait,
                      std::function<void(log_page)> on_page, std::function<void(const error&)> on_failure) {
@@ -59,7 +60,8 @@
             .method = "GET", .path = path + query, .headers = {}, .body = {}, .protocol = {}, .peer = {}};
         send_timed(
             loop, client, {settings.address, request, wait + settings.read_slack, origin},
-            [on_page, origin](const std::string& body) { on_page(read_page(body, origin)); }, on_failure);
+            [on_page, origin](const http_response& answer) { on_page(read_page(answer.body, origin)); },
+            on_failure);
     };
     return hooks;
 }
--- a/src/libs/platform/timedcall.cpp
+++ b/src/libs/platform/timedcall.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
 
 /// What stays of a call until it ends by one of three ways.
 struct pending_call
@@ -15,14 +16,14 @@
 };
 
 void handle_response(const http_response& response, const error_origin& origin,
-    const std::function<void(const std::string&)>& on_body,
+    const std::function<void(const http_response&)>& on_answer,
     const std::function<void(const error&)>& on_failure)
 {
     try {
-        if (response.status != status_ok) {
+        if (response.status != status_ok && response.status != status_not_modified) {
             throw error(origin, "status " + std::to_string(response.status) + ": " + response.body);
         }
-        on_body(response.body);
+        on_answer(response);
     } catch (const error& failure) {
         on_failure(failure);
     }
@@ -31,7 +32,7 @@
 } // namespace
 
 void send_timed(event_loop& loop, http_client& client, const timed_call& call,
-    std::function<void(const std::string&)> on_body, std::function<void(const error&)> on_failure)
+    std::function<void(const http_response&)> on_answer, std::function<void(const error&)> on_failure)
 {
     const auto pending = std::make_shared<pending_call>();
     const error_origin origin = call.origin;
@@ -41,9 +42,9 @@
     });
     pending->call = client.send(
         call.target, call.request,
-        [&loop, pending, origin, on_body, on_failure](const http_response& response) {
+        [&loop, pending, origin, on_answer, on_failure](const http_response& response) {
             loop.cancel(pending->timer);
-            handle_response(response, origin, on_body, on_failure);
+            handle_response(response, origin, on_answer, on_failure);
         },
         [&loop, pending, origin, on_failure](const http_failure& failure) {
             loop.cancel(pending->timer);
--- a/src/libs/platform/timedcall.h
+++ b/src/libs/platform/timedcall.h
@@ -15,9 +15,9 @@
     error_origin origin;
 };
 
-/// Sends a call; gives the body of a 200 answer, or an error for anything else. An `error` that `on_body`
-/// throws goes to `on_failure` too.
+/// Sends a call; gives a 200 answer, or a 304 to a call that asked whether something has changed, or an error
+/// for anything else. An `error` that `on_answer` throws goes to `on_failure` too.
 void send_timed(event_loop& loop, http_client& client, const timed_call& call,
-    std::function<void(const std::string&)> on_body, std::function<void(const error&)> on_failure);
+    std::function<void(const http_response&)> on_answer, std::function<void(const error&)> on_failure);
 
 } // namespace sailtiller
--- a/tests/auto/fleet/tst_bundlefollower.cpp
+++ b/tests/auto/fleet/tst_bundlefollower.cpp
@@ -30,6 +30,7 @@
         settings.trust = trust;
         settings.carrier = {90s, 2s};
         settings.carry_interval = 1s;
+        settings.most_spare_bytes = 100'000;
         return settings;
     }
 
@@ -231,6 +232,29 @@
     EXPECT_EQ(fresh.generations.back(), 2U);
 }
 
+TEST_F(bundle_follower_test, a_bundle_whose_parts_every_host_has_dropped_is_found_in_the_log_again)
+{
+    test_host& host = this->add_host("a");
+    host.follower.start();
+    this->activate("one", 3);
+    const bundle_part_set early = cut_into_parts(tests::make_sample_bundle({.accounts = 5}, "early"));
+    for (const bundle_part& part : early.parts) {
+        this->append(part);
+    }
+    this->append(early.manifest);
+    const bundle_part_set large = cut_into_parts(tests::make_sample_bundle({.accounts = 2000}, "large"));
+    for (const bundle_part& part : large.parts) {
+        this->append(part);
+    }
+    this->pass(1s);
+    ASSERT_EQ(host.follower.parts().find(early.manifest.digest), nullptr) << "the early parts were dropped";
+    this->append(this->anna.activate(this->reference, early.manifest.digest));
+    EXPECT_EQ(host.generations, std::vector<std::uint64_t>{1}) << "what was accepted was kept";
+    this->pass(9s);
+    EXPECT_EQ(host.generations, (std::vector<std::uint64_t>{1, 2}));
+    EXPECT_EQ(host.follower.in_force()->content.name, "early");
+}
+
 TEST_F(bundle_follower_test, a_fresh_host_whose_peers_are_silent_reads_the_log)
 {
     this->activate("one", 3);
