Runtime: one request's fault ends no other; statuses stand once

Cause: an exception in a handler would have passed through h2o's frames and ended the process with every stream on it. The statuses of HTTP stood in ten files.

Change: the server answers such a request with 500 and "unknown"; the host's loop logs what escapes and goes on; a posted action that throws takes no other with it. httpstatus.h holds the statuses.

Measured: tst_http, a_handler_that_throws_costs_only_its_own_request, ends the process before and passes after.

--- a/src/app/sailtiller/fleetcommands.cpp
+++ b/src/app/sailtiller/fleetcommands.cpp
@@ -4,6 +4,7 @@
 #include <base/error.h>
 #include <base/json.h>
 #include <operations/operatorsession.h>
+#include <runtime/httpstatus.h>
 
 #include <iostream>
 
@@ -13,7 +14,6 @@
 
 const std::string status_usage = "sailtiller fleet status --host ADDRESS ...";
 const std::string explain_usage = "sailtiller explain REQUEST-ID --host ADDRESS ...";
-constexpr int status_ok = 200;
 
 std::vector<std::string> read_hosts(program_settings& flags)
 {
@@ -65,7 +65,7 @@
     for (const std::string& host : read_hosts(flags)) {
         try {
             const http_response answer = session.fetch(endpoint(host), "/explain?request=" + request);
-            if (answer.status == status_ok) {
+            if (answer.status == http_status::ok) {
                 print_decisions(json::parse(answer.body));
                 is_found = true;
             }
--- a/src/app/sailtillerd/adminservice.cpp
+++ b/src/app/sailtillerd/adminservice.cpp
@@ -1,15 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "adminservice.h"
 
+#include <runtime/httpstatus.h>
+
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 http_response make_response(int status, std::string body, const char* type)
 {
     return {status, {{"content-type", type}, {"x-request-id", "admin"}}, std::move(body)};
@@ -32,17 +29,17 @@
 {
     const std::string_view route = request.route();
     if (route == "/healthz") {
-        return make_response(status_ok, "alive\n", "text/plain");
+        return make_response(http_status::ok, "alive\n", "text/plain");
     }
     if (route == "/readyz") {
         return this->readiness();
     }
     if (route == "/metrics") {
-        return make_response(status_ok, this->view.metrics.write(), "text/plain; version=0.0.4");
+        return make_response(http_status::ok, this->view.metrics.write(), "text/plain; version=0.0.4");
     }
     if (route == "/metrics/accounts") {
-        return make_response(status_ok, this->view.metrics.write_accounts(request.query_value("account")),
-            "text/plain; version=0.0.4");
+        return make_response(http_status::ok,
+            this->view.metrics.write_accounts(request.query_value("account")), "text/plain; version=0.0.4");
     }
     if (route == "/status") {
         return this->status();
@@ -50,7 +47,7 @@
     if (route == "/explain") {
         return this->explain(request);
     }
-    return make_response(status_not_found,
+    return make_response(http_status::not_found,
         "unknown page; there are /healthz, /readyz, /metrics, /metrics/accounts?account=NAME, /status and "
         "/explain?request=ID\n",
         "text/plain");
@@ -59,17 +56,17 @@
 http_response admin_service::readiness() const
 {
     if (this->view.is_ready()) {
-        return make_response(status_ok, "ready\n", "text/plain");
+        return make_response(http_status::ok, "ready\n", "text/plain");
     }
     const char* reason = this->view.is_stopping() ? "stopping\n" : "no bundle in force yet\n";
-    return make_response(status_unavailable, reason, "text/plain");
+    return make_response(http_status::unavailable, reason, "text/plain");
 }
 
 http_response admin_service::status() const
 {
     const follower_status follower = this->view.follower.status();
     const std::shared_ptr<const bundle_in_force>& applied = this->view.follower.in_force();
-    return make_json(status_ok,
+    return make_json(http_status::ok,
         {
             {"host", this->view.self.value()},
             {"data_hall", this->view.data_hall.value()},
@@ -92,11 +89,11 @@
 {
     const std::optional<std::string> id = request.query_value("request");
     if (!id) {
-        return make_json(status_bad_request, {{"error", "say which request: /explain?request=ID"}});
+        return make_json(http_status::bad_request, {{"error", "say which request: /explain?request=ID"}});
     }
     const std::vector<decision>* decisions = this->view.decisions.find(request_id(*id));
     if (decisions == nullptr) {
-        return make_json(status_not_found, {{"error", "this host keeps no record of that request"}});
+        return make_json(http_status::not_found, {{"error", "this host keeps no record of that request"}});
     }
     json list = json::array();
     for (const decision& item : *decisions) {
@@ -104,7 +101,8 @@
         list.push_back(
             {{"ms_ago", age.count()}, {"step", item.step}, {"peer", item.peer}, {"reason", item.reason}});
     }
-    return make_json(status_ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
+    return make_json(
+        http_status::ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
 }
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t explained_requests = 4'000;
 constexpr duration host_list_interval = std::chrono::seconds(1);
 constexpr duration host_list_patience = std::chrono::seconds(1);
+constexpr duration longest_turn = std::chrono::seconds(1);
 constexpr duration idle_look_interval = std::chrono::milliseconds(50);
 constexpr duration peer_connect_limit = std::chrono::milliseconds(500);
 /// A caller waits for its account's home no longer than this; then the host decides alone.
@@ -62,7 +63,7 @@
         this->metrics.rejected.add("http_" + std::to_string(event.status));
         log_event(log_level::info, "request_refused",
             {{"code", "http_" + std::to_string(event.status)}, {"step", "read request"},
-                {"peer", event.peer.value()}});
+                {"peer", event.peer.value()}, {"reason", event.reason}});
     });
 }
 
@@ -282,6 +283,17 @@
         log_level::info, "host_list_changed", {{"entries", std::to_string(this->hosts->entries().size())}});
 }
 
+void host_process::run_turn()
+{
+    // One request's fault must not end the others; what can't go on ends by its time limit.
+    try {
+        this->loop.run_once(longest_turn);
+    } catch (const std::exception& fault) {
+        this->metrics.rejected.add("internal_error");
+        log_event(log_level::failure, "internal_error", {{"step", "run loop"}, {"reason", fault.what()}});
+    }
+}
+
 int host_process::run()
 {
     const endpoint address = this->callers.listen(this->settings.listen);
@@ -308,7 +320,9 @@
     // The list tells whom to ask for the bundle; a host starts without it if it does not come.
     this->loop.schedule_after(
         this->hosts ? host_list_patience : duration::zero(), [this] { this->start_following(); });
-    this->loop.run();
+    while (!this->loop.is_stopped()) {
+        this->run_turn();
+    }
     return this->exit_code;
 }
 
--- a/src/app/sailtillerd/hostprocess.h
+++ b/src/app/sailtillerd/hostprocess.h
@@ -44,6 +44,7 @@
     void take_host_list();
     void set_leaving(const upstream_id& name, bool is_leaving);
     void start_following();
+    void run_turn();
     void begin_stop();
     void finish_stop_when_idle();
 
--- a/src/libs/engines/engineclient.cpp
+++ b/src/libs/engines/engineclient.cpp
@@ -3,13 +3,12 @@
 #include <engines/engineclient.h>
 #include <engines/sendfailure.h>
 #include <engines/stepcodec.h>
+#include <runtime/httpstatus.h>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_ok = 200;
-
 http_request make_request(const std::string& path, std::string body)
 {
     http_request request;
@@ -44,7 +43,7 @@
     return this->client.send(
         stage.address, make_request("/engine/v1/step", encode_step_request(step)),
         [peer, on_answer, on_failure](const http_response& response) {
-            if (response.status != status_ok) {
+            if (response.status != http_status::ok) {
                 on_failure(read_refusal(response, peer));
                 return;
             }
--- a/src/libs/engines/sendfailure.cpp
+++ b/src/libs/engines/sendfailure.cpp
@@ -1,17 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <engines/sendfailure.h>
+#include <runtime/httpstatus.h>
 
 #include <charconv>
 
 namespace sailtiller {
 
-namespace {
-
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
-
-} // namespace
-
 send_failure to_send_failure(const http_failure& failure, const std::string& peer)
 {
     send_failure result;
@@ -24,10 +18,11 @@
 
 bool is_refusal(const http_response& response)
 {
-    if (response.status == status_too_many_requests) {
+    if (response.status == http_status::too_many_requests) {
         return true;
     }
-    return response.status == status_unavailable && find_header(response.headers, "x-not-run") == "true";
+    return response.status == http_status::unavailable
+        && find_header(response.headers, "x-not-run") == "true";
 }
 
 std::optional<duration> retry_after_of(const http_response& response)
--- a/src/libs/entry/callererror.cpp
+++ b/src/libs/entry/callererror.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/json.h>
 #include <entry/callererror.h>
+#include <runtime/httpstatus.h>
 
 #include <algorithm>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-
 /// What a caller may conclude and do (docs/operators/outcomes.md).
 std::string advice_for(request_outcome outcome)
 {
@@ -53,7 +51,7 @@
 {
     caller_error item;
     const bool is_not_run = failure.outcome == request_outcome::not_run;
-    item.status = is_not_run ? status_unavailable : status_bad_gateway;
+    item.status = is_not_run ? http_status::unavailable : http_status::bad_gateway;
     item.type = "server_error";
     item.code = is_not_run ? "no_upstream" : "upstream_failed";
     item.message = failure.origin.step + (failure.origin.peer.empty() ? "" : " (" + failure.origin.peer + ")")
--- a/src/libs/entry/completionexchange.cpp
+++ b/src/libs/entry/completionexchange.cpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <entry/completionexchange.h>
+#include <runtime/httpstatus.h>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_ok = 200;
 /// A caller that lets so much of its answer pile up is taken to be gone.
 constexpr std::size_t most_queued_bytes = 1U << 20U;
 
@@ -111,7 +111,7 @@
         http_headers headers = this->request.answer_headers;
         headers.push_back({"content-type", "text/event-stream"});
         headers.push_back({"cache-control", "no-store"});
-        exchange.start(status_ok, headers);
+        exchange.start(http_status::ok, headers);
     }
     exchange.send(token_event(this->frame, token, is_first));
 }
@@ -123,7 +123,7 @@
         exchange.send(done_event());
         exchange.finish();
     } else {
-        http_response response{status_ok, this->request.answer_headers,
+        http_response response{http_status::ok, this->request.answer_headers,
             whole_answer(this->frame, this->text, this->finish_reason, this->tokens)};
         response.headers.push_back({"content-type", "application/json"});
         exchange.respond(response);
--- a/src/libs/entry/completionrequest.cpp
+++ b/src/libs/entry/completionrequest.cpp
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/json.h>
 #include <entry/completionrequest.h>
+#include <runtime/httpstatus.h>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_bad_request = 400;
 constexpr std::int64_t most_tokens_asked = 10'000'000;
 
 /// Ends the reading with the error for the caller.
@@ -18,7 +18,7 @@
 [[noreturn]] void stop_reading(const std::string& param, const std::string& message)
 {
     caller_error reason;
-    reason.status = status_bad_request;
+    reason.status = http_status::bad_request;
     reason.type = "invalid_request_error";
     reason.code = "invalid_value";
     reason.message = message;
@@ -130,7 +130,7 @@
         return stopped.reason;
     } catch (const json::exception& unusable) {
         caller_error reason;
-        reason.status = status_bad_request;
+        reason.status = http_status::bad_request;
         reason.type = "invalid_request_error";
         reason.code = "invalid_value";
         reason.message = std::string("the body is not usable: ") + unusable.what();
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -2,6 +2,7 @@
 #include <base/json.h>
 #include <entry/completionrequest.h>
 #include <entry/entryservice.h>
+#include <runtime/httpstatus.h>
 
 #include <algorithm>
 
@@ -9,14 +10,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_not_found = 404;
-constexpr int status_method_not_allowed = 405;
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
-
 constexpr std::string_view chat_route = "/v1/chat/completions";
 constexpr std::string_view text_route = "/v1/completions";
 constexpr std::string_view models_route = "/v1/models";
@@ -80,7 +73,7 @@
         const char* method = is_completion ? "POST" : "GET";
         if (incoming.method != method) {
             this->refuse(*exchange, request->id,
-                make_error(status_method_not_allowed, "invalid_request_error", "method_not_allowed",
+                make_error(http_status::method_not_allowed, "invalid_request_error", "method_not_allowed",
                     std::string("use ") + method + " for this path"));
         } else if (!is_completion) {
             this->list_models(*request);
@@ -95,7 +88,7 @@
         return;
     }
     this->refuse(*exchange, request->id,
-        make_error(status_not_found, "invalid_request_error", "unknown_path",
+        make_error(http_status::not_found, "invalid_request_error", "unknown_path",
             "no API and no service has the path " + std::string(route)));
 }
 
@@ -106,7 +99,7 @@
     request.exchange = exchange;
     request.started_at = this->context.timers.now();
     if (!this->state) {
-        caller_error reason = make_error(status_unavailable, "server_error", "not_ready",
+        caller_error reason = make_error(http_status::unavailable, "server_error", "not_ready",
             "this host has no bundle in force yet; try again in a moment");
         reason.retry_after = not_ready_retry;
         this->refuse(*exchange, request.id, reason);
@@ -120,7 +113,7 @@
         : nullptr;
     if (account == nullptr) {
         this->refuse(*exchange, request.id,
-            make_error(status_unauthorized, "authentication_error", "invalid_api_key",
+            make_error(http_status::unauthorized, "authentication_error", "invalid_api_key",
                 has_key ? "the API key is not known; check it or ask the operators"
                         : "send an API key as 'Authorization: Bearer KEY'"));
         return std::nullopt;
@@ -151,7 +144,7 @@
 
 void entry_service::refuse_by_limit(const admitted_request& request, const share_refusal& refusal)
 {
-    caller_error reason = make_error(status_too_many_requests, "rate_limit_error", refusal.code.c_str(),
+    caller_error reason = make_error(http_status::too_many_requests, "rate_limit_error", refusal.code.c_str(),
         "the account is at its limit; come again after the time in Retry-After");
     reason.retry_after = refusal.retry_after;
     this->refuse(*request.exchange, request.id, reason);
@@ -165,7 +158,7 @@
             {{"id", item.name.value()}, {"object", "model"}, {"created", 0}, {"owned_by", "sailtiller"}});
     }
     http_response response{
-        status_ok, request.answer_headers, json({{"object", "list"}, {"data", models}}).dump()};
+        http_status::ok, request.answer_headers, json({{"object", "list"}, {"data", models}}).dump()};
     response.headers.push_back({"content-type", "application/json"});
     request.exchange->respond(response);
 }
@@ -175,13 +168,13 @@
 {
     const model* found = request.state->find_model(wanted.model);
     if (found == nullptr) {
-        caller_error reason = make_error(status_not_found, "invalid_request_error", "model_not_found",
+        caller_error reason = make_error(http_status::not_found, "invalid_request_error", "model_not_found",
             "there is no model " + wanted.model.value() + "; GET /v1/models lists them");
         reason.param = "model";
         return reason;
     }
     if (wanted.most_tokens > found->longest_answer) {
-        caller_error reason = make_error(status_bad_request, "invalid_request_error", "answer_too_long",
+        caller_error reason = make_error(http_status::bad_request, "invalid_request_error", "answer_too_long",
             "this model gives at most " + std::to_string(found->longest_answer) + " tokens; ask for fewer");
         reason.param = "max_tokens";
         return reason;
--- a/src/libs/platform/hostlist.cpp
+++ b/src/libs/platform/hostlist.cpp
@@ -2,12 +2,12 @@
 #include <base/json.h>
 #include <platform/hostlist.h>
 #include <platform/timedcall.h>
+#include <runtime/httpstatus.h>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_not_modified = 304;
 constexpr duration answer_limit = std::chrono::seconds(2);
 
 listed_host read_entry(const json& text)
@@ -56,7 +56,7 @@
 
 void host_list::take(const http_response& answer)
 {
-    const bool is_unchanged = answer.status == status_not_modified || answer.body == this->last_body;
+    const bool is_unchanged = answer.status == http_status::not_modified || answer.body == this->last_body;
     if (is_unchanged && this->has_been_read) {
         return;
     }
--- a/src/libs/platform/timedcall.cpp
+++ b/src/libs/platform/timedcall.cpp
@@ -1,13 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <platform/timedcall.h>
+#include <runtime/httpstatus.h>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_not_modified = 304;
-
 /// What stays of a call until it ends by one of three ways.
 struct pending_call
 {
@@ -20,7 +18,7 @@
     const std::function<void(const error&)>& on_failure)
 {
     try {
-        if (response.status != status_ok && response.status != status_not_modified) {
+        if (response.status != http_status::ok && response.status != http_status::not_modified) {
             throw error(origin, "status " + std::to_string(response.status) + ": " + response.body);
         }
         on_answer(response);
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -73,9 +73,11 @@
 
 void event_loop::run_posted()
 {
-    std::vector<std::function<void()>> actions;
-    actions.swap(this->posted);
-    for (const std::function<void()>& action : actions) {
+    // Only those that are there now, so that an action that posts itself again doesn't keep the loop; and
+    // each is taken out before it runs, so that one that throws takes no other with it.
+    for (std::size_t left = this->posted.size(); left > 0; --left) {
+        const std::function<void()> action = std::move(this->posted.front());
+        this->posted.pop_front();
         action();
     }
 }
--- a/src/libs/runtime/eventloop.h
+++ b/src/libs/runtime/eventloop.h
@@ -3,7 +3,7 @@
 
 #include <base/timerqueue.h>
 
-#include <vector>
+#include <deque>
 
 struct st_h2o_evloop_t;
 
@@ -41,7 +41,7 @@
 
     st_h2o_evloop_t* loop;
     timer_queue timers;
-    std::vector<std::function<void()>> posted;
+    std::deque<std::function<void()>> posted;
     time_point turn_time;
     bool is_stopping = false;
 };
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
+#include <runtime/httpstatus.h>
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,17 +63,20 @@
         return "the request came too slowly; send it again";
     case 413:
         return "the body is too large; send a smaller one";
+    case http_status::internal_error:
+        return "the host failed at this request; operators find the reason in its log";
     default:
         return "the server refused the request";
     }
 }
 
-/// The body for an answer that h2o made by itself, in the shape that callers' programs parse.
-std::string rejection_body(int status)
+/// The body for an answer that was made without the handler, in the shape that callers' programs parse.
+std::string error_body_of(int status, const char* outcome)
 {
+    const bool is_ours = status >= http_status::internal_error;
     const json body = {{"error",
-        {{"message", advice_for(status)}, {"type", "invalid_request_error"}, {"code", nullptr},
-            {"param", nullptr}, {"outcome", "not-run"}}}};
+        {{"message", advice_for(status)}, {"type", is_ours ? "server_error" : "invalid_request_error"},
+            {"code", nullptr}, {"param", nullptr}, {"outcome", outcome}}}};
     return body.dump();
 }
 
@@ -100,7 +104,7 @@
     if (request->res.status >= first_error_status && !is_own_answer(request)) {
         auto** memory = static_cast<std::string**>(h2o_mem_alloc_shared(&request->pool, sizeof(std::string*),
             [](void* item) { delete *static_cast<std::string**>(item); }));
-        *memory = new std::string(rejection_body(request->res.status));
+        *memory = new std::string(error_body_of(request->res.status, "not-run"));
         request->res.content_length = (*memory)->size();
         const char* type = "application/json";
         h2o_set_header(
@@ -206,7 +210,19 @@
 int http_server::state::handle(h2o_handler_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<state*>(reinterpret_cast<server_handler*>(self)->server);
-    server->handler(http_exchange::create(request));
+    const std::shared_ptr<http_exchange> exchange = http_exchange::create(request);
+    // No exception may pass through h2o's frames, and one request's must not end the others.
+    try {
+        server->handler(exchange);
+    } catch (const std::exception& failure) {
+        exchange->respond({http_status::internal_error,
+            {{"x-request-id", "none"}, {"content-type", "application/json"},
+                {"x-sailtiller-outcome", "unknown"}},
+            error_body_of(http_status::internal_error, "unknown")});
+        if (server->on_rejected) {
+            server->on_rejected({http_status::internal_error, exchange->request().peer, failure.what()});
+        }
+    }
     return 0;
 }
 
@@ -218,7 +234,7 @@
     }
     socket_address peer;
     peer.length = request->conn->callbacks->get_peername(request->conn, peer.pointer());
-    server->on_rejected({request->res.status, to_endpoint(peer)});
+    server->on_rejected({request->res.status, to_endpoint(peer), "refused while it was read"});
 }
 
 void http_server::state::accept(h2o_socket_t* listener, const char* failure)
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -19,11 +19,12 @@
     std::string key;
 };
 
-/// Something that went wrong before a request reached the handler, or a connection that could not be taken.
+/// A request that h2o refused before it reached the handler, or at which the handler threw.
 struct http_server_event
 {
     int status = 0; ///< what the caller was told
     endpoint peer;
+    std::string reason;
 };
 
 /// h2o's server for HTTP/1.1 and HTTP/2 (by ALPN under TLS, by prior knowledge or upgrade without).
@@ -42,7 +43,7 @@
     /// Throws `error` if the address can't be listened on. Port 0 lets the system choose; returns the
     /// address.
     endpoint listen(const endpoint& address);
-    /// Called for each answer that h2o gave by itself, such as to a body that is too large.
+    /// Called for each answer that the handler did not give, such as to a body that is too large.
     void when_rejected(std::function<void(const http_server_event&)> action);
     /// Takes no new connections; those that are open are closed after their present requests.
     void close_listeners();
--- /dev/null
+++ b/src/libs/runtime/httpstatus.h
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+namespace sailtiller::http_status {
+
+/// The statuses of RFC 9110 that sailtiller gives or looks at.
+constexpr int ok = 200;
+constexpr int not_modified = 304;
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int method_not_allowed = 405;
+constexpr int too_many_requests = 429;
+constexpr int internal_error = 500;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+
+} // namespace sailtiller::http_status
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -157,6 +157,22 @@
     EXPECT_EQ(this->get("/").body, "fine");
 }
 
+TEST_F(http_test, a_handler_that_throws_costs_only_its_own_request)
+{
+    int calls = 0;
+    const auto server = this->make_server([&calls](const std::shared_ptr<http_exchange>& exchange) {
+        if (++calls == 1) {
+            throw std::runtime_error("a fault");
+        }
+        exchange->respond({200, {{"x-request-id", "1"}}, "fine"});
+    });
+    const http_response failed = this->get("/");
+    EXPECT_EQ(failed.status, 500);
+    EXPECT_EQ(json::parse(failed.body)["error"]["outcome"], "unknown");
+    EXPECT_EQ(this->rejected, 500);
+    EXPECT_EQ(this->get("/").body, "fine");
+}
+
 TEST_F(http_test, a_slow_sender_is_ended_after_the_time_limit)
 {
     http_server_limits limits;
