Runtime: limits on headers, silent connections counted, queue time measured

Cause: h2o takes a request of any header size that arrives at once (200 KB were let in); a connection that ended before a whole request left no trace; the time until a request was let in was not measured.

Measured: tst_http: 100 KB of headers got through to the handler before and get 431 after; a slow sender and a half-closed connection are counted once each.

--- a/bench/bench_metrics.cpp
+++ b/bench/bench_metrics.cpp
@@ -36,6 +36,7 @@
         for (int sample = 0; sample < 100; ++sample) {
             metrics.record_first_token(service_class, label, duration(10'000 * (1 + sample)));
             metrics.record_between_tokens(service_class, label, duration(1'000 * (1 + sample)));
+            metrics.record_queue(service_class, label, duration(200 * (1 + sample)));
             metrics.record_total(service_class, label, duration(100'000 * (1 + sample)));
         }
     }
--- a/scripts/capacity_page.py
+++ b/scripts/capacity_page.py
@@ -143,7 +143,7 @@
          f"{results.peer['cpu_us_both_sides']:.1f} µs; {results.peer['bytes_sent']:.0f} B there, {results.peer['bytes_received']:.0f} B back"],
         ["memory of an account's share at its home / at a holder",
          f"{sizes['share_bytes_at_home']:.0f} / {sizes['share_bytes_at_holder']:.0f} B"],
-        ["memory of an account's histogram (one of three)", f"{sizes['histogram_bytes_an_account']:.0f} B"],
+        ["memory of an account's histogram (one of four)", f"{sizes['histogram_bytes_an_account']:.0f} B"],
         ["memory of an upstream's load", f"{sizes['load_bytes_an_upstream']:.0f} B"],
         ["memory of a relay in the core, prompt of 4,000 bytes", f"{sizes['relay_bytes_a_stream']:.0f} B"],
         ["memory of a stream in the whole process (100 to 2,000 streams)", f"{results.stream_bytes():.0f} B"],
@@ -291,16 +291,16 @@
 
 def entry_control_cost(results: Results, fleet: Fleet) -> Cost:
     accounts = min(fleet.accounts, 4096)
-    histograms = accounts * 3 * results.sizes["histogram_bytes_an_account"] / 1e6
+    histograms = accounts * 4 * results.sizes["histogram_bytes_an_account"] / 1e6
     decisions = 4_000 * results.sizes["decision_bytes_a_request"] / 1e6
     scrape = results.counter("write_metrics/2800", "bytes") / SCRAPE_SECONDS
-    per_request = results.micros("find_account/2800") + results.micros("admit_request") + 5 * results.micros("record_time")
+    per_request = results.micros("find_account/2800") + results.micros("admit_request") + 6 * results.micros("record_time")
     core = (fleet.requests_a_host * per_request * 1e-6
             + results.micros("write_metrics/2800") * 1e-6 / SCRAPE_SECONDS) * 100
     return Cost(
         "entry: accounts, metrics, explanations", core, histograms + decisions, scrape,
         [
-            f"memory: {accounts} accounts x 3 histograms x {results.sizes['histogram_bytes_an_account']:.0f} B = {histograms:.1f} MB; decisions of 4,000 requests {decisions:.1f} MB",
+            f"memory: {accounts} accounts x 4 histograms x {results.sizes['histogram_bytes_an_account']:.0f} B = {histograms:.1f} MB; decisions of 4,000 requests {decisions:.1f} MB",
             f"time: {fleet.requests_a_host:.1f} requests/s x {per_request:.1f} µs, and a scrape every {SCRAPE_SECONDS} s",
             f"bytes: {results.counter('write_metrics/2800', 'bytes') / 1e3:.1f} KB of metrics every {SCRAPE_SECONDS} s = {scrape:.0f} B/s",
         ],
--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -30,6 +30,7 @@
     flags.declare_optional("host-list-address", "the platform's list of hosts");
     flags.declare_list("trusted-key", "file with an operator's public key in PEM form");
     flags.declare("most-body-bytes", "largest request body", "4194304");
+    flags.declare("most-header-bytes", "largest sum of a request's headers", "32768");
     flags.declare("request-time-ms", "time in which a caller must have sent its request", "10000");
     flags.declare("stop-grace-ms", "time for the balancer to notice, before connections are refused", "3000");
     flags.declare("longest-stop-ms", "streams that still run after this are cut off", "3600000");
@@ -100,6 +101,8 @@
     settings.host_list_address = flags.optional_address("host-list-address");
     settings.limits.most_body_bytes =
         static_cast<std::size_t>(flags.integer("most-body-bytes", 1024, most_body_bytes));
+    settings.limits.most_header_bytes =
+        static_cast<std::size_t>(flags.integer("most-header-bytes", 1024, most_body_bytes));
     settings.limits.request_time = flags.milliseconds("request-time-ms", 100, most_request_time);
     settings.stop_grace = flags.milliseconds("stop-grace-ms", 0, most_stop_time);
     settings.longest_stop = flags.milliseconds("longest-stop-ms", 0, most_stop_time);
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -60,10 +60,13 @@
           [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
 {
     this->callers.when_rejected([this](const http_server_event& event) {
-        this->metrics.rejected.add("http_" + std::to_string(event.status));
-        log_event(log_level::info, "request_refused",
-            {{"code", "http_" + std::to_string(event.status)}, {"step", "read request"},
-                {"peer", event.peer.value()}, {"reason", event.reason}});
+        const bool is_silent = event.status == 0;
+        const std::string code = is_silent ? "no_request" : "http_" + std::to_string(event.status);
+        this->metrics.rejected.add(code);
+        // Balancers that only open a connection to see whether it works would fill the log.
+        log_event(is_silent ? log_level::debug : log_level::info, "request_refused",
+            {{"code", code}, {"step", "read request"}, {"peer", event.peer.value()},
+                {"reason", event.reason}});
     });
 }
 
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -134,6 +134,8 @@
     this->context.shares.admit(
         account, [this, held, start = std::move(start)](const std::optional<share_refusal>& refusal) {
             --this->waiting;
+            this->context.metrics.record_queue(held->account.service_class.value(),
+                held->account.name.value(), this->context.timers.now() - held->started_at);
             if (refusal) {
                 this->refuse_by_limit(*held, *refusal);
             } else {
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -54,6 +54,15 @@
     return false;
 }
 
+std::size_t header_bytes_of(const http_request& request)
+{
+    std::size_t sum = request.path.size();
+    for (const http_header& header : request.headers) {
+        sum += header.name.size() + header.value.size();
+    }
+    return sum;
+}
+
 const char* advice_for(int status)
 {
     switch (status) {
@@ -63,6 +72,8 @@
         return "the request came too slowly; send it again";
     case 413:
         return "the body is too large; send a smaller one";
+    case http_status::headers_too_large:
+        return "the headers are too large; send smaller ones";
     case http_status::internal_error:
         return "the host failed at this request; operators find the reason in its log";
     default:
@@ -133,6 +144,9 @@
     void configure();
     void configure_path(h2o_pathconf_t* path);
 
+    /// Answers a request in the handler's place.
+    void reject(http_exchange& exchange, int status, const char* outcome, const std::string& reason);
+
     static int handle(h2o_handler_t* self, h2o_req_t* request);
     static void log(h2o_logger_t* self, h2o_req_t* request);
     static void accept(h2o_socket_t* listener, const char* failure);
@@ -166,8 +180,24 @@
 {
     void* server;
     h2o_socket_t* socket;
+    endpoint peer;
+    bool has_request = false;
 };
 
+/// Remembers that the request's connection has brought one, so that its end is no event.
+void note_request(h2o_req_t* request)
+{
+    h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
+    static_cast<connection_entry*>(socket->on_close.data)->has_request = true;
+}
+
+endpoint peer_of(h2o_socket_t* socket)
+{
+    socket_address peer;
+    peer.length = h2o_socket_getpeername(socket, peer.pointer());
+    return to_endpoint(peer);
+}
+
 struct server_logger
 {
     h2o_logger_t super;
@@ -207,21 +237,31 @@
     this->accept_context.ssl_ctx = this->tls.get();
 }
 
+void http_server::state::reject(
+    http_exchange& exchange, int status, const char* outcome, const std::string& reason)
+{
+    exchange.respond({status,
+        {{"x-request-id", "none"}, {"content-type", "application/json"}, {"x-sailtiller-outcome", outcome}},
+        error_body_of(status, outcome)});
+    if (this->on_rejected) {
+        this->on_rejected({status, exchange.request().peer, reason});
+    }
+}
+
 int http_server::state::handle(h2o_handler_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<state*>(reinterpret_cast<server_handler*>(self)->server);
+    note_request(request);
     const std::shared_ptr<http_exchange> exchange = http_exchange::create(request);
+    if (header_bytes_of(exchange->request()) > server->limits.most_header_bytes) {
+        server->reject(*exchange, http_status::headers_too_large, "not-run", "the headers are too large");
+        return 0;
+    }
     // No exception may pass through h2o's frames, and one request's must not end the others.
     try {
         server->handler(exchange);
     } catch (const std::exception& failure) {
-        exchange->respond({http_status::internal_error,
-            {{"x-request-id", "none"}, {"content-type", "application/json"},
-                {"x-sailtiller-outcome", "unknown"}},
-            error_body_of(http_status::internal_error, "unknown")});
-        if (server->on_rejected) {
-            server->on_rejected({http_status::internal_error, exchange->request().peer, failure.what()});
-        }
+        server->reject(*exchange, http_status::internal_error, "unknown", failure.what());
     }
     return 0;
 }
@@ -229,6 +269,7 @@
 void http_server::state::log(h2o_logger_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<state*>(reinterpret_cast<server_logger*>(self)->server);
+    note_request(request);
     if (request->res.status == 0 || is_own_answer(request) || !server->on_rejected) {
         return;
     }
@@ -248,7 +289,7 @@
         if (socket == nullptr) {
             return;
         }
-        auto* entry = new connection_entry{server, socket};
+        auto* entry = new connection_entry{server, socket, peer_of(socket)};
         server->connections.insert(socket);
         socket->on_close.cb = &state::forget;
         socket->on_close.data = entry;
@@ -259,7 +300,11 @@
 void http_server::state::forget(void* data)
 {
     const std::unique_ptr<connection_entry> entry(static_cast<connection_entry*>(data));
-    static_cast<state*>(entry->server)->connections.erase(entry->socket);
+    auto* server = static_cast<state*>(entry->server);
+    server->connections.erase(entry->socket);
+    if (!entry->has_request && server->on_rejected) {
+        server->on_rejected({0, entry->peer, "the connection ended before a whole request came"});
+    }
 }
 
 void http_server::state::end_connections()
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -9,6 +9,7 @@
 struct http_server_limits
 {
     std::size_t most_body_bytes = 4U << 20U;
+    std::size_t most_header_bytes = 32U << 10U; ///< names and values of all headers
     duration request_time = std::chrono::seconds(10); ///< to send the whole request
 };
 
@@ -22,7 +23,7 @@
 /// A request that h2o refused before it reached the handler, or at which the handler threw.
 struct http_server_event
 {
-    int status = 0; ///< what the caller was told
+    int status = 0; ///< what the caller was told; 0 if its connection ended without a word
     endpoint peer;
     std::string reason;
 };
--- a/src/libs/runtime/httpstatus.h
+++ b/src/libs/runtime/httpstatus.h
@@ -11,6 +11,7 @@
 constexpr int not_found = 404;
 constexpr int method_not_allowed = 405;
 constexpr int too_many_requests = 429;
+constexpr int headers_too_large = 431;
 constexpr int internal_error = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
--- a/src/libs/runtime/metrics.cpp
+++ b/src/libs/runtime/metrics.cpp
@@ -195,8 +195,9 @@
 }
 
 request_times::request_times(const std::string& label, std::size_t most_labels)
-    : first_token(
-        "sailtiller_" + label + "_first_token_seconds", "Time to the first token.", label, most_labels)
+    : queue("sailtiller_" + label + "_queue_seconds", "Time until a request was let in.", label, most_labels)
+    , first_token(
+          "sailtiller_" + label + "_first_token_seconds", "Time to the first token.", label, most_labels)
     , between_tokens(
           "sailtiller_" + label + "_between_tokens_seconds", "Time between tokens.", label, most_labels)
     , total("sailtiller_" + label + "_request_seconds", "Time of whole requests.", label, most_labels)
@@ -205,6 +206,7 @@
 
 void request_times::write(std::string& out, const std::optional<label_value>& only) const
 {
+    this->queue.write(out, only);
     this->first_token.write(out, only);
     this->between_tokens.write(out, only);
     this->total.write(out, only);
@@ -222,6 +224,12 @@
 {
 }
 
+void host_metrics::record_queue(const label_value& service_class, const label_value& account, duration time)
+{
+    this->by_class.queue.record(service_class, time);
+    this->by_account.queue.record(account, time);
+}
+
 void host_metrics::record_first_token(
     const label_value& service_class, const label_value& account, duration time)
 {
--- a/src/libs/runtime/metrics.h
+++ b/src/libs/runtime/metrics.h
@@ -63,6 +63,7 @@
 
     void write(std::string& out, const std::optional<label_value>& only) const;
 
+    time_histogram_family queue; ///< from a request's arrival until it was let in
     time_histogram_family first_token;
     time_histogram_family between_tokens;
     time_histogram_family total;
@@ -83,6 +84,7 @@
     request_times by_account;
 
     /// Records a time for a request's class and account.
+    void record_queue(const label_value& service_class, const label_value& account, duration time);
     void record_first_token(const label_value& service_class, const label_value& account, duration time);
     void record_between_tokens(const label_value& service_class, const label_value& account, duration time);
     void record_total(const label_value& service_class, const label_value& account, duration time);
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -5,6 +5,7 @@
 #include <runtime/socketaddress.h>
 #include <support/looprunner.h>
 
+#include <cerrno>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,7 +24,10 @@
     {
         auto server = std::make_unique<http_server>(this->loop, limits, std::nullopt, std::move(handler));
         this->address = server->listen(endpoint("127.0.0.1:0"));
-        server->when_rejected([this](const http_server_event& event) { this->rejected = event.status; });
+        server->when_rejected([this](const http_server_event& event) {
+            this->rejected = event.status;
+            ++this->rejections;
+        });
         return server;
     }
 
@@ -62,7 +66,7 @@
             while ((count = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
                 received.append(buffer, static_cast<std::size_t>(count));
             }
-            is_closed = count == 0;
+            is_closed = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             return is_closed;
         });
         close(descriptor);
@@ -72,7 +76,8 @@
     event_loop loop;
     http_client client{this->loop, {}};
     endpoint address;
-    int rejected = 0;
+    int rejected = 0; ///< the newest status, 0 for a connection that ended without a request
+    int rejections = 0;
     std::optional<http_failure> failure;
 };
 
@@ -148,6 +153,16 @@
     EXPECT_NE(answer.find(" 413 "), std::string::npos);
 }
 
+TEST_F(http_test, headers_that_are_too_large_are_refused)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); });
+    const std::string answer =
+        this->exchange_raw("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-large: "
+            + std::string(100'000, 'x') + "\r\n\r\n");
+    EXPECT_NE(answer.find(" 431 "), std::string::npos);
+    EXPECT_EQ(this->rejected, 431);
+}
+
 TEST_F(http_test, malformed_bytes_disturb_nobody_else)
 {
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
@@ -180,6 +195,7 @@
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); }, limits);
     this->exchange_raw("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\nonly a part", false);
     EXPECT_EQ(server->connection_count(), 0U);
+    EXPECT_EQ(this->rejections, 1) << "it is counted";
 }
 
 TEST_F(http_test, a_connection_half_closed_before_its_body_was_whole_is_ended)
@@ -187,6 +203,7 @@
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); });
     this->exchange_raw("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\nonly a part");
     EXPECT_EQ(server->connection_count(), 0U);
+    EXPECT_EQ(this->rejections, 1) << "it is counted";
 }
 
 TEST_F(http_test, a_caller_that_goes_away_is_noticed)
