Sailtillerd: leaving holds for upstreams that a bundle brings later

Cause: reading the host's wiring showed that what the list says of an upstream was kept only as long as a bundle named it, so one that was leaving before a bundle brought it got work. A question to a peer that never answers was kept for ever. The wiring also held the talk with peers.

Change: a new bundle takes the list's states again; a question whose time has passed is taken back and its stream reset; peer_link holds the questions to and answers for other hosts.

--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -5,7 +5,6 @@
 #include <platform/logclient.h>
 #include <runtime/programsettings.h>
 
-#include <algorithm>
 #include <csignal>
 
 namespace sailtiller {
@@ -19,12 +18,6 @@
 constexpr duration host_list_patience = std::chrono::seconds(1);
 constexpr duration longest_turn = std::chrono::seconds(1);
 constexpr duration idle_look_interval = std::chrono::milliseconds(50);
-constexpr duration peer_connect_limit = std::chrono::milliseconds(500);
-/// A caller waits for its account's home no longer than this; then the host decides alone.
-constexpr duration home_answer_limit = std::chrono::milliseconds(100);
-constexpr duration peer_answer_limit = std::chrono::seconds(2);
-/// Peers that are asked at once, so that one that is gone or behind costs nothing.
-constexpr std::size_t peers_asked = 3;
 constexpr double initial_retry_ratio = 0.2;
 
 std::int64_t read_unix_seconds()
@@ -41,11 +34,8 @@
     , client(this->loop, {})
     , random(make_system_random())
     , decisions(explained_requests)
-    , peers(this->loop, peer_connect_limit)
-    , peer_side(this->loop,
-          [this](
-              const std::string& method, const std::string& body) { return this->answer_peer(method, body); })
     , home([this](const client_account_id& account) { return this->find_limits(account); })
+    , peers(this->loop, this->settings.self, this->make_peer_hooks())
     , shares(this->settings.self, this->make_share_hooks())
     , retries(initial_retry_ratio)
     , engines(this->client)
@@ -92,7 +82,9 @@
         {.address = this->settings.log_address, .stream = this->settings.log_stream});
     hooks.timers = this->loop.hooks();
     hooks.live_hosts = [this] { return this->live_hosts(); };
-    hooks.ask_peers = [this](const std::vector<part_digest>& missing) { return this->ask_peers(missing); };
+    hooks.ask_peers = [this](const std::vector<part_digest>& missing) {
+        return this->peers.ask_for_bundle(missing);
+    };
     hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) { this->take_bundle(next); };
     hooks.on_event = [this](const std::string& kind, const std::string& peer, const std::string& reason) {
         this->metrics.bundle_events.add(kind);
@@ -101,6 +93,24 @@
     return hooks;
 }
 
+peer_link_hooks host_process::make_peer_hooks()
+{
+    peer_link_hooks hooks;
+    hooks.random = this->random;
+    hooks.data_hall = this->settings.data_hall;
+    hooks.live_hosts = [this] {
+        return this->hosts ? this->hosts->live_hosts() : std::vector<listed_host>();
+    };
+    hooks.answer_wishes = [this](const share_question& question) {
+        return this->home.answer(question, this->loop.now());
+    };
+    hooks.tell_bundle = [this](const std::vector<part_digest>& wanted) {
+        return this->follower.answer_peer(wanted);
+    };
+    hooks.take_bundle = [this](const peer_bundle_state& state) { this->follower.take_peer_state(state); };
+    return hooks;
+}
+
 share_hooks host_process::make_share_hooks()
 {
     share_hooks hooks;
@@ -109,50 +119,11 @@
     hooks.ask_home = [this](const host_id& owner, const share_question& question,
                          const std::function<void(const std::vector<share_grant>&)>& on_grants,
                          const std::function<void()>& on_failure) {
-        this->ask_home(owner, question, on_grants, on_failure);
+        this->peers.ask_home(owner, question, on_grants, on_failure);
     };
     return hooks;
 }
 
-void host_process::ask_home(const host_id& owner, const share_question& question,
-    const std::function<void(const std::vector<share_grant>&)>& on_grants,
-    const std::function<void()>& on_failure)
-{
-    if (owner == this->settings.self) {
-        this->loop.post(
-            [this, question, on_grants] { on_grants(this->home.answer(question, this->loop.now())); });
-        return;
-    }
-    const std::optional<endpoint> address = this->peer_address_of(owner);
-    if (!address) {
-        this->loop.post(on_failure);
-        return;
-    }
-    this->peers.ask(
-        *address, share_question_method, encode_share_question(question), home_answer_limit,
-        [on_grants, on_failure](const std::string& body) {
-            std::vector<share_grant> grants;
-            try {
-                grants = decode_share_grants(body);
-            } catch (const error&) {
-                on_failure();
-                return;
-            }
-            on_grants(grants);
-        },
-        [on_failure](const peer_failure&) { on_failure(); });
-}
-
-std::optional<endpoint> host_process::peer_address_of(const host_id& name) const
-{
-    for (const listed_host& host : this->hosts->live_hosts()) {
-        if (host.name == name.value() && !host.peer_address.value().empty()) {
-            return host.peer_address;
-        }
-    }
-    return std::nullopt;
-}
-
 const account_limits* host_process::find_limits(const client_account_id& account) const
 {
     if (!this->entry.current_state()) {
@@ -190,65 +161,6 @@
     return names;
 }
 
-std::vector<listed_host> host_process::choose_peers() const
-{
-    std::vector<listed_host> others;
-    if (this->hosts) {
-        for (const listed_host& host : this->hosts->live_hosts()) {
-            if (host.name != this->settings.self.value() && !host.peer_address.value().empty()) {
-                others.push_back(host);
-            }
-        }
-    }
-    for (std::size_t index = others.size(); index > 1; --index) {
-        std::swap(others[index - 1], others[this->random() % index]);
-    }
-    std::stable_partition(others.begin(), others.end(),
-        [this](const listed_host& host) { return host.data_hall == this->settings.data_hall; });
-    others.resize(std::min(others.size(), peers_asked));
-    return others;
-}
-
-std::size_t host_process::ask_peers(const std::vector<part_digest>& missing)
-{
-    const std::vector<listed_host> chosen = this->choose_peers();
-    for (const listed_host& host : chosen) {
-        this->peers.ask(
-            host.peer_address, bundle_question, encode_bundle_question(missing), peer_answer_limit,
-            [this, name = host.name](const std::string& body) {
-                try {
-                    this->follower.take_peer_state(decode_bundle_state(body));
-                } catch (const error& malformed) {
-                    log_event(log_level::warning, "peer_answer_malformed",
-                        {{"step", malformed.step()}, {"peer", name}, {"reason", malformed.reason()}});
-                }
-            },
-            [name = host.name](const peer_failure& failure) {
-                log_event(log_level::info, "peer_unreachable",
-                    {{"step", "ask for bundle"}, {"peer", name}, {"reason", failure.reason}});
-            });
-    }
-    return chosen.size();
-}
-
-std::optional<std::string> host_process::answer_peer(const std::string& method, const std::string& body)
-{
-    try {
-        if (method == share_question_method) {
-            return encode_share_grants(this->home.answer(decode_share_question(body), this->loop.now()));
-        }
-        if (method == bundle_question) {
-            const std::optional<peer_bundle_state> state =
-                this->follower.answer_peer(decode_bundle_question(body));
-            return state ? std::optional<std::string>(encode_bundle_state(*state)) : std::nullopt;
-        }
-    } catch (const error& malformed) {
-        log_event(log_level::warning, "peer_question_malformed",
-            {{"step", malformed.step()}, {"peer", method}, {"reason", malformed.reason()}});
-    }
-    return std::nullopt;
-}
-
 void host_process::take_bundle(const std::shared_ptr<const bundle_in_force>& next)
 {
     this->retries.set_ratio(next->content.retries.budget_ratio);
@@ -256,6 +168,8 @@
         std::make_shared<const serving_state>(std::shared_ptr<const bundle>(next, &next->content),
             next->source.generation, this->settings.self, this->loads, this->random));
     this->loads.drop_unused();
+    // An upstream that the bundle has just brought may stand in the list as leaving already.
+    this->take_upstream_states();
     this->metrics.bundle_events.add("in_force");
     log_event(log_level::info, "bundle_in_force",
         {{"bundle", next->content.name}, {"generation", std::to_string(next->source.generation.value())},
@@ -273,14 +187,22 @@
     load.set_leaving(is_leaving);
 }
 
-void host_process::take_host_list()
+void host_process::take_upstream_states()
 {
-    this->shares.note_hosts_changed();
+    if (!this->hosts) {
+        return;
+    }
     for (const listed_host& item : this->hosts->entries()) {
         if (item.is_upstream) {
             this->set_leaving(upstream_id(item.name), item.state == listed_state::leaving);
         }
     }
+}
+
+void host_process::take_host_list()
+{
+    this->shares.note_hosts_changed();
+    this->take_upstream_states();
     this->start_following();
     log_event(
         log_level::info, "host_list_changed", {{"entries", std::to_string(this->hosts->entries().size())}});
@@ -317,7 +239,7 @@
     this->shares.start();
     this->tidy_shares();
     if (this->settings.peer_listen) {
-        const endpoint peer_address = this->peer_side.listen(*this->settings.peer_listen);
+        const endpoint peer_address = this->peers.listen(*this->settings.peer_listen);
         log_event(log_level::info, "peers_welcome", {{"peer_listen", peer_address.value()}});
     }
     // The list tells whom to ask for the bundle; a host starts without it if it does not come.
--- a/src/libs/runtime/peerclient.cpp
+++ b/src/libs/runtime/peerclient.cpp
@@ -3,6 +3,8 @@
 #include <runtime/peerclient.h>
 #include <runtime/socketaddress.h>
 
+#include <utility>
+
 namespace sailtiller {
 
 /// One question until its answer, its failure or the end of its time.
@@ -13,7 +15,22 @@
     reply_handler on_reply;
     failure_handler on_failure;
     timer_id timer = 0;
+    std::int32_t stream = 0; ///< once it was sent
     bool is_done = false;
+
+    void succeed(const std::string& reply)
+    {
+        if (!std::exchange(this->is_done, true)) {
+            this->on_reply(reply);
+        }
+    }
+
+    void fail(const peer_failure& failure)
+    {
+        if (!std::exchange(this->is_done, true)) {
+            this->on_failure(failure);
+        }
+    }
 };
 
 /// The connection to one peer, made when it is first needed and again after it has ended.
@@ -26,8 +43,23 @@
     std::unique_ptr<peer_session> session;
     std::vector<std::shared_ptr<question>> waiting; ///< for the connection
     std::map<std::int32_t, std::shared_ptr<question>> asked;
+
+    /// Takes the question of a stream out; null if there is none.
+    std::shared_ptr<question> take(std::int32_t stream);
 };
 
+std::shared_ptr<peer_client::question> peer_client::connection::take(std::int32_t stream)
+{
+    const auto found = this->asked.find(stream);
+    if (found == this->asked.end()) {
+        return nullptr;
+    }
+    std::shared_ptr<question> item = found->second;
+    this->asked.erase(found);
+    this->owner->loop.cancel(item->timer);
+    return item;
+}
+
 peer_client::peer_client(event_loop& loop, duration connect_limit)
     : loop(loop)
     , connect_limit(connect_limit)
@@ -64,15 +96,13 @@
 void peer_client::ask(const endpoint& peer, const std::string& method, std::string body, duration limit,
     reply_handler on_reply, failure_handler on_failure)
 {
-    const auto item = std::make_shared<question>(
-        question{method, std::move(body), std::move(on_reply), std::move(on_failure), 0, false});
-    item->timer = this->loop.schedule_after(limit, [item] {
-        if (!item->is_done) {
-            item->is_done = true;
-            item->on_failure({peer_failure_kind::no_answer, "no answer within the time limit"});
-        }
-    });
+    const auto item = std::make_shared<question>();
+    item->method = method;
+    item->body = std::move(body);
+    item->on_reply = std::move(on_reply);
+    item->on_failure = std::move(on_failure);
     connection& target = this->connection_to(peer);
+    item->timer = this->loop.schedule_after(limit, [&target, item] { give_up(target, item); });
     if (target.session && target.session->is_open()) {
         this->send(target, item);
         return;
@@ -114,37 +144,18 @@
         return;
     }
     const auto on_message = [&target](std::int32_t stream, const peer_message& reply) {
-        const auto found = target.asked.find(stream);
-        if (found == target.asked.end()) {
-            return;
-        }
-        const std::shared_ptr<question> item = found->second;
-        target.asked.erase(found);
-        target.owner->loop.cancel(item->timer);
-        if (item->is_done) {
-            return;
-        }
-        item->is_done = true;
-        if (reply.is_good) {
-            item->on_reply(reply.body);
-        } else {
-            item->on_failure({peer_failure_kind::no_answer, "the peer can't answer"});
+        const std::shared_ptr<question> item = target.take(stream);
+        if (item && reply.is_good) {
+            item->succeed(reply.body);
+        } else if (item) {
+            item->fail({peer_failure_kind::no_answer, "the peer can't answer"});
         }
     };
     const auto on_end = [&target](std::int32_t stream, const std::string& reason) {
         if (stream == 0) {
             target.owner->drop(target, reason);
-            return;
-        }
-        const auto found = target.asked.find(stream);
-        if (found != target.asked.end()) {
-            const std::shared_ptr<question> item = found->second;
-            target.asked.erase(found);
-            target.owner->loop.cancel(item->timer);
-            if (!item->is_done) {
-                item->is_done = true;
-                item->on_failure({peer_failure_kind::no_answer, reason});
-            }
+        } else if (const std::shared_ptr<question> item = target.take(stream)) {
+            item->fail({peer_failure_kind::no_answer, reason});
         }
     };
     target.session =
@@ -159,9 +170,17 @@
 void peer_client::send(connection& target, const std::shared_ptr<question>& item)
 {
     if (!item->is_done) {
-        const std::int32_t stream = target.session->send_request({item->method, item->body, true});
-        target.asked.emplace(stream, item);
+        item->stream = target.session->send_request({item->method, item->body, true});
+        target.asked.emplace(item->stream, item);
+    }
+}
+
+void peer_client::give_up(connection& target, const std::shared_ptr<question>& item)
+{
+    if (target.asked.erase(item->stream) == 1 && target.session) {
+        target.session->reset(item->stream);
     }
+    item->fail({peer_failure_kind::no_answer, "no answer within the time limit"});
 }
 
 void peer_client::fail_all(connection& target, peer_failure_kind kind, const std::string& reason)
@@ -174,10 +193,7 @@
     target.asked.clear();
     for (const std::shared_ptr<question>& item : failed) {
         this->loop.cancel(item->timer);
-        if (!item->is_done) {
-            item->is_done = true;
-            item->on_failure({kind, reason});
-        }
+        item->fail({kind, reason});
     }
 }
 
@@ -187,6 +203,15 @@
     this->fail_all(target, peer_failure_kind::no_answer, reason);
 }
 
+std::size_t peer_client::questions_open() const
+{
+    std::size_t sum = 0;
+    for (const auto& [peer, item] : this->connections) {
+        sum += item->asked.size() + item->waiting.size();
+    }
+    return sum;
+}
+
 std::uint64_t peer_client::bytes_sent() const
 {
     std::uint64_t sum = 0;
--- a/src/libs/runtime/peerclient.h
+++ b/src/libs/runtime/peerclient.h
@@ -36,6 +36,8 @@
     void ask(const endpoint& peer, const std::string& method, std::string body, duration limit,
         reply_handler on_reply, failure_handler on_failure);
 
+    /// Questions that have been sent and not been answered, over all peers.
+    [[nodiscard]] std::size_t questions_open() const;
     /// Bytes over the connections that are open now, HTTP/2 framing included.
     [[nodiscard]] std::uint64_t bytes_sent() const;
     [[nodiscard]] std::uint64_t bytes_received() const;
@@ -48,6 +50,8 @@
     void connect(connection& target);
     static void on_connected(st_h2o_socket_t* socket, const char* failure);
     void send(connection& target, const std::shared_ptr<question>& item);
+    /// A question's time has passed: nothing of it is kept, also when the peer never answers.
+    static void give_up(connection& target, const std::shared_ptr<question>& item);
     void fail_all(connection& target, peer_failure_kind kind, const std::string& reason);
     void drop(connection& target, const std::string& reason);
 
--- a/tests/auto/runtime/tst_peer.cpp
+++ b/tests/auto/runtime/tst_peer.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <runtime/peerclient.h>
 #include <runtime/peerserver.h>
+#include <runtime/socketaddress.h>
 #include <support/looprunner.h>
 
+#include <unistd.h>
+
 namespace sailtiller {
 
 namespace {
@@ -105,6 +108,18 @@
     EXPECT_EQ(this->replies.back(), "echo:b");
 }
 
+TEST_F(peer_test, a_peer_that_never_answers_leaves_nothing_behind)
+{
+    // Connections are taken by the system and nobody reads them.
+    const listening_socket silent = open_listening_socket(endpoint("127.0.0.1:0"));
+    this->client.ask(
+        silent.address, "echo", "a", 50ms, [](const std::string&) { FAIL(); },
+        [this](const peer_failure& failure) { this->failures.push_back(failure); });
+    this->run_to_end_of(1);
+    EXPECT_EQ(this->client.questions_open(), 0U);
+    close(silent.descriptor);
+}
+
 } // namespace
 
 } // namespace sailtiller
--- a/tests/auto/system/tst_requests.cpp
+++ b/tests/auto/system/tst_requests.cpp
@@ -145,6 +145,33 @@
     EXPECT_EQ(admitted, 3);
 }
 
+TEST_F(requests, an_upstream_that_leaves_before_a_bundle_brings_it_gets_nothing)
+{
+    const bundle without = this->content;
+    upstream late = this->content.upstreams.front();
+    late.name = upstream_id("late-engine");
+    this->engines.push_back(std::make_unique<bed_engine>(this->loop, 0ms));
+    bed_engine& engine = *this->engines.back();
+    late.address = engine.address;
+    this->content.upstreams.push_back(late);
+    this->content.models[0].holders.push_back({late.name, {layer_index(0), layer_index(3)}, 1us});
+    const bundle with = this->content;
+    this->leaving.insert(late.name.value());
+    this->write_host_list();
+    run_until(this->loop,
+        [&] { return this->host->process->output().find("upstream_leaving") != std::string::npos; });
+    this->content = without;
+    this->activate("two", {this->host});
+    this->content = with;
+    this->activate("three", {this->host});
+    for (int request = 0; request < 3; ++request) {
+        const auto answer = this->ask(*this->host, "late");
+        run_until(this->loop, [&] { return answer->status != 0; });
+        this->expect_whole(*answer, "late");
+    }
+    EXPECT_EQ(engine.engine.steps(), 0U);
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
