--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -178,8 +178,8 @@
 /// A connection with a way back to the server, for the moment when h2o closes it.
 struct connection_entry
 {
-    void* server;
-    h2o_socket_t* socket;
+    void* server = nullptr;
+    h2o_socket_t* socket = nullptr;
     endpoint peer;
     bool has_request = false;
 };
