Delivery: a request at fault is told "failed" and asked of no other engine

Cause: the outcome "failed" was defined and never given; an engine's finding that the request itself is at fault was repeated elsewhere and counted against the engine.

Change: 422 from an engine ends the request with 422 and "failed", without a retry and without a mark against the engine.

In tst_streamrelay five such requests leave every breaker closed.

--- a/src/libs/delivery/outcome.h
+++ b/src/libs/delivery/outcome.h
@@ -13,6 +13,7 @@
 enum class send_certainty {
     not_sent, ///< no byte of it can have reached the upstream
     refused, ///< the upstream said, by a status that its protocol defines so, that it did not run it
+    ran_and_failed, ///< the upstream ran it and says that it fails anywhere: the request is at fault
     may_have_run ///< anything else
 };
 
--- a/src/libs/delivery/streamrelay.cpp
+++ b/src/libs/delivery/streamrelay.cpp
@@ -242,6 +242,12 @@
 {
     const time_point now = this->hooks.timers.now();
     const stage_option failed_stage = this->stage();
+    if (failure.certainty == send_certainty::ran_and_failed) {
+        // It says nothing against the upstream, and another one would give the same answer.
+        this->hooks.note(failure.origin.step, failed_stage.holder.value(), failure.reason);
+        this->fail(request_outcome::failed, failure);
+        return;
+    }
     if (failure.retry_after) {
         failed_stage.load->note_asked_to_wait(now, *failure.retry_after);
     } else {
--- a/src/libs/engines/engineclient.cpp
+++ b/src/libs/engines/engineclient.cpp
@@ -19,12 +19,23 @@
     return request;
 }
 
+send_certainty certainty_of(const http_response& response)
+{
+    if (response.status == http_status::unprocessable) {
+        return send_certainty::ran_and_failed;
+    }
+    return is_refusal(response) ? send_certainty::refused : send_certainty::may_have_run;
+}
+
 send_failure read_refusal(const http_response& response, const std::string& peer)
 {
     send_failure failure;
-    failure.certainty = is_refusal(response) ? send_certainty::refused : send_certainty::may_have_run;
+    failure.certainty = certainty_of(response);
     failure.origin = {"run step", peer};
     failure.reason = "status " + std::to_string(response.status);
+    if (failure.certainty == send_certainty::ran_and_failed) {
+        failure.reason += ": " + response.body;
+    }
     failure.retry_after = retry_after_of(response);
     return failure;
 }
--- a/src/libs/entry/callererror.cpp
+++ b/src/libs/entry/callererror.cpp
@@ -18,7 +18,7 @@
     case request_outcome::unknown:
         return "It may have run; send it again only if running it twice does no harm.";
     case request_outcome::failed:
-        return "It ran and failed.";
+        return "It ran and would fail anywhere; change it before sending it again.";
     }
     return "";
 }
@@ -51,9 +51,12 @@
 {
     caller_error item;
     const bool is_not_run = failure.outcome == request_outcome::not_run;
-    item.status = is_not_run ? http_status::unavailable : http_status::bad_gateway;
-    item.type = "server_error";
-    item.code = is_not_run ? "no_upstream" : "upstream_failed";
+    const bool has_failed = failure.outcome == request_outcome::failed;
+    item.status = is_not_run ? http_status::unavailable
+        : has_failed         ? http_status::unprocessable
+                             : http_status::bad_gateway;
+    item.type = has_failed ? "invalid_request_error" : "server_error";
+    item.code = is_not_run ? "no_upstream" : has_failed ? "request_failed" : "upstream_failed";
     item.message = failure.origin.step + (failure.origin.peer.empty() ? "" : " (" + failure.origin.peer + ")")
         + ": " + failure.reason + ". " + advice_for(failure.outcome);
     item.outcome = failure.outcome;
--- a/src/libs/runtime/httpstatus.h
+++ b/src/libs/runtime/httpstatus.h
@@ -10,6 +10,7 @@
 constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int method_not_allowed = 405;
+constexpr int unprocessable = 422;
 constexpr int too_many_requests = 429;
 constexpr int headers_too_large = 431;
 constexpr int internal_error = 500;
--- a/tests/auto/delivery/tst_streamrelay.cpp
+++ b/tests/auto/delivery/tst_streamrelay.cpp
@@ -265,6 +265,22 @@
     EXPECT_EQ(this->steps.size(), 2U);
 }
 
+TEST_F(stream_relay_test, a_request_at_fault_fails_at_once_and_leaves_the_upstream_in_use)
+{
+    this->start();
+    for (int round = 0; round < 5; ++round) {
+        this->failure.reset();
+        this->start();
+        this->fail_step(send_certainty::ran_and_failed);
+        ASSERT_TRUE(this->failure);
+        EXPECT_EQ(this->failure->outcome, request_outcome::failed);
+        EXPECT_EQ(this->relay->counters().attempts, 1U);
+    }
+    for (const upstream& item : this->content.upstreams) {
+        EXPECT_EQ(this->loads.load_of(item.name)->state(this->now), breaker_state::closed);
+    }
+}
+
 TEST_F(stream_relay_test, an_empty_retry_budget_ends_the_request)
 {
     this->has_retries = false;
--- a/tests/auto/entry/tst_entryservice.cpp
+++ b/tests/auto/entry/tst_entryservice.cpp
@@ -242,6 +242,20 @@
     EXPECT_EQ(find_header(answer.headers, "x-sailtiller-outcome"), "unknown");
 }
 
+TEST_F(entry_service_test, says_failed_when_an_engine_finds_fault_with_the_request_and_asks_no_other)
+{
+    for (const auto& item : this->engines) {
+        item->engine.set_fault(engine_fault::reject);
+    }
+    const http_response answer = this->chat();
+    EXPECT_EQ(answer.status, 422);
+    EXPECT_EQ(find_header(answer.headers, "x-sailtiller-outcome"), "failed");
+    EXPECT_EQ(this->metrics.attempts.value("retry"), 0U);
+    for (const upstream& item : this->content.upstreams) {
+        EXPECT_EQ(this->loads.load_of(item.name)->state(this->loop.now()), breaker_state::closed);
+    }
+}
+
 TEST_F(entry_service_test, a_request_that_is_not_repeatable_is_not_sent_again)
 {
     for (const auto& item : this->engines) {
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -53,7 +53,7 @@
 {
     static const std::map<std::string, engine_fault> names{{"none", engine_fault::none},
         {"stall", engine_fault::stall}, {"error", engine_fault::error}, {"refuse", engine_fault::refuse},
-        {"wrong_stream", engine_fault::wrong_stream}};
+        {"reject", engine_fault::reject}, {"wrong_stream", engine_fault::wrong_stream}};
     const auto found = names.find(exchange->request().body);
     if (found == names.end()) {
         exchange->respond(make_response(400, "unknown fault"));
@@ -80,6 +80,10 @@
         exchange->respond(make_response(500, "fault"));
         return;
     }
+    if (this->fault == engine_fault::reject) {
+        exchange->respond(make_response(422, "the prompt can't be read"));
+        return;
+    }
     if (this->fault == engine_fault::refuse) {
         http_response refusal = make_response(429, "fault");
         refusal.headers.push_back({"retry-after", "1"});
--- a/tests/standins/enginestandin.h
+++ b/tests/standins/enginestandin.h
@@ -15,6 +15,7 @@
     stall, ///< takes steps and never answers
     error, ///< answers 500 without running
     refuse, ///< answers 429 with Retry-After: 1
+    reject, ///< answers 422: the request is at fault
     wrong_stream ///< answers with another stream's id
 };
 
