Scripts: the two README commands don't spoil each other's build

Cause: the demonstration switched the benchmarks off in the build folder that the tests then use, so clang-tidy would have had no flags for them.

Change: the demonstration builds three targets of the whole configuration.

Measured: both run one after the other in one folder.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 
 scripts/setup.sh
-cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSAILTILLER_BENCH=OFF >/dev/null
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build build --target sailtillerd sailtiller sailtiller_standin
 
 . scripts/testbed.sh
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,7 +14,7 @@
 git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run -Werror
 
 step "build"
-cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSAILTILLER_BENCH=ON >/dev/null
 cmake --build build
 
 step "tests"
