Sailtillerd: what reading the whole change found written or done twice

Cause: the host list's live entries were copied and filtered anew for each question to an account's home, which lies on the way of a request; the follower protected an accepted bundle's parts in three places; a search of the log read the manifest again for each entry; the server found a connection's peer by two ways; tests and benchmarks each had a map of parts.

Change: the live hosts are gathered once for each change of the list; protect_accepted is the one place that keeps parts; the wanted parts are worked out again only when one was found; the connection's entry holds the peer; tests/support/partmap.h. Behaviour and assertions are as they were.

The saving was not timed.

--- a/bench/bench_bundle.cpp
+++ b/bench/bench_bundle.cpp
@@ -6,6 +6,7 @@
 #include <bundle/activationfold.h>
 #include <bundle/bundleassembler.h>
 #include <entry/servingstate.h>
+#include <support/partmap.h>
 #include <support/sampleactivation.h>
 
 #include <benchmark/benchmark.h>
@@ -33,23 +34,12 @@
 
 BENCHMARK(judge_activation)->Unit(benchmark::kMicrosecond);
 
-using part_map = std::map<part_digest, std::string>;
-
-part_map to_map(const bundle_part_set& set)
-{
-    part_map parts;
-    for (const bundle_part& part : set.parts) {
-        parts.emplace(part.digest, part.body);
-    }
-    return parts;
-}
-
 /// A host's first bundle: every part is read.
 void assemble_first(benchmark::State& state)
 {
     const bundle_part_set set = cut_into_parts(bench::make_letter_bundle(share_of(state)));
-    const part_map parts = to_map(set);
-    const part_lookup lookup = [&parts](const part_digest& digest) { return &parts.at(digest); };
+    const tests::part_map parts = tests::to_map(set);
+    const part_lookup lookup = tests::lookup_in(parts);
     for (auto _ : state) {
         benchmark::DoNotOptimize(bundle_assembler().assemble(read_manifest(set.manifest.body), lookup));
     }
@@ -64,9 +54,9 @@
     const bundle_part_set before = cut_into_parts(content);
     content.accounts[1].limits.streams = 7;
     const bundle_part_set after = cut_into_parts(content);
-    part_map parts = to_map(before);
-    parts.merge(to_map(after));
-    const part_lookup lookup = [&parts](const part_digest& digest) { return &parts.at(digest); };
+    tests::part_map parts = tests::to_map(before);
+    parts.merge(tests::to_map(after));
+    const part_lookup lookup = tests::lookup_in(parts);
     bundle_assembler assembler;
     bool is_after = false;
     for (auto _ : state) {
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -81,7 +81,7 @@
     hooks.log = make_log_hooks(this->loop, this->client,
         {.address = this->settings.log_address, .stream = this->settings.log_stream});
     hooks.timers = this->loop.hooks();
-    hooks.live_hosts = [this] { return this->live_hosts(); };
+    hooks.live_hosts = [this] { return this->live_names; };
     hooks.ask_peers = [this](const std::vector<part_digest>& missing) {
         return this->peers.ask_for_bundle(missing);
     };
@@ -98,8 +98,9 @@
     peer_link_hooks hooks;
     hooks.random = this->random;
     hooks.data_hall = this->settings.data_hall;
-    hooks.live_hosts = [this] {
-        return this->hosts ? this->hosts->live_hosts() : std::vector<listed_host>();
+    hooks.live_hosts = [this]() -> const std::vector<listed_host>& {
+        static const std::vector<listed_host> none;
+        return this->hosts ? this->hosts->live_hosts() : none;
     };
     hooks.answer_wishes = [this](const share_question& question) {
         return this->home.answer(question, this->loop.now());
@@ -115,7 +116,7 @@
 {
     share_hooks hooks;
     hooks.timers = this->loop.hooks();
-    hooks.live_hosts = [this] { return this->live_hosts(); };
+    hooks.live_hosts = [this] { return this->live_names; };
     hooks.ask_home = [this](const host_id& owner, const share_question& question,
                          const std::function<void(const std::vector<share_grant>&)>& on_grants,
                          const std::function<void()>& on_failure) {
@@ -147,18 +148,17 @@
         [this] { return this->loop.now(); }};
 }
 
-std::vector<host_id> host_process::live_hosts() const
+void host_process::note_live_names()
 {
-    std::vector<host_id> names;
+    this->live_names.clear();
     if (this->hosts) {
         for (const listed_host& host : this->hosts->live_hosts()) {
-            names.emplace_back(host.name);
+            this->live_names.emplace_back(host.name);
         }
     }
-    if (names.empty()) {
-        names.push_back(this->settings.self);
+    if (this->live_names.empty()) {
+        this->live_names.push_back(this->settings.self);
     }
-    return names;
 }
 
 void host_process::take_bundle(const std::shared_ptr<const bundle_in_force>& next)
@@ -201,6 +201,7 @@
 
 void host_process::take_host_list()
 {
+    this->note_live_names();
     this->shares.note_hosts_changed();
     this->take_upstream_states();
     this->start_following();
@@ -221,6 +222,7 @@
 
 int host_process::run()
 {
+    this->note_live_names();
     const endpoint address = this->callers.listen(this->settings.listen);
     const endpoint admin_address = this->admin_server.listen(this->settings.admin_listen);
     log_event(log_level::info, "started",
--- a/src/app/sailtillerd/hostprocess.h
+++ b/src/app/sailtillerd/hostprocess.h
@@ -29,7 +29,8 @@
     [[nodiscard]] const account_limits* find_limits(const client_account_id& account) const;
     void tidy_shares();
     admin_view make_admin_view();
-    std::vector<host_id> live_hosts() const;
+    /// Names of the live hosts as owners of keys, gathered once for each change of the list.
+    void note_live_names();
     void take_bundle(const std::shared_ptr<const bundle_in_force>& next);
     void take_host_list();
     void take_upstream_states();
@@ -59,6 +60,7 @@
     std::optional<host_list> hosts;
     http_server callers;
     http_server admin_server;
+    std::vector<host_id> live_names;
     bool is_following = false;
     bool is_stopping = false;
     time_point stop_limit{};
--- a/src/app/sailtillerd/peerlink.h
+++ b/src/app/sailtillerd/peerlink.h
@@ -16,7 +16,7 @@
 {
     random_function random;
     data_hall_id data_hall; ///< peers in the same hall are asked first
-    std::function<std::vector<listed_host>()> live_hosts;
+    std::function<const std::vector<listed_host>&()> live_hosts;
     std::function<std::vector<share_grant>(const share_question&)> answer_wishes;
     std::function<std::optional<peer_bundle_state>(const std::vector<part_digest>&)> tell_bundle;
     std::function<void(const peer_bundle_state&)> take_bundle;
--- a/src/libs/fleet/bundlefollower.cpp
+++ b/src/libs/fleet/bundlefollower.cpp
@@ -195,14 +195,15 @@
 
 void bundle_follower::search_page(const log_page& page)
 {
+    std::vector<part_digest> wanted = this->wanted_parts();
     for (const log_entry& entry : page.entries) {
-        const std::vector<part_digest> wanted = this->wanted_parts();
         try {
             const log_record record = decode_record(entry.data);
             const auto* part = std::get_if<bundle_part>(&record);
             if (part != nullptr && std::find(wanted.begin(), wanted.end(), part->digest) != wanted.end()) {
                 this->store.add(part->body);
                 this->apply();
+                wanted = this->wanted_parts(); // a manifest that was found names more
             }
         } catch (const error&) {
             continue; // told when it was first read
@@ -263,7 +264,7 @@
         this->apply_manifest(source, *manifest);
         return;
     }
-    this->keep_parts({}, source.manifest);
+    this->protect_accepted();
 }
 
 void bundle_follower::apply_manifest(const activation& source, const std::string& manifest_body)
@@ -271,7 +272,7 @@
     try {
         const bundle_manifest manifest = read_manifest(manifest_body);
         if (!missing_parts(manifest, this->store.lookup()).empty()) {
-            this->keep_parts(manifest, source.manifest);
+            this->protect_accepted();
             return;
         }
         const std::string approval = sign_off_message(this->settings.trust.deployment, source.manifest);
--- a/src/libs/platform/hostlist.cpp
+++ b/src/libs/platform/hostlist.cpp
@@ -4,6 +4,9 @@
 #include <platform/timedcall.h>
 #include <runtime/httpstatus.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace sailtiller {
 
 namespace {
@@ -72,19 +75,11 @@
     this->last_body = answer.body;
     this->version = find_header(answer.headers, "etag").value_or("");
     this->listed = std::move(entries);
+    this->live.clear();
+    std::copy_if(this->listed.begin(), this->listed.end(), std::back_inserter(this->live),
+        [](const listed_host& entry) { return !entry.is_upstream && entry.state == listed_state::live; });
     this->has_been_read = true;
     this->on_change();
 }
 
-std::vector<listed_host> host_list::live_hosts() const
-{
-    std::vector<listed_host> hosts;
-    for (const listed_host& entry : this->listed) {
-        if (!entry.is_upstream && entry.state == listed_state::live) {
-            hosts.push_back(entry);
-        }
-    }
-    return hosts;
-}
-
 } // namespace sailtiller
--- a/src/libs/platform/hostlist.h
+++ b/src/libs/platform/hostlist.h
@@ -33,7 +33,7 @@
     void start();
     [[nodiscard]] const std::vector<listed_host>& entries() const { return this->listed; }
     /// Entry hosts that are live, in the order of the list.
-    [[nodiscard]] std::vector<listed_host> live_hosts() const;
+    [[nodiscard]] const std::vector<listed_host>& live_hosts() const { return this->live; }
     [[nodiscard]] bool is_read() const { return this->has_been_read; }
 
 private:
@@ -47,6 +47,7 @@
     std::function<void()> on_change;
     std::function<void(const error&)> on_failure;
     std::vector<listed_host> listed;
+    std::vector<listed_host> live; ///< the entry hosts among them that are live
     std::string last_body;
     std::string version; ///< the list's entity tag, so that an unchanged list of hundreds of kilobytes isn't
                          ///< sent again
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -184,11 +184,13 @@
     bool has_request = false;
 };
 
-/// Remembers that the request's connection has brought one, so that its end is no event.
-void note_request(h2o_req_t* request)
+/// The entry of a request's connection, which has now brought a request, so that its end is no event.
+connection_entry& note_request(h2o_req_t* request)
 {
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
-    static_cast<connection_entry*>(socket->on_close.data)->has_request = true;
+    auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+    entry.has_request = true;
+    return entry;
 }
 
 endpoint peer_of(h2o_socket_t* socket)
@@ -269,13 +271,11 @@
 void http_server::state::log(h2o_logger_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<state*>(reinterpret_cast<server_logger*>(self)->server);
-    note_request(request);
+    const connection_entry& connection = note_request(request);
     if (request->res.status == 0 || is_own_answer(request) || !server->on_rejected) {
         return;
     }
-    socket_address peer;
-    peer.length = request->conn->callbacks->get_peername(request->conn, peer.pointer());
-    server->on_rejected({request->res.status, to_endpoint(peer), "refused while it was read"});
+    server->on_rejected({request->res.status, connection.peer, "refused while it was read"});
 }
 
 void http_server::state::accept(h2o_socket_t* listener, const char* failure)
--- a/tests/auto/bundle/tst_bundleparts.cpp
+++ b/tests/auto/bundle/tst_bundleparts.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
 #include <bundle/bundleassembler.h>
+#include <support/partmap.h>
 #include <support/samplebundle.h>
 
 #include <gtest/gtest.h>
@@ -10,24 +11,9 @@
 
 namespace {
 
-using part_map = std::map<part_digest, std::string>;
-
-part_map to_map(const bundle_part_set& set)
-{
-    part_map parts;
-    for (const bundle_part& part : set.parts) {
-        parts.emplace(part.digest, part.body);
-    }
-    return parts;
-}
-
-part_lookup lookup_in(const part_map& parts)
-{
-    return [&parts](const part_digest& digest) {
-        const auto found = parts.find(digest);
-        return found == parts.end() ? nullptr : &found->second;
-    };
-}
+using tests::lookup_in;
+using tests::part_map;
+using tests::to_map;
 
 std::map<std::string, json> by_name(const json& list)
 {
