--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -24,6 +24,8 @@
 /// A connection within the site takes a millisecond; a lost opening packet is sent again after a second, so
 /// another upstream is tried before that.
 constexpr duration upstream_connect_limit = milliseconds(200);
+/// Upstreams close connections at rest after some seconds; ours go first.
+constexpr duration upstream_idle_time = milliseconds(2500);
 /// How long a read waits for a newer bundle; each answer also confirms the present one.
 constexpr duration bundle_wait = milliseconds(1000);
 /// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
@@ -64,6 +66,7 @@
     , knowledge(this->make_knowledge_settings(), this->make_knowledge_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
+    , upstream_connections(this->loop, {.idle_time = upstream_idle_time})
     , context(this->make_delivery_context())
     , gateway(this->context)
     , keeper({}, this->make_keeper_hooks(), this->knowledge.upstreams())
@@ -79,10 +82,9 @@
 delivery_context site_host::make_delivery_context()
 {
     return {this->loop.hooks(), platform::make_request_codec(),
-        [this](const endpoint& target, const http_request& request, http_call_handlers handlers) {
-            const std::shared_ptr<http_call> call =
-                http_call::start(this->loop, target, request, upstream_connect_limit, std::move(handlers));
-            return cancel_call([call] { call->cancel(); });
+        [this](const endpoint& target, const http_request& request, bool may_repeat,
+            http_call_handlers handlers) {
+            return this->send_upstream(target, request, may_repeat, std::move(handlers));
         },
         this->knowledge.upstreams(), this->loads, this->retries, this->random, this->settings.data_hall,
         [this] { return this->knowledge.is_bundle_fresh(); },
@@ -94,6 +96,18 @@
         {}};
 }
 
+cancel_call site_host::send_upstream(
+    const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
+{
+    http_call_options options;
+    options.connect_limit = upstream_connect_limit;
+    options.pool = may_repeat ? &this->upstream_connections : nullptr;
+    options.may_resend = may_repeat;
+    const std::shared_ptr<http_call> call =
+        http_call::start(this->loop, target, request, options, std::move(handlers));
+    return [call] { call->cancel(); };
+}
+
 keyed_follower_hooks site_host::make_follower_hooks()
 {
     keyed_follower_hooks hooks;
@@ -301,8 +315,10 @@
     handlers.on_body = [](std::string_view) {};
     handlers.on_end = [answer_once](
                           call_ending, const std::string&) { answer_once(order_result::unanswered); };
+    http_call_options options;
+    options.connect_limit = upstream_connect_limit;
     const std::shared_ptr<http_call> call = http_call::start(this->loop, order.address,
-        this->orders.encode_order(order), upstream_connect_limit, std::move(handlers));
+        this->orders.encode_order(order), options, std::move(handlers));
     this->loop.schedule_after(order_answer_limit, [call, answer_once] {
         call->cancel();
         answer_once(order_result::unanswered);
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -6,6 +6,7 @@
 
 #include <gateway/gatewayservice.h>
 #include <placement/layerkeeper.h>
+#include <runtime/connectionpool.h>
 #include <runtime/httpclient.h>
 #include <runtime/signalwatch.h>
 #include <site/siteknowledge.h>
@@ -26,6 +27,8 @@
 
 private:
     delivery_context make_delivery_context();
+    cancel_call send_upstream(
+        const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers);
     keyed_follower_hooks make_follower_hooks();
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
@@ -57,6 +60,7 @@
     part_loads loads;
     site_peers peers;
     retry_allowance retries;
+    connection_pool upstream_connections;
     delivery_context context;
     gateway_service gateway;
     layer_keeper keeper;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -64,8 +64,10 @@
 {
     timer_hooks timers;
     request_codec codec;
-    /// Sends a request over a connection of its own.
-    std::function<cancel_call(const endpoint&, const http_request&, http_call_handlers)> send;
+    /// Sends a request. One that may be repeated may go over a kept connection, and go out again if that
+    /// turns out to be closed; any other gets a connection of its own.
+    std::function<cancel_call(const endpoint&, const http_request&, bool may_repeat, http_call_handlers)>
+        send;
     const upstream_directory& directory;
     part_loads& loads;
     retry_allowance& retries;
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -105,8 +105,9 @@
     message.time_left = this->order.deadline() - this->context.timers.now();
     message.priority = this->order.priority;
     this->log("sent", upstream.address.value());
-    this->cancel = this->context.send(upstream.address,
-        this->context.codec.encode_request(this->order.request, message), this->make_handlers());
+    this->cancel =
+        this->context.send(upstream.address, this->context.codec.encode_request(this->order.request, message),
+            this->order.route->may_repeat(), this->make_handlers());
     if (this->order.route->may_repeat()) {
         this->slow_timer =
             this->context.timers.schedule_after(scale(this->order.route->latency_objective, slow_share),
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -130,7 +130,8 @@
     this->log("sent", this->describe_path());
     const http_request message =
         this->context.codec.encode_request(this->order.request, this->make_upstream_request(this->path));
-    this->cancel = this->context.send(this->path.front().address, message, this->make_handlers());
+    this->cancel = this->context.send(
+        this->path.front().address, message, this->order.route->may_repeat(), this->make_handlers());
 }
 
 http_call_handlers stream_delivery::make_handlers()
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -123,6 +123,7 @@
             return 0; // an interim answer; the final one follows
         }
         this->is_whole = true;
+        this->is_reusable = http_should_keep_alive(&this->native) != 0;
         // Whatever follows belongs to no request of ours.
         http_parser_pause(&this->native, 1);
         return 0;
@@ -136,10 +137,14 @@
     bool is_in_name = false;
     bool has_head = false;
     bool is_whole = false;
+    bool is_reusable = false; ///< the peer keeps the connection
 };
 
-http_call::http_call(event_loop& loop, http_call_handlers handlers)
+http_call::http_call(
+    event_loop& loop, endpoint target, const http_call_options& options, http_call_handlers handlers)
     : loop(loop)
+    , target(std::move(target))
+    , options(options)
     , handlers(std::move(handlers))
 {
 }
@@ -147,20 +152,28 @@
 http_call::~http_call() = default;
 
 std::shared_ptr<http_call> http_call::start(event_loop& loop, const endpoint& target,
-    const http_request& request, duration connect_limit, http_call_handlers handlers)
+    const http_request& request, const http_call_options& options, http_call_handlers handlers)
 {
-    std::shared_ptr<http_call> call(new http_call(loop, std::move(handlers)));
+    std::shared_ptr<http_call> call(new http_call(loop, target, options, std::move(handlers)));
     call->self = call;
     call->outgoing = encode_request(request);
-    call->incoming = std::make_unique<parser>(*call, request.method == "HEAD");
-    call->connect(target, connect_limit);
+    call->is_head_request = request.method == "HEAD";
+    h2o_socket_t* kept = options.pool == nullptr ? nullptr : options.pool->take(target);
+    if (kept != nullptr) {
+        call->socket = kept;
+        call->is_reused = true;
+        kept->data = call.get();
+        call->begin_exchange();
+    } else {
+        call->connect();
+    }
     return call;
 }
 
-void http_call::connect(const endpoint& target, duration connect_limit)
+void http_call::connect()
 {
-    socket_address address = to_socket_address(target);
-    this->connect_timer = this->loop.schedule_after(connect_limit,
+    socket_address address = to_socket_address(this->target);
+    this->connect_timer = this->loop.schedule_after(this->options.connect_limit,
         [this] { this->end(call_ending::not_connected, "no connection within the time limit"); });
     this->socket = h2o_socket_connect(this->loop.native(), address.pointer(), address.length,
         [](h2o_socket_t* native, const char* failure) {
@@ -187,15 +200,30 @@
         this->end(call_ending::not_connected, "it may no longer be sent");
         return;
     }
+    this->begin_exchange();
+}
+
+void http_call::begin_exchange()
+{
+    this->incoming = std::make_unique<parser>(*this, this->is_head_request);
+    this->is_sent = false;
+    this->has_received = false;
     h2o_iovec_t buffer = h2o_iovec_init(this->outgoing.data(), this->outgoing.size());
-    h2o_socket_write(this->socket, &buffer, 1, [](h2o_socket_t*, const char*) {
+    h2o_socket_write(this->socket, &buffer, 1, [](h2o_socket_t* native, const char* failure) {
         // A failed write shows as a failed read, which may still bring an answer given before the close.
+        static_cast<http_call*>(native->data)->is_sent = failure == nullptr;
     });
     h2o_socket_read_start(this->socket, [](h2o_socket_t* native, const char* read_failure) {
         static_cast<http_call*>(native->data)->take_bytes(read_failure);
     });
 }
 
+/// A kept connection that the peer had closed tells so only when it is used.
+bool http_call::may_start_again() const
+{
+    return this->is_reused && this->options.may_resend && !this->has_received;
+}
+
 void http_call::take_bytes(const char* failure)
 {
     const std::shared_ptr<http_call> keep = this->shared_from_this();
@@ -203,11 +231,18 @@
     if (input->size > 0) {
         const std::string bytes(input->bytes, input->size);
         h2o_buffer_consume(&this->socket->input, input->size);
+        this->has_received = true;
         this->parse(bytes);
     }
     if (this->has_ended || failure == nullptr) {
         return;
     }
+    if (this->may_start_again()) {
+        this->release_socket(false);
+        this->is_reused = false;
+        this->connect();
+        return;
+    }
     if (failure == h2o_socket_error_closed) {
         // An orderly close ends an answer that has no length.
         http_parser_execute(&this->incoming->native, &this->incoming->settings, nullptr, 0);
@@ -221,11 +256,14 @@
 
 void http_call::parse(std::string_view bytes)
 {
-    http_parser_execute(&this->incoming->native, &this->incoming->settings, bytes.data(), bytes.size());
+    const std::size_t used =
+        http_parser_execute(&this->incoming->native, &this->incoming->settings, bytes.data(), bytes.size());
     if (this->has_ended) {
         return;
     }
     if (this->incoming->is_whole) {
+        // Bytes beyond the answer belong to no request.
+        this->incoming->is_reusable = this->incoming->is_reusable && used == bytes.size();
         this->end(call_ending::whole, "");
         return;
     }
@@ -241,7 +279,7 @@
         return;
     }
     const std::shared_ptr<http_call> keep = this->shared_from_this();
-    this->close();
+    this->close(ending == call_ending::whole && this->is_sent && this->incoming->is_reusable);
     this->handlers.on_end(ending, reason);
 }
 
@@ -252,14 +290,26 @@
     }
 }
 
-void http_call::close()
+void http_call::release_socket(bool keeps_it)
+{
+    if (this->socket == nullptr) {
+        return;
+    }
+    h2o_socket_t* released = this->socket;
+    this->socket = nullptr;
+    h2o_socket_read_stop(released);
+    if (keeps_it && this->options.pool != nullptr) {
+        this->options.pool->give(this->target, released);
+        return;
+    }
+    h2o_socket_close(released);
+}
+
+void http_call::close(bool keeps_socket)
 {
     this->has_ended = true;
     this->loop.cancel(this->connect_timer);
-    if (this->socket != nullptr) {
-        h2o_socket_close(this->socket);
-        this->socket = nullptr;
-    }
+    this->release_socket(keeps_socket);
     // The parser may be on the stack above this call.
     this->loop.post([keep = std::move(this->self)] {});
 }
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -2,21 +2,32 @@
 #pragma once
 
 #include <base/httpcallhandlers.h>
-#include <runtime/eventloop.h>
+#include <runtime/connectionpool.h>
 
 #include <memory>
 
 namespace sailtiller {
 
-/// One request over a connection of its own, its answer passed on as it comes. Unlike h2o's client it tells
+/// How a call gets its connection.
+struct http_call_options
+{
+    /// A connection that is not there after this counts as not made.
+    duration connect_limit = std::chrono::seconds(2);
+    /// Kept connections are taken from here and given back; without it, the call has one of its own.
+    connection_pool* pool = nullptr;
+    /// The request may go out again, over a new connection, when a kept one turns out to be closed. Only for
+    /// what may run twice: the peer may have read it before it closed.
+    bool may_resend = false;
+};
+
+/// One request over HTTP/1.1, its answer passed on as it comes. Unlike h2o's client it tells
 /// an orderly close from a reset, which is all that marks the end of an answer without a length.
 class http_call : public std::enable_shared_from_this<http_call>
 {
 public:
-    /// Connects and sends `request` as it stands; its `host` header is the caller's to give.
-    /// A connection that is not there after `connect_limit` counts as not made.
+    /// Sends `request` as it stands; its `host` header is the caller's to give.
     static std::shared_ptr<http_call> start(event_loop& loop, const endpoint& target,
-        const http_request& request, duration connect_limit, http_call_handlers handlers);
+        const http_request& request, const http_call_options& options, http_call_handlers handlers);
     ~http_call();
     http_call(const http_call&) = delete;
     http_call& operator=(const http_call&) = delete;
@@ -27,20 +38,30 @@
 private:
     struct parser;
 
-    http_call(event_loop& loop, http_call_handlers handlers);
-    void connect(const endpoint& target, duration connect_limit);
+    http_call(
+        event_loop& loop, endpoint target, const http_call_options& options, http_call_handlers handlers);
+    void connect();
     void take_connection(const char* failure);
+    void begin_exchange();
+    [[nodiscard]] bool may_start_again() const;
     void take_bytes(const char* failure);
     void parse(std::string_view bytes);
     void end(call_ending ending, const std::string& reason);
-    void close();
+    void release_socket(bool keeps_it);
+    void close(bool keeps_socket = false);
 
     event_loop& loop;
+    endpoint target;
+    http_call_options options;
     http_call_handlers handlers;
     std::string outgoing;
     struct st_h2o_socket_t* socket = nullptr;
     std::unique_ptr<parser> incoming;
     timer_id connect_timer = 0;
+    bool is_head_request = false;
+    bool is_reused = false; ///< the connection has carried other requests
+    bool is_sent = false; ///< all bytes of the request have left
+    bool has_received = false;
     bool has_ended = false;
     std::shared_ptr<http_call> self; ///< keeps the call while its connection is open
 };
--- a/src/libs/runtime/httpclient.h
+++ b/src/libs/runtime/httpclient.h
@@ -30,7 +30,7 @@
     std::size_t most_response_bytes = 64U << 20U;
 };
 
-/// h2o's HTTP/1.1 client with kept connections for each endpoint. Whole requests and whole responses;
+/// A client over HTTP/1.1 with kept connections for each endpoint. Whole requests and whole responses;
 /// callbacks run from the loop, never within a call of the client's.
 class http_client
 {
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -120,6 +120,18 @@
     EXPECT_EQ(this->failure->progress, http_progress::sent);
 }
 
+TEST_F(http_test, a_broken_off_answer_holds_nothing_that_is_no_chunk)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start(200, {{"x-request-id", "1"}});
+        exchange->send("half");
+        exchange->abort();
+    });
+    const std::string received = this->exchange_raw("GET / HTTP/1.1\r\nhost: a\r\n\r\n", false);
+    EXPECT_NE(received.find("transfer-encoding: chunked"), std::string::npos);
+    EXPECT_TRUE(received.ends_with("\r\n4\r\nhalf\r\n") || received.ends_with("\r\n4\r\nhalf")) << received;
+}
+
 TEST_F(http_test, a_refused_connection_is_a_failure_before_sending)
 {
     this->make_server([](const std::shared_ptr<http_exchange>&) {}).reset();
