Health: dead engines found by the streams that stand still

A dead part of a path stands still for 2.5 s before the engines say so. Streams without an event for 90 ms now name suspects (parts over which nothing moved since), these are probed, and streams are led around what does not answer; a dead head is left for another after the last event. Left: streams that are led over another hall wait a second for the pipe between the halls.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -43,11 +43,49 @@
 /// Silence after which another host takes the duties over.
 constexpr duration join_silence_limit = milliseconds(1800);
 constexpr duration order_answer_limit = milliseconds(800);
+/// An engine answers at once; a path that can't be changed in this time is late anyway.
+constexpr duration path_change_limit = milliseconds(80);
+/// An engine answers a probe in two milliseconds, or in ten where links are slow.
+constexpr duration first_probe_limit = milliseconds(25);
+constexpr duration second_probe_limit = milliseconds(25);
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 constexpr unsigned layer_duty = 0;
 
+/// Sends a request that may go out twice if a kept connection is closed; gives the whole answer, or nothing
+/// after the limit. Without a pool it has a connection of its own.
+void send_whole(event_loop& loop, const endpoint& target, const http_request& request, duration limit,
+    connection_pool* pool, const std::function<void(const std::optional<http_response>&)>& on_end)
+{
+    struct pending_answer
+    {
+        http_response response;
+        timer_id timer = 0;
+    };
+    const auto pending = std::make_shared<pending_answer>();
+    http_call_handlers handlers;
+    handlers.on_head = [pending](int status, const http_headers& headers) {
+        pending->response.status = status;
+        pending->response.headers = headers;
+    };
+    handlers.on_body = [pending](std::string_view bytes) { pending->response.body += bytes; };
+    handlers.on_end = [&loop, pending, on_end](call_ending ending, const std::string&) {
+        loop.cancel(pending->timer);
+        on_end(ending == call_ending::whole ? std::optional(pending->response) : std::nullopt);
+    };
+    http_call_options options;
+    options.connect_limit = limit;
+    options.pool = pool;
+    options.may_resend = pool != nullptr;
+    const std::shared_ptr<http_call> call =
+        http_call::start(loop, target, request, options, std::move(handlers));
+    pending->timer = loop.schedule_after(limit, [call, on_end] {
+        call->cancel();
+        on_end(std::nullopt);
+    });
+}
+
 http_response make_page(int status, const std::string& text)
 {
     return {status, {{"content-type", "text/plain"}}, text};
@@ -67,6 +105,7 @@
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
     , upstream_connections(this->loop, {.idle_time = upstream_idle_time})
+    , watch({}, this->make_watch_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
     , keeper({}, this->make_keeper_hooks(), this->knowledge.upstreams())
@@ -86,8 +125,11 @@
             http_call_handlers handlers) {
             return this->send_upstream(target, request, may_repeat, std::move(handlers));
         },
-        this->knowledge.upstreams(), this->loads, this->retries, this->random, this->settings.data_hall,
-        [this] { return this->knowledge.is_bundle_fresh(); },
+        [this](const path_change& change, const std::function<void(const path_change_answer&)>& on_answer) {
+            this->send_path_change(change, on_answer);
+        },
+        this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->random,
+        this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
         [](const delivery_event& event) {
             const bool is_bad = event.what != "sent" && event.what != "finished" && event.what != "answered";
             log_event(is_bad ? log_level::info : log_level::debug, event.what,
@@ -108,6 +150,55 @@
     return [call] { call->cancel(); };
 }
 
+void site_host::send_path_change(
+    const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
+{
+    const request_codec& codec = this->context.codec;
+    send_whole(this->loop, change.address, codec.encode_path_change(change), path_change_limit,
+        &this->upstream_connections, [codec, on_answer](const std::optional<http_response>& answer) {
+            on_answer(answer ? codec.decode_path_change(*answer) : path_change_answer{});
+        });
+}
+
+void site_host::probe(const upstream_id& id, const std::function<void(bool)>& on_answer)
+{
+    const directory_entry* entry = this->knowledge.upstreams().find(id);
+    if (entry == nullptr) {
+        this->loop.post([on_answer] { on_answer(false); });
+        return;
+    }
+    const endpoint address = entry->upstream.address;
+    const http_request question = this->orders.encode_probe(address);
+    // One lost packet must not condemn an upstream, so a second connection is tried before the limit.
+    send_whole(this->loop, address, question, first_probe_limit, &this->upstream_connections,
+        [this, address, question, on_answer](const std::optional<http_response>& answer) {
+            if (answer) {
+                on_answer(true);
+                return;
+            }
+            send_whole(this->loop, address, question, second_probe_limit, nullptr,
+                [on_answer](const std::optional<http_response>& second) { on_answer(second.has_value()); });
+        });
+}
+
+stall_watch_hooks site_host::make_watch_hooks()
+{
+    stall_watch_hooks hooks;
+    hooks.timers = this->loop.hooks();
+    hooks.probe = [this](const upstream_id& id, const std::function<void(bool)>& on_answer) {
+        this->probe(id, on_answer);
+    };
+    hooks.on_dead = [this](const upstream_id& id) {
+        log_event(log_level::warning, "upstream_dead", {{"peer", id.value()}});
+        this->loads.suspend(id, this->loop.now() + this->context.settings.suspension);
+        this->gateway.leave_upstream(id);
+    };
+    hooks.on_alive = [](const upstream_id& id) {
+        log_event(log_level::debug, "upstream_alive", {{"peer", id.value()}});
+    };
+    return hooks;
+}
+
 keyed_follower_hooks site_host::make_follower_hooks()
 {
     keyed_follower_hooks hooks;
@@ -301,28 +392,10 @@
 
 void site_host::send_order(const layer_order& order, const std::function<void(order_result)>& on_result)
 {
-    const auto has_answered = std::make_shared<bool>(false);
-    const auto answer_once = [has_answered, on_result](order_result result) {
-        if (!*has_answered) {
-            *has_answered = true;
-            on_result(result);
-        }
-    };
-    http_call_handlers handlers;
-    handlers.on_head = [this, answer_once](int status, const http_headers&) {
-        answer_once(this->orders.decode_result(status));
-    };
-    handlers.on_body = [](std::string_view) {};
-    handlers.on_end = [answer_once](
-                          call_ending, const std::string&) { answer_once(order_result::unanswered); };
-    http_call_options options;
-    options.connect_limit = upstream_connect_limit;
-    const std::shared_ptr<http_call> call = http_call::start(this->loop, order.address,
-        this->orders.encode_order(order), options, std::move(handlers));
-    this->loop.schedule_after(order_answer_limit, [call, answer_once] {
-        call->cancel();
-        answer_once(order_result::unanswered);
-    });
+    send_whole(this->loop, order.address, this->orders.encode_order(order), order_answer_limit, nullptr,
+        [this, on_result](const std::optional<http_response>& answer) {
+            on_result(answer ? this->orders.decode_result(answer->status) : order_result::unanswered);
+        });
 }
 
 bool site_host::is_ready() const
@@ -365,6 +438,7 @@
     this->upstream_follower.start();
     this->join_duties();
     this->look_at_layers();
+    this->watch.start();
     while (!this->loop.is_stopped()) {
         this->run_turn();
     }
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -29,6 +29,10 @@
     delivery_context make_delivery_context();
     cancel_call send_upstream(
         const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers);
+    stall_watch_hooks make_watch_hooks();
+    void send_path_change(
+        const path_change& change, const std::function<void(const path_change_answer&)>& on_answer);
+    void probe(const upstream_id& id, const std::function<void(bool)>& on_answer);
     keyed_follower_hooks make_follower_hooks();
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
@@ -61,6 +65,7 @@
     site_peers peers;
     retry_allowance retries;
     connection_pool upstream_connections;
+    stall_watch watch;
     delivery_context context;
     gateway_service gateway;
     layer_keeper keeper;
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -56,12 +56,37 @@
     http_headers passed_on; ///< headers that go to the caller as they are
 };
 
+/// Asks the head of a running request to go on over another path with the same first stop.
+struct path_change
+{
+    upstream_id head;
+    endpoint address; ///< of the head
+    request_id request;
+    std::vector<path_stop> path;
+};
+
+/// What came of a path change.
+enum class path_change_result {
+    changed,
+    part_refused, ///< a part of the new path isn't there or has no room
+    unknown_request, ///< the head has not begun it, or has ended it
+    failed ///< no answer, or one that says nothing
+};
+
+struct path_change_answer
+{
+    path_change_result result = path_change_result::failed;
+    std::optional<endpoint> at_fault; ///< the part that refused
+};
+
 /// How requests and answers look on the wire.
 struct request_codec
 {
     std::function<caller_request(const http_request&)> decode_request;
     std::function<http_request(const caller_request&, const upstream_request&)> encode_request;
     std::function<upstream_answer(int status, const http_headers&)> decode_answer;
+    std::function<http_request(const path_change&)> encode_path_change;
+    std::function<path_change_answer(const http_response&)> decode_path_change;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -6,6 +6,7 @@
 #include <base/timerqueue.h>
 #include <bundle/sitebundle.h>
 #include <delivery/callerrequest.h>
+#include <health/stallwatch.h>
 #include <routing/layerpath.h>
 #include <routing/retryallowance.h>
 
@@ -55,6 +56,14 @@
     duration look_interval = std::chrono::milliseconds(100);
     /// Told to callers that are refused while a layer has no holder: about the time of one load.
     duration retry_after = std::chrono::milliseconds(1000);
+    /// On top of twice the predicted time to read the prompt, until a first event counts as missing.
+    duration first_event_slack = std::chrono::milliseconds(120);
+    /// A changed path must read what the lost part knew; until then the stream is not late.
+    duration change_slack = std::chrono::milliseconds(100);
+    /// Pause before another path is looked for, when none avoids what is dead.
+    duration change_pause = std::chrono::milliseconds(40);
+    /// Changes of path that one failure may take.
+    unsigned most_changes = 4;
     /// Sends of one request, refused ones included; beyond it the caller is told to come back.
     unsigned most_sends = 5;
 };
@@ -68,6 +77,9 @@
     /// turns out to be closed; any other gets a connection of its own.
     std::function<cancel_call(const endpoint&, const http_request&, bool may_repeat, http_call_handlers)>
         send;
+    /// Asks an engine to lead a running request over another path.
+    std::function<void(const path_change&, std::function<void(const path_change_answer&)>)> change_path;
+    stall_watch& watch;
     const upstream_directory& directory;
     part_loads& loads;
     retry_allowance& retries;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -58,20 +58,14 @@
         this->refuse("this host can't tell whether its configuration is the newest");
         return;
     }
-    const upstream_pool* pool = this->order.bundle->find_pool(this->order.service);
-    if (pool == nullptr || !pool->engine) {
+    const engine_profile* profile = this->find_profile();
+    if (profile == nullptr) {
         this->refuse("no engines for this route");
         return;
     }
-    path_question question;
-    question.service = this->order.service;
-    question.origin = this->context.data_hall;
-    question.prompt_tokens = this->order.request.prompt_tokens;
-    question.answer_tokens = this->expected_answer_tokens();
-    question.avoided = this->avoided;
-    question.now = this->context.timers.now();
+    const path_question question = this->make_question();
     std::optional<layer_path> found =
-        find_layer_path(*pool->engine, this->context.directory, this->context.loads, question);
+        find_layer_path(*profile, this->context.directory, this->context.loads, question);
     if (found) {
         this->send_on(std::move(*found));
         return;
@@ -86,6 +80,24 @@
         this->context.settings.search_pause, [self = this->shared_from_this()] { self->search(); });
 }
 
+const engine_profile* stream_delivery::find_profile() const
+{
+    const upstream_pool* pool = this->order.bundle->find_pool(this->order.service);
+    return pool != nullptr && pool->engine ? &*pool->engine : nullptr;
+}
+
+path_question stream_delivery::make_question() const
+{
+    path_question question;
+    question.service = this->order.service;
+    question.origin = this->context.data_hall;
+    question.prompt_tokens = this->order.request.prompt_tokens;
+    question.answer_tokens = this->expected_answer_tokens();
+    question.avoided = this->avoided;
+    question.now = this->context.timers.now();
+    return question;
+}
+
 upstream_request stream_delivery::make_upstream_request(const layer_path& path) const
 {
     upstream_request upstream;
@@ -117,10 +129,8 @@
         return;
     }
     this->path = std::move(found);
-    const double tokens = this->order.request.prompt_tokens + this->expected_answer_tokens();
-    for (const path_part& part : this->path) {
-        this->context.loads.add(part.id, tokens * part.span.count());
-    }
+    this->take_loads();
+    this->watch_first_event();
     ++this->sends;
     ++this->call_number;
     this->state = phase::waiting;
@@ -134,6 +144,134 @@
         this->path.front().address, message, this->order.route->may_repeat(), this->make_handlers());
 }
 
+void stream_delivery::take_loads()
+{
+    const double tokens = this->order.request.prompt_tokens + this->expected_answer_tokens();
+    for (const path_part& part : this->path) {
+        this->context.loads.add(part.id, tokens * part.span.count());
+    }
+}
+
+void stream_delivery::watch_first_event()
+{
+    const duration reading = predict_prompt_time(
+        *this->find_profile(), this->context.directory, this->path, this->order.request.prompt_tokens);
+    std::vector<upstream_id> parts;
+    for (const path_part& part : this->path) {
+        parts.push_back(part.id);
+    }
+    this->watch_key = this->context.watch.add(std::move(parts),
+        this->context.timers.now() + 2 * reading + this->context.settings.first_event_slack);
+}
+
+bool stream_delivery::passes_avoided() const
+{
+    return std::any_of(this->path.begin(), this->path.end(),
+        [this](const path_part& part) { return this->avoided.count(part.id) != 0; });
+}
+
+void stream_delivery::leave_upstream(const upstream_id& id)
+{
+    const bool is_under_way = this->state == phase::waiting || this->state == phase::streaming;
+    const auto found = std::find_if(
+        this->path.begin(), this->path.end(), [&id](const path_part& part) { return part.id == id; });
+    if (!is_under_way || found == this->path.end()) {
+        return;
+    }
+    this->avoided.insert(id);
+    if (found == this->path.begin()) {
+        // Its run has ended with it, so another one may begin where it stood.
+        this->runs -= this->state == phase::streaming && this->order.route->may_repeat() ? 1 : 0;
+        this->runs += this->order.route->may_repeat() ? 0 : 1;
+        this->end_call();
+        this->fail_over("the first engine of its path is dead");
+        return;
+    }
+    if (!this->is_changing_path) {
+        this->change_path();
+    }
+}
+
+/// Leads the running request around the upstreams that it avoids.
+void stream_delivery::change_path()
+{
+    const engine_profile* profile = this->find_profile();
+    const bool is_under_way = this->state == phase::waiting || this->state == phase::streaming;
+    if (!is_under_way || profile == nullptr || !this->passes_avoided()) {
+        return;
+    }
+    path_question question = this->make_question();
+    question.fixed_head = this->path.front();
+    std::optional<layer_path> next =
+        find_layer_path(*profile, this->context.directory, this->context.loads, question);
+    if (next && this->changes < this->context.settings.most_changes) {
+        ++this->changes;
+        this->ask_for_path(std::move(*next));
+        return;
+    }
+    this->context.timers.cancel(this->change_timer);
+    this->change_timer = this->context.timers.schedule_after(
+        this->context.settings.change_pause, [self = this->shared_from_this()] { self->change_path(); });
+}
+
+void stream_delivery::ask_for_path(layer_path next)
+{
+    path_change change;
+    change.head = next.front().id;
+    change.address = next.front().address;
+    change.request = this->order.request.id;
+    for (const path_part& part : next) {
+        change.path.push_back({part.address, part.span.begin, part.span.end});
+    }
+    this->is_changing_path = true;
+    this->context.change_path(change,
+        [self = this->shared_from_this(), number = this->call_number, next](
+            const path_change_answer& result) {
+            self->is_changing_path = false;
+            if (self->call_number == number && self->state != phase::done) {
+                self->take_path_answer(next, result);
+            }
+        });
+}
+
+void stream_delivery::take_path_answer(layer_path next, const path_change_answer& result)
+{
+    if (result.result == path_change_result::changed) {
+        this->release_loads();
+        this->path = std::move(next);
+        this->take_loads();
+        this->log("path_changed", this->describe_path());
+        std::vector<upstream_id> parts;
+        for (const path_part& part : this->path) {
+            parts.push_back(part.id);
+        }
+        const duration reading = predict_prompt_time(
+            *this->find_profile(), this->context.directory, this->path, this->order.request.prompt_tokens);
+        this->context.watch.change_path(*this->watch_key, std::move(parts),
+            this->context.timers.now() + reading + this->context.settings.change_slack);
+        this->change_path(); // another upstream may have died meanwhile
+        return;
+    }
+    this->log("path_change_refused", std::to_string(static_cast<int>(result.result)));
+    if (result.result == path_change_result::unknown_request) {
+        if (this->state == phase::waiting) {
+            this->end_call();
+            this->fail_over("a part of its path is dead and it has not begun");
+        }
+        return;
+    }
+    for (const path_part& part : next) {
+        if (result.at_fault && part.address == *result.at_fault) {
+            this->avoided.insert(part.id);
+            this->context.loads.avoid(
+                part.id, this->context.timers.now() + this->context.settings.refusal_pause);
+        }
+    }
+    this->change_timer = this->context.timers.schedule_after(
+        result.at_fault ? duration::zero() : this->context.settings.change_pause,
+        [self = this->shared_from_this()] { self->change_path(); });
+}
+
 http_call_handlers stream_delivery::make_handlers()
 {
     const auto self = this->shared_from_this();
@@ -199,6 +337,8 @@
         ++this->events_passed;
     }
     if (!whole.empty()) {
+        this->changes = 0;
+        this->context.watch.note_progress(*this->watch_key);
         this->note_passed();
         this->caller.send(whole);
     }
@@ -359,13 +499,23 @@
     this->end();
 }
 
-void stream_delivery::release_path()
+void stream_delivery::release_loads()
 {
     const double tokens = this->order.request.prompt_tokens + this->expected_answer_tokens();
     for (const path_part& part : this->path) {
         this->context.loads.subtract(part.id, tokens * part.span.count());
     }
+}
+
+void stream_delivery::release_path()
+{
+    this->release_loads();
     this->path.clear();
+    if (this->watch_key) {
+        this->context.watch.remove(*this->watch_key);
+        this->watch_key.reset();
+    }
+    this->context.timers.cancel(this->change_timer);
 }
 
 void stream_delivery::end_call()
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -17,11 +17,21 @@
     void start();
     /// The caller is gone; its work ends.
     void abandon();
+    /// An upstream is dead: if the stream passes through it, the stream goes on without it.
+    void leave_upstream(const upstream_id& id);
 
 private:
     enum class phase { searching, waiting, streaming, done };
 
     void search();
+    [[nodiscard]] const engine_profile* find_profile() const;
+    [[nodiscard]] path_question make_question() const;
+    void change_path();
+    void ask_for_path(layer_path next);
+    void take_path_answer(layer_path next, const path_change_answer& result);
+    [[nodiscard]] bool passes_avoided() const;
+    void take_loads();
+    void watch_first_event();
     void send_on(layer_path path);
     [[nodiscard]] upstream_request make_upstream_request(const layer_path& path) const;
     [[nodiscard]] http_call_handlers make_handlers();
@@ -36,6 +46,7 @@
     void finish();
     void end_at_limit();
     void look_at_caller();
+    void release_loads();
     void release_path();
     void end_call();
     void end();
@@ -64,6 +75,10 @@
     unsigned sends = 0;
     unsigned runs = 0; ///< calls that an upstream has begun
     bool has_started = false; ///< the caller has the head of the answer
+    std::optional<stall_watch::stream_key> watch_key;
+    bool is_changing_path = false;
+    unsigned changes = 0; ///< of the path, since the last event
+    timer_id change_timer = 0;
     timer_id limit_timer = 0;
     timer_id look_timer = 0;
     timer_id search_timer = 0;
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -85,14 +85,29 @@
     return caller;
 }
 
+void gateway_service::leave_upstream(const upstream_id& id)
+{
+    const std::map<std::uint64_t, std::weak_ptr<stream_delivery>> under_way = this->streams;
+    for (const auto& [key, weak] : under_way) {
+        if (const std::shared_ptr<stream_delivery> stream = weak.lock()) {
+            stream->leave_upstream(id);
+        }
+    }
+}
+
 void gateway_service::deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order)
 {
     ++this->in_flight;
-    const auto on_done = [this] { --this->in_flight; };
+    ++this->last_stream;
+    const auto on_done = [this, key = this->last_stream] {
+        --this->in_flight;
+        this->streams.erase(key);
+    };
     caller_hooks caller = this->make_caller_hooks(exchange);
     if (order.route->kind == route_kind::stream) {
         const auto delivery =
             std::make_shared<stream_delivery>(this->context, std::move(order), std::move(caller), on_done);
+        this->streams[this->last_stream] = delivery;
         exchange->when_abandoned([delivery] { delivery->abandon(); });
         delivery->start();
         return;
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -6,6 +6,8 @@
 
 namespace sailtiller {
 
+class stream_delivery;
+
 /// Takes callers' requests for the routes of a site's bundle: finds the route and the account, and starts the
 /// delivery. A request keeps the bundle with which it began.
 class gateway_service
@@ -22,6 +24,8 @@
     /// Every answer from now on tells the caller to use another connection.
     void begin_stop() { this->is_stopping = true; }
 
+    /// An upstream is dead; the streams over it go on without it.
+    void leave_upstream(const upstream_id& id);
     void handle(const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] std::size_t requests_in_flight() const { return this->in_flight; }
 
@@ -34,6 +38,8 @@
 
     delivery_context& context;
     std::shared_ptr<const site_bundle> bundle;
+    std::map<std::uint64_t, std::weak_ptr<stream_delivery>> streams; ///< under way
+    std::uint64_t last_stream = 0;
     std::size_t in_flight = 0;
     bool is_stopping = false;
 };
--- /dev/null
+++ b/src/libs/health/stallwatch.h
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/ids.h>
+#include <base/timerqueue.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace sailtiller {
+
+/// Times of the watch. A sound path gives an event every 10 to 50 ms; a caller sees a pause of 200 ms as
+/// late, and an engine reports a dead part only after seconds.
+struct stall_watch_settings
+{
+    duration look_interval = std::chrono::milliseconds(20);
+    /// A stream without an event for this long stands still.
+    duration stall_after = std::chrono::milliseconds(90);
+    /// The same upstream is not probed again before this.
+    duration probe_pause = std::chrono::milliseconds(250);
+    /// A look that comes so much too late says that this process stood still, not the streams.
+    duration late_look = std::chrono::milliseconds(60);
+    /// One that has answered is not probed again before this: it is slow, and streams over it stall for long.
+    duration alive_pause = std::chrono::milliseconds(1000);
+    /// Probes sent at one look.
+    std::size_t most_probes = 12;
+};
+
+/// One stream under way, as the watch sees it.
+struct watched_stream
+{
+    std::vector<upstream_id> parts; ///< of its path, the head first
+    time_point due{}; ///< it stands still if nothing has come by then
+    time_point since{}; ///< of its last event, or of its sending
+    time_point last_event{}; ///< nothing has come if this is zero
+};
+
+/// What the watch asks and tells.
+struct stall_watch_hooks
+{
+    timer_hooks timers;
+    /// Asks an upstream for a sign of life.
+    std::function<void(const upstream_id&, std::function<void(bool is_alive)>)> probe;
+    /// An upstream gave no sign of life while streams over it stood still.
+    std::function<void(const upstream_id&)> on_dead;
+    /// It answered, so the stall has another cause.
+    std::function<void(const upstream_id&)> on_alive;
+};
+
+/// Finds dead upstreams long before the engines report them, from the streams of this host: an upstream is
+/// suspected if a stream over it stands still and none over it has moved since. Suspects are probed, so a
+/// false alarm costs a small request and no stream.
+class stall_watch
+{
+public:
+    using stream_key = std::uint64_t;
+
+    stall_watch(stall_watch_settings settings, stall_watch_hooks hooks);
+
+    void start();
+    /// A stream went out over a path; `first_due` is when its first event should be there.
+    stream_key add(std::vector<upstream_id> parts, time_point first_due);
+    /// An event came.
+    void note_progress(stream_key key);
+    /// The path changed; the stream has until `due` to go on.
+    void change_path(stream_key key, std::vector<upstream_id> parts, time_point due);
+    void remove(stream_key key);
+    /// Upstreams that are suspected now.
+    [[nodiscard]] std::set<upstream_id> find_suspects(time_point now) const;
+
+private:
+    void look();
+    void probe(const upstream_id& id);
+
+    stall_watch_settings settings;
+    stall_watch_hooks hooks;
+    std::map<stream_key, watched_stream> streams;
+    std::map<upstream_id, time_point> quiet_until; ///< no probe goes there before this
+    stream_key last_key = 0;
+    time_point last_look{};
+};
+
+} // namespace sailtiller
--- a/src/libs/placement/layerorder.h
+++ b/src/libs/placement/layerorder.h
@@ -38,6 +38,8 @@
 {
     std::function<http_request(const layer_order&)> encode_order;
     std::function<order_result(int status)> decode_result;
+    /// A small request that any engine or service answers at once.
+    std::function<http_request(const endpoint&)> encode_probe;
 };
 
 } // namespace sailtiller
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -203,6 +203,22 @@
     return profile.token_layer_mb() <= 0 ? 0 : std::max(0.0, left_mb / profile.token_layer_mb());
 }
 
+duration predict_prompt_time(const engine_profile& profile, const upstream_directory& directory,
+    const layer_path& path, double prompt_tokens)
+{
+    if (profile.prompt_tokens_per_s <= 0 || profile.layers == 0) {
+        return duration::zero();
+    }
+    double layers = 0; // weighed by how slowly each card reads
+    for (const path_part& part : path) {
+        const directory_entry* entry = directory.find(part.id);
+        const auto card = entry == nullptr ? profile.kinds.end() : profile.kinds.find(entry->upstream.card);
+        layers += part.span.count() * (card == profile.kinds.end() ? 1 : card->second.prompt_factor);
+    }
+    const double seconds = prompt_tokens / profile.prompt_tokens_per_s * layers / profile.layers;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 std::optional<layer_path> find_layer_path(const engine_profile& profile, const upstream_directory& directory,
     const part_loads& loads, const path_question& question)
 {
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -37,6 +37,10 @@
 /// Tokens for which an upstream has room when it runs `layers` layers.
 double token_layer_room(const engine_profile& profile, const card_kind& card, unsigned layers);
 
+/// Time to read a prompt through a path whose upstreams have nothing else to do.
+duration predict_prompt_time(const engine_profile& profile, const upstream_directory& directory,
+    const layer_path& path, double prompt_tokens);
+
 /// Finds the cheapest path over parts of the held ranges, by predicted time, the room that is left, and the
 /// price of leaving a hall. Nothing if some layer has no holder that may be used.
 std::optional<layer_path> find_layer_path(const engine_profile& profile, const upstream_directory& directory,
