--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -471,13 +471,14 @@
     }
     this->loop.schedule_after(this->settings.stop_grace, [this] {
         this->callers.close_listeners();
-        this->callers.close_idle_connections();
         this->finish_stop_when_idle();
     });
 }
 
 void site_host::finish_stop_when_idle()
 {
+    // Again and again: a connection whose answer began before the stop is still promised to be kept.
+    this->callers.close_idle_connections();
     const bool is_idle = this->gateway.requests_in_flight() == 0 && this->callers.connection_count() == 0;
     if (!is_idle && this->loop.now() < this->stop_limit) {
         this->loop.schedule_after(idle_look_interval, [this] { this->finish_stop_when_idle(); });
--- a/src/libs/directory/upstreamdirectory.cpp
+++ b/src/libs/directory/upstreamdirectory.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <directory/upstreamdirectory.h>
 
-#include <algorithm>
 #include <set>
 
 namespace sailtiller {
@@ -74,11 +73,6 @@
     return this->changes != before;
 }
 
-void upstream_directory::note_store_disturbed(time_point now)
-{
-    this->last_disturbed = std::max(now, this->last_disturbed.value_or(now));
-}
-
 bool upstream_directory::drop_lapsed(time_point now)
 {
     if (this->last_disturbed && now - *this->last_disturbed < this->lapse_grace) {
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -70,8 +70,8 @@
     void remove(const upstream_id& id, time_point now);
     /// Takes the whole list; what is not in it counts as removed. Returns whether anything changed.
     bool replace(const std::vector<discovered_upstream>& upstreams, time_point now);
-    /// The store can't be reached or answers badly, or does so again; the first is told repeatedly.
-    void note_store_disturbed(time_point now);
+    /// When the store last failed whoever reads the entries; nothing if it never has.
+    void set_store_disturbed(std::optional<time_point> at) { this->last_disturbed = at; }
     [[nodiscard]] const std::optional<time_point>& store_disturbed_at() const { return this->last_disturbed; }
     /// Drops lapsed entries whose time is over. Returns whether any was.
     bool drop_lapsed(time_point now);
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -178,6 +178,7 @@
     endpoint peer;
     bool has_request = false;
     std::size_t open_requests = 0; ///< handed to the handler and not at their end
+    bool is_closing = false; ///< this side has closed it
 };
 
 /// The entry of a request's connection, which has now brought a request, so that its end is no event.
@@ -259,9 +260,15 @@
 int http_server::state::handle(h2o_handler_t* self, h2o_req_t* request)
 {
     auto* server = static_cast<state*>(reinterpret_cast<server_handler*>(self)->server);
-    ++note_request(request).open_requests;
+    connection_entry& connection = note_request(request);
+    ++connection.open_requests;
     server->handled.insert(request);
     const std::shared_ptr<http_exchange> exchange = http_exchange::create(request);
+    if (connection.is_closing) {
+        // It crossed the close: its caller sees that nobody took it, so nobody may.
+        exchange->respond({http_status::unavailable, {}, ""});
+        return 0;
+    }
     if (header_bytes_of(exchange->request()) > server->limits.most_header_bytes) {
         server->reject(*exchange, http_status::headers_too_large, "not-run", "the headers are too large");
         return 0;
@@ -383,9 +390,14 @@
 void http_server::close_idle_connections()
 {
     for (h2o_socket_t* socket : this->inner->connections) {
-        const auto& entry = *static_cast<const connection_entry*>(socket->on_close.data);
-        if (entry.open_requests == 0) {
-            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+        char byte = 0;
+        const int descriptor = h2o_socket_get_fd(socket);
+        const bool has_bytes =
+            socket->input->size > 0 || recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        if (entry.open_requests == 0 && !has_bytes) {
+            entry.is_closing = true;
+            shutdown(descriptor, SHUT_RDWR);
         }
     }
 }
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -87,6 +87,7 @@
 
 void site_knowledge::take_upstream_record(const keyed_record& record, log_offset offset)
 {
+    this->directory.set_store_disturbed(this->own_disturbed);
     if (this->mirror.end() && offset < *this->mirror.end()) {
         return; // another host has told what came of it since
     }
@@ -97,6 +98,12 @@
 }
 
 void site_knowledge::take_all_upstreams(const std::vector<keyed_record>& records, log_offset end)
+{
+    this->directory.set_store_disturbed(this->own_disturbed);
+    this->take_list(records, end);
+}
+
+void site_knowledge::take_list(const std::vector<keyed_record>& records, log_offset end)
 {
     if (this->mirror.end() && end < *this->mirror.end()) {
         return;
@@ -125,7 +132,7 @@
 
 void site_knowledge::note_store_disturbed()
 {
-    this->directory.note_store_disturbed(this->hooks.now());
+    this->own_disturbed = this->hooks.now();
 }
 
 void site_knowledge::tidy()
@@ -172,24 +179,25 @@
     if (answer.bundle_age && answer.bundle_version == own_version) {
         this->confirm_bundle(asked - *answer.bundle_age);
     }
-    if (answer.store_disturbed_age && *answer.store_disturbed_age < this->settings.lapse_grace) {
-        this->directory.note_store_disturbed(asked - *answer.store_disturbed_age);
-    }
     const std::uint64_t own_end = this->mirror.end() ? this->mirror.end()->value() : 0;
     if (!answer.entries_offset || *answer.entries_offset < own_end) {
         return;
     }
+    // Whether a missing entry can be believed depends on how the store was to the host that read it.
+    this->directory.set_store_disturbed(
+        answer.store_disturbed_age ? std::optional(asked - *answer.store_disturbed_age) : std::nullopt);
     std::vector<keyed_record> records;
     for (const entry_change& change : answer.changes) {
         records.push_back({change.key, change.value});
     }
     const log_offset end(*answer.entries_offset);
+    const log_offset last(end.value() == 0 ? 0 : end.value() - 1);
     if (answer.are_entries_whole) {
-        this->take_all_upstreams(records, end);
+        this->take_list(records, end);
     } else {
         for (const keyed_record& record : records) {
             if (this->put_upstream(record)) {
-                this->mirror.note(record, end);
+                this->mirror.note(record, last);
             }
         }
         this->mirror.advance(end);
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -70,6 +70,7 @@
 private:
     void take_bundle_text(const std::string& text);
     bool put_upstream(const keyed_record& record);
+    void take_list(const std::vector<keyed_record>& records, log_offset end);
 
     site_knowledge_settings settings;
     site_knowledge_hooks hooks;
@@ -79,6 +80,7 @@
     upstream_directory directory;
     record_mirror mirror;
     std::optional<time_point> upstreams_confirmed;
+    std::optional<time_point> own_disturbed; ///< when a call of this host to the store last failed
 };
 
 } // namespace sailtiller
--- a/src/libs/store/recordmirror.cpp
+++ b/src/libs/store/recordmirror.cpp
@@ -33,17 +33,19 @@
 
 void record_mirror::replace(const std::vector<keyed_record>& records, log_offset end)
 {
+    // The changes lie somewhere before the end.
+    const log_offset last(end.value() == 0 ? 0 : end.value() - 1);
     std::set<std::string> listed;
     for (const keyed_record& record : records) {
         listed.insert(record.key);
         entry& item = this->entries[record.key];
         if (item.value != record.value) {
-            item = {record.value, end};
+            item = {record.value, last};
         }
     }
     for (auto& [key, item] : this->entries) {
         if (item.value && listed.count(key) == 0) {
-            item = {std::nullopt, end};
+            item = {std::nullopt, last};
         }
     }
     this->advance(end);
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -132,6 +132,55 @@
     EXPECT_TRUE(received.ends_with("\r\n4\r\nhalf\r\n") || received.ends_with("\r\n4\r\nhalf")) << received;
 }
 
+TEST_F(http_test, a_kept_connection_at_rest_is_closed_and_one_at_work_is_not)
+{
+    std::shared_ptr<http_exchange> open;
+    const auto server = this->make_server([&open](const std::shared_ptr<http_exchange>& exchange) {
+        if (exchange->request().path == "/slow") {
+            open = exchange;
+            return;
+        }
+        exchange->respond({200, {}, "quick"});
+    });
+    EXPECT_EQ(this->get("/").body, "quick");
+    ASSERT_EQ(server->connection_count(), 1U);
+    server->close_idle_connections();
+    run_until(this->loop, [&server] { return server->connection_count() == 0; });
+
+    http_request request;
+    request.method = "GET";
+    request.path = "/slow";
+    std::optional<http_response> answer;
+    this->client.send(
+        this->address, request, [&](http_response response) { answer = std::move(response); },
+        [](const http_failure& failure) { FAIL() << failure.reason; });
+    run_until(this->loop, [&open] { return open != nullptr; });
+    server->close_idle_connections();
+    open->respond({200, {}, "whole"});
+    run_until(this->loop, [&answer] { return answer.has_value(); });
+    EXPECT_EQ(answer->body, "whole");
+    open.reset();
+}
+
+TEST_F(http_test, a_request_that_crosses_the_close_is_not_taken)
+{
+    std::size_t taken = 0;
+    const auto server = this->make_server([&taken](const std::shared_ptr<http_exchange>& exchange) {
+        ++taken;
+        exchange->respond({200, {}, "taken"});
+    });
+    socket_address target = to_socket_address(this->address);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_EQ(connect(descriptor, target.pointer(), target.length), 0);
+    run_until(this->loop, [&server] { return server->connection_count() == 1; });
+    server->close_idle_connections();
+    const std::string_view late = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    send(descriptor, late.data(), late.size(), MSG_NOSIGNAL);
+    run_until(this->loop, [&server] { return server->connection_count() == 0; });
+    EXPECT_EQ(taken, 0U);
+    close(descriptor);
+}
+
 TEST_F(http_test, a_refused_connection_is_a_failure_before_sending)
 {
     this->make_server([](const std::shared_ptr<http_exchange>&) {}).reset();
