Routing: the pipes between halls are metered

Hosts now estimate the use of each pipe; a used pipe raises the price of a crossing and a half-used one takes no new requests.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -128,7 +128,7 @@
         [this](const path_change& change, const std::function<void(const path_change_answer&)>& on_answer) {
             this->send_path_change(change, on_answer);
         },
-        this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->random,
+        this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->pipes, this->random,
         this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
         [](const delivery_event& event) {
             const bool is_bad = event.what != "sent" && event.what != "finished" && event.what != "answered";
@@ -274,6 +274,7 @@
     hooks.on_round = [this](const host_table& hosts) {
         const time_point now = this->loop.now();
         this->retries.set_live_hosts(hosts.live_count(now));
+        this->pipes.set_live_hosts(hosts.live_count(now));
         std::map<upstream_id, upstream_share> shares;
         for (const auto& [id, work] : hosts.sum_work(now)) {
             shares[id] = {work.token_layers, work.requests};
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -64,6 +64,7 @@
     part_loads loads;
     site_peers peers;
     retry_allowance retries;
+    pipe_meter pipes;
     connection_pool upstream_connections;
     stall_watch watch;
     delivery_context context;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -8,6 +8,7 @@
 #include <delivery/callerrequest.h>
 #include <health/stallwatch.h>
 #include <routing/layerpath.h>
+#include <routing/pipemeter.h>
 #include <routing/retryallowance.h>
 
 #include <memory>
@@ -57,6 +58,9 @@
     /// A path with an upstream fuller than this isn't used for new requests: one request more would make it
     /// preempt others. Expected answers count whole, so a share of 1 is not yet quite full.
     double most_share = 1.1;
+    /// A pipe between halls that is used further than this takes no new requests; beyond it, waiting times
+    /// grow without bound for everybody.
+    double most_pipe_share = 0.5;
     /// How often a caller is looked at for having left.
     duration look_interval = std::chrono::milliseconds(100);
     /// Told to callers that are refused while a layer has no holder: about the time of one load.
@@ -88,6 +92,7 @@
     const upstream_directory& directory;
     part_loads& loads;
     retry_allowance& retries;
+    pipe_meter& pipes;
     random_function random;
     data_hall_id data_hall;
     /// False while this host can't tell whether its bundle is still the newest.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -13,6 +13,9 @@
     return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
 }
 
+constexpr double bits_per_byte = 8;
+constexpr double bits_per_mbit = 1e6;
+
 std::string write_milliseconds(duration time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -66,26 +69,60 @@
     const path_question question = this->make_question();
     std::optional<layer_path> found =
         find_layer_path(*profile, this->context.directory, this->context.loads, question);
-    const double tokens = question.prompt_tokens + question.answer_tokens;
-    const bool has_room = found
-        && (this->has_started
-            || predict_fullest_share(*profile, this->context.directory, this->context.loads, *found, tokens)
-                <= this->context.settings.most_share);
-    if (has_room) {
+    if (found && (this->has_started || this->has_room(*profile, *found))) {
         this->send_on(std::move(*found));
         return;
     }
     const time_point hold_end = this->order.arrived
         + scale(this->order.route->latency_objective, this->context.settings.most_hold_share);
     if (question.now >= hold_end && !this->has_started) {
-        this->refuse(
-            found ? "the engines that hold some layer are full" : "no engines hold every layer of the model");
+        this->refuse(found ? "the engines that hold some layer, or the pipes between halls, are full"
+                           : "no engines hold every layer of the model");
         return;
     }
     this->search_timer = this->context.timers.schedule_after(
         this->context.settings.search_pause, [self = this->shared_from_this()] { self->search(); });
 }
 
+void stream_delivery::for_each_crossing(const layer_path& over,
+    const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit) const
+{
+    const data_hall_id* last = nullptr;
+    for (const path_part& part : over) {
+        const directory_entry* entry = this->context.directory.find(part.id);
+        if (entry == nullptr) {
+            continue;
+        }
+        const data_hall_id& hall = entry->upstream.data_hall;
+        if (last != nullptr && *last != hall) {
+            visit(*last, hall);
+        }
+        last = &hall;
+    }
+}
+
+bool stream_delivery::has_room(const engine_profile& profile, const layer_path& over) const
+{
+    const double tokens = this->order.request.prompt_tokens + this->expected_answer_tokens();
+    const double fullest =
+        predict_fullest_share(profile, this->context.directory, this->context.loads, over, tokens);
+    bool are_pipes_free = true;
+    this->for_each_crossing(over, [&](const data_hall_id& from, const data_hall_id& to) {
+        const double share = this->context.pipes.used_share(
+            from, to, profile.hall_pipe_mbps * bits_per_mbit, this->context.timers.now());
+        are_pipes_free = are_pipes_free && share < this->context.settings.most_pipe_share;
+    });
+    return are_pipes_free && fullest <= this->context.settings.most_share;
+}
+
+void stream_delivery::note_crossings(const engine_profile& profile)
+{
+    const double bits = this->order.request.prompt_tokens * profile.activation_bytes * bits_per_byte;
+    this->for_each_crossing(this->path, [&](const data_hall_id& from, const data_hall_id& to) {
+        this->context.pipes.note(from, to, bits, this->context.timers.now());
+    });
+}
+
 const engine_profile* stream_delivery::find_profile() const
 {
     const upstream_pool* pool = this->order.bundle->find_pool(this->order.service);
@@ -101,6 +138,11 @@
     question.answer_tokens = this->expected_answer_tokens();
     question.avoided = this->avoided;
     question.now = this->context.timers.now();
+    const double pipe_rate = this->find_profile()->hall_pipe_mbps * bits_per_mbit;
+    question.pipe_share = [this, pipe_rate, now = question.now](
+                              const data_hall_id& from, const data_hall_id& to) {
+        return this->context.pipes.used_share(from, to, pipe_rate, now);
+    };
     return question;
 }
 
@@ -136,6 +178,7 @@
     }
     this->path = std::move(found);
     this->take_loads();
+    this->note_crossings(*this->find_profile());
     this->watch_first_event();
     ++this->sends;
     ++this->call_number;
@@ -265,6 +308,7 @@
         this->release_loads();
         this->path = std::move(next);
         this->take_loads();
+        this->note_crossings(*this->find_profile());
         this->log("path_changed", this->describe_path());
         std::vector<upstream_id> parts;
         for (const path_part& part : this->path) {
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -26,6 +26,11 @@
     void search();
     [[nodiscard]] const engine_profile* find_profile() const;
     [[nodiscard]] path_question make_question() const;
+    /// Visits each step of a path from one hall to another.
+    void for_each_crossing(const layer_path& over,
+        const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit) const;
+    [[nodiscard]] bool has_room(const engine_profile& profile, const layer_path& over) const;
+    void note_crossings(const engine_profile& profile);
     void change_path();
     [[nodiscard]] bool may_resume_elsewhere() const;
     void ask_for_path(layer_path next);
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -12,6 +12,9 @@
 constexpr double hop_ms = 0.3;
 /// The pipe between halls is shared by all, so that a crossing costs others as well; from trials.
 constexpr double crossing_weight = 100;
+/// How strongly the square of a pipe's use raises the price of a crossing: half used, it is eleven times
+/// dearer.
+constexpr double used_pipe_weight = 40;
 /// Cost in milliseconds for each layer of an upstream whose room is used up; it grows with the square of the
 /// share in use. A stream's length matters less than that nothing is preempted, so this goes before speed.
 constexpr double used_room_ms = 80;
@@ -118,7 +121,8 @@
         const double transfer_ms = this->profile.hall_pipe_mbps <= 0
             ? 0
             : bits / (this->profile.hall_pipe_mbps * milliseconds_per_second);
-        return crossing_weight * (transfer_ms + tokens * hop_ms);
+        const double share = this->question.pipe_share ? this->question.pipe_share(from, to) : 0;
+        return crossing_weight * (transfer_ms + tokens * hop_ms) * (1 + used_pipe_weight * share * share);
     }
 
     [[nodiscard]] bool may_run(const candidate& item, unsigned layer) const
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -5,6 +5,7 @@
 #include <directory/upstreamdirectory.h>
 #include <routing/partloads.h>
 
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -31,6 +32,8 @@
     std::set<upstream_id> avoided;
     /// The first part must be this one, with these layers: another path for a running request.
     std::optional<path_part> fixed_head;
+    /// How far the pipe between two halls is used; may be left out.
+    std::function<double(const data_hall_id& from, const data_hall_id& to)> pipe_share;
     time_point now{};
 };
 
