--- /dev/null
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <fleet/hosttable.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+known_host make_host(const std::string& name, const std::string& hall = "x")
+{
+    return {host_id(name), endpoint("127.0.0.1:1"), data_hall_id(hall)};
+}
+
+peer_report make_report(const known_host& sender)
+{
+    peer_report report;
+    report.sender = sender;
+    return report;
+}
+
+class host_table_test : public testing::Test
+{
+protected:
+    time_point now{100s};
+    host_table table{make_host("b"), {}};
+};
+
+TEST_F(host_table_test, a_host_is_live_while_it_is_heard)
+{
+    this->table.add(make_host("a"), this->now);
+    EXPECT_EQ(this->table.live_count(this->now), 1U) << "a record alone proves nothing";
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    EXPECT_EQ(this->table.live_count(this->now + 1499ms), 2U);
+    EXPECT_EQ(this->table.live_count(this->now + 1500ms), 1U);
+}
+
+TEST_F(host_table_test, a_leaving_host_is_not_live_and_its_work_still_counts)
+{
+    peer_report report = make_report(make_host("a"));
+    report.is_leaving = true;
+    report.work.push_back({upstream_id("u"), 50, 2});
+    this->table.note_heard(report, this->now);
+    EXPECT_EQ(this->table.live_count(this->now), 1U);
+    EXPECT_EQ(this->table.sum_work(this->now).at(upstream_id("u")).requests, 2U);
+}
+
+TEST_F(host_table_test, ranks_follow_the_ids_of_the_live_hosts)
+{
+    EXPECT_EQ(this->table.own_rank(this->now), 0U);
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    this->table.note_heard(make_report(make_host("c")), this->now);
+    EXPECT_EQ(this->table.own_rank(this->now), 1U);
+    EXPECT_EQ(this->table.own_rank(this->now + 2s), 0U);
+}
+
+TEST_F(host_table_test, work_is_summed_over_the_others)
+{
+    for (const char* name : {"a", "c"}) {
+        peer_report report = make_report(make_host(name));
+        report.work.push_back({upstream_id("u"), 100, 3});
+        this->table.note_heard(report, this->now);
+    }
+    EXPECT_EQ(this->table.sum_work(this->now).at(upstream_id("u")).requests, 6U);
+    EXPECT_EQ(this->table.sum_work(this->now).at(upstream_id("u")).token_layers, 200);
+    EXPECT_TRUE(this->table.sum_work(this->now + 2s).empty());
+}
+
+TEST_F(host_table_test, its_own_hall_is_asked_in_each_round_and_others_less_often)
+{
+    this->table.note_heard(make_report(make_host("near")), this->now);
+    this->table.note_heard(make_report(make_host("far", "y")), this->now);
+    EXPECT_EQ(this->table.choose_asked(this->now).size(), 2U);
+    const std::vector<known_host> next = this->table.choose_asked(this->now + 250ms);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].id.value(), "near");
+    EXPECT_EQ(this->table.choose_asked(this->now + 500ms).size(), 2U);
+}
+
+TEST_F(host_table_test, a_gone_host_is_asked_now_and_then_and_forgotten_at_last)
+{
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    EXPECT_EQ(this->table.choose_asked(this->now + 2s).size(), 1U);
+    EXPECT_TRUE(this->table.choose_asked(this->now + 3s).empty());
+    EXPECT_EQ(this->table.choose_asked(this->now + 4s).size(), 1U);
+    EXPECT_TRUE(this->table.choose_asked(this->now + 61s).empty());
+}
+
+TEST_F(host_table_test, no_round_asks_more_than_the_bound)
+{
+    for (int number = 0; number < 30; ++number) {
+        this->table.note_heard(make_report(make_host("h" + std::to_string(number))), this->now);
+    }
+    std::set<host_id> asked;
+    for (int round = 0; round < 4; ++round) {
+        const std::vector<known_host> chosen = this->table.choose_asked(this->now + round * 250ms);
+        EXPECT_EQ(chosen.size(), 8U);
+        for (const known_host& host : chosen) {
+            asked.insert(host.id);
+        }
+    }
+    EXPECT_EQ(asked.size(), 30U) << "all have their turn";
+}
+
+TEST_F(host_table_test, its_own_word_goes_before_what_others_tell)
+{
+    this->table.note_heard(make_report(make_host("a", "new")), this->now);
+    this->table.add(make_host("a", "old"), this->now);
+    EXPECT_EQ(this->table.live_hosts(this->now)[0].data_hall.value(), "new");
+}
+
+TEST(peer_report, survives_the_way_there)
+{
+    peer_report report = make_report(make_host("a"));
+    report.is_leaving = true;
+    report.bundle_version = 12;
+    report.bundle_age = 1500ms;
+    report.bundle_text = "{}";
+    report.entries_offset = 99;
+    report.store_disturbed_age = 7ms;
+    report.are_entries_whole = true;
+    report.changes = {{"k", "v"}, {"gone", std::nullopt}};
+    report.work = {{upstream_id("u"), 1000, 4}};
+    report.suspicions = {{upstream_id("s"), 300ms}};
+    report.hosts = {make_host("c", "y")};
+    const peer_report read = decode_peer_report(encode_peer_report(report));
+    EXPECT_EQ(read.sender, report.sender);
+    EXPECT_TRUE(read.is_leaving);
+    EXPECT_EQ(read.bundle_version, 12U);
+    EXPECT_EQ(*read.bundle_age, duration(1500ms));
+    EXPECT_EQ(*read.bundle_text, "{}");
+    EXPECT_EQ(*read.entries_offset, 99U);
+    EXPECT_FALSE(read.entries_age.has_value());
+    EXPECT_EQ(*read.store_disturbed_age, duration(7ms));
+    EXPECT_TRUE(read.are_entries_whole);
+    ASSERT_EQ(read.changes.size(), 2U);
+    EXPECT_EQ(*read.changes[0].value, "v");
+    EXPECT_FALSE(read.changes[1].value.has_value());
+    EXPECT_EQ(read.work[0].token_layers, 1000);
+    EXPECT_EQ(read.suspicions[0].left, duration(300ms));
+    EXPECT_EQ(read.hosts[0], report.hosts[0]);
+}
+
+TEST(peer_report, malformed_bytes_are_an_error)
+{
+    EXPECT_THROW(decode_peer_report("nonsense"), error);
+    EXPECT_THROW(decode_peer_report(""), error);
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/health/tst_stallwatch.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <health/stallwatch.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::vector<upstream_id> parts(std::initializer_list<const char*> names)
+{
+    return {names.begin(), names.end()};
+}
+
+class stall_watch_test : public testing::Test
+{
+protected:
+    stall_watch_test()
+    {
+        stall_watch_hooks hooks;
+        hooks.timers = make_timer_hooks(this->timers, [this] { return this->now; });
+        hooks.probe = [this](const upstream_id& id, std::function<void(bool)> on_answer) {
+            this->probed.push_back(id.value());
+            this->answers[id.value()] = std::move(on_answer);
+        };
+        hooks.on_dead = [this](const upstream_id& id) { this->dead.push_back(id.value()); };
+        hooks.on_alive = [](const upstream_id&) {};
+        this->watch = std::make_unique<stall_watch>(stall_watch_settings{}, hooks);
+        this->watch->start();
+    }
+
+    /// Time passes in the watch's own steps; the named streams get an event every 20 ms.
+    void pass(duration time, const std::vector<stall_watch::stream_key>& moving = {})
+    {
+        const time_point end = this->now + time;
+        while (this->now < end) {
+            this->now += 20ms;
+            for (const stall_watch::stream_key key : moving) {
+                this->watch->note_progress(key);
+            }
+            this->timers.run_due(this->now);
+        }
+    }
+
+    time_point now{100s};
+    timer_queue timers;
+    std::vector<std::string> probed;
+    std::map<std::string, std::function<void(bool)>> answers;
+    std::vector<std::string> dead;
+    std::unique_ptr<stall_watch> watch;
+};
+
+TEST_F(stall_watch_test, only_what_no_moving_stream_passes_is_suspected)
+{
+    const auto first = this->watch->add(parts({"head", "shared", "broken"}), this->now + 1s);
+    const auto second = this->watch->add(parts({"head", "shared", "sound"}), this->now + 1s);
+    this->pass(100ms, {first, second});
+    this->pass(200ms, {second});
+    EXPECT_EQ(this->probed, std::vector<std::string>{"broken"});
+}
+
+TEST_F(stall_watch_test, a_suspect_that_gives_no_answer_is_dead)
+{
+    const auto first = this->watch->add(parts({"a"}), this->now + 1s);
+    this->pass(60ms, {first});
+    this->pass(140ms);
+    ASSERT_EQ(this->probed.size(), 1U);
+    EXPECT_TRUE(this->dead.empty());
+    this->answers["a"](false);
+    EXPECT_EQ(this->dead, std::vector<std::string>{"a"});
+}
+
+TEST_F(stall_watch_test, a_suspect_that_answers_is_left_alone_for_a_second)
+{
+    const auto first = this->watch->add(parts({"a"}), this->now + 1s);
+    this->pass(60ms, {first});
+    this->pass(140ms);
+    this->answers["a"](true);
+    this->pass(800ms);
+    EXPECT_EQ(this->probed.size(), 1U);
+    EXPECT_TRUE(this->dead.empty());
+    this->pass(400ms);
+    EXPECT_EQ(this->probed.size(), 2U);
+}
+
+TEST_F(stall_watch_test, a_stream_is_not_suspicious_before_its_first_event_is_due)
+{
+    this->watch->add(parts({"a"}), this->now + 500ms);
+    this->pass(480ms);
+    EXPECT_TRUE(this->probed.empty());
+    this->pass(60ms);
+    EXPECT_EQ(this->probed.size(), 1U);
+}
+
+TEST_F(stall_watch_test, a_stream_that_was_just_sent_proves_nothing_about_its_path)
+{
+    const auto first = this->watch->add(parts({"a", "b"}), this->now + 1s);
+    this->pass(60ms, {first});
+    this->pass(80ms);
+    this->watch->add(parts({"a", "b"}), this->now + 1s);
+    this->pass(60ms);
+    EXPECT_EQ(this->probed.size(), 2U);
+}
+
+TEST_F(stall_watch_test, a_pause_of_the_process_itself_condemns_nobody)
+{
+    const auto first = this->watch->add(parts({"a"}), this->now + 1s);
+    this->pass(60ms, {first});
+    this->now += 3s;
+    this->timers.run_due(this->now);
+    EXPECT_TRUE(this->probed.empty());
+    this->pass(80ms);
+    EXPECT_TRUE(this->probed.empty());
+    this->pass(60ms);
+    EXPECT_EQ(this->probed.size(), 1U);
+}
+
+TEST_F(stall_watch_test, a_changed_path_and_a_finished_stream_are_not_suspicious)
+{
+    const auto first = this->watch->add(parts({"a"}), this->now + 100ms);
+    const auto second = this->watch->add(parts({"b"}), this->now + 100ms);
+    this->watch->change_path(first, parts({"c"}), this->now + 1s);
+    this->watch->remove(second);
+    this->pass(500ms);
+    EXPECT_TRUE(this->probed.empty());
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/placement/tst_layerkeeper.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <placement/layerkeeper.h>
+#include <support/sampleprofile.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class layer_keeper_test : public testing::Test
+{
+protected:
+    layer_keeper_test()
+    {
+        this->keeper = std::make_unique<layer_keeper>(this->settings, this->make_hooks(), this->directory);
+    }
+
+    layer_keeper_hooks make_hooks()
+    {
+        layer_keeper_hooks hooks;
+        hooks.timers = make_timer_hooks(this->timers, [this] { return this->now; });
+        hooks.send = [this](const layer_order& order, std::function<void(order_result)> on_result) {
+            this->sent.push_back(order);
+            this->answers.push_back(std::move(on_result));
+        };
+        hooks.token = [this] { return this->token; };
+        hooks.on_fenced = [this](fencing_token refused) {
+            this->refused = refused;
+            this->token.reset();
+        };
+        hooks.on_result = [](const layer_order&, order_result) {};
+        hooks.is_dead = [this](const upstream_id& id) { return this->dead.count(id) != 0; };
+        return hooks;
+    }
+
+    void put(const std::string& id, layer_span held = {}, bool is_leaving = false)
+    {
+        discovered_upstream upstream;
+        upstream.id = upstream_id(id);
+        upstream.service = service_id("llm");
+        upstream.address = endpoint("127.0.0.1:1");
+        upstream.data_hall = data_hall_id("x");
+        upstream.card = "big";
+        upstream.held = held;
+        upstream.is_leaving = is_leaving;
+        this->directory.put(upstream, this->now);
+    }
+
+    void look(duration later = 0ms)
+    {
+        this->now += later;
+        this->timers.run_due(this->now);
+        this->keeper->look(this->profile, service_id("llm"));
+    }
+
+    void answer_all(order_result result)
+    {
+        const auto waiting = std::move(this->answers);
+        this->answers.clear();
+        for (const auto& answer : waiting) {
+            answer(result);
+        }
+    }
+
+    time_point now{100s};
+    timer_queue timers;
+    upstream_directory directory{2s};
+    engine_profile profile = tests::make_sample_profile();
+    layer_keeper_settings settings;
+    std::optional<fencing_token> token = fencing_token(7);
+    fencing_token refused;
+    std::set<upstream_id> dead;
+    std::vector<layer_order> sent;
+    std::vector<std::function<void(order_result)>> answers;
+    std::unique_ptr<layer_keeper> keeper;
+};
+
+TEST_F(layer_keeper_test, a_fresh_site_is_placed_once_no_more_engines_appear)
+{
+    this->put("a");
+    this->look();
+    this->put("b");
+    this->look(1s);
+    this->look(1s);
+    EXPECT_TRUE(this->sent.empty());
+    this->look(300ms);
+    EXPECT_EQ(this->sent.size(), 2U);
+    EXPECT_EQ(this->sent[0].token, fencing_token(7));
+    EXPECT_FALSE(this->sent[0].expected_orders.has_value());
+}
+
+TEST_F(layer_keeper_test, a_host_without_the_duty_gives_no_orders)
+{
+    this->token.reset();
+    this->put("a");
+    this->look();
+    this->look(10s);
+    EXPECT_TRUE(this->sent.empty());
+}
+
+TEST_F(layer_keeper_test, a_new_owner_takes_what_is_held_as_it_is)
+{
+    this->put("a", {0, 8});
+    this->put("b", {8, 16});
+    this->look();
+    this->look(10s);
+    EXPECT_TRUE(this->sent.empty());
+}
+
+TEST_F(layer_keeper_test, a_refused_token_is_not_used_again)
+{
+    this->put("a", {0, 8});
+    this->put("b");
+    this->look();
+    ASSERT_EQ(this->sent.size(), 1U);
+    this->answer_all(order_result::fenced);
+    EXPECT_EQ(this->refused, fencing_token(7));
+    this->look(5s);
+    EXPECT_EQ(this->sent.size(), 1U);
+}
+
+TEST_F(layer_keeper_test, an_order_without_answer_is_repeated_alike)
+{
+    this->put("a", {0, 8});
+    this->put("b");
+    this->look();
+    ASSERT_EQ(this->sent.size(), 1U);
+    this->answer_all(order_result::unanswered);
+    this->look(100ms);
+    EXPECT_EQ(this->sent.size(), 1U) << "before its pause";
+    this->look(500ms);
+    ASSERT_EQ(this->sent.size(), 2U);
+    EXPECT_EQ(this->sent[1].span, this->sent[0].span);
+}
+
+TEST_F(layer_keeper_test, an_order_under_way_counts_as_done_until_its_time_is_over)
+{
+    this->put("a", {0, 8});
+    this->put("b");
+    this->look();
+    this->answer_all(order_result::begun);
+    this->look(3s);
+    EXPECT_EQ(this->sent.size(), 1U);
+    // Half of the layers take 4 s, and 4 s more are allowed for.
+    this->look(6s);
+    EXPECT_EQ(this->sent.size(), 2U);
+}
+
+TEST_F(layer_keeper_test, a_finished_order_is_forgotten)
+{
+    this->put("a", {0, 8});
+    this->put("b");
+    this->look();
+    this->answer_all(order_result::begun);
+    EXPECT_EQ(this->keeper->orders_open(), 1U);
+    this->put("b", this->sent[0].span);
+    this->look(1s);
+    EXPECT_EQ(this->keeper->orders_open(), 0U);
+    EXPECT_EQ(this->sent.size(), 1U);
+}
+
+TEST_F(layer_keeper_test, an_engine_that_refused_is_left_alone_for_a_while)
+{
+    this->put("a", {0, 8});
+    this->put("b");
+    this->look();
+    this->answer_all(order_result::unfit);
+    this->look(500ms);
+    EXPECT_EQ(this->sent.size(), 1U);
+    this->look(600ms);
+    EXPECT_EQ(this->sent.size(), 2U);
+}
+
+TEST_F(layer_keeper_test, layers_of_a_dead_or_leaving_engine_are_placed_again)
+{
+    this->put("a", {0, 8});
+    this->put("b", {8, 16});
+    this->put("c", {0, 5});
+    this->look();
+    EXPECT_TRUE(this->sent.empty());
+    this->dead.insert(upstream_id("b"));
+    this->look(250ms);
+    ASSERT_FALSE(this->sent.empty());
+    for (const layer_order& order : this->sent) {
+        EXPECT_NE(order.id.value(), "b");
+    }
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <placement/layerplan.h>
+#include <support/sampleprofile.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+using tests::make_sample_profile;
+
+placeable_engine make_engine(
+    const std::string& id, const std::string& hall, const std::string& card, layer_span held = {})
+{
+    return {upstream_id(id), data_hall_id(hall), card, held};
+}
+
+/// The engines as they are once the steps are done.
+std::vector<placeable_engine> carry_out(
+    std::vector<placeable_engine> engines, const std::vector<placement_step>& steps)
+{
+    for (const placement_step& step : steps) {
+        for (placeable_engine& engine : engines) {
+            engine.held = engine.id == step.id ? step.span : engine.held;
+        }
+    }
+    return engines;
+}
+
+class layer_plan_test : public testing::Test
+{
+protected:
+    std::vector<placeable_engine> plan(const std::vector<placeable_engine>& engines)
+    {
+        this->steps = plan_layers(this->profile, engines, this->aim);
+        return carry_out(engines, this->steps);
+    }
+
+    [[nodiscard]] unsigned least_holders(const std::vector<placeable_engine>& engines) const
+    {
+        const std::vector<unsigned> holders = count_holders(this->profile, engines);
+        return *std::min_element(holders.begin(), holders.end());
+    }
+
+    engine_profile profile = make_sample_profile();
+    placement_aim aim{.copies = 1.25, .least_requests = 2, .least_requests_at_hole = 1};
+    std::vector<placement_step> steps;
+};
+
+TEST_F(layer_plan_test, fresh_engines_hold_every_layer_in_each_hall)
+{
+    std::vector<placeable_engine> engines;
+    for (const char* hall : {"x", "y"}) {
+        for (int number = 0; number < 2; ++number) {
+            engines.push_back(make_engine(hall + std::to_string(number), hall, "big"));
+            engines.push_back(make_engine(hall + std::to_string(number) + "s", hall, "small"));
+        }
+    }
+    engines = this->plan(engines);
+    for (const char* hall : {"x", "y"}) {
+        std::vector<placeable_engine> own = engines;
+        std::erase_if(
+            own, [hall](const placeable_engine& engine) { return engine.data_hall.value() != hall; });
+        EXPECT_GE(this->least_holders(own), 1U) << hall;
+    }
+}
+
+TEST_F(layer_plan_test, no_engine_gets_more_than_its_card_holds_beside_the_room)
+{
+    const std::vector<placeable_engine> engines = this->plan({make_engine("a", "x", "big"),
+        make_engine("b", "x", "big"), make_engine("c", "x", "small"), make_engine("d", "x", "small")});
+    for (const placeable_engine& engine : engines) {
+        const card_kind& card = this->profile.kinds.at(engine.card);
+        const double room = this->aim.least_requests * 100 * this->profile.token_layer_mb();
+        EXPECT_LE(engine.held.count() * (this->profile.layer_mb + room), card.memory_mb) << engine.id;
+    }
+}
+
+TEST_F(layer_plan_test, halls_that_can_not_hold_the_model_alone_share_it)
+{
+    const std::vector<placeable_engine> engines =
+        this->plan({make_engine("a", "x", "big"), make_engine("b", "y", "big")});
+    EXPECT_EQ(this->least_holders(engines), 1U);
+}
+
+TEST_F(layer_plan_test, an_empty_engine_gets_what_nobody_holds)
+{
+    const std::vector<placeable_engine> engines = this->plan({make_engine("a", "x", "big", {0, 8}),
+        make_engine("b", "x", "big", {8, 13}), make_engine("c", "x", "small")});
+    EXPECT_GE(this->least_holders(engines), 1U);
+    ASSERT_EQ(this->steps.size(), 1U);
+    EXPECT_EQ(this->steps[0].id.value(), "c");
+}
+
+TEST_F(layer_plan_test, a_hole_is_closed_by_the_holders_beside_it)
+{
+    const std::vector<placeable_engine> engines = this->plan({make_engine("a", "x", "big", {0, 7}),
+        make_engine("b", "x", "big", {9, 16}), make_engine("c", "x", "small", {0, 3})});
+    EXPECT_GE(this->least_holders(engines), 1U);
+    for (const placement_step& step : this->steps) {
+        EXPECT_NE(step.id.value(), "c") << "moved whole, though its neighbours had room";
+    }
+}
+
+TEST_F(layer_plan_test, a_hole_without_neighbours_that_have_room_takes_a_doubled_holder)
+{
+    const std::vector<placeable_engine> engines =
+        this->plan({make_engine("a", "x", "big", {0, 8}), make_engine("b", "x", "big", {8, 13}),
+            make_engine("c", "x", "small", {0, 4}), make_engine("d", "x", "small", {4, 8})});
+    EXPECT_GE(this->least_holders(engines), 1U);
+}
+
+TEST_F(layer_plan_test, the_last_holder_of_a_layer_never_gives_it_up)
+{
+    const std::vector<placeable_engine> before = {
+        make_engine("a", "x", "big", {0, 9}), make_engine("b", "x", "small", {12, 16})};
+    const std::vector<unsigned> had = count_holders(this->profile, before);
+    const std::vector<unsigned> has = count_holders(this->profile, this->plan(before));
+    for (std::size_t layer = 0; layer < had.size(); ++layer) {
+        EXPECT_GE(has[layer], std::min(had[layer], 1U)) << layer;
+    }
+}
+
+TEST_F(layer_plan_test, a_sound_placement_stays_as_it_is)
+{
+    this->plan({make_engine("a", "x", "big", {0, 8}), make_engine("b", "x", "big", {8, 16}),
+        make_engine("c", "x", "small", {0, 4})});
+    EXPECT_TRUE(this->steps.empty());
+}
+
+TEST_F(layer_plan_test, an_unknown_card_gets_nothing)
+{
+    this->plan({make_engine("a", "x", "big"), make_engine("b", "x", "big"), make_engine("c", "x", "odd")});
+    for (const placement_step& step : this->steps) {
+        EXPECT_NE(step.id.value(), "c");
+    }
+}
+
+TEST_F(layer_plan_test, single_losses_leave_every_layer_with_a_holder_again)
+{
+    std::vector<placeable_engine> engines;
+    for (int number = 0; number < 4; ++number) {
+        engines.push_back(make_engine("big" + std::to_string(number), "x", "big"));
+        engines.push_back(make_engine("small" + std::to_string(number), "x", "small"));
+    }
+    engines = this->plan(engines);
+    for (std::size_t lost = 0; lost < engines.size(); ++lost) {
+        std::vector<placeable_engine> left = engines;
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(lost));
+        EXPECT_GE(this->least_holders(this->plan(left)), 1U) << engines[lost].id;
+    }
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <site/siteknowledge.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Bundles are written as their version, upstreams as "x" or "leaving".
+site_bundle decode_bundle(const std::string& text)
+{
+    if (text == "broken") {
+        throw error({"read configuration", ""}, "broken");
+    }
+    site_bundle bundle;
+    bundle.version = bundle_version(std::stoull(text));
+    bundle.build_index();
+    return bundle;
+}
+
+discovered_upstream decode_upstream(const upstream_id& id, const std::string& text)
+{
+    discovered_upstream upstream;
+    upstream.id = id;
+    upstream.address = endpoint("127.0.0.1:1");
+    upstream.is_leaving = text == "leaving";
+    return upstream;
+}
+
+/// One host's knowledge under a clock that all hosts of a test share.
+struct test_host
+{
+    explicit test_host(const time_point& now)
+        : knowledge({.revoke_limit = 5s, .freshness_margin = 300ms, .lapse_grace = 2s},
+            {.now = [&now] { return now; },
+                .decode_bundle = &decode_bundle,
+                .decode_upstream = &decode_upstream,
+                .on_bundle = [this](
+                                 const auto& bundle) { this->versions.push_back(bundle->version.value()); },
+
+                .on_event = [this](std::string_view event, const std::string&,
+                                const std::string&) { this->events.emplace_back(event); }})
+    {
+    }
+
+    std::vector<std::uint64_t> versions;
+    std::vector<std::string> events;
+    site_knowledge knowledge;
+};
+
+class site_knowledge_test : public testing::Test
+{
+protected:
+    /// `asker` asks `other`; the answer takes `way` to come back.
+    void exchange(test_host& asker, test_host& other, duration way = 0ms)
+    {
+        const time_point asked = this->now;
+        peer_report question;
+        asker.knowledge.fill_report(question, nullptr);
+        peer_report answer;
+        other.knowledge.fill_report(answer, &question);
+        this->now += way;
+        asker.knowledge.take_answer(answer, asked);
+    }
+
+    time_point now{100s};
+    test_host first{this->now};
+    test_host second{this->now};
+};
+
+TEST_F(site_knowledge_test, the_version_never_falls)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.take_bundle_record({"config", "5"});
+    this->first.knowledge.take_bundle_record({"config", "broken"});
+    this->first.knowledge.take_bundle_record({"other", "9"});
+    EXPECT_EQ(this->first.versions, std::vector<std::uint64_t>{7});
+    EXPECT_EQ(this->first.knowledge.bundle()->version.value(), 7U);
+}
+
+TEST_F(site_knowledge_test, without_a_bundle_nothing_is_fresh)
+{
+    this->first.knowledge.confirm_bundle(this->now);
+    EXPECT_FALSE(this->first.knowledge.is_bundle_fresh());
+}
+
+TEST_F(site_knowledge_test, a_bundle_stays_fresh_for_less_than_a_key_may_be_used)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.confirm_bundle(this->now);
+    this->now += 4699ms;
+    EXPECT_TRUE(this->first.knowledge.is_bundle_fresh());
+    this->now += 1ms;
+    EXPECT_FALSE(this->first.knowledge.is_bundle_fresh());
+}
+
+TEST_F(site_knowledge_test, another_host_hands_on_a_newer_bundle)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.confirm_bundle(this->now);
+    this->exchange(this->second, this->first);
+    EXPECT_EQ(this->second.versions, std::vector<std::uint64_t>{7});
+    EXPECT_TRUE(this->second.knowledge.is_bundle_fresh());
+}
+
+TEST_F(site_knowledge_test, a_confirmation_counts_from_the_question_however_long_its_answer_took)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.confirm_bundle(this->now);
+    this->now += 1s;
+    this->exchange(this->second, this->first, 3s);
+    EXPECT_EQ(*this->second.knowledge.bundle_age(), duration(4s));
+    this->now += 700ms;
+    EXPECT_FALSE(this->second.knowledge.is_bundle_fresh());
+}
+
+TEST_F(site_knowledge_test, a_host_that_is_behind_confirms_nothing_to_one_that_is_ahead)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.confirm_bundle(this->now);
+    this->second.knowledge.take_bundle_record({"config", "9"});
+    this->exchange(this->second, this->first);
+    EXPECT_FALSE(this->second.knowledge.bundle_age().has_value());
+    EXPECT_EQ(this->second.knowledge.bundle()->version.value(), 9U);
+}
+
+TEST_F(site_knowledge_test, entries_reach_a_host_that_does_not_read_and_no_change_is_told_twice)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(10));
+    this->first.knowledge.confirm_upstreams(this->now);
+    this->exchange(this->second, this->first);
+    EXPECT_EQ(this->second.knowledge.upstreams().entries().size(), 2U);
+    this->first.knowledge.take_upstream_record({"b", "leaving"}, log_offset(10));
+    this->exchange(this->second, this->first);
+    EXPECT_TRUE(this->second.knowledge.upstreams().find(upstream_id("b"))->upstream.is_leaving);
+    peer_report question;
+    this->second.knowledge.fill_report(question, nullptr);
+    peer_report answer;
+    this->first.knowledge.fill_report(answer, &question);
+    EXPECT_TRUE(answer.changes.empty());
+}
+
+TEST_F(site_knowledge_test, an_old_read_does_not_undo_what_another_host_told)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "leaving"}}, log_offset(20));
+    this->exchange(this->second, this->first);
+    this->second.knowledge.take_upstream_record({"a", "x"}, log_offset(15));
+    EXPECT_TRUE(this->second.knowledge.upstreams().find(upstream_id("a"))->upstream.is_leaving);
+}
+
+TEST_F(site_knowledge_test, a_host_that_the_store_turns_away_believes_what_others_read_as_gone)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(10));
+    this->exchange(this->second, this->first);
+    this->second.knowledge.note_store_disturbed();
+    this->first.knowledge.take_all_upstreams({}, log_offset(11));
+    this->exchange(this->second, this->first);
+    EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
+}
+
+TEST_F(site_knowledge_test, entries_that_vanish_while_the_store_is_away_are_kept_for_a_while_everywhere)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(10));
+    this->exchange(this->second, this->first);
+    this->first.knowledge.note_store_disturbed();
+    this->first.knowledge.take_all_upstreams({}, log_offset(11));
+    this->exchange(this->second, this->first);
+    EXPECT_NE(this->first.knowledge.upstreams().find(upstream_id("a")), nullptr);
+    EXPECT_NE(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
+    this->now += 2s;
+    this->first.knowledge.tidy();
+    this->second.knowledge.tidy();
+    EXPECT_EQ(this->first.knowledge.upstreams().find(upstream_id("a")), nullptr);
+    EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
+}
+
+} // namespace
+
+} // namespace sailtiller
