--- /dev/null
+++ b/tests/auto/delivery/deliverybed.h
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/deliverycontext.h>
+#include <support/sampleprofile.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller::tests {
+
+/// One send to an upstream, with the way to answer it.
+struct fake_send
+{
+    endpoint target;
+    http_request message;
+    bool may_repeat = false;
+    http_call_handlers handlers;
+    bool is_cancelled = false;
+};
+
+/// What one caller was given.
+struct fake_caller
+{
+    std::optional<http_response> answer; ///< given at once
+    std::optional<int> status; ///< of an answer that was begun
+    std::string body;
+    bool is_finished = false;
+    bool is_aborted = false;
+    bool has_left = false;
+};
+
+/// Deliveries over fake upstreams, under a paused clock.
+/// Requests are encoded as their target's address; a path and a last event show in headers of their own.
+class delivery_bed : public testing::Test
+{
+protected:
+    delivery_bed();
+
+    delivery_context make_context();
+    /// An engine of the sample profile; its address is "10.0.0.1:" and its number.
+    void put_engine(const std::string& id, int number, layer_span held, const std::string& hall = "x",
+        const std::string& card = "big");
+    void put_service(const std::string& id, int number, const std::string& hall = "x");
+    delivery_order make_order(route_kind kind);
+    caller_hooks make_caller();
+    void pass(duration time);
+
+    fake_send& last_send() { return *this->sends.back(); }
+    /// The upstream gives a head.
+    static void give_head(fake_send& send, int status, http_headers headers = {});
+    static http_headers signed_head(const std::string& id = "r1");
+    /// Whole events with the ids from `first` up to, without, `end`.
+    static std::string events(unsigned first, unsigned end);
+    static void end(fake_send& send, call_ending ending = call_ending::whole);
+    [[nodiscard]] static std::string path_of(const fake_send& send);
+
+    time_point now{std::chrono::seconds(1000)};
+    timer_queue timers;
+    upstream_directory directory{std::chrono::seconds(2)};
+    part_loads loads;
+    retry_allowance retries{{.ratio = 1, .slack = 100, .window = std::chrono::seconds(10)}};
+    pipe_meter pipes;
+    std::vector<std::string> probed;
+    std::unique_ptr<stall_watch> watch;
+    std::unique_ptr<delivery_context> context;
+    std::vector<std::shared_ptr<fake_send>> sends;
+    std::vector<path_change> changes;
+    std::vector<std::function<void(const path_change_answer&)>> change_answers;
+    std::shared_ptr<site_bundle> bundle = std::make_shared<site_bundle>();
+    fake_caller caller;
+    bool may_send = true;
+    int done = 0;
+};
+
+} // namespace sailtiller::tests
--- /dev/null
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "deliverybed.h"
+
+#include <delivery/plaindelivery.h>
+
+namespace sailtiller::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class plain_delivery_test : public delivery_bed
+{
+protected:
+    plain_delivery_test()
+    {
+        this->put_service("a", 1);
+        this->put_service("b", 2);
+        this->put_service("c", 3);
+    }
+
+    void start(route_kind kind)
+    {
+        std::make_shared<plain_delivery>(*this->context, this->make_order(kind), this->make_caller(), [this] {
+            ++this->done;
+        })->start();
+    }
+
+    static void answer(fake_send& send, int status, http_headers headers = signed_head())
+    {
+        give_head(send, status, std::move(headers));
+        send.handlers.on_body("body");
+        end(send);
+    }
+
+    static std::string target_of(const fake_send& send)
+    {
+        return find_header(send.message.headers, "target").value_or("");
+    }
+};
+
+TEST_F(plain_delivery_test, passes_a_whole_answer_on_unchanged)
+{
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+    EXPECT_EQ(this->caller.answer->body, "body");
+    EXPECT_EQ(find_header(this->caller.answer->headers, "proof"), "p");
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(plain_delivery_test, a_single_run_gets_a_connection_of_its_own)
+{
+    this->start(route_kind::single_run);
+    EXPECT_FALSE(this->last_send().may_repeat);
+    EXPECT_FALSE(this->last_send().handlers.may_resend);
+    this->start(route_kind::repeatable);
+    EXPECT_TRUE(this->last_send().may_repeat);
+}
+
+TEST_F(plain_delivery_test, a_single_run_that_may_have_run_is_never_sent_again)
+{
+    this->start(route_kind::single_run);
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 502) << "502 promises nothing";
+}
+
+TEST_F(plain_delivery_test, an_answer_to_another_request_proves_nothing_about_this_one)
+{
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 200, signed_head("someone-else"));
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 502);
+}
+
+TEST_F(plain_delivery_test, a_single_run_that_surely_did_not_run_goes_to_another)
+{
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_NE(target_of(*this->sends[0]), target_of(*this->sends[1]));
+    end(this->last_send(), call_ending::not_connected);
+    ASSERT_EQ(this->sends.size(), 3U);
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
+TEST_F(plain_delivery_test, when_nobody_ran_it_the_refusal_says_so)
+{
+    this->start(route_kind::single_run);
+    for (std::size_t number = 0; number < 3; ++number) {
+        ASSERT_EQ(this->sends.size(), number + 1);
+        answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    }
+    this->pass(200ms);
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_TRUE(find_header(this->caller.answer->headers, "retry-after").has_value());
+}
+
+TEST_F(plain_delivery_test, a_failure_of_a_single_run_is_passed_on_as_it_is)
+{
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 500);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 500);
+    EXPECT_EQ(this->caller.answer->body, "body");
+}
+
+TEST_F(plain_delivery_test, a_repeatable_failure_is_tried_elsewhere_within_its_attempts)
+{
+    this->start(route_kind::repeatable);
+    answer(this->last_send(), 500);
+    ASSERT_EQ(this->sends.size(), 2U);
+    answer(this->last_send(), 500);
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(this->caller.answer->status, 500);
+}
+
+TEST_F(plain_delivery_test, a_slow_repeatable_request_is_asked_of_another_in_time)
+{
+    this->start(route_kind::repeatable);
+    this->pass(295ms);
+    EXPECT_EQ(this->sends.size(), 1U);
+    this->pass(10ms);
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    this->pass(1s);
+    EXPECT_EQ(this->sends.size(), 2U) << "the last attempt is waited for";
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
+TEST_F(plain_delivery_test, a_slow_single_run_is_waited_for)
+{
+    this->start(route_kind::single_run);
+    this->pass(2900ms);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_FALSE(this->caller.answer.has_value());
+    this->pass(100ms);
+    EXPECT_EQ(this->caller.answer->status, 504);
+}
+
+TEST_F(plain_delivery_test, stays_away_from_upstreams_that_leave)
+{
+    for (const char* id : {"a", "b"}) {
+        discovered_upstream leaving = this->directory.find(upstream_id(id))->upstream;
+        leaving.is_leaving = true;
+        this->directory.put(leaving, this->now);
+    }
+    this->start(route_kind::single_run);
+    EXPECT_EQ(target_of(this->last_send()), "c");
+}
+
+TEST_F(plain_delivery_test, spreads_its_requests)
+{
+    std::set<std::string> targets;
+    for (int count = 0; count < 3; ++count) {
+        this->start(route_kind::single_run);
+        targets.insert(target_of(this->last_send()));
+    }
+    EXPECT_EQ(targets.size(), 3U);
+}
+
+TEST_F(plain_delivery_test, an_old_configuration_sends_nothing)
+{
+    this->may_send = false;
+    this->start(route_kind::single_run);
+    EXPECT_TRUE(this->sends.empty());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+} // namespace
+
+} // namespace sailtiller::tests
--- /dev/null
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -0,0 +1,308 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "deliverybed.h"
+
+#include <delivery/streamdelivery.h>
+
+namespace sailtiller::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class stream_delivery_test : public delivery_bed
+{
+protected:
+    stream_delivery_test()
+    {
+        this->put_engine("head", 1, {0, 8});
+        this->put_engine("tail", 2, {8, 16});
+    }
+
+    std::shared_ptr<stream_delivery> start()
+    {
+        auto delivery = std::make_shared<stream_delivery>(*this->context,
+            this->make_order(route_kind::stream), this->make_caller(), [this] { ++this->done; });
+        delivery->start();
+        return delivery;
+    }
+
+    /// Starts a stream and lets it give events up to, without, `count`.
+    std::shared_ptr<stream_delivery> start_streaming(unsigned count)
+    {
+        auto delivery = this->start();
+        give_head(this->last_send(), 200, signed_head());
+        this->last_send().handlers.on_body(events(0, count));
+        return delivery;
+    }
+};
+
+TEST_F(stream_delivery_test, passes_whole_events_on_and_ends_with_the_upstream)
+{
+    this->start();
+    ASSERT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(path_of(this->last_send()), "10.0.0.1:1=0-8,10.0.0.1:2=8-16");
+    give_head(this->last_send(), 200, signed_head());
+    EXPECT_EQ(this->caller.status, 200);
+    const std::string text = events(0, 3);
+    this->last_send().handlers.on_body(text.substr(0, 10));
+    EXPECT_EQ(this->caller.body, "") << "a part of an event waits for its rest";
+    this->last_send().handlers.on_body(text.substr(10));
+    EXPECT_EQ(this->caller.body, text);
+    end(this->last_send());
+    EXPECT_TRUE(this->caller.is_finished);
+    EXPECT_EQ(this->done, 1);
+    EXPECT_EQ(this->loads.of(upstream_id("tail")).requests, 0U);
+}
+
+TEST_F(stream_delivery_test, goes_on_after_its_last_whole_event_when_it_is_broken_off)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    const std::string first = path_of(this->last_send());
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(0, 3) + "id: 3\nda");
+    end(this->last_send(), call_ending::broken);
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_NE(path_of(this->last_send()), first) << "not over the same head";
+    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(3, 5));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 5));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
+TEST_F(stream_delivery_test, an_orderly_end_within_an_event_is_no_end)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body("id: 0\ndata");
+    end(this->last_send());
+    EXPECT_FALSE(this->caller.is_finished);
+    EXPECT_EQ(this->sends.size(), 2U);
+}
+
+TEST_F(stream_delivery_test, runs_on_no_more_upstreams_than_the_route_allows)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    this->start();
+    for (int run = 0; run < 2; ++run) {
+        give_head(this->last_send(), 200, signed_head());
+        end(this->last_send(), call_ending::broken);
+    }
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_TRUE(this->caller.is_aborted);
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(stream_delivery_test, an_answer_to_another_request_is_not_passed_on)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    give_head(this->last_send(), 200, signed_head("someone-else"));
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    EXPECT_FALSE(this->caller.status.has_value());
+    EXPECT_EQ(this->sends.size(), 2U);
+}
+
+TEST_F(stream_delivery_test, late_words_of_a_call_that_was_given_up_are_dropped)
+{
+    this->put_engine("other", 3, {0, 8});
+    auto delivery = this->start_streaming(1);
+    fake_send& first = *this->sends[0];
+    delivery->leave_upstream(upstream_id(find_header(first.message.headers, "target").value()));
+    ASSERT_EQ(this->sends.size(), 2U);
+    first.handlers.on_body(events(1, 9));
+    first.handlers.on_end(call_ending::whole, "");
+    EXPECT_EQ(this->caller.body, events(0, 1));
+    EXPECT_FALSE(this->caller.is_finished);
+}
+
+TEST_F(stream_delivery_test, a_refusal_leads_around_the_part_that_it_names)
+{
+    this->put_engine("spare", 3, {8, 16});
+    this->start();
+    const std::string first = path_of(this->last_send());
+    const std::string named = first.find(":2=") != std::string::npos ? "10.0.0.1:2" : "10.0.0.1:3";
+    give_head(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}, {"at", named}});
+    end(this->last_send());
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(path_of(this->last_send()).find(named + "="), std::string::npos);
+}
+
+TEST_F(stream_delivery_test, is_refused_truthfully_and_soon_when_a_layer_has_no_holder)
+{
+    this->directory.remove(upstream_id("tail"), this->now);
+    this->start();
+    this->pass(80ms);
+    EXPECT_FALSE(this->caller.answer.has_value()) << "held for a moment, as a holder may come";
+    this->pass(45ms);
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_TRUE(find_header(this->caller.answer->headers, "retry-after").has_value());
+    EXPECT_TRUE(this->sends.empty());
+}
+
+TEST_F(stream_delivery_test, takes_a_holder_that_comes_in_time)
+{
+    this->directory.remove(upstream_id("tail"), this->now);
+    this->start();
+    this->pass(50ms);
+    this->put_engine("new", 4, {8, 16});
+    this->pass(30ms);
+    EXPECT_EQ(this->sends.size(), 1U);
+}
+
+TEST_F(stream_delivery_test, is_not_sent_while_the_configuration_may_be_old)
+{
+    this->may_send = false;
+    this->start();
+    EXPECT_TRUE(this->sends.empty());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(stream_delivery_test, is_not_sent_to_engines_without_room)
+{
+    // 8 layers leave 2,000 MB, which is 20,000 tokens in one layer.
+    this->loads.add(upstream_id("tail"), 30'000);
+    this->start();
+    this->pass(200ms);
+    EXPECT_TRUE(this->sends.empty());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(stream_delivery_test, a_full_pipe_between_halls_takes_nothing_new)
+{
+    this->directory.remove(upstream_id("tail"), this->now);
+    this->put_engine("far", 5, {8, 16}, "y");
+    this->pipes.note(data_hall_id("x"), data_hall_id("y"), 1e9, this->now);
+    this->start();
+    EXPECT_TRUE(this->sends.empty());
+    this->pass(200ms);
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(stream_delivery_test, a_dead_part_is_led_around_within_the_running_request)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("spare", 3, {8, 16});
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->changes.size(), 1U);
+    EXPECT_EQ(this->changes[0].request.value(), "r1");
+    EXPECT_EQ(this->changes[0].path[0].address.value(), "10.0.0.1:1") << "the head stays";
+    EXPECT_EQ(this->changes[0].path[1].address.value(), "10.0.0.1:3");
+    this->change_answers[0]({path_change_result::changed, std::nullopt});
+    EXPECT_EQ(this->loads.of(upstream_id("tail")).requests, 0U);
+    EXPECT_EQ(this->loads.of(upstream_id("spare")).requests, 1U);
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_EQ(this->sends.size(), 1U);
+}
+
+TEST_F(stream_delivery_test, a_part_that_refuses_the_change_is_avoided_as_well)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("full", 3, {8, 16});
+    this->put_engine("roomy", 4, {8, 16}, "x", "small");
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->changes.size(), 1U);
+    const endpoint refused = this->changes[0].path[1].address;
+    this->change_answers[0]({path_change_result::part_refused, refused});
+    this->pass(10ms);
+    ASSERT_EQ(this->changes.size(), 2U);
+    EXPECT_NE(this->changes[1].path[1].address, refused);
+}
+
+TEST_F(stream_delivery_test, goes_on_in_another_hall_rather_than_over_the_pipe)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("far-head", 5, {0, 8}, "y");
+    this->put_engine("far-tail", 6, {8, 16}, "y");
+    delivery->leave_upstream(upstream_id("tail"));
+    EXPECT_TRUE(this->changes.empty());
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(path_of(this->last_send()), "10.0.0.1:5=0-8,10.0.0.1:6=8-16");
+    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "1");
+}
+
+TEST_F(stream_delivery_test, a_request_whose_path_died_before_it_began_is_sent_anew)
+{
+    auto delivery = this->start();
+    this->put_engine("spare", 3, {8, 16});
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->changes.size(), 1U);
+    this->change_answers[0]({path_change_result::unknown_request, std::nullopt});
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    EXPECT_EQ(this->sends.size(), 2U);
+}
+
+TEST_F(stream_delivery_test, an_upstream_that_is_not_on_its_path_is_nothing_to_it)
+{
+    auto delivery = this->start_streaming(2);
+    delivery->leave_upstream(upstream_id("stranger"));
+    EXPECT_TRUE(this->changes.empty());
+    EXPECT_EQ(this->sends.size(), 1U);
+}
+
+TEST_F(stream_delivery_test, gets_its_final_answer_at_the_time_limit)
+{
+    this->start();
+    this->pass(2979ms);
+    EXPECT_FALSE(this->caller.answer.has_value());
+    this->pass(5ms);
+    EXPECT_EQ(this->caller.answer->status, 504);
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+}
+
+TEST_F(stream_delivery_test, ends_its_work_when_the_caller_has_left)
+{
+    this->start();
+    this->caller.has_left = true;
+    this->pass(105ms);
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    EXPECT_EQ(this->done, 1);
+    EXPECT_EQ(this->loads.of(upstream_id("head")).requests, 0U);
+}
+
+TEST_F(stream_delivery_test, a_failure_of_the_upstream_is_passed_on_unchanged_at_last)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    for (int run = 0; run < 2; ++run) {
+        give_head(this->last_send(), 500, signed_head());
+        this->last_send().handlers.on_body("why");
+        end(this->last_send());
+    }
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(this->caller.answer->status, 500);
+    EXPECT_EQ(this->caller.answer->body, "why");
+}
+
+TEST_F(stream_delivery_test, a_used_up_allowance_of_retries_ends_it)
+{
+    this->retries = retry_allowance({.ratio = 0, .slack = 0, .window = 10s});
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    give_head(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    end(this->last_send());
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(stream_delivery_test, an_upstream_that_can_not_be_reached_gets_nothing_new)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    const std::string target = find_header(this->last_send().message.headers, "target").value();
+    end(this->last_send(), call_ending::not_connected);
+    EXPECT_GT(this->loads.of(upstream_id(target)).suspended_until, this->now);
+    ASSERT_EQ(this->sends.size(), 2U);
+    EXPECT_NE(find_header(this->last_send().message.headers, "target").value(), target);
+}
+
+} // namespace
+
+} // namespace sailtiller::tests
