--- /dev/null
+++ b/tests/auto/routing/tst_layerpath.cpp
@@ -0,0 +1,272 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <routing/layerpath.h>
+#include <routing/pipemeter.h>
+#include <routing/retryallowance.h>
+#include <support/sampleprofile.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class layer_path_test : public testing::Test
+{
+protected:
+    layer_path_test()
+    {
+        this->question.service = service_id("llm");
+        this->question.origin = data_hall_id("x");
+        this->question.prompt_tokens = 80;
+        this->question.answer_tokens = 20;
+        this->question.now = this->now;
+    }
+
+    void put(const std::string& id, layer_span held, const std::string& hall = "x",
+        const std::string& card = "big", bool is_leaving = false)
+    {
+        discovered_upstream upstream;
+        upstream.id = upstream_id(id);
+        upstream.service = service_id("llm");
+        upstream.address = endpoint("10.0.0.1:" + std::to_string(this->directory.entries().size()));
+        upstream.data_hall = data_hall_id(hall);
+        upstream.card = card;
+        upstream.held = held;
+        upstream.is_leaving = is_leaving;
+        this->directory.put(upstream, this->now);
+    }
+
+    /// The path as "a:0-8 b:8-16"; "none" if there is none.
+    std::string find()
+    {
+        const auto path = find_layer_path(this->profile, this->directory, this->loads, this->question);
+        if (!path) {
+            return "none";
+        }
+        std::string text;
+        unsigned next = 0;
+        std::set<upstream_id> seen;
+        for (const path_part& part : *path) {
+            EXPECT_EQ(part.span.begin, next) << "each layer once, in order";
+            EXPECT_TRUE(seen.insert(part.id).second) << "no upstream twice";
+            next = part.span.end;
+            text += (text.empty() ? "" : " ") + part.id.value() + ":" + std::to_string(part.span.begin) + "-"
+                + std::to_string(part.span.end);
+        }
+        EXPECT_EQ(next, this->profile.layers);
+        return text;
+    }
+
+    time_point now{100s};
+    engine_profile profile = tests::make_sample_profile();
+    upstream_directory directory{2s};
+    part_loads loads;
+    path_question question;
+};
+
+TEST_F(layer_path_test, joins_ranges_that_overlap)
+{
+    this->put("a", {0, 9});
+    this->put("b", {7, 16});
+    const std::string path = this->find();
+    EXPECT_TRUE(path == "a:0-9 b:9-16" || path == "a:0-8 b:8-16" || path == "a:0-7 b:7-16") << path;
+}
+
+TEST_F(layer_path_test, there_is_none_while_a_layer_has_no_holder)
+{
+    this->put("a", {0, 8});
+    this->put("b", {9, 16});
+    EXPECT_EQ(this->find(), "none");
+}
+
+TEST_F(layer_path_test, prefers_few_parts_and_fast_cards)
+{
+    this->put("slow", {0, 8}, "x", "small");
+    this->put("fast", {0, 8});
+    this->put("tail", {8, 16});
+    this->put("half", {8, 12});
+    EXPECT_EQ(this->find(), "fast:0-8 tail:8-16");
+}
+
+TEST_F(layer_path_test, leaving_suspended_and_avoided_upstreams_are_left_out)
+{
+    this->put("a", {0, 16}, "x", "big", true);
+    EXPECT_EQ(this->find(), "none");
+    this->put("b", {0, 16});
+    EXPECT_EQ(this->find(), "b:0-16");
+    this->loads.suspend(upstream_id("b"), this->now + 1s);
+    EXPECT_EQ(this->find(), "none");
+    this->question.now += 1s;
+    EXPECT_EQ(this->find(), "b:0-16");
+    this->question.avoided.insert(upstream_id("b"));
+    EXPECT_EQ(this->find(), "none");
+}
+
+TEST_F(layer_path_test, stays_in_a_hall_where_it_can)
+{
+    this->put("near-head", {0, 8});
+    this->put("far-tail", {8, 16}, "y");
+    this->put("near-middle", {8, 12}, "x", "small");
+    this->put("near-tail", {12, 16}, "x", "small");
+    EXPECT_EQ(this->find(), "near-head:0-8 near-middle:8-12 near-tail:12-16");
+    this->loads.suspend(upstream_id("near-tail"), this->now + 1s);
+    EXPECT_EQ(this->find(), "near-head:0-8 far-tail:8-16");
+    this->put("far-head", {0, 8}, "y");
+    EXPECT_EQ(this->find(), "far-head:0-8 far-tail:8-16")
+        << "one whole path in another hall before a crossing";
+}
+
+TEST_F(layer_path_test, a_used_pipe_makes_another_way_cheaper)
+{
+    this->put("near-head", {0, 8});
+    this->put("far-tail", {8, 16}, "y");
+    this->put("other-head", {0, 8}, "z", "small");
+    this->put("other-tail", {8, 16}, "z", "small");
+    this->question.pipe_share = [](const data_hall_id&, const data_hall_id&) { return 5.0; };
+    EXPECT_EQ(this->find(), "other-head:0-8 other-tail:8-16");
+}
+
+TEST_F(layer_path_test, room_goes_before_speed)
+{
+    this->put("fast", {0, 8});
+    this->put("slow", {0, 8}, "x", "small");
+    this->put("tail", {8, 16});
+    // 8 layers on a big card leave 2,000 MB at 0.1 MB a token and layer.
+    EXPECT_EQ(token_layer_room(this->profile, this->profile.kinds.at("big"), 8), 20'000);
+    this->loads.add(upstream_id("fast"), 19'000);
+    this->put("slow", {0, 4}, "x", "small");
+    this->put("slow2", {4, 8}, "x", "small");
+    EXPECT_EQ(this->find(), "slow:0-4 slow2:4-8 tail:8-16");
+}
+
+TEST_F(layer_path_test, the_work_of_other_hosts_counts)
+{
+    this->put("a", {0, 8});
+    this->put("b", {0, 8});
+    this->put("tail", {8, 16});
+    this->loads.set_others({{upstream_id("a"), {10'000, 5}}});
+    EXPECT_EQ(this->find(), "b:0-8 tail:8-16");
+    this->loads.set_others({{upstream_id("b"), {10'000, 5}}});
+    EXPECT_EQ(this->find(), "a:0-8 tail:8-16");
+}
+
+TEST_F(layer_path_test, a_fixed_head_keeps_its_layers)
+{
+    this->put("head", {0, 10});
+    this->put("better", {0, 10});
+    this->put("tail", {8, 16});
+    this->question.fixed_head = path_part{upstream_id("head"), endpoint("10.0.0.1:0"), {0, 9}};
+    EXPECT_EQ(this->find(), "head:0-9 tail:9-16");
+}
+
+TEST_F(layer_path_test, a_holder_that_would_come_twice_runs_what_lies_between)
+{
+    this->put("wide", {0, 16}, "x", "small");
+    this->put("fast", {6, 10});
+    const std::string path = this->find();
+    EXPECT_TRUE(path == "wide:0-16" || path.find("fast") != std::string::npos) << path;
+}
+
+TEST_F(layer_path_test, tells_the_fullest_part_and_the_crossings)
+{
+    this->put("a", {0, 8});
+    this->put("b", {8, 16}, "y");
+    this->loads.add(upstream_id("b"), 10'000);
+    const auto path = find_layer_path(this->profile, this->directory, this->loads, this->question);
+    ASSERT_TRUE(path.has_value());
+    EXPECT_EQ(count_crossings(this->directory, *path), 1U);
+    EXPECT_NEAR(predict_fullest_share(this->profile, this->directory, this->loads, *path, 100),
+        (10'000 + 100 * 8) / 20'000.0, 1e-9);
+    EXPECT_EQ(predict_prompt_time(this->profile, this->directory, *path, 100'000), duration(1s));
+}
+
+TEST(part_loads, suspicions_of_this_host_and_of_others_are_told_apart)
+{
+    const time_point now{100s};
+    part_loads loads;
+    const upstream_id id("a");
+    loads.suspend_on_word(id, now + 1s);
+    EXPECT_FALSE(loads.of(id).is_suspended_here);
+    loads.suspend(id, now + 500ms);
+    EXPECT_TRUE(loads.of(id).is_suspended_here);
+    EXPECT_EQ(loads.of(id).suspended_until, now + 1s);
+    loads.resume(id);
+    EXPECT_EQ(loads.of(id).suspended_until, time_point{});
+}
+
+TEST(part_loads, an_idle_upstream_holds_nothing)
+{
+    part_loads loads;
+    const upstream_id id("a");
+    loads.add(id, 0.1);
+    loads.add(id, 0.2);
+    loads.subtract(id, 0.1);
+    loads.subtract(id, 0.2);
+    EXPECT_EQ(loads.of(id).token_layers, 0);
+    loads.subtract(id, 5);
+    EXPECT_EQ(loads.of(id).requests, 0U);
+    loads.forget_idle([](const upstream_id&) { return false; });
+    EXPECT_TRUE(loads.all().empty());
+}
+
+TEST(pipe_meter, use_fades_and_counts_for_all_hosts_and_both_directions)
+{
+    const time_point now{100s};
+    pipe_meter meter;
+    const data_hall_id x("x");
+    const data_hall_id y("y");
+    meter.note(x, y, 5e8, now);
+    const double fresh = meter.used_share(y, x, 1e9, now);
+    EXPECT_NEAR(fresh, 1, 1e-9);
+    meter.set_live_hosts(3);
+    EXPECT_NEAR(meter.used_share(x, y, 1e9, now), 3 * fresh, 1e-9);
+    EXPECT_LT(meter.used_share(x, y, 1e9, now + 3s), 0.01);
+    EXPECT_EQ(meter.used_share(x, data_hall_id("z"), 1e9, now), 0);
+}
+
+TEST(retry_allowance, no_window_exceeds_what_the_fleet_may_repeat)
+{
+    const std::size_t hosts = 3;
+    const service_id service("s");
+    std::vector<retry_allowance> allowances(
+        hosts, retry_allowance({.ratio = 0.2, .slack = 30, .window = 10s}));
+    for (retry_allowance& allowance : allowances) {
+        allowance.set_live_hosts(hosts);
+    }
+    std::deque<time_point> requests;
+    std::deque<time_point> repeats;
+    for (time_point now{100s}; now < time_point{160s}; now += 50ms) {
+        for (retry_allowance& allowance : allowances) {
+            allowance.note_request(service, now);
+            requests.push_back(now);
+            if (allowance.take(service, now)) {
+                repeats.push_back(now);
+            }
+        }
+        while (requests.front() <= now - 10s) {
+            requests.pop_front();
+        }
+        while (!repeats.empty() && repeats.front() <= now - 10s) {
+            repeats.pop_front();
+        }
+        EXPECT_LE(static_cast<double>(repeats.size()), 0.2 * static_cast<double>(requests.size()) + 30);
+    }
+    EXPECT_GT(repeats.size(), 100U) << "what is allowed is used";
+}
+
+TEST(retry_allowance, each_service_has_its_own)
+{
+    retry_allowance allowance({.ratio = 0, .slack = 2.5, .window = 10s});
+    const time_point now{100s};
+    EXPECT_TRUE(allowance.take(service_id("a"), now));
+    EXPECT_TRUE(allowance.take(service_id("b"), now));
+    EXPECT_TRUE(allowance.take(service_id("a"), now) || allowance.left(service_id("a"), now) < 1.1);
+    EXPECT_FALSE(allowance.take(service_id("a"), now));
+    EXPECT_TRUE(allowance.take(service_id("a"), now + 10s));
+}
+
+} // namespace
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <runtime/connectionpool.h>
+#include <runtime/httpcall.h>
+#include <runtime/socketaddress.h>
+#include <support/looprunner.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+using tests::run_until;
+
+/// A server that answers each connection with bytes that the test gives, and ends it in the given way.
+class raw_peer
+{
+public:
+    enum class ending { keeps, closes, resets };
+
+    raw_peer()
+    {
+        const listening_socket bound = open_listening_socket(endpoint("127.0.0.1:0"));
+        this->listener = bound.descriptor;
+        this->address = bound.address;
+    }
+
+    ~raw_peer()
+    {
+        this->drop();
+        close(this->listener);
+    }
+
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    void drop()
+    {
+        if (this->connection >= 0) {
+            close(this->connection);
+            this->connection = -1;
+        }
+    }
+
+    /// Takes a waiting connection and what has come over it; answers once a whole head is there.
+    void serve(const std::string& bytes, ending end)
+    {
+        if (this->connection < 0) {
+            this->connection = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            this->connections += this->connection >= 0 ? 1 : 0;
+        }
+        char buffer[4096];
+        const ssize_t count = this->connection < 0 ? -1 : recv(this->connection, buffer, sizeof(buffer), 0);
+        if (count > 0) {
+            this->received.append(buffer, static_cast<std::size_t>(count));
+        }
+        if (this->received.find("\r\n\r\n") == std::string::npos) {
+            return;
+        }
+        this->last_request = std::move(this->received);
+        this->received.clear();
+        ++this->requests;
+        send(this->connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (end == ending::resets) {
+            const linger at_once{1, 0};
+            setsockopt(this->connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        }
+        if (end != ending::keeps) {
+            this->drop();
+        }
+    }
+
+    int listener = -1;
+    int connection = -1;
+    endpoint address;
+    std::string received;
+    std::string last_request;
+    int connections = 0;
+    int requests = 0;
+};
+
+class http_call_test : public testing::Test
+{
+protected:
+    struct outcome
+    {
+        int status = 0;
+        std::string body;
+        std::optional<call_ending> ending;
+    };
+
+    outcome call(const std::string& bytes, raw_peer::ending end, connection_pool* pool = nullptr,
+        bool may_resend = false)
+    {
+        const auto result = std::make_shared<outcome>();
+        http_call_handlers handlers;
+        handlers.on_head = [result](int status, const http_headers&) { result->status = status; };
+        handlers.on_body = [result](std::string_view part) { result->body += part; };
+        handlers.on_end = [result](call_ending ending, const std::string&) { result->ending = ending; };
+        if (may_resend) {
+            handlers.may_resend = [] { return true; };
+        }
+        http_request request;
+        request.method = "GET";
+        request.path = "/";
+        request.headers = {{"host", "a"}};
+        http_call_options options;
+        options.pool = pool;
+        http_call::start(this->loop, this->peer.address, request, options, std::move(handlers));
+        run_until(this->loop, [&] {
+            this->peer.serve(bytes, end);
+            return result->ending.has_value();
+        });
+        return *result;
+    }
+
+    event_loop loop;
+    raw_peer peer;
+};
+
+TEST_F(http_call_test, an_answer_with_a_length_is_whole_when_it_is_there)
+{
+    const outcome result =
+        this->call("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", raw_peer::ending::keeps);
+    EXPECT_EQ(result.ending, call_ending::whole);
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "body");
+}
+
+TEST_F(http_call_test, an_answer_without_a_length_is_whole_only_after_an_orderly_close)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nbody";
+    EXPECT_EQ(this->call(bytes, raw_peer::ending::closes).ending, call_ending::whole);
+    EXPECT_EQ(this->call(bytes, raw_peer::ending::resets).ending, call_ending::broken);
+}
+
+TEST_F(http_call_test, a_short_answer_is_broken)
+{
+    EXPECT_EQ(this->call("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody", raw_peer::ending::closes).ending,
+        call_ending::broken);
+    EXPECT_EQ(this->call("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+                      raw_peer::ending::closes)
+                  .ending,
+        call_ending::broken);
+    EXPECT_EQ(
+        this->call("HTTP/1.1 200 OK\r\ncontent-le", raw_peer::ending::closes).ending, call_ending::broken);
+    EXPECT_EQ(
+        this->call("rubbish that is no HTTP\r\n\r\n", raw_peer::ending::closes).ending, call_ending::broken);
+}
+
+TEST_F(http_call_test, chunks_are_taken_out_and_interim_answers_passed_over)
+{
+    const outcome result = this->call("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                                      "transfer-encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+        raw_peer::ending::keeps);
+    EXPECT_EQ(result.ending, call_ending::whole);
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "body");
+}
+
+TEST_F(http_call_test, a_connection_that_is_refused_was_not_made)
+{
+    const endpoint closed = this->peer.address;
+    close(this->peer.listener);
+    this->peer.listener = -1;
+    std::optional<call_ending> ending;
+    http_call_handlers handlers;
+    handlers.on_end = [&ending](call_ending how, const std::string&) { ending = how; };
+    http_request request;
+    request.method = "GET";
+    request.path = "/";
+    http_call::start(this->loop, closed, request, {}, std::move(handlers));
+    run_until(this->loop, [&ending] { return ending.has_value(); });
+    EXPECT_EQ(ending, call_ending::not_connected);
+}
+
+TEST_F(http_call_test, nothing_is_sent_once_it_may_no_longer_be)
+{
+    std::optional<call_ending> ending;
+    http_call_handlers handlers;
+    handlers.may_send = [] { return false; };
+    handlers.on_end = [&ending](call_ending how, const std::string&) { ending = how; };
+    http_request request;
+    request.method = "GET";
+    request.path = "/";
+    http_call::start(this->loop, this->peer.address, request, {}, std::move(handlers));
+    run_until(this->loop, [&] {
+        this->peer.serve("", raw_peer::ending::keeps);
+        return ending.has_value();
+    });
+    EXPECT_EQ(ending, call_ending::not_connected);
+    EXPECT_EQ(this->peer.requests, 0);
+}
+
+TEST_F(http_call_test, a_clean_connection_is_used_again)
+{
+    connection_pool pool(this->loop, {});
+    const std::string bytes = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    this->call(bytes, raw_peer::ending::keeps, &pool);
+    EXPECT_EQ(pool.kept_count(), 1U);
+    EXPECT_EQ(this->call(bytes, raw_peer::ending::keeps, &pool).body, "body");
+    EXPECT_EQ(this->peer.connections, 1);
+}
+
+TEST_F(http_call_test, bytes_beyond_the_answer_end_the_connection)
+{
+    connection_pool pool(this->loop, {});
+    const outcome result =
+        this->call("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n\r\n",
+            raw_peer::ending::keeps, &pool);
+    EXPECT_EQ(result.ending, call_ending::whole);
+    EXPECT_EQ(result.body, "body");
+    EXPECT_EQ(pool.kept_count(), 0U);
+}
+
+TEST_F(http_call_test, a_connection_whose_peer_says_close_is_not_kept)
+{
+    connection_pool pool(this->loop, {});
+    this->call(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n", raw_peer::ending::keeps, &pool);
+    EXPECT_EQ(pool.kept_count(), 0U);
+}
+
+TEST_F(http_call_test, a_late_second_answer_ends_a_kept_connection)
+{
+    connection_pool pool(this->loop, {});
+    this->call("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", raw_peer::ending::keeps, &pool);
+    const std::string_view late = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    send(this->peer.connection, late.data(), late.size(), MSG_NOSIGNAL);
+    run_until(this->loop, [&pool] { return pool.kept_count() == 0; });
+}
+
+TEST_F(http_call_test, a_kept_connection_is_closed_after_its_time)
+{
+    connection_pool pool(this->loop, {.idle_time = 1ms, .most_kept = 4});
+    this->call("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", raw_peer::ending::keeps, &pool);
+    run_until(this->loop, [&pool] { return pool.kept_count() == 0; });
+}
+
+TEST_F(http_call_test, a_request_goes_out_again_only_if_it_may)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    for (const bool may_resend : {false, true}) {
+        connection_pool pool(this->loop, {});
+        this->call(bytes, raw_peer::ending::keeps, &pool);
+        ASSERT_EQ(pool.kept_count(), 1U);
+        // The peer reads the request and closes without a word; a second one gets its answer.
+        const int before = this->peer.requests;
+        const auto result = std::make_shared<outcome>();
+        http_call_handlers handlers;
+        handlers.on_head = [](int, const http_headers&) {};
+        handlers.on_body = [result](std::string_view part) { result->body += part; };
+        handlers.on_end = [result](call_ending ending, const std::string&) { result->ending = ending; };
+        if (may_resend) {
+            handlers.may_resend = [] { return true; };
+        }
+        http_request request;
+        request.method = "GET";
+        request.path = "/";
+        http_call_options options;
+        options.pool = &pool;
+        http_call::start(this->loop, this->peer.address, request, options, std::move(handlers));
+        run_until(this->loop, [&] {
+            const bool is_first = this->peer.requests == before;
+            this->peer.serve(
+                is_first ? "" : bytes, is_first ? raw_peer::ending::closes : raw_peer::ending::keeps);
+            return result->ending.has_value();
+        });
+        EXPECT_EQ(result->ending, may_resend ? call_ending::whole : call_ending::broken);
+        this->peer.drop();
+    }
+}
+
+} // namespace
+
+} // namespace sailtiller
