--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -26,8 +26,11 @@
 constexpr duration upstream_connect_limit = milliseconds(200);
 /// Upstreams close connections at rest after some seconds; ours go first.
 constexpr duration upstream_idle_time = milliseconds(2500);
-/// How long a read waits for a newer bundle; each answer also confirms the present one.
-constexpr duration bundle_wait = milliseconds(1000);
+/// How long a read waits for a newer bundle at the most; each answer also confirms the present one.
+constexpr duration longest_bundle_wait = milliseconds(1000);
+/// A reader confirms the bundle as of the begin of a wait, so up to two waits ago, and tells it to the others
+/// in half a second more; five waits fit into the time in which a withdrawn key may be used.
+constexpr int waits_in_revoke_limit = 5;
 /// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
 /// upstreams leave.
 constexpr duration upstream_interval = milliseconds(400);
@@ -37,8 +40,8 @@
 constexpr std::size_t reader_count = 2;
 /// A host that knows the upstreams only as of longer ago reads for itself, as the readers seem to be gone.
 constexpr duration own_upstream_read_age = milliseconds(1500);
-/// The same for the bundle: a reader confirms it as of the begin of a wait, so up to two waits ago.
-constexpr duration own_bundle_read_age = milliseconds(2600);
+/// The same for the bundle, in tenths of a wait.
+constexpr int own_bundle_read_tenths = 26;
 constexpr duration join_interval = milliseconds(600);
 /// Silence after which another host takes the duties over.
 constexpr duration join_silence_limit = milliseconds(1800);
@@ -293,9 +296,11 @@
 keyed_follower site_host::make_bundle_follower()
 {
     keyed_follower_hooks hooks = this->make_follower_hooks();
-    hooks.is_due = [this] {
-        return this->is_reader()
-            || this->knowledge.bundle_age().value_or(own_bundle_read_age) >= own_bundle_read_age;
+    const duration wait =
+        std::min(longest_bundle_wait, this->settings.store->revoke_limit / waits_in_revoke_limit);
+    const duration own_read_age = wait * own_bundle_read_tenths / 10;
+    hooks.is_due = [this, own_read_age] {
+        return this->is_reader() || this->knowledge.bundle_age().value_or(own_read_age) >= own_read_age;
     };
     hooks.on_all = [this](const std::vector<keyed_record>& records, log_offset) {
         for (const keyed_record& record : records) {
@@ -306,7 +311,7 @@
         this->knowledge.take_bundle_record(record);
     };
     hooks.on_confirmed = [this](time_point asked) { this->knowledge.confirm_bundle(asked); };
-    return {{.topic = store_topic::bundles, .wait = bundle_wait, .pause = look_pause}, std::move(hooks)};
+    return {{.topic = store_topic::bundles, .wait = wait, .pause = look_pause}, std::move(hooks)};
 }
 
 keyed_follower site_host::make_upstream_follower()
@@ -434,10 +439,11 @@
 {
     const endpoint address = this->callers.listen(this->settings.listen);
     const endpoint admin_address = this->admin_server.listen(this->settings.admin_listen);
+    const endpoint peer_address = this->peers.start(*this->settings.peer_listen);
     log_event(log_level::info, "started",
         {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
-            {"listen", address.value()}, {"admin", admin_address.value()}});
-    this->peers.start(*this->settings.peer_listen);
+            {"listen", address.value()}, {"admin", admin_address.value()},
+            {"peer_listen", peer_address.value()}});
     this->bundle_follower.start();
     this->upstream_follower.start();
     this->join_duties();
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -54,11 +54,12 @@
 {
 }
 
-void site_peers::start(const endpoint& address)
+endpoint site_peers::start(const endpoint& address)
 {
-    this->server.listen(address);
+    this->table.set_own_address(this->server.listen(address));
     this->write_own_record();
     this->run_round();
+    return this->table.own().address;
 }
 
 void site_peers::write_own_record()
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -29,8 +29,8 @@
 public:
     site_peers(event_loop& loop, store_client& store, known_host self, site_peers_hooks hooks);
 
-    /// Throws `error` if the address can't be listened on.
-    void start(const endpoint& address);
+    /// Throws `error` if the address can't be listened on. Returns it with the port that was bound.
+    endpoint start(const endpoint& address);
     /// Tells the peers at once that this host takes no more duties.
     void announce_leaving();
     [[nodiscard]] const host_table& hosts() const { return this->table; }
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -46,6 +46,8 @@
     [[nodiscard]] std::size_t own_rank(time_point now) const;
     /// Work of the other live hosts at each upstream.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
+    /// The address that was bound, once it is known.
+    void set_own_address(const endpoint& address) { this->self.address = address; }
     [[nodiscard]] const known_host& own() const { return this->self; }
 
 private:
--- a/src/libs/runtime/httpclient.cpp
+++ b/src/libs/runtime/httpclient.cpp
@@ -127,7 +127,8 @@
     item->on_failure = std::move(on_failure);
     owner.calls.emplace(id, item);
     http_request message = request;
-    message.headers.insert(message.headers.begin(), {"host", target.value()});
+    const std::string& host = request.authority.empty() ? target.value() : request.authority;
+    message.headers.insert(message.headers.begin(), {"host", host});
     http_call_options options;
     options.connect_limit = owner.settings.connect_time;
     options.pool = &owner.pool;
--- a/src/libs/runtime/httpclient.h
+++ b/src/libs/runtime/httpclient.h
@@ -44,7 +44,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends a request; its `peer` and `protocol` are not looked at. Exactly one handler runs, unless the
+    /// Sends a request; its `peer` and `protocol` are not looked at, and without an `authority` the target's
+    /// address is named as the host. Exactly one handler runs, unless the
     /// call is cancelled first. A request is never sent twice.
     call_id send(const endpoint& target, const http_request& request, response_handler on_response,
         failure_handler on_failure);
--- /dev/null
+++ b/tests/auto/system/tst_site.cpp
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: Apache-2.0
+// Hosts of a site whose bundle, upstreams and duties lie in the platform's store.
+#include "sitebed.h"
+
+#include <csignal>
+
+namespace sailtiller::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class site : public site_bed
+{
+};
+
+TEST_F(site, places_the_layers_and_serves_whole_streams)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    const auto answer = this->ask(host, "r1");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, this->whole_stream());
+    EXPECT_EQ(this->world.order_faults, 0U);
+    EXPECT_EQ(this->world.accounts_seen, std::set<std::string>{"one"});
+    EXPECT_GE(this->world.orders, 4U);
+}
+
+TEST_F(site, a_stream_outlives_any_engine_of_its_path)
+{
+    this->start_engines(4);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->world.stream_events = 120;
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (int number = 0; number < 6; ++number) {
+        answers.push_back(this->ask(host, "r" + std::to_string(number)));
+    }
+    run_until(this->loop, [this] { return this->world.events_made["r5"].size() >= 20; });
+    this->engines[0]->kill();
+    for (const auto& answer : answers) {
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, this->whole_stream()) << "each event once, in order";
+    }
+    EXPECT_EQ(this->world.order_faults, 0U);
+    for (const auto& [request, runs] : this->world.runs) {
+        EXPECT_LE(runs, 2U) << request;
+    }
+}
+
+TEST_F(site, layers_of_a_lost_engine_are_placed_again)
+{
+    this->start_engines(2);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->engines[0]->kill();
+    this->store.put("keyed.servers", "x0", "");
+    this->engines[2]->kill();
+    this->store.put("keyed.servers", "y0", "");
+    this->engines.push_back(
+        std::make_unique<standins::path_engine>(this->loop, this->store, this->world, "new", "x"));
+    run_until(this->loop, [this] { return this->engines.back()->held_layers() > 0; });
+    this->wait_until_served(host);
+    EXPECT_EQ(this->world.order_faults, 0U);
+}
+
+TEST_F(site, a_withdrawn_key_is_refused_and_a_new_one_taken)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->write_configuration(5, {"key-1", "key-3"});
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x", "key-2");
+        this->wait_for(answer);
+        return answer->status == 401;
+    });
+    const auto answer = this->ask(host, "new-key", "/submit/x", "key-3");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 200);
+    this->write_configuration(3, {"key-2"});
+    const auto old = this->ask(host, "old-key", "/submit/x", "key-2");
+    this->wait_for(old);
+    EXPECT_EQ(old->status, 401) << "an older version never comes back";
+}
+
+TEST_F(site, unknown_routes_and_a_host_without_a_configuration_say_so)
+{
+    this->start_engines(1);
+    site_host_process& host = this->start_host("a");
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+    const auto answer = this->ask(host, "r", "/nowhere/");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 404);
+
+    site_host_process& cut_off = this->start_host("b", {}, false);
+    const auto refused = this->ask(cut_off, "s", "/submit/x");
+    this->wait_for(refused);
+    EXPECT_EQ(refused->status, 503);
+}
+
+TEST_F(site, an_unsafe_request_whose_answer_was_lost_is_not_sent_again)
+{
+    site_host_process& host = this->start_host("a");
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+    this->services[0]->lose_answers(1);
+    this->services[1]->lose_answers(1);
+    const auto answer = this->ask(host, "lost", "/submit/x");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_EQ(this->world.runs["lost"], 1U);
+}
+
+TEST_F(site, a_host_that_the_store_turns_away_serves_on_the_word_of_its_peers)
+{
+    this->start_engines(3);
+    site_host_process& first = this->start_host("a");
+    site_host_process& second = this->start_host("b");
+    this->wait_until_served(first);
+    this->wait_until_served(second);
+    this->shut_gate(second);
+    // Alone, it would have to stop after the five seconds in which a withdrawn key may be used.
+    const time_point shut = this->loop.now();
+    while (this->loop.now() < shut + 5500ms) {
+        const auto answer = this->ask(second, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200);
+        this->loop.run_once(20ms);
+    }
+    this->write_configuration(9, {"key-1"});
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(second, "r" + std::to_string(this->probes++), "/submit/x", "key-2");
+        this->wait_for(answer);
+        return answer->status == 401;
+    });
+}
+
+TEST_F(site, a_host_without_any_way_to_the_store_stops_using_keys_in_time)
+{
+    site_host_process& host = this->start_host("a", {"--revoke-limit-ms", "1500"});
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+    this->shut_gate(host);
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 503;
+    });
+    *host.is_gate_open = true;
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+}
+
+TEST_F(site, a_planned_stop_cuts_nothing)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->world.stream_events = 150;
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (int number = 0; number < 5; ++number) {
+        answers.push_back(this->ask(host, "r" + std::to_string(number)));
+    }
+    run_until(this->loop, [this] { return this->world.events_made["r4"].size() >= 5; });
+    host.process->send_signal(SIGHUP);
+    host.process->send_signal(SIGTERM);
+    for (const auto& answer : answers) {
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, this->whole_stream());
+    }
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 0);
+}
+
+TEST_F(site, the_next_host_gives_the_orders_when_the_one_that_did_is_killed)
+{
+    this->start_engines(3);
+    site_host_process& first = this->start_host("a");
+    site_host_process& second = this->start_host("b");
+    this->wait_until_served(first);
+    this->wait_until_served(second);
+    const std::uint64_t token = this->world.highest_token;
+    const unsigned orders = this->world.orders;
+    first.process->send_signal(SIGKILL);
+    this->engines[0]->kill();
+    this->store.put("keyed.servers", "x0", "");
+    this->engines[3]->kill();
+    this->store.put("keyed.servers", "y0", "");
+    for (const char* hall : {"x", "y"}) {
+        this->engines.push_back(std::make_unique<standins::path_engine>(
+            this->loop, this->store, this->world, std::string("new") + hall, hall));
+    }
+    run_until(this->loop, [this, orders] { return this->world.orders > orders; });
+    EXPECT_GT(this->world.highest_token, token);
+    this->wait_until_served(second);
+}
+
+} // namespace
+
+} // namespace sailtiller::tests
--- /dev/null
+++ b/tests/standins/pathengine.cpp
@@ -0,0 +1,242 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/json.h>
+#include <standins/pathengine.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace sailtiller::standins {
+
+namespace {
+
+std::string header_of(const std::shared_ptr<http_exchange>& exchange, std::string_view name)
+{
+    return find_header(exchange->request().headers, name).value_or("");
+}
+
+std::vector<engine_part> read_path(const std::string& text)
+{
+    std::vector<engine_part> path;
+    std::istringstream list(text);
+    std::string item;
+    while (std::getline(list, item, ',')) {
+        const std::size_t equals = item.find('=');
+        const std::size_t dash = item.find('-', equals);
+        path.push_back({item.substr(0, equals),
+            static_cast<unsigned>(std::stoul(item.substr(equals + 1, dash - equals - 1))),
+            static_cast<unsigned>(std::stoul(item.substr(dash + 1)))});
+    }
+    return path;
+}
+
+std::unique_ptr<http_server> make_server(event_loop& loop, http_server::request_handler handler)
+{
+    return std::make_unique<http_server>(loop, http_server_limits{}, std::nullopt, std::move(handler));
+}
+
+} // namespace
+
+path_engine::path_engine(event_loop& loop, platform_store& store, engine_world& world, const std::string& id,
+    const std::string& hall)
+    : loop(loop)
+    , store(store)
+    , world(world)
+    , id(id)
+    , hall(hall)
+    , server(make_server(
+          loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); }))
+    , address(this->server->listen(endpoint("127.0.0.1:0")).value())
+{
+    world.by_address[this->address] = this;
+    this->write_entry();
+}
+
+path_engine::~path_engine()
+{
+    this->kill();
+}
+
+void path_engine::kill()
+{
+    this->world.by_address.erase(this->address);
+    for (auto& [request, stream] : this->running) {
+        this->loop.cancel(stream.timer);
+        stream.exchange->abort();
+    }
+    this->running.clear();
+    this->server.reset();
+}
+
+void path_engine::leave()
+{
+    this->is_leaving = true;
+    this->write_entry();
+}
+
+bool path_engine::holds(unsigned first, unsigned last) const
+{
+    return first >= this->begin && last <= this->end && first < last;
+}
+
+void path_engine::write_entry()
+{
+    json entry = {{"service", "llm"}, {"address", this->address}, {"zone", this->hall}, {"version", "v1"},
+        {"slots", 100}, {"state", this->is_leaving ? "draining" : "ready"}, {"sequence", 1}, {"kind", "card"},
+        {"models", json::array()}, {"layers", nullptr}};
+    if (this->end > this->begin) {
+        entry["layers"] = {{"from", this->begin}, {"target-version", this->end}, {"version", 1}};
+    }
+    this->store.put("keyed.servers", this->id, entry.dump());
+}
+
+void path_engine::handle(const std::shared_ptr<http_exchange>& exchange)
+{
+    const std::string route(exchange->request().route());
+    const std::string target = header_of(exchange, "x-target-instance");
+    if (!target.empty() && target != this->id) {
+        exchange->respond({421, {{"x-instance-id", this->id}}, ""});
+    } else if (route == "/api/report") {
+        exchange->respond({200, {}, json({{"busy", false}}).dump()});
+    } else if (route == "/api/order") {
+        this->take_order(exchange);
+    } else {
+        this->start_stream(exchange, header_of(exchange, "path"));
+    }
+}
+
+void path_engine::take_order(const std::shared_ptr<http_exchange>& exchange)
+{
+    const json body = json::parse(exchange->request().body);
+    if (body.at("op") == "repath") {
+        this->change_path(exchange, body.at("id").get<std::string>(), body.at("path").get<std::string>());
+        return;
+    }
+    const auto token = body.at("fence").get<std::uint64_t>();
+    if (token < this->token_seen) {
+        exchange->respond({412, {}, ""});
+        return;
+    }
+    this->token_seen = token;
+    this->world.highest_token = std::max(this->world.highest_token, token);
+    ++this->world.orders;
+    if (body.contains("expected-revision") && body.at("expected-revision") != this->orders_begun) {
+        exchange->respond({409, {}, ""});
+        return;
+    }
+    ++this->orders_begun;
+    exchange->respond({202, {}, ""});
+    this->loop.schedule_after(std::chrono::milliseconds(20),
+        [this, from = body.at("from").get<unsigned>(), to = body.at("target-version").get<unsigned>()] {
+            this->begin = from;
+            this->end = to;
+            this->write_entry();
+        });
+}
+
+const engine_part* path_engine::find_fault(const std::vector<engine_part>& path) const
+{
+    for (const engine_part& part : path) {
+        const auto found = this->world.by_address.find(part.address);
+        if (found == this->world.by_address.end() || !found->second->holds(part.begin, part.end)) {
+            return &part;
+        }
+    }
+    return nullptr;
+}
+
+void path_engine::change_path(
+    const std::shared_ptr<http_exchange>& exchange, const std::string& request, const std::string& path)
+{
+    const auto found = this->running.find(request);
+    if (found == this->running.end()) {
+        exchange->respond({404, {}, ""});
+        return;
+    }
+    std::vector<engine_part> parts = read_path(path);
+    if (const engine_part* fault = this->find_fault(parts)) {
+        exchange->respond({409, {}, json({{"address", fault->address}}).dump()});
+        return;
+    }
+    found->second.path = std::move(parts);
+    exchange->respond({200, {}, ""});
+}
+
+void path_engine::start_stream(const std::shared_ptr<http_exchange>& exchange, const std::string& path)
+{
+    const std::string request = header_of(exchange, "x-attempt-id");
+    const std::vector<engine_part> parts = read_path(path);
+    if (const engine_part* fault = this->find_fault(parts)) {
+        exchange->respond(
+            {503, {{"x-attempt-id", request}, {"x-not-executed", "1"}, {"at-server", fault->address}}, ""});
+        return;
+    }
+    ++this->world.runs[request];
+    this->world.accounts_seen.insert(header_of(exchange, "x-tenant"));
+    const std::string last = header_of(exchange, "last-event-id");
+    running_stream& stream = this->running[request];
+    stream.exchange = exchange;
+    stream.path = parts;
+    stream.next_event = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last)) + 1;
+    exchange->start(200,
+        {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id},
+            {"content-type", "text/event-stream"}});
+    stream.timer =
+        this->loop.schedule_after(this->world.event_interval, [this, request] { this->make_event(request); });
+}
+
+void path_engine::make_event(const std::string& request)
+{
+    running_stream& stream = this->running[request];
+    if (stream.exchange->has_caller_left()) {
+        this->running.erase(request);
+        return;
+    }
+    const auto again = [this, request] { this->make_event(request); };
+    if (this->find_fault(stream.path) != nullptr) {
+        stream.timer = this->loop.schedule_after(this->world.event_interval, again); // it stands still
+        return;
+    }
+    unsigned layer = 0;
+    for (const engine_part& part : stream.path) {
+        this->world.order_faults += part.begin == layer ? 0 : 1;
+        layer = part.end;
+    }
+    this->world.order_faults += layer == this->world.layers ? 0 : 1;
+    this->world.events_made[request].insert(stream.next_event);
+    stream.exchange->send("id: " + std::to_string(stream.next_event) + "\ndata: t\n\n");
+    ++stream.next_event;
+    if (stream.next_event >= this->world.stream_events) {
+        stream.exchange->finish();
+        this->running.erase(request);
+        return;
+    }
+    stream.timer = this->loop.schedule_after(this->world.event_interval, again);
+}
+
+platform_service::platform_service(
+    event_loop& loop, platform_store& store, engine_world& world, const std::string& id)
+    : world(world)
+    , id(id)
+    , server(make_server(
+          loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); }))
+{
+    const endpoint address = this->server->listen(endpoint("127.0.0.1:0"));
+    store.put("keyed.servers", id,
+        json({{"service", "plain"}, {"address", address.value()}, {"zone", "x"}, {"state", "ready"}}).dump());
+}
+
+void platform_service::handle(const std::shared_ptr<http_exchange>& exchange)
+{
+    const std::string request = header_of(exchange, "x-attempt-id");
+    ++this->world.runs[request];
+    if (this->answers_to_lose > 0) {
+        --this->answers_to_lose;
+        exchange->start(200, {});
+        exchange->abort();
+        return;
+    }
+    exchange->respond(
+        {200, {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id}}, "answer"});
+}
+
+} // namespace sailtiller::standins
--- /dev/null
+++ b/tests/standins/pathengine.h
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/ids.h>
+#include <runtime/httpserver.h>
+#include <standins/platformstore.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace sailtiller::standins {
+
+class path_engine;
+
+/// All engines of a site, which pass streams on among themselves, and what came of the requests.
+struct engine_world
+{
+    unsigned layers = 8;
+    unsigned stream_events = 40;
+    duration event_interval = std::chrono::milliseconds(5);
+    std::map<std::string, path_engine*> by_address; ///< those that are alive
+    std::map<std::string, std::multiset<unsigned>> events_made; ///< ids of events by request
+    std::map<std::string, unsigned> runs; ///< by request
+    std::set<std::string> accounts_seen;
+    unsigned order_faults = 0; ///< tokens made by a path that did not run every layer once, in order
+    unsigned orders = 0;
+    std::uint64_t highest_token = 0;
+};
+
+/// One part of a path.
+struct engine_part
+{
+    std::string address;
+    unsigned begin = 0;
+    unsigned end = 0;
+};
+
+/// An engine that holds layers, leads streams over paths, and obeys orders, by the published protocol.
+class path_engine
+{
+public:
+    path_engine(event_loop& loop, platform_store& store, engine_world& world, const std::string& id,
+        const std::string& hall);
+    ~path_engine();
+    path_engine(const path_engine&) = delete;
+    path_engine& operator=(const path_engine&) = delete;
+
+    /// The process ends without a word: connections reset, and nothing that depends on it goes on.
+    void kill();
+    /// It says that it leaves and goes on serving.
+    void leave();
+    [[nodiscard]] bool holds(unsigned begin, unsigned end) const;
+    [[nodiscard]] unsigned held_layers() const { return this->end - this->begin; }
+    [[nodiscard]] const std::string& own_address() const { return this->address; }
+    [[nodiscard]] std::size_t streams_led() const { return this->running.size(); }
+
+private:
+    struct running_stream
+    {
+        std::shared_ptr<http_exchange> exchange;
+        std::vector<engine_part> path;
+        unsigned next_event = 0;
+        timer_id timer = 0;
+    };
+
+    void handle(const std::shared_ptr<http_exchange>& exchange);
+    void take_order(const std::shared_ptr<http_exchange>& exchange);
+    void change_path(
+        const std::shared_ptr<http_exchange>& exchange, const std::string& id, const std::string& path);
+    void start_stream(const std::shared_ptr<http_exchange>& exchange, const std::string& path);
+    /// The first part that can't run; nothing if all can.
+    [[nodiscard]] const engine_part* find_fault(const std::vector<engine_part>& path) const;
+    void make_event(const std::string& id);
+    void write_entry();
+
+    event_loop& loop;
+    platform_store& store;
+    engine_world& world;
+    std::string id;
+    std::string hall;
+    std::unique_ptr<http_server> server;
+    std::string address;
+    unsigned begin = 0;
+    unsigned end = 0;
+    bool is_leaving = false;
+    unsigned orders_begun = 0;
+    std::uint64_t token_seen = 0;
+    std::map<std::string, running_stream> running;
+};
+
+/// A plain service by the published protocol, with faults that tests switch on.
+class platform_service
+{
+public:
+    platform_service(event_loop& loop, platform_store& store, engine_world& world, const std::string& id);
+
+    /// The next requests run and their answers are lost.
+    void lose_answers(unsigned count) { this->answers_to_lose = count; }
+
+private:
+    void handle(const std::shared_ptr<http_exchange>& exchange);
+
+    engine_world& world;
+    std::string id;
+    std::unique_ptr<http_server> server;
+    unsigned answers_to_lose = 0;
+};
+
+} // namespace sailtiller::standins
