--- a/scripts/testbed.sh
+++ b/scripts/testbed.sh
@@ -25,7 +25,7 @@
 # start_host ID PORT: starts a host for callers at PORT and for operators at PORT + 1; its process is in host_pid.
 start_host() {
   "$daemon" --host-id "$1" --data-hall hall-a --host-list-address "$hosts" \
-    --listen "127.0.0.1:$2" --admin-listen "127.0.0.1:$(($2 + 1))" --stop-grace-ms 0 2>"$work/$1.log" &
+    --listen "127.0.0.1:$2" --admin-listen "127.0.0.1:$(($2 + 1))" --stop-grace-ms 0 >"$work/$1.log" 2>&1 &
   host_pid=$!
   pids+=("$host_pid")
 }
--- a/src/libs/runtime/eventlog.h
+++ b/src/libs/runtime/eventlog.h
@@ -17,7 +17,7 @@
     std::string value;
 };
 
-/// Settings of the process's log, which goes to the standard error stream.
+/// Settings of the process's log, which goes to standard output.
 struct log_settings
 {
     log_level least = log_level::info;
@@ -26,7 +26,9 @@
 
 /// Sets the log up; before this, nothing is logged.
 void set_up_log(const log_settings& settings);
-/// Writes one event as one line: its name and its fields. Control characters in values are escaped.
+/// Writes one event as one line: its name and its fields. Control characters in values are escaped. Never
+/// waits: a line is left out when nobody reads the output or when the event comes too often, and such lines
+/// are counted.
 void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields = {});
 
 } // namespace sailtiller
