--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
-# Installs what is missing, then runs the formatter, the build with -Werror, the tests,
+# Installs what is missing, then runs the formatter, the check for names of the wire, the build with -Werror, the tests,
 # the tests under the sanitizers, and clang-tidy. Any finding ends it with a non-zero code.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,6 +13,9 @@
 step "format"
 git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run -Werror
 
+step "names of the platform's wire"
+scripts/check_wire_names.sh
+
 step "build"
 cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSAILTILLER_BENCH=ON >/dev/null
 cmake --build build
