Delivery: the call and the watch over the caller stand once

Both deliveries had the same timers for the time limit and the look at the caller, the same numbering of calls, the same head of the upstream's request and the same rule for another run; a change to one could forget the other.

--- a/src/libs/base/clock.h
+++ b/src/libs/base/clock.h
@@ -21,4 +21,10 @@
 using time_point = loop_clock::time_point;
 using clock_function = std::function<time_point()>;
 
+/// A part or a multiple of a time, in whole ticks.
+inline duration scale(duration time, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
+}
+
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -31,6 +31,26 @@
     return this->arrived + std::max(limit - answer_margin, answer_margin);
 }
 
+time_point delivery_order::hold_end(double most_hold_share) const
+{
+    return this->arrived + scale(this->route->latency_objective, most_hold_share);
+}
+
+bool delivery_order::may_run_again(unsigned runs) const
+{
+    return runs == 0 || (this->route->may_repeat() && runs < this->route->most_attempts);
+}
+
+upstream_request delivery_order::make_request(const upstream_id& target, time_point now) const
+{
+    upstream_request item;
+    item.target = target;
+    item.account = this->account;
+    item.time_left = this->deadline() - now;
+    item.priority = this->priority;
+    return item;
+}
+
 http_response make_refusal(duration retry_after, const std::string& reason)
 {
     return {http_status::unavailable,
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -114,6 +114,12 @@
 
     /// The moment at which the request gets its final answer at the latest.
     [[nodiscard]] time_point deadline() const;
+    /// Until when the request is held while nothing can take it, if that may be this share of its objective.
+    [[nodiscard]] time_point hold_end(double most_hold_share) const;
+    /// True if one more upstream may run the request, after `runs` that have begun it.
+    [[nodiscard]] bool may_run_again(unsigned runs) const;
+    /// The request as it goes to this upstream, without a path.
+    [[nodiscard]] upstream_request make_request(const upstream_id& target, time_point now) const;
 };
 
 /// A refusal that says truthfully that the request has not run, and when to come back.
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -16,11 +16,6 @@
 /// the second answer must still come within the objective.
 constexpr double slow_share = 0.6;
 
-duration scale(duration time, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
 } // namespace
 
 plain_delivery::plain_delivery(
@@ -29,16 +24,17 @@
     , order(std::move(order))
     , caller(std::move(caller))
     , on_done(std::move(on_done))
+    , patience(context)
+    , call(context, this->order)
 {
 }
 
 void plain_delivery::start()
 {
     const auto self = this->shared_from_this();
-    const duration left = this->order.deadline() - this->context.timers.now();
-    this->limit_timer = this->context.timers.schedule_after(left, [self] { self->end_at_limit(); });
-    this->look_timer = this->context.timers.schedule_after(
-        this->context.settings.look_interval, [self] { self->look_at_caller(); });
+    this->patience.start(
+        this->order, this->caller.has_left, [self] { self->end_at_limit(); },
+        [self] { self->end_abandoned(); });
     this->context.retries.note_request(this->order.service, this->context.timers.now());
     this->search();
 }
@@ -77,8 +73,7 @@
         this->send_to(*upstream);
         return;
     }
-    const time_point hold_end = this->order.arrived
-        + scale(this->order.route->latency_objective, this->context.settings.most_hold_share);
+    const time_point hold_end = this->order.hold_end(this->context.settings.most_hold_share);
     if (this->context.timers.now() >= hold_end) {
         this->refuse("no upstream of the service is available");
         return;
@@ -96,18 +91,11 @@
     this->target = upstream.id;
     this->context.loads.add(upstream.id, 0);
     ++this->sends;
-    ++this->call_number;
     this->answer = {};
     this->body.clear();
-    upstream_request message;
-    message.target = upstream.id;
-    message.account = this->order.account;
-    message.time_left = this->order.deadline() - this->context.timers.now();
-    message.priority = this->order.priority;
     this->log("sent", upstream.address.value());
-    this->cancel =
-        this->context.send(upstream.address, this->context.codec.encode_request(this->order.request, message),
-            this->order.route->may_repeat(), this->make_handlers());
+    this->call.start(upstream.address, this->order.make_request(upstream.id, this->context.timers.now()),
+        this->make_answer_hooks());
     if (this->order.route->may_repeat()) {
         this->slow_timer =
             this->context.timers.schedule_after(scale(this->order.route->latency_objective, slow_share),
@@ -115,41 +103,16 @@
     }
 }
 
-http_call_handlers plain_delivery::make_handlers()
+answer_hooks plain_delivery::make_answer_hooks()
 {
     const auto self = this->shared_from_this();
-    const std::uint64_t number = this->call_number;
-    const auto is_current = [self, number] { return self->call_number == number && !self->is_done; };
-    http_call_handlers handlers;
-    handlers.may_send = this->context.may_send;
-    if (this->order.route->may_repeat()) {
-        handlers.may_resend = [self] {
-            return self->context.retries.take(self->order.service, self->context.timers.now());
-        };
-    }
-    handlers.on_head = [self, is_current](int status, const http_headers& headers) {
-        if (is_current()) {
-            self->answer = self->context.codec.decode_answer(status, headers);
-        }
+    answer_hooks hooks;
+    hooks.on_head = [self](int status, const http_headers& headers) {
+        self->answer = self->context.codec.decode_answer(status, headers);
     };
-    handlers.on_body = [self, is_current](std::string_view bytes) {
-        if (is_current()) {
-            self->body += bytes;
-        }
-    };
-    handlers.on_end = [self, is_current](call_ending ending, const std::string& reason) {
-        if (is_current()) {
-            self->cancel = nullptr;
-            self->take_end(ending, reason);
-        }
-    };
-    return handlers;
-}
-
-bool plain_delivery::may_run_again() const
-{
-    return this->runs == 0
-        || (this->order.route->may_repeat() && this->runs < this->order.route->most_attempts);
+    hooks.on_body = [self](std::string_view bytes) { self->body += bytes; };
+    hooks.on_end = [self](call_ending ending, const std::string& reason) { self->take_end(ending, reason); };
+    return hooks;
 }
 
 void plain_delivery::take_end(call_ending ending, const std::string& reason)
@@ -201,7 +164,7 @@
 {
     const bool has_room = this->sends < this->context.settings.most_sends
         && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
-    if (this->may_run_again() && has_room) {
+    if (this->order.may_run_again(this->runs) && has_room) {
         this->retry_or_fail("status " + std::to_string(this->answer.status));
         return;
     }
@@ -217,7 +180,7 @@
         this->avoided.insert(*this->target);
     }
     this->release();
-    if (this->may_run_again() && this->sends < this->context.settings.most_sends) {
+    if (this->order.may_run_again(this->runs) && this->sends < this->context.settings.most_sends) {
         this->search();
         return;
     }
@@ -238,7 +201,7 @@
         return; // the only try that is left is waited for
     }
     ++this->runs;
-    this->end_call();
+    this->call.end();
     this->retry_or_fail("no answer within a part of the objective");
 }
 
@@ -255,21 +218,15 @@
 
 void plain_delivery::end_at_limit()
 {
-    this->limit_timer = 0;
     this->log("time_limit", "");
     this->caller.respond(make_failure(http_status::gateway_timeout, "the time limit has passed"));
     this->end();
 }
 
-void plain_delivery::look_at_caller()
+void plain_delivery::end_abandoned()
 {
-    if (this->caller.has_left()) {
-        this->log("caller_left", "");
-        this->end();
-        return;
-    }
-    this->look_timer = this->context.timers.schedule_after(
-        this->context.settings.look_interval, [self = this->shared_from_this()] { self->look_at_caller(); });
+    this->log("caller_left", "");
+    this->end();
 }
 
 void plain_delivery::release()
@@ -281,26 +238,15 @@
     }
 }
 
-void plain_delivery::end_call()
-{
-    ++this->call_number;
-    if (this->cancel) {
-        const cancel_call action = std::move(this->cancel);
-        this->cancel = nullptr;
-        action();
-    }
-}
-
 void plain_delivery::end()
 {
     if (this->is_done) {
         return;
     }
     this->is_done = true;
-    this->end_call();
+    this->call.end();
     this->release();
-    this->context.timers.cancel(this->limit_timer);
-    this->context.timers.cancel(this->look_timer);
+    this->patience.stop();
     this->context.timers.cancel(this->search_timer);
     if (this->on_done) {
         const std::function<void()> action = std::move(this->on_done);
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
+#include <delivery/upstreamcall.h>
 
 namespace sailtiller {
 
@@ -19,18 +21,16 @@
     void search();
     [[nodiscard]] const discovered_upstream* choose() const;
     void send_to(const discovered_upstream& upstream);
-    [[nodiscard]] http_call_handlers make_handlers();
+    [[nodiscard]] answer_hooks make_answer_hooks();
     void take_end(call_ending ending, const std::string& reason);
     void take_whole();
     void retry_or_fail(const std::string& reason);
     void retry_or_pass_on();
     void give_up_on_slow();
-    [[nodiscard]] bool may_run_again() const;
     void refuse(const std::string& reason);
     void end_at_limit();
-    void look_at_caller();
+    void end_abandoned();
     void release();
-    void end_call();
     void end();
     void log(std::string_view what, const std::string& detail) const;
 
@@ -38,17 +38,15 @@
     delivery_order order;
     caller_hooks caller;
     std::function<void()> on_done;
+    caller_watch patience;
+    upstream_call call;
     std::optional<upstream_id> target;
-    cancel_call cancel;
-    std::uint64_t call_number = 0;
     upstream_answer answer;
     std::string body;
     std::set<upstream_id> avoided;
     unsigned sends = 0;
     unsigned runs = 0; ///< sends that an upstream may have run
     bool is_done = false;
-    timer_id limit_timer = 0;
-    timer_id look_timer = 0;
     timer_id search_timer = 0;
     timer_id slow_timer = 0;
 };
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-duration scale(duration time, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
 constexpr double bits_per_byte = 8;
 constexpr double bits_per_mbit = 1e6;
 
@@ -29,6 +24,8 @@
     , order(std::move(order))
     , caller(std::move(caller))
     , on_done(std::move(on_done))
+    , patience(context)
+    , call(context, this->order)
     , last_event(this->order.request.last_event)
 {
 }
@@ -36,10 +33,8 @@
 void stream_delivery::start()
 {
     const auto self = this->shared_from_this();
-    const duration left = this->order.deadline() - this->context.timers.now();
-    this->limit_timer = this->context.timers.schedule_after(left, [self] { self->end_at_limit(); });
-    this->look_timer = this->context.timers.schedule_after(
-        this->context.settings.look_interval, [self] { self->look_at_caller(); });
+    this->patience.start(
+        this->order, this->caller.has_left, [self] { self->end_at_limit(); }, [self] { self->abandon(); });
     this->context.retries.note_request(this->order.service, this->context.timers.now());
     this->search();
 }
@@ -73,8 +68,7 @@
         this->send_on(std::move(*found));
         return;
     }
-    const time_point hold_end = this->order.arrived
-        + scale(this->order.route->latency_objective, this->context.settings.most_hold_share);
+    const time_point hold_end = this->order.hold_end(this->context.settings.most_hold_share);
     if (question.now >= hold_end && !this->has_started) {
         this->refuse(found ? "the engines that hold some layer, or the pipes between halls, are full"
                            : "no engines hold every layer of the model");
@@ -148,12 +142,8 @@
 
 upstream_request stream_delivery::make_upstream_request(const layer_path& path) const
 {
-    upstream_request upstream;
-    upstream.target = path.front().id;
-    upstream.account = this->order.account;
-    upstream.time_left = this->order.deadline() - this->context.timers.now();
+    upstream_request upstream = this->order.make_request(path.front().id, this->context.timers.now());
     upstream.last_event = this->last_event;
-    upstream.priority = this->order.priority;
     for (const path_part& part : path) {
         upstream.path.push_back({part.address, part.span.begin, part.span.end});
     }
@@ -181,16 +171,13 @@
     this->note_crossings(*this->find_profile());
     this->watch_first_event();
     ++this->sends;
-    ++this->call_number;
     this->state = phase::waiting;
     this->answer = {};
     this->other_body.clear();
     this->events.clear();
     this->log("sent", this->describe_path());
-    const http_request message =
-        this->context.codec.encode_request(this->order.request, this->make_upstream_request(this->path));
-    this->cancel = this->context.send(
-        this->path.front().address, message, this->order.route->may_repeat(), this->make_handlers());
+    this->call.start(
+        this->path.front().address, this->make_upstream_request(this->path), this->make_answer_hooks());
 }
 
 void stream_delivery::take_loads()
@@ -232,7 +219,7 @@
         // Its run has ended with it, so another one may begin where it stood.
         this->runs -= this->state == phase::streaming && this->order.route->may_repeat() ? 1 : 0;
         this->runs += this->order.route->may_repeat() ? 0 : 1;
-        this->end_call();
+        this->call.end();
         this->fail_over("the first engine of its path is dead");
         return;
     }
@@ -260,7 +247,7 @@
             > count_crossings(this->context.directory, this->path);
     if (crosses_more && this->may_resume_elsewhere()) {
         this->runs += this->state == phase::waiting ? 1 : 0;
-        this->end_call();
+        this->call.end();
         this->fail_over("a part of its path is dead and has no other holder in its hall");
         return;
     }
@@ -293,10 +280,10 @@
     }
     this->is_changing_path = true;
     this->context.change_path(change,
-        [self = this->shared_from_this(), number = this->call_number, next](
+        [self = this->shared_from_this(), number = this->call.number(), next](
             const path_change_answer& result) {
             self->is_changing_path = false;
-            if (self->call_number == number && self->state != phase::done) {
+            if (self->call.number() == number && self->state != phase::done) {
                 self->take_path_answer(next, result);
             }
         });
@@ -324,7 +311,7 @@
     this->log("path_change_refused", std::to_string(static_cast<int>(result.result)));
     if (result.result == path_change_result::unknown_request) {
         if (this->state == phase::waiting) {
-            this->end_call();
+            this->call.end();
             this->fail_over("a part of its path is dead and it has not begun");
         }
         return;
@@ -341,44 +328,21 @@
         [self = this->shared_from_this()] { self->change_path(); });
 }
 
-http_call_handlers stream_delivery::make_handlers()
+answer_hooks stream_delivery::make_answer_hooks()
 {
     const auto self = this->shared_from_this();
-    const std::uint64_t number = this->call_number;
-    const auto is_current = [self, number] {
-        return self->call_number == number && self->state != phase::done;
-    };
-    http_call_handlers handlers;
-    handlers.may_send = this->context.may_send;
-    if (this->order.route->may_repeat()) {
-        handlers.may_resend = [self] {
-            return self->context.retries.take(self->order.service, self->context.timers.now());
-        };
-    }
-    handlers.on_head = [self, is_current](int status, const http_headers& headers) {
-        if (is_current()) {
-            self->take_head(status, headers);
-        }
-    };
-    handlers.on_body = [self, is_current](std::string_view bytes) {
-        if (is_current()) {
-            self->take_body(bytes);
-        }
-    };
-    handlers.on_end = [self, is_current](call_ending ending, const std::string& reason) {
-        if (is_current()) {
-            self->cancel = nullptr;
-            self->take_end(ending, reason);
-        }
-    };
-    return handlers;
+    answer_hooks hooks;
+    hooks.on_head = [self](int status, const http_headers& headers) { self->take_head(status, headers); };
+    hooks.on_body = [self](std::string_view bytes) { self->take_body(bytes); };
+    hooks.on_end = [self](call_ending ending, const std::string& reason) { self->take_end(ending, reason); };
+    return hooks;
 }
 
 void stream_delivery::take_head(int status, const http_headers& headers)
 {
     this->answer = this->context.codec.decode_answer(status, headers);
     if (this->answer.id != this->order.request.id) {
-        this->end_call();
+        this->call.end();
         this->fail_over("the answer belongs to another request");
         return;
     }
@@ -482,8 +446,7 @@
 void stream_delivery::finish_other_answer()
 {
     ++this->runs;
-    const bool may_repeat = this->order.route->may_repeat() && this->runs < this->order.route->most_attempts;
-    if (may_repeat || this->has_started || !this->answer.is_signed) {
+    if (this->order.may_run_again(this->runs) || this->has_started || !this->answer.is_signed) {
         this->fail_over("status " + std::to_string(this->answer.status));
         return;
     }
@@ -499,9 +462,7 @@
         this->avoided.insert(this->path.front().id);
     }
     this->release_path();
-    const bool may_run_again =
-        this->runs == 0 || (this->order.route->may_repeat() && this->runs < this->order.route->most_attempts);
-    if (!may_run_again || this->sends >= this->context.settings.most_sends) {
+    if (!this->order.may_run_again(this->runs) || this->sends >= this->context.settings.most_sends) {
         if (this->has_started) {
             this->log("broken_off", reason);
             this->caller.abort();
@@ -541,7 +502,6 @@
 
 void stream_delivery::end_at_limit()
 {
-    this->limit_timer = 0;
     this->log("time_limit", std::to_string(this->events_passed) + " events");
     if (this->has_started) {
         this->caller.abort();
@@ -551,16 +511,6 @@
     this->end();
 }
 
-void stream_delivery::look_at_caller()
-{
-    if (this->caller.has_left()) {
-        this->abandon();
-        return;
-    }
-    this->look_timer = this->context.timers.schedule_after(
-        this->context.settings.look_interval, [self = this->shared_from_this()] { self->look_at_caller(); });
-}
-
 void stream_delivery::abandon()
 {
     if (this->state == phase::done) {
@@ -592,26 +542,15 @@
     this->context.timers.cancel(this->change_timer);
 }
 
-void stream_delivery::end_call()
-{
-    ++this->call_number;
-    if (this->cancel) {
-        const cancel_call action = std::move(this->cancel);
-        this->cancel = nullptr;
-        action();
-    }
-}
-
 void stream_delivery::end()
 {
     if (this->state == phase::done) {
         return;
     }
     this->state = phase::done;
-    this->end_call();
+    this->call.end();
     this->release_path();
-    this->context.timers.cancel(this->limit_timer);
-    this->context.timers.cancel(this->look_timer);
+    this->patience.stop();
     this->context.timers.cancel(this->search_timer);
     if (this->on_done) {
         const std::function<void()> action = std::move(this->on_done);
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
 #include <delivery/eventsplitter.h>
+#include <delivery/upstreamcall.h>
 
 namespace sailtiller {
 
@@ -40,7 +42,7 @@
     void watch_first_event();
     void send_on(layer_path path);
     [[nodiscard]] upstream_request make_upstream_request(const layer_path& path) const;
-    [[nodiscard]] http_call_handlers make_handlers();
+    [[nodiscard]] answer_hooks make_answer_hooks();
     void take_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
     void take_end(call_ending ending, const std::string& reason);
@@ -51,10 +53,8 @@
     void refuse(const std::string& reason);
     void finish();
     void end_at_limit();
-    void look_at_caller();
     void release_loads();
     void release_path();
-    void end_call();
     void end();
     void log(std::string_view what, const std::string& detail) const;
     [[nodiscard]] double expected_answer_tokens() const;
@@ -64,10 +64,10 @@
     delivery_order order;
     caller_hooks caller;
     std::function<void()> on_done;
+    caller_watch patience;
+    upstream_call call;
     phase state = phase::searching;
     layer_path path;
-    cancel_call cancel;
-    std::uint64_t call_number = 0; ///< of the call whose handlers count
     upstream_answer answer; ///< of the present call
     std::string other_body; ///< of an answer that is no stream
     event_splitter events;
@@ -85,8 +85,6 @@
     bool is_changing_path = false;
     unsigned changes = 0; ///< of the path, since the last event
     timer_id change_timer = 0;
-    timer_id limit_timer = 0;
-    timer_id look_timer = 0;
     timer_id search_timer = 0;
 };
 
--- /dev/null
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/upstreamcall.h>
+
+namespace sailtiller {
+
+void upstream_call::start(const endpoint& address, const upstream_request& request, const answer_hooks& hooks)
+{
+    ++this->present;
+    const http_request message = this->context.codec.encode_request(this->order.request, request);
+    this->cancel =
+        this->context.send(address, message, this->order.route->may_repeat(), this->make_handlers(hooks));
+}
+
+http_call_handlers upstream_call::make_handlers(const answer_hooks& hooks)
+{
+    const auto is_present = [this, number = this->present] { return this->present == number; };
+    http_call_handlers handlers;
+    handlers.may_send = this->context.may_send;
+    if (this->order.route->may_repeat()) {
+        handlers.may_resend = [&context = this->context, service = this->order.service] {
+            return context.retries.take(service, context.timers.now());
+        };
+    }
+    handlers.on_head = [is_present, on_head = hooks.on_head](int status, const http_headers& headers) {
+        if (is_present()) {
+            on_head(status, headers);
+        }
+    };
+    handlers.on_body = [is_present, on_body = hooks.on_body](std::string_view bytes) {
+        if (is_present()) {
+            on_body(bytes);
+        }
+    };
+    handlers.on_end = [this, is_present, on_end = hooks.on_end](
+                          call_ending ending, const std::string& reason) {
+        if (is_present()) {
+            this->cancel = nullptr;
+            on_end(ending, reason);
+        }
+    };
+    return handlers;
+}
+
+void upstream_call::end()
+{
+    ++this->present;
+    if (this->cancel) {
+        const cancel_call action = std::move(this->cancel);
+        this->cancel = nullptr;
+        action();
+    }
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/upstreamcall.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/deliverycontext.h>
+
+namespace sailtiller {
+
+/// What a delivery does with the answer of an upstream. The hooks keep the delivery alive while its call is
+/// under way.
+struct answer_hooks
+{
+    std::function<void(int status, const http_headers&)> on_head;
+    std::function<void(std::string_view)> on_body;
+    std::function<void(call_ending, const std::string& reason)> on_end;
+};
+
+/// The call of a delivery that is under way, if there is one. A delivery has one at a time; what a former one
+/// still says is not heard.
+class upstream_call
+{
+public:
+    upstream_call(delivery_context& context, const delivery_order& order)
+        : context(context)
+        , order(order)
+    {
+    }
+
+    /// Sends the order's request to an upstream.
+    void start(const endpoint& address, const upstream_request& request, const answer_hooks& hooks);
+    /// Gives the call up; none of its hooks runs after this.
+    void end();
+    /// Rises with each call that begins or is given up.
+    [[nodiscard]] std::uint64_t number() const { return this->present; }
+
+private:
+    [[nodiscard]] http_call_handlers make_handlers(const answer_hooks& hooks);
+
+    delivery_context& context;
+    const delivery_order& order;
+    std::uint64_t present = 0;
+    cancel_call cancel;
+};
+
+} // namespace sailtiller
