--- /dev/null
+++ b/src/libs/delivery/pathchooser.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/pathchooser.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+constexpr double bits_per_byte = 8;
+constexpr double bits_per_mbit = 1e6;
+
+} // namespace
+
+const engine_profile* path_chooser::profile() const
+{
+    const upstream_pool* pool = this->order.bundle->find_pool(this->order.service);
+    return pool != nullptr && pool->engine ? &*pool->engine : nullptr;
+}
+
+double path_chooser::expected_answer_tokens() const
+{
+    const caller_request& request = this->order.request;
+    double tokens = request.guessed_answer_tokens.value_or(request.most_answer_tokens);
+    if (request.most_answer_tokens > 0) {
+        tokens = std::min(tokens, request.most_answer_tokens);
+    }
+    return std::max(tokens, 1.0);
+}
+
+double path_chooser::expected_tokens() const
+{
+    return this->order.request.prompt_tokens + this->expected_answer_tokens();
+}
+
+double path_chooser::pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const
+{
+    return this->context.pipes.used_share(from, to, this->profile()->hall_pipe_mbps * bits_per_mbit, now);
+}
+
+std::optional<layer_path> path_chooser::find(
+    const std::set<upstream_id>& avoided, const std::optional<path_part>& fixed_head) const
+{
+    path_question question;
+    question.service = this->order.service;
+    question.origin = this->context.data_hall;
+    question.prompt_tokens = this->order.request.prompt_tokens;
+    question.answer_tokens = this->expected_answer_tokens();
+    question.avoided = avoided;
+    question.fixed_head = fixed_head;
+    question.now = this->context.timers.now();
+    question.pipe_share = [this, now = question.now](const data_hall_id& from, const data_hall_id& to) {
+        return this->pipe_share(from, to, now);
+    };
+    return find_layer_path(*this->profile(), this->context.directory, this->context.loads, question);
+}
+
+bool path_chooser::has_room(const layer_path& path) const
+{
+    const double fullest = predict_fullest_share(
+        *this->profile(), this->context.directory, this->context.loads, path, this->expected_tokens());
+    const time_point now = this->context.timers.now();
+    bool are_pipes_free = true;
+    visit_crossings(this->context.directory, path, [&](const data_hall_id& from, const data_hall_id& to) {
+        const double share = this->pipe_share(from, to, now);
+        are_pipes_free = are_pipes_free && share < this->context.settings.most_pipe_share;
+    });
+    return are_pipes_free && fullest <= this->context.settings.most_share;
+}
+
+duration path_chooser::predict_reading(const layer_path& path) const
+{
+    return predict_prompt_time(
+        *this->profile(), this->context.directory, path, this->order.request.prompt_tokens);
+}
+
+double path_chooser::crossing_bits() const
+{
+    return this->order.request.prompt_tokens * this->profile()->activation_bytes * bits_per_byte;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/pathchooser.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/deliverycontext.h>
+
+namespace sailtiller {
+
+/// Finds paths for one stream's request, and tells whether there is room for it on a path.
+class path_chooser
+{
+public:
+    path_chooser(const delivery_context& context, const delivery_order& order)
+        : context(context)
+        , order(order)
+    {
+    }
+
+    /// The profile of the service's engines; null if the bundle has no engines for it.
+    [[nodiscard]] const engine_profile* profile() const;
+    /// The cheapest path without the avoided upstreams; with a fixed head, another path for the running
+    /// request. There must be a profile, as for all that follows.
+    [[nodiscard]] std::optional<layer_path> find(const std::set<upstream_id>& avoided,
+        const std::optional<path_part>& fixed_head = std::nullopt) const;
+    /// True if neither an engine of the path nor a pipe between its halls is too full for the request.
+    [[nodiscard]] bool has_room(const layer_path& path) const;
+    /// Time to read the prompt over the path.
+    [[nodiscard]] duration predict_reading(const layer_path& path) const;
+    /// Tokens of the prompt and of the expected answer.
+    [[nodiscard]] double expected_tokens() const;
+    /// What the prompt moves through each pipe that the path crosses.
+    [[nodiscard]] double crossing_bits() const;
+
+private:
+    [[nodiscard]] double expected_answer_tokens() const;
+    [[nodiscard]] double pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const;
+
+    const delivery_context& context;
+    const delivery_order& order;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/pathuse.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/pathuse.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+void path_use::begin(layer_path next)
+{
+    this->path = std::move(next);
+    this->add_work();
+    const duration reading = this->chooser.predict_reading(this->path);
+    this->watch_key = this->context.watch.add(this->list_ids(),
+        this->context.timers.now() + 2 * reading + this->context.settings.first_event_slack);
+}
+
+void path_use::change(layer_path next)
+{
+    this->subtract_work();
+    this->path = std::move(next);
+    this->add_work();
+    const duration reading = this->chooser.predict_reading(this->path);
+    this->context.watch.change_path(*this->watch_key, this->list_ids(),
+        this->context.timers.now() + reading + this->context.settings.change_slack);
+}
+
+void path_use::note_begun()
+{
+    for (const path_part& part : this->path) {
+        this->context.loads.resume(part.id);
+    }
+}
+
+void path_use::note_progress()
+{
+    this->context.watch.note_progress(*this->watch_key);
+}
+
+void path_use::release()
+{
+    this->subtract_work();
+    this->path.clear();
+    if (this->watch_key) {
+        this->context.watch.remove(*this->watch_key);
+        this->watch_key.reset();
+    }
+}
+
+bool path_use::passes(const upstream_id& id) const
+{
+    return std::any_of(
+        this->path.begin(), this->path.end(), [&id](const path_part& part) { return part.id == id; });
+}
+
+bool path_use::passes_any(const std::set<upstream_id>& ids) const
+{
+    return std::any_of(this->path.begin(), this->path.end(),
+        [&ids](const path_part& part) { return ids.count(part.id) != 0; });
+}
+
+void path_use::add_work()
+{
+    const double tokens = this->chooser.expected_tokens();
+    for (const path_part& part : this->path) {
+        this->context.loads.add(part.id, tokens * part.span.count());
+    }
+    const double bits = this->chooser.crossing_bits();
+    const time_point now = this->context.timers.now();
+    visit_crossings(
+        this->context.directory, this->path, [&](const data_hall_id& from, const data_hall_id& to) {
+            this->context.pipes.note(from, to, bits, now);
+        });
+}
+
+void path_use::subtract_work()
+{
+    const double tokens = this->chooser.expected_tokens();
+    for (const path_part& part : this->path) {
+        this->context.loads.subtract(part.id, tokens * part.span.count());
+    }
+}
+
+std::vector<upstream_id> path_use::list_ids() const
+{
+    std::vector<upstream_id> ids;
+    for (const path_part& part : this->path) {
+        ids.push_back(part.id);
+    }
+    return ids;
+}
+
+std::vector<path_stop> list_stops(const layer_path& path)
+{
+    std::vector<path_stop> stops;
+    for (const path_part& part : path) {
+        stops.push_back({part.address, part.span.begin, part.span.end});
+    }
+    return stops;
+}
+
+std::string describe_path(const layer_path& path)
+{
+    std::string text;
+    for (const path_part& part : path) {
+        text += (text.empty() ? "" : ",") + part.address.value() + "=" + std::to_string(part.span.begin) + "-"
+            + std::to_string(part.span.end);
+    }
+    return text;
+}
+
+} // namespace sailtiller
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -4,6 +4,8 @@
 #include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
 #include <delivery/eventsplitter.h>
+#include <delivery/pathuse.h>
+#include <delivery/streampace.h>
 #include <delivery/upstreamcall.h>
 
 namespace sailtiller {
@@ -26,39 +28,30 @@
     enum class phase { searching, waiting, streaming, done };
 
     void search();
-    [[nodiscard]] const engine_profile* find_profile() const;
-    [[nodiscard]] path_question make_question() const;
-    /// Visits each step of a path from one hall to another.
-    void for_each_crossing(const layer_path& over,
-        const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit) const;
-    [[nodiscard]] bool has_room(const engine_profile& profile, const layer_path& over) const;
-    void note_crossings(const engine_profile& profile);
+    [[nodiscard]] bool is_under_way() const;
+    void leave_head();
     void change_path();
+    void schedule_change(duration pause);
     [[nodiscard]] bool may_resume_elsewhere() const;
     void ask_for_path(layer_path next);
     void take_path_answer(layer_path next, const path_change_answer& result);
-    [[nodiscard]] bool passes_avoided() const;
-    void take_loads();
-    void watch_first_event();
-    void send_on(layer_path path);
-    [[nodiscard]] upstream_request make_upstream_request(const layer_path& path) const;
+    void avoid_fault(const layer_path& refused, const endpoint& at_fault);
+    void send_on(layer_path found);
+    [[nodiscard]] upstream_request make_upstream_request() const;
     [[nodiscard]] answer_hooks make_answer_hooks();
     void take_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
     void take_end(call_ending ending, const std::string& reason);
-    void note_passed();
     void take_refusal();
     void fail_over(const std::string& reason);
     void finish_other_answer();
+    void give_up(const std::string& reason);
     void refuse(const std::string& reason);
     void finish();
     void end_at_limit();
-    void release_loads();
     void release_path();
     void end();
     void log(std::string_view what, const std::string& detail) const;
-    [[nodiscard]] double expected_answer_tokens() const;
-    [[nodiscard]] std::string describe_path() const;
 
     delivery_context& context;
     delivery_order order;
@@ -67,21 +60,17 @@
     caller_watch patience;
     upstream_call call;
     phase state = phase::searching;
-    layer_path path;
+    path_chooser chooser;
+    path_use path;
+    stream_pace pace;
     upstream_answer answer; ///< of the present call
     std::string other_body; ///< of an answer that is no stream
     event_splitter events;
-    std::optional<std::uint64_t> last_event;
-    std::size_t events_passed = 0;
-    time_point last_passed{}; ///< when the caller was last sent an event
-    duration first_wait{}; ///< from the request's arrival to its first event
-    duration longest_pause{}; ///< between two events
-    std::string longest_pause_path; ///< the path on which that pause was
+    std::optional<std::uint64_t> last_event; ///< the caller has everything up to this one
     std::set<upstream_id> avoided;
     unsigned sends = 0;
     unsigned runs = 0; ///< calls that an upstream has begun
     bool has_started = false; ///< the caller has the head of the answer
-    std::optional<stall_watch::stream_key> watch_key;
     bool is_changing_path = false;
     unsigned changes = 0; ///< of the path, since the last event
     timer_id change_timer = 0;
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -230,18 +230,27 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
-unsigned count_crossings(const upstream_directory& directory, const layer_path& path)
+void visit_crossings(const upstream_directory& directory, const layer_path& path,
+    const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit)
 {
-    unsigned count = 0;
     const data_hall_id* last = nullptr;
     for (const path_part& part : path) {
         const directory_entry* entry = directory.find(part.id);
         if (entry == nullptr) {
             continue;
         }
-        count += last != nullptr && *last != entry->upstream.data_hall ? 1 : 0;
-        last = &entry->upstream.data_hall;
+        const data_hall_id& hall = entry->upstream.data_hall;
+        if (last != nullptr && *last != hall) {
+            visit(*last, hall);
+        }
+        last = &hall;
     }
+}
+
+unsigned count_crossings(const upstream_directory& directory, const layer_path& path)
+{
+    unsigned count = 0;
+    visit_crossings(directory, path, [&count](const data_hall_id&, const data_hall_id&) { ++count; });
     return count;
 }
 
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -44,6 +44,10 @@
 duration predict_prompt_time(const engine_profile& profile, const upstream_directory& directory,
     const layer_path& path, double prompt_tokens);
 
+/// Visits each step of a path from one hall to another, in order.
+void visit_crossings(const upstream_directory& directory, const layer_path& path,
+    const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit);
+
 /// How often a path goes from one hall to another.
 unsigned count_crossings(const upstream_directory& directory, const layer_path& path);
 
