Sailtillerd: the calls to upstreams and the duties leave the site's host

The host of a site wires the libraries together; how each kind of call to an upstream is bounded, and whether the duty of giving orders is this host's, are questions of their own. The time of the last join was kept and never read. Failed calls to the store are logged by one function.

--- /dev/null
+++ b/src/app/sailtillerd/siteduties.h
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <placement/layerorder.h>
+#include <store/storeclient.h>
+
+namespace sailtiller {
+
+/// This host's part in the group that shares out the site's duties. The store says whose a duty is.
+class site_duties
+{
+public:
+    site_duties(event_loop& loop, store_client& store, host_id self);
+
+    /// Joins the group and stays in it.
+    void start();
+    /// Gives the duties back at once, rather than by silence.
+    void leave();
+    /// The token under which this host may give orders to engines; nothing if that isn't its duty.
+    [[nodiscard]] std::optional<fencing_token> order_token() const;
+    /// An engine has seen a newer token than this one, so it isn't used any more.
+    void note_refused(fencing_token token);
+
+private:
+    void join();
+
+    event_loop& loop;
+    store_client& store;
+    host_id self;
+    std::optional<group_membership> membership;
+    fencing_token refused_token;
+    bool is_leaving = false;
+};
+
+} // namespace sailtiller
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -1,17 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "sitehost.h"
 
+#include "storefailure.h"
+
 #include <base/error.h>
 #include <base/httpstatus.h>
 #include <platform/wireconfig.h>
-#include <platform/wireorder.h>
 #include <platform/wirerequest.h>
 #include <platform/wirestore.h>
 #include <platform/wireupstream.h>
-#include <runtime/httpcall.h>
 #include <runtime/programsettings.h>
 
-#include <algorithm>
 #include <csignal>
 
 namespace sailtiller {
@@ -21,11 +20,6 @@
 using std::chrono::milliseconds;
 
 constexpr duration longest_turn = std::chrono::seconds(1);
-/// A connection within the site takes a millisecond; a lost opening packet is sent again after a second, so
-/// another upstream is tried before that.
-constexpr duration upstream_connect_limit = milliseconds(200);
-/// Upstreams close connections at rest after some seconds; ours go first.
-constexpr duration upstream_idle_time = milliseconds(2500);
 /// How long a read waits for a newer bundle; each answer also confirms the present one.
 constexpr duration bundle_wait = milliseconds(1000);
 /// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
@@ -39,52 +33,9 @@
 constexpr duration own_upstream_read_age = milliseconds(1500);
 /// The same for the bundle: a reader confirms it as of the begin of a wait, so up to two waits ago.
 constexpr duration own_bundle_read_age = milliseconds(2600);
-constexpr duration join_interval = milliseconds(600);
-/// Silence after which another host takes the duties over.
-constexpr duration join_silence_limit = milliseconds(1800);
-constexpr duration order_answer_limit = milliseconds(800);
-/// An engine answers at once; a path that can't be changed in this time is late anyway.
-constexpr duration path_change_limit = milliseconds(80);
-/// An engine answers a probe in two milliseconds, or in ten where links are slow.
-constexpr duration first_probe_limit = milliseconds(25);
-constexpr duration second_probe_limit = milliseconds(25);
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
-constexpr unsigned layer_duty = 0;
-
-/// Sends a request that may go out twice if a kept connection is closed; gives the whole answer, or nothing
-/// after the limit. Without a pool it has a connection of its own.
-void send_whole(event_loop& loop, const endpoint& target, const http_request& request, duration limit,
-    connection_pool* pool, const std::function<void(const std::optional<http_response>&)>& on_end)
-{
-    struct pending_answer
-    {
-        http_response response;
-        timer_id timer = 0;
-    };
-    const auto pending = std::make_shared<pending_answer>();
-    http_call_handlers handlers;
-    handlers.on_head = [pending](int status, const http_headers& headers) {
-        pending->response.status = status;
-        pending->response.headers = headers;
-    };
-    handlers.on_body = [pending](std::string_view bytes) { pending->response.body += bytes; };
-    handlers.on_end = [&loop, pending, on_end](call_ending ending, const std::string&) {
-        loop.cancel(pending->timer);
-        on_end(ending == call_ending::whole ? std::optional(pending->response) : std::nullopt);
-    };
-    http_call_options options;
-    options.connect_limit = limit;
-    options.pool = pool;
-    handlers.may_resend = [] { return true; };
-    const std::shared_ptr<http_call> call =
-        http_call::start(loop, target, request, options, std::move(handlers));
-    pending->timer = loop.schedule_after(limit, [call, on_end] {
-        call->cancel();
-        on_end(std::nullopt);
-    });
-}
 
 http_response make_page(int status, const std::string& text)
 {
@@ -100,14 +51,14 @@
     , random(make_system_random())
     , store(
           this->loop, this->client, {.address = this->settings.store->address}, platform::make_store_codec())
-    , orders(platform::make_order_codec())
     , knowledge(this->make_knowledge_settings(), this->make_knowledge_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
-    , upstream_connections(this->loop, {.idle_time = upstream_idle_time})
+    , link(this->loop)
     , watch({}, this->make_watch_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
+    , duties(this->loop, this->store, this->settings.self)
     , keeper({}, this->make_keeper_hooks(), this->knowledge.upstreams())
     , bundle_follower(this->make_bundle_follower())
     , upstream_follower(this->make_upstream_follower())
@@ -123,10 +74,10 @@
     return {this->loop.hooks(), platform::make_request_codec(),
         [this](const endpoint& target, const http_request& request, bool may_repeat,
             http_call_handlers handlers) {
-            return this->send_upstream(target, request, may_repeat, std::move(handlers));
+            return this->link.send(target, request, may_repeat, std::move(handlers));
         },
         [this](const path_change& change, const std::function<void(const path_change_answer&)>& on_answer) {
-            this->send_path_change(change, on_answer);
+            this->link.send_path_change(change, on_answer);
         },
         this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->pipes, this->random,
         this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
@@ -138,27 +89,6 @@
         {}};
 }
 
-cancel_call site_host::send_upstream(
-    const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
-{
-    http_call_options options;
-    options.connect_limit = upstream_connect_limit;
-    options.pool = may_repeat ? &this->upstream_connections : nullptr;
-    const std::shared_ptr<http_call> call =
-        http_call::start(this->loop, target, request, options, std::move(handlers));
-    return [call] { call->cancel(); };
-}
-
-void site_host::send_path_change(
-    const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
-{
-    const request_codec& codec = this->context.codec;
-    send_whole(this->loop, change.address, codec.encode_path_change(change), path_change_limit,
-        &this->upstream_connections, [codec, on_answer](const std::optional<http_response>& answer) {
-            on_answer(answer ? codec.decode_path_change(*answer) : path_change_answer{});
-        });
-}
-
 void site_host::probe(const upstream_id& id, const std::function<void(bool)>& on_answer)
 {
     const directory_entry* entry = this->knowledge.upstreams().find(id);
@@ -166,18 +96,7 @@
         this->loop.post([on_answer] { on_answer(false); });
         return;
     }
-    const endpoint address = entry->upstream.address;
-    const http_request question = this->orders.encode_probe(address);
-    // One lost packet must not condemn an upstream, so a second connection is tried before the limit.
-    send_whole(this->loop, address, question, first_probe_limit, &this->upstream_connections,
-        [this, address, question, on_answer](const std::optional<http_response>& answer) {
-            if (answer) {
-                on_answer(true);
-                return;
-            }
-            send_whole(this->loop, address, question, second_probe_limit, nullptr,
-                [on_answer](const std::optional<http_response>& second) { on_answer(second.has_value()); });
-        });
+    this->link.probe(entry->upstream.address, on_answer);
 }
 
 stall_watch_hooks site_host::make_watch_hooks()
@@ -213,8 +132,7 @@
     };
     hooks.on_failure = [this](const error& failure) {
         this->knowledge.note_store_disturbed();
-        log_event(log_level::warning, "store_call_failed",
-            {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
+        log_store_failure(failure);
     };
     return hooks;
 }
@@ -331,12 +249,10 @@
     layer_keeper_hooks hooks;
     hooks.timers = this->loop.hooks();
     hooks.send = [this](const layer_order& order, const std::function<void(order_result)>& on_result) {
-        this->send_order(order, on_result);
-    };
-    hooks.token = [this] { return this->current_token(); };
-    hooks.on_fenced = [this](fencing_token token) {
-        this->refused_token = std::max(this->refused_token, token);
+        this->link.send_order(order, on_result);
     };
+    hooks.token = [this] { return this->duties.order_token(); };
+    hooks.on_fenced = [this](fencing_token token) { this->duties.note_refused(token); };
     hooks.is_dead = [this](const upstream_id& id) {
         const part_load& load = this->loads.of(id);
         return load.is_suspended_here && load.suspended_until > this->loop.now();
@@ -350,39 +266,6 @@
     return hooks;
 }
 
-void site_host::join_duties()
-{
-    const time_point asked = this->loop.now();
-    const group_generation last = this->membership ? this->membership->generation : group_generation(0);
-    this->store.join(
-        this->settings.self, join_silence_limit, last,
-        [this, asked](const group_membership& next) {
-            this->membership = next;
-            this->membership_asked = asked;
-        },
-        [](const error& failure) {
-            log_event(log_level::warning, "store_call_failed",
-                {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
-        });
-    if (!this->is_stopping) {
-        this->loop.schedule_after(join_interval, [this] { this->join_duties(); });
-    }
-}
-
-std::optional<fencing_token> site_host::current_token() const
-{
-    if (!this->membership || this->is_stopping) {
-        return std::nullopt;
-    }
-    const std::vector<unsigned>& duties = this->membership->duties;
-    const fencing_token token(this->membership->generation.value());
-    const bool has_duty = std::find(duties.begin(), duties.end(), layer_duty) != duties.end();
-    if (!has_duty || token <= this->refused_token) {
-        return std::nullopt;
-    }
-    return token;
-}
-
 void site_host::look_at_layers()
 {
     this->knowledge.tidy();
@@ -394,14 +277,6 @@
     this->loop.schedule_after(layer_keeper_settings().look_interval, [this] { this->look_at_layers(); });
 }
 
-void site_host::send_order(const layer_order& order, const std::function<void(order_result)>& on_result)
-{
-    send_whole(this->loop, order.address, this->orders.encode_order(order), order_answer_limit, nullptr,
-        [this, on_result](const std::optional<http_response>& answer) {
-            on_result(answer ? this->orders.decode_result(answer->status) : order_result::unanswered);
-        });
-}
-
 bool site_host::is_ready() const
 {
     return this->gateway.current_bundle() != nullptr && !this->is_stopping;
@@ -440,7 +315,7 @@
     this->peers.start(*this->settings.peer_listen);
     this->bundle_follower.start();
     this->upstream_follower.start();
-    this->join_duties();
+    this->duties.start();
     this->look_at_layers();
     this->watch.start();
     while (!this->loop.is_stopped()) {
@@ -470,9 +345,7 @@
     log_event(log_level::info, "stopping",
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->peers.announce_leaving();
-    if (this->membership) {
-        this->store.leave(this->settings.self, this->membership->generation);
-    }
+    this->duties.leave();
     this->loop.schedule_after(this->settings.stop_grace, [this] {
         this->callers.close_listeners();
         this->finish_stop_when_idle();
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "sitepeers.h"
 
+#include "storefailure.h"
+
 #include <base/error.h>
 #include <base/json.h>
 #include <runtime/eventlog.h>
@@ -35,12 +37,6 @@
         data_hall_id(item.at("data_hall").get<std::string>())};
 }
 
-void log_store_failure(const error& failure)
-{
-    log_event(log_level::warning, "store_call_failed",
-        {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
-}
-
 } // namespace
 
 site_peers::site_peers(event_loop& loop, store_client& store, known_host self, site_peers_hooks hooks)
@@ -127,14 +123,17 @@
 void site_peers::run_round()
 {
     ++this->rounds;
-    for (const known_host& peer : this->table.choose_asked(this->loop.now())) {
-        this->ask(peer);
-    }
+    this->ask_peers();
     this->hooks.on_round(this->table);
     this->loop.schedule_after(round_interval, [this] { this->run_round(); });
 }
 
 void site_peers::announce_leaving()
+{
+    this->ask_peers();
+}
+
+void site_peers::ask_peers()
 {
     for (const known_host& peer : this->table.choose_asked(this->loop.now())) {
         this->ask(peer);
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -37,6 +37,7 @@
 
 private:
     void run_round();
+    void ask_peers();
     void ask(const known_host& peer);
     std::optional<std::string> answer(const std::string& method, const std::string& body);
     [[nodiscard]] peer_report make_report(const peer_report* asker) const;
--- /dev/null
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/deliverycontext.h>
+#include <placement/layerorder.h>
+#include <runtime/connectionpool.h>
+
+namespace sailtiller {
+
+/// The host's calls to the upstreams of its site, each with its own limits: callers' requests, changes of
+/// path, probes and orders.
+class upstream_link
+{
+public:
+    explicit upstream_link(event_loop& loop);
+
+    /// Sends a caller's request; only one that may be repeated goes over a kept connection.
+    cancel_call send(
+        const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers);
+    /// Asks an engine to lead a running request over another path.
+    void send_path_change(
+        const path_change& change, const std::function<void(const path_change_answer&)>& on_answer);
+    /// Asks for a sign of life; false if none came.
+    void probe(const endpoint& target, const std::function<void(bool)>& on_answer);
+    /// Tells an engine which layers to hold.
+    void send_order(const layer_order& order, const std::function<void(order_result)>& on_result);
+
+private:
+    event_loop& loop;
+    request_codec requests;
+    order_codec orders;
+    connection_pool connections;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/runtime/wholecall.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/httpcall.h>
+
+#include <optional>
+
+namespace sailtiller {
+
+/// A small request whose answer is wanted whole and soon, or not at all.
+struct whole_call
+{
+    endpoint target;
+    http_request request;
+    duration limit{}; ///< to the whole answer, the connection included
+    /// Kept connections; without it, the call has one of its own.
+    connection_pool* pool = nullptr;
+};
+
+/// Sends a call; gives its answer of whatever status, or nothing if none came within the limit. The request
+/// may go out twice if a kept connection turns out to be closed.
+void send_whole(event_loop& loop, const whole_call& call,
+    const std::function<void(const std::optional<http_response>&)>& on_end);
+
+} // namespace sailtiller
