Placement, Directory, Store: short functions, no out-parameter, nothing kept unread

The list of engines told by an out-parameter whether any holds something, numbers stood unnamed in the plan, and entries kept two times that nobody read. The keeper's comments spoke of an expected revision that it never sends.

--- a/src/libs/directory/upstreamdirectory.cpp
+++ b/src/libs/directory/upstreamdirectory.cpp
@@ -9,7 +9,6 @@
 {
     const auto [place, is_new] = this->items.try_emplace(upstream.id);
     directory_entry& entry = place->second;
-    entry.confirmed = now;
     entry.is_lapsed = false;
     if (is_new) {
         entry.since = now;
@@ -22,6 +21,11 @@
     return true;
 }
 
+bool upstream_directory::is_store_disturbed(time_point now) const
+{
+    return this->last_disturbed && now - *this->last_disturbed < this->lapse_grace;
+}
+
 void upstream_directory::drop(const upstream_id& id)
 {
     const auto found = this->items.find(id);
@@ -42,15 +46,11 @@
     if (found == this->items.end()) {
         return;
     }
-    const bool is_disturbed = this->last_disturbed && now - *this->last_disturbed < this->lapse_grace;
-    if (!is_disturbed) {
+    if (!this->is_store_disturbed(now)) {
         this->drop(id);
         return;
     }
-    if (!found->second.is_lapsed) {
-        found->second.is_lapsed = true;
-        found->second.lapsed_at = now;
-    }
+    found->second.is_lapsed = true;
 }
 
 bool upstream_directory::replace(const std::vector<discovered_upstream>& upstreams, time_point now)
@@ -75,7 +75,7 @@
 
 bool upstream_directory::drop_lapsed(time_point now)
 {
-    if (this->last_disturbed && now - *this->last_disturbed < this->lapse_grace) {
+    if (this->is_store_disturbed(now)) {
         return false;
     }
     std::vector<upstream_id> over;
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -43,14 +43,12 @@
     bool operator==(const discovered_upstream&) const = default;
 };
 
-/// An upstream with the time at which its entry was last seen to change.
+/// An upstream with what this host knows of its entry.
 struct directory_entry
 {
     discovered_upstream upstream;
     time_point since{}; ///< when this host first heard of it
-    time_point confirmed{}; ///< when its entry was last read
     bool is_lapsed = false; ///< its entry vanished while the store was away; it may still be alive
-    time_point lapsed_at{};
 };
 
 /// The upstreams that this host knows of. An entry that vanishes while the store is disturbed is kept as
@@ -83,6 +81,8 @@
     [[nodiscard]] std::uint64_t change_count() const { return this->changes; }
 
 private:
+    /// True while a missing entry may only be the store's fault.
+    [[nodiscard]] bool is_store_disturbed(time_point now) const;
     void drop(const upstream_id& id);
 
     duration lapse_grace;
--- a/src/libs/placement/layerkeeper.cpp
+++ b/src/libs/placement/layerkeeper.cpp
@@ -25,11 +25,9 @@
     std::erase_if(this->left_alone, [now](const auto& item) { return item.second <= now; });
 }
 
-std::vector<placeable_engine> layer_keeper::list_engines(
-    const service_id& service, time_point now, bool& is_fresh) const
+layer_keeper::engine_view layer_keeper::list_engines(const service_id& service, time_point now) const
 {
-    std::vector<placeable_engine> engines;
-    is_fresh = true;
+    engine_view view;
     for (const auto& [id, entry] : this->directory.entries()) {
         const discovered_upstream& upstream = entry.upstream;
         if (upstream.service != service || upstream.is_leaving || entry.is_lapsed
@@ -42,22 +40,22 @@
         }
         const auto ordered = this->pending.find(id);
         const bool is_ordered = ordered != this->pending.end();
-        is_fresh = is_fresh && upstream.held.is_empty() && !is_ordered;
-        engines.push_back(
+        view.is_fresh = view.is_fresh && upstream.held.is_empty() && !is_ordered;
+        view.engines.push_back(
             {id, upstream.data_hall, upstream.card, is_ordered ? ordered->second.order.span : upstream.held});
     }
-    return engines;
+    return view;
 }
 
-bool layer_keeper::must_wait(const std::vector<placeable_engine>& engines, bool is_fresh, time_point now)
+bool layer_keeper::must_wait(const engine_view& view, time_point now)
 {
-    if (engines.size() > this->engines_seen) {
+    if (view.engines.size() > this->engines_seen) {
         this->last_appeared = now;
         this->first_seen = this->first_seen.value_or(now);
     }
-    this->engines_seen = engines.size();
-    if (!is_fresh || !this->first_seen) {
-        return engines.empty();
+    this->engines_seen = view.engines.size();
+    if (!view.is_fresh || !this->first_seen) {
+        return view.engines.empty();
     }
     const bool is_quiet = now - this->last_appeared >= this->settings.quiet_start;
     return !is_quiet && now - *this->first_seen < this->settings.longest_start;
@@ -68,22 +66,26 @@
     const time_point now = this->hooks.timers.now();
     this->drop_finished(now);
     const std::optional<fencing_token> token = this->hooks.token();
-    bool is_fresh = false;
-    const std::vector<placeable_engine> engines = this->list_engines(service, now, is_fresh);
-    if (this->must_wait(engines, is_fresh, now) || !token) {
+    const engine_view view = this->list_engines(service, now);
+    if (this->must_wait(view, now) || !token) {
         return;
     }
+    this->repeat_unanswered(*token, now);
+    for (const placement_step& step : plan_layers(profile, view.engines, this->settings.aim)) {
+        if (this->pending.count(step.id) == 0) {
+            this->give(profile, step, *token);
+        }
+    }
+}
+
+void layer_keeper::repeat_unanswered(fencing_token token, time_point now)
+{
     for (auto& [id, item] : this->pending) {
         if (!item.is_begun && !item.is_awaiting_answer && now - item.since >= this->settings.repeat_pause) {
-            item.order.token = *token;
+            item.order.token = token;
             this->send(item);
         }
     }
-    for (const placement_step& step : plan_layers(profile, engines, this->settings.aim)) {
-        if (this->pending.count(step.id) == 0) {
-            this->give(profile, step, *token);
-        }
-    }
 }
 
 duration layer_keeper::predict_load(const engine_profile& profile, const layer_span& span) const
@@ -136,7 +138,7 @@
         return;
     }
     if (result == order_result::unanswered) {
-        return; // it may have been begun; asked again with the same expected revision
+        return; // it may have been begun; the same order is sent again
     }
     this->pending.erase(found);
     this->left_alone[id] = this->hooks.timers.now() + this->settings.refusal_pause;
--- a/src/libs/placement/layerkeeper.h
+++ b/src/libs/placement/layerkeeper.h
@@ -21,7 +21,7 @@
     duration load_slack = std::chrono::seconds(4);
     /// An engine that refused an order is left alone for this long.
     duration refusal_pause = std::chrono::seconds(1);
-    /// An order without answer is repeated after this, with the same expected revision.
+    /// An order without answer is repeated after this.
     duration repeat_pause = std::chrono::milliseconds(500);
 };
 
@@ -62,10 +62,18 @@
         bool is_begun = false;
     };
 
+    /// The engines that may get layers.
+    struct engine_view
+    {
+        std::vector<placeable_engine> engines;
+        bool is_fresh = true; ///< none holds anything or has an order
+    };
+
     void drop_finished(time_point now);
-    [[nodiscard]] std::vector<placeable_engine> list_engines(
-        const service_id& service, time_point now, bool& is_fresh) const;
-    [[nodiscard]] bool must_wait(const std::vector<placeable_engine>& engines, bool is_fresh, time_point now);
+    [[nodiscard]] engine_view list_engines(const service_id& service, time_point now) const;
+    /// True while engines still appear for a first plan, or there are none.
+    [[nodiscard]] bool must_wait(const engine_view& view, time_point now);
+    void repeat_unanswered(fencing_token token, time_point now);
     void give(const engine_profile& profile, const placement_step& step, fencing_token token);
     void send(pending_order& item);
     void take_result(const upstream_id& id, const layer_span& span, order_result result);
@@ -75,8 +83,8 @@
     layer_keeper_hooks hooks;
     const upstream_directory& directory;
     std::map<upstream_id, pending_order> pending;
-    std::map<upstream_id, time_point> left_alone;
-    std::size_t engines_seen = 0;
+    std::map<upstream_id, time_point> left_alone; ///< until when, after they refused an order
+    std::size_t engines_seen = 0; ///< at the last look
     std::optional<time_point> first_seen;
     time_point last_appeared{};
 };
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -17,12 +17,36 @@
 constexpr double spare_worth = 1;
 /// A lost head can't be replaced within a running stream, so layer 0 is doubled first.
 constexpr double head_worth = 30;
+/// Halvings of the range of tokens; after these it is far below one token.
 constexpr int room_search_steps = 40;
+/// Tokens beyond which no more room is looked for; profiles without cache memory would have no end.
+constexpr double most_room_tokens = 1e9;
+/// Sums of the same worths in another order differ by less than this.
+constexpr double worth_margin = 1e-9;
 /// A second holder never takes part in giving up a layer's last holder.
 constexpr unsigned least_holders_to_give = 2;
 
 using engine_list = std::vector<const placeable_engine*>;
 
+/// Tokens of a usual request, prompt and answer.
+double usual_tokens(const engine_profile& profile)
+{
+    return profile.usual_prompt_tokens + profile.usual_answer_tokens;
+}
+
+/// Worth of one more holder for a layer that has so many.
+double worth_of_holder(unsigned holders)
+{
+    switch (holders) {
+    case 0:
+        return uncovered_worth;
+    case 1:
+        return single_worth;
+    default:
+        return spare_worth / holders;
+    }
+}
+
 /// Plans for one group of halls.
 class group_plan
 {
@@ -86,11 +110,10 @@
     /// cards don't hold them beside the least room.
     [[nodiscard]] double choose_room() const
     {
-        const double usual = this->profile.usual_prompt_tokens + this->profile.usual_answer_tokens;
-        double low = this->aim.least_requests * usual;
+        double low = this->aim.least_requests * usual_tokens(this->profile);
         double high = low;
         const double wanted = this->aim.copies * this->profile.layers;
-        while (this->sum_beside(high) >= wanted && high < 1e9) {
+        while (this->sum_beside(high) >= wanted && high < most_room_tokens) {
             high = high * 2 + 1;
         }
         if (high <= low) {
@@ -98,7 +121,11 @@
         }
         for (int turn = 0; turn < room_search_steps; ++turn) {
             const double middle = (low + high) / 2;
-            (this->sum_beside(middle) >= wanted ? low : high) = middle;
+            if (this->sum_beside(middle) >= wanted) {
+                low = middle;
+            } else {
+                high = middle;
+            }
         }
         return low;
     }
@@ -129,8 +156,7 @@
     [[nodiscard]] double worth_of(unsigned layer) const
     {
         const unsigned count = this->holders[layer];
-        const double base = count == 0 ? uncovered_worth : count == 1 ? single_worth : spare_worth / count;
-        return base + (layer == 0 && count <= 1 ? head_worth : 0);
+        return worth_of_holder(count) + (layer == 0 && count <= 1 ? head_worth : 0);
     }
 
     [[nodiscard]] layer_span best_span(unsigned size) const
@@ -143,7 +169,7 @@
         double most = sum;
         for (unsigned begin = 1; begin + size <= this->profile.layers; ++begin) {
             sum += this->worth_of(begin + size - 1) - this->worth_of(begin - 1);
-            if (sum > most + 1e-9) {
+            if (sum > most + worth_margin) {
                 most = sum;
                 best = {begin, begin + size};
             }
@@ -185,9 +211,8 @@
     }
 
     /// Closes a hole from both of its sides, each by about half, or from one side if the other can't.
-    void extend_into(layer_span hole)
+    void extend_into(const layer_span& hole)
     {
-        const layer_span before = hole;
         const placeable_engine* left = this->find_neighbour(hole, true);
         const placeable_engine* right = this->find_neighbour(hole, false);
         const unsigned left_most = left == nullptr ? 0 : this->spare_layers(*left, true);
@@ -201,8 +226,8 @@
         if (from_left > 0) {
             this->place(*left, this->extend(*left, true, from_left));
         }
-        if (from_left < before.count()) {
-            this->place(*right, this->extend(*right, false, before.count() - from_left));
+        if (from_left < hole.count()) {
+            this->place(*right, this->extend(*right, false, hole.count() - from_left));
         }
     }
 
@@ -225,8 +250,7 @@
 
     [[nodiscard]] unsigned most_layers_at_hole(const placeable_engine& engine) const
     {
-        const double usual = this->profile.usual_prompt_tokens + this->profile.usual_answer_tokens;
-        return this->layers_beside(engine, this->aim.least_requests_at_hole * usual);
+        return this->layers_beside(engine, this->aim.least_requests_at_hole * usual_tokens(this->profile));
     }
 
     /// Layers at the engine's far end that another one holds too, so that it may give them up.
@@ -319,8 +343,8 @@
 
 bool can_hold_all(const engine_profile& profile, const engine_list& engines, const placement_aim& aim)
 {
-    const double usual = profile.usual_prompt_tokens + profile.usual_answer_tokens;
-    const double each_mb = profile.layer_mb + aim.least_requests * usual * profile.token_layer_mb();
+    const double tokens = aim.least_requests * usual_tokens(profile);
+    const double each_mb = profile.layer_mb + tokens * profile.token_layer_mb();
     double sum = 0;
     for (const placeable_engine* engine : engines) {
         const auto card = profile.kinds.find(engine->card);
--- a/src/libs/store/keyedfollower.cpp
+++ b/src/libs/store/keyedfollower.cpp
@@ -22,7 +22,11 @@
         this->schedule(this->settings.pause);
         return;
     }
-    this->next ? this->read_changes() : this->read_all();
+    if (this->next) {
+        this->read_changes();
+    } else {
+        this->read_all();
+    }
 }
 
 void keyed_follower::skip_to(log_offset end)
