--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -21,32 +21,40 @@
     delivery_order order;
     order.arrived = this->context.timers.now();
     order.request = this->context.codec.decode_request(exchange->request());
-    const caller_request& request = order.request;
     if (!this->bundle) {
-        this->refuse(exchange, request, http_status::unavailable, "no configuration yet");
+        this->refuse(exchange, order.request, http_status::unavailable, "no configuration yet");
         return;
     }
     order.bundle = this->bundle;
-    const std::string_view path = exchange->request().route();
-    order.route = this->bundle->find_route(request.host, path);
+    order.route = this->bundle->find_route(order.request.host, exchange->request().route());
     if (order.route == nullptr || order.route->targets.empty()) {
-        this->refuse(exchange, request, http_status::not_found, "no route for this host and path");
+        this->refuse(exchange, order.request, http_status::not_found, "no route for this host and path");
         return;
     }
     order.priority = order.route->priority;
-    if (this->bundle->has_accounts() && !order.route->is_public) {
-        const account_entry* account = request.key ? this->bundle->find_account(*request.key) : nullptr;
-        if (account == nullptr) {
-            this->refuse(exchange, request, http_status::unauthorized, "the key is not known");
-            return;
-        }
-        order.account = account->name;
-        order.priority = account->priority ? account->priority : order.priority;
+    if (!this->admit(order)) {
+        this->refuse(exchange, order.request, http_status::unauthorized, "the key is not known");
+        return;
     }
     order.service = this->choose_service(*order.route);
     this->deliver(exchange, std::move(order));
 }
 
+bool gateway_service::admit(delivery_order& order) const
+{
+    if (!order.bundle->has_accounts() || order.route->is_public) {
+        return true;
+    }
+    const std::optional<std::string>& key = order.request.key;
+    const account_entry* account = key ? order.bundle->find_account(*key) : nullptr;
+    if (account == nullptr) {
+        return false;
+    }
+    order.account = account->name;
+    order.priority = account->priority ? account->priority : order.priority;
+    return true;
+}
+
 service_id gateway_service::choose_service(const service_route& route) const
 {
     double sum = 0;
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -26,12 +26,16 @@
 
     /// An upstream is dead; the streams over it go on without it.
     void leave_upstream(const upstream_id& id);
+    /// Answers a caller's request, at once or by a delivery.
     void handle(const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] std::size_t requests_in_flight() const { return this->in_flight; }
 
 private:
+    /// Finds the caller's account where the route wants one; false if the key is missing or not known.
+    [[nodiscard]] bool admit(delivery_order& order) const;
     void deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order);
     [[nodiscard]] caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange) const;
+    /// One of the route's targets, by their weights.
     [[nodiscard]] service_id choose_service(const service_route& route) const;
     void refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request, int status,
         const std::string& reason);
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -58,31 +58,39 @@
     }
 }
 
-bool site_knowledge::put_upstream(const keyed_record& record)
+std::optional<discovered_upstream> site_knowledge::read_upstream(const keyed_record& record) const
 {
-    const upstream_id id(record.key);
-    const time_point now = this->hooks.now();
-    if (!record.value) {
-        const bool is_known = this->directory.find(id) != nullptr;
-        this->directory.remove(id, now);
-        if (is_known) {
-            this->hooks.on_event("upstream_gone", record.key, "");
-        }
-        return is_known;
-    }
     try {
-        const discovered_upstream upstream = this->hooks.decode_upstream(id, *record.value);
-        if (!this->directory.put(upstream, now)) {
-            return false;
-        }
-        this->hooks.on_event("upstream_changed", record.key,
-            upstream.address.value() + (upstream.is_leaving ? " leaving " : " ")
-                + std::to_string(upstream.held.begin) + "-" + std::to_string(upstream.held.end));
-        return true;
+        return this->hooks.decode_upstream(upstream_id(record.key), *record.value);
     } catch (const error& malformed) {
         this->hooks.on_event("upstream_entry_unusable", record.key, malformed.reason());
+        return std::nullopt;
+    }
+}
+
+bool site_knowledge::put_upstream(const keyed_record& record)
+{
+    if (!record.value) {
+        return this->remove_upstream(upstream_id(record.key));
+    }
+    const std::optional<discovered_upstream> upstream = this->read_upstream(record);
+    if (!upstream || !this->directory.put(*upstream, this->hooks.now())) {
         return false;
     }
+    this->hooks.on_event("upstream_changed", record.key,
+        upstream->address.value() + (upstream->is_leaving ? " leaving " : " ")
+            + std::to_string(upstream->held.begin) + "-" + std::to_string(upstream->held.end));
+    return true;
+}
+
+bool site_knowledge::remove_upstream(const upstream_id& id)
+{
+    const bool is_known = this->directory.find(id) != nullptr;
+    this->directory.remove(id, this->hooks.now());
+    if (is_known) {
+        this->hooks.on_event("upstream_gone", id.value(), "");
+    }
+    return is_known;
 }
 
 void site_knowledge::take_upstream_record(const keyed_record& record, log_offset offset)
@@ -114,10 +122,8 @@
         if (!record.value) {
             continue;
         }
-        try {
-            upstreams.push_back(this->hooks.decode_upstream(upstream_id(record.key), *record.value));
-        } catch (const error& malformed) {
-            this->hooks.on_event("upstream_entry_unusable", record.key, malformed.reason());
+        if (const std::optional<discovered_upstream> upstream = this->read_upstream(record)) {
+            upstreams.push_back(*upstream);
         }
     }
     if (this->directory.replace(upstreams, this->hooks.now())) {
@@ -158,11 +164,15 @@
     if (asker->bundle_version < report.bundle_version) {
         report.bundle_text = this->bundle_text;
     }
-    if (!report.entries_offset || asker->entries_offset.value_or(0) >= *report.entries_offset) {
+    this->fill_changes(report, asker->entries_offset);
+}
+
+void site_knowledge::fill_changes(peer_report& report, const std::optional<std::uint64_t>& offset) const
+{
+    if (!report.entries_offset || offset.value_or(0) >= *report.entries_offset) {
         return;
     }
-    const std::optional<log_offset> known =
-        asker->entries_offset ? std::optional(log_offset(*asker->entries_offset)) : std::nullopt;
+    const std::optional<log_offset> known = offset ? std::optional(log_offset(*offset)) : std::nullopt;
     record_mirror::difference lacking = this->mirror.since(known);
     report.are_entries_whole = lacking.is_whole;
     for (keyed_record& record : lacking.records) {
@@ -179,6 +189,11 @@
     if (answer.bundle_age && answer.bundle_version == own_version) {
         this->confirm_bundle(asked - *answer.bundle_age);
     }
+    this->take_entries(answer, asked);
+}
+
+void site_knowledge::take_entries(const peer_report& answer, time_point asked)
+{
     const std::uint64_t own_end = this->mirror.end() ? this->mirror.end()->value() : 0;
     if (!answer.entries_offset || *answer.entries_offset < own_end) {
         return;
@@ -191,22 +206,28 @@
         records.push_back({change.key, change.value});
     }
     const log_offset end(*answer.entries_offset);
-    const log_offset last(end.value() == 0 ? 0 : end.value() - 1);
     if (answer.are_entries_whole) {
         this->take_list(records, end);
     } else {
-        for (const keyed_record& record : records) {
-            if (this->put_upstream(record)) {
-                this->mirror.note(record, last);
-            }
-        }
-        this->mirror.advance(end);
+        this->take_changes(records, end);
     }
     if (answer.entries_age) {
         this->confirm_upstreams(asked - *answer.entries_age);
     }
 }
 
+void site_knowledge::take_changes(const std::vector<keyed_record>& records, log_offset end)
+{
+    // The changes lie somewhere before the end.
+    const log_offset last(end.value() == 0 ? 0 : end.value() - 1);
+    for (const keyed_record& record : records) {
+        if (this->put_upstream(record)) {
+            this->mirror.note(record, last);
+        }
+    }
+    this->mirror.advance(end);
+}
+
 bool site_knowledge::is_bundle_fresh() const
 {
     const std::optional<duration> age = this->bundle_age();
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -69,8 +69,16 @@
 
 private:
     void take_bundle_text(const std::string& text);
+    /// The upstream of a record that has a value; nothing, and a line in the log, if it can't be read.
+    [[nodiscard]] std::optional<discovered_upstream> read_upstream(const keyed_record& record) const;
+    /// Returns whether the record changed anything.
     bool put_upstream(const keyed_record& record);
+    bool remove_upstream(const upstream_id& id);
     void take_list(const std::vector<keyed_record>& records, log_offset end);
+    void take_changes(const std::vector<keyed_record>& records, log_offset end);
+    void take_entries(const peer_report& answer, time_point asked);
+    /// Fills in what one lacks who knows the entries up to `offset`, or none.
+    void fill_changes(peer_report& report, const std::optional<std::uint64_t>& offset) const;
 
     site_knowledge_settings settings;
     site_knowledge_hooks hooks;
