Delivery: the last answers of both deliveries stand once

Both decided in their own words whether a request that finds no upstream is told to come back. The plain delivery passed an answer on in two places.

--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -73,6 +73,7 @@
     failed ///< no answer, or one that says nothing
 };
 
+/// The head's answer to a path change.
 struct path_change_answer
 {
     path_change_result result = path_change_result::failed;
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -62,4 +62,13 @@
     return {status, {{"content-type", "text/plain"}}, reason + "\n"};
 }
 
+http_response make_last_answer(
+    const delivery_order& order, unsigned runs, duration retry_after, const std::string& reason)
+{
+    if (runs > 0 && !order.route->may_repeat()) {
+        return make_failure(http_status::bad_gateway, reason);
+    }
+    return make_refusal(retry_after, reason);
+}
+
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -22,7 +22,9 @@
     std::function<void(const http_response&)> respond;
     /// Begins an answer of unknown length.
     std::function<void(int status, const http_headers&)> start;
+    /// Sends a part of the body of an answer that was begun.
     std::function<void(std::string_view)> send;
+    /// Ends an answer that was begun, as a whole one.
     std::function<void()> finish;
     /// Breaks the answer off, so that the caller sees that it isn't whole.
     std::function<void()> abort;
@@ -106,11 +108,11 @@
 {
     caller_request request;
     std::shared_ptr<const site_bundle> bundle; ///< kept to the request's end
-    const service_route* route = nullptr;
+    const service_route* route = nullptr; ///< of the bundle
     std::optional<client_account_id> account;
     std::optional<int> priority;
     service_id service;
-    time_point arrived{};
+    time_point arrived{}; ///< when the request was read
 
     /// The moment at which the request gets its final answer at the latest.
     [[nodiscard]] time_point deadline() const;
@@ -126,5 +128,9 @@
 http_response make_refusal(duration retry_after, const std::string& reason);
 /// An answer of ours that promises nothing about whether the request has run.
 http_response make_failure(int status, const std::string& reason);
+/// The answer to a request that no upstream takes, after `runs` that began it: it is told to come back,
+/// unless it has run and may not be repeated.
+http_response make_last_answer(
+    const delivery_order& order, unsigned runs, duration retry_after, const std::string& reason);
 
 } // namespace sailtiller
--- a/src/libs/delivery/eventsplitter.h
+++ b/src/libs/delivery/eventsplitter.h
@@ -13,7 +13,7 @@
 struct stream_event
 {
     std::string text; ///< with the blank line at its end
-    std::optional<std::uint64_t> id;
+    std::optional<std::uint64_t> id; ///< the number in its `id` field
 };
 
 /// Cuts a stream of server-sent events into whole ones; an upstream may stop within an event.
@@ -24,6 +24,7 @@
     std::vector<stream_event> take(std::string_view bytes);
     /// True if there is a part of an event that never became whole.
     [[nodiscard]] bool has_rest() const { return !this->rest.empty(); }
+    /// Forgets the part of an event; another answer begins.
     void clear() { this->rest.clear(); }
 
 private:
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -2,7 +2,6 @@
 #include <base/httpstatus.h>
 #include <delivery/plaindelivery.h>
 
-#include <algorithm>
 #include <limits>
 
 namespace sailtiller {
@@ -154,6 +153,11 @@
         this->retry_or_pass_on();
         return;
     }
+    this->pass_on();
+}
+
+void plain_delivery::pass_on()
+{
     this->log("answered", "status " + std::to_string(this->answer.status));
     this->caller.respond({this->answer.status, this->answer.passed_on, this->body});
     this->end();
@@ -168,9 +172,7 @@
         this->retry_or_fail("status " + std::to_string(this->answer.status));
         return;
     }
-    this->log("answered", "status " + std::to_string(this->answer.status));
-    this->caller.respond({this->answer.status, this->answer.passed_on, this->body});
-    this->end();
+    this->pass_on();
 }
 
 void plain_delivery::retry_or_fail(const std::string& reason)
@@ -208,11 +210,8 @@
 void plain_delivery::refuse(const std::string& reason)
 {
     this->log("refused", reason);
-    if (this->runs > 0 && !this->order.route->may_repeat()) {
-        this->caller.respond(make_failure(http_status::bad_gateway, reason));
-    } else {
-        this->caller.respond(make_refusal(this->context.settings.retry_after, reason));
-    }
+    this->caller.respond(
+        make_last_answer(this->order, this->runs, this->context.settings.retry_after, reason));
     this->end();
 }
 
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -15,6 +15,7 @@
     plain_delivery(
         delivery_context& context, delivery_order order, caller_hooks caller, std::function<void()> on_done);
 
+    /// Begins; the delivery keeps itself alive until its caller has the answer, and then runs `on_done`.
     void start();
 
 private:
@@ -24,6 +25,7 @@
     [[nodiscard]] answer_hooks make_answer_hooks();
     void take_end(call_ending ending, const std::string& reason);
     void take_whole();
+    void pass_on();
     void retry_or_fail(const std::string& reason);
     void retry_or_pass_on();
     void give_up_on_slow();
@@ -40,10 +42,10 @@
     std::function<void()> on_done;
     caller_watch patience;
     upstream_call call;
-    std::optional<upstream_id> target;
+    std::optional<upstream_id> target; ///< of the call that is under way
     upstream_answer answer;
     std::string body;
-    std::set<upstream_id> avoided;
+    std::set<upstream_id> avoided; ///< those that have failed this request
     unsigned sends = 0;
     unsigned runs = 0; ///< sends that an upstream may have run
     bool is_done = false;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -343,10 +343,9 @@
     this->log("refused", reason);
     if (this->has_started) {
         this->caller.abort();
-    } else if (this->runs > 0 && !this->order.route->may_repeat()) {
-        this->caller.respond(make_failure(http_status::bad_gateway, reason));
     } else {
-        this->caller.respond(make_refusal(this->context.settings.retry_after, reason));
+        this->caller.respond(
+            make_last_answer(this->order, this->runs, this->context.settings.retry_after, reason));
     }
     this->end();
 }
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -18,6 +18,7 @@
     stream_delivery(
         delivery_context& context, delivery_order order, caller_hooks caller, std::function<void()> on_done);
 
+    /// Begins; the delivery keeps itself alive until its caller has the answer, and then runs `on_done`.
     void start();
     /// The caller is gone; its work ends.
     void abandon();
@@ -67,7 +68,7 @@
     std::string other_body; ///< of an answer that is no stream
     event_splitter events;
     std::optional<std::uint64_t> last_event; ///< the caller has everything up to this one
-    std::set<upstream_id> avoided;
+    std::set<upstream_id> avoided; ///< dead, or they have failed this request
     unsigned sends = 0;
     unsigned runs = 0; ///< calls that an upstream has begun
     bool has_started = false; ///< the caller has the head of the answer
