Library: comments on public items and constants

Several hooks, look-ups and limits did not say what they give or where they come from; some comments said something else than the code. Includes and statuses stand in order.

--- a/src/app/sailtillerd/siteduties.cpp
+++ b/src/app/sailtillerd/siteduties.cpp
@@ -11,9 +11,11 @@
 
 using std::chrono::milliseconds;
 
+/// A third of the silence that ends a membership, so that two calls may fail.
 constexpr duration join_interval = milliseconds(600);
 /// Silence after which another host takes the duties over.
 constexpr duration join_silence_limit = milliseconds(1800);
+/// Number of the duty to give orders to the engines.
 constexpr unsigned layer_duty = 0;
 
 } // namespace
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -19,6 +19,7 @@
 
 using std::chrono::milliseconds;
 
+/// The loop turns at least this often.
 constexpr duration longest_turn = std::chrono::seconds(1);
 /// How long a read waits for a newer bundle; each answer also confirms the present one.
 constexpr duration bundle_wait = milliseconds(1000);
@@ -33,6 +34,7 @@
 constexpr duration own_upstream_read_age = milliseconds(1500);
 /// The same for the bundle: a reader confirms it as of the begin of a wait, so up to two waits ago.
 constexpr duration own_bundle_read_age = milliseconds(2600);
+/// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -13,6 +13,7 @@
 
 using std::chrono::milliseconds;
 
+/// Names the exchange to the peer.
 constexpr const char* report_method = "site-report";
 constexpr duration connect_limit = milliseconds(500);
 constexpr duration answer_limit = milliseconds(600);
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -16,6 +16,7 @@
 constexpr duration connect_limit = milliseconds(200);
 /// Upstreams close connections at rest after some seconds; ours go first.
 constexpr duration idle_time = milliseconds(2500);
+/// Without answer by then, an order counts as unanswered and is sent again.
 constexpr duration order_answer_limit = milliseconds(800);
 /// An engine answers at once; a path that can't be changed in this time is late anyway.
 constexpr duration path_change_limit = milliseconds(80);
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -74,7 +74,9 @@
     /// Drops lapsed entries whose time is over. Returns whether any was.
     bool drop_lapsed(time_point now);
 
+    /// Null if it isn't known.
     [[nodiscard]] const directory_entry* find(const upstream_id& id) const;
+    /// The newest upstream at that address; null if there is none.
     [[nodiscard]] const directory_entry* find_by_address(const endpoint& address) const;
     [[nodiscard]] const std::map<upstream_id, directory_entry>& entries() const { return this->items; }
     /// Counts changes, for whoever derives something from the entries.
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -60,6 +60,7 @@
     std::vector<known_host> hosts; ///< that the sender has heard lately
 };
 
+/// Writes a report as CBOR.
 std::string encode_peer_report(const peer_report& report);
 /// Throws `error` if the bytes are malformed.
 peer_report decode_peer_report(const std::string& bytes);
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -54,10 +54,12 @@
 class stall_watch
 {
 public:
+    /// Names a stream that is watched.
     using stream_key = std::uint64_t;
 
     stall_watch(stall_watch_settings settings, stall_watch_hooks hooks);
 
+    /// Begins to look; goes on by itself.
     void start();
     /// A stream went out over a path; `first_due` is when its first event should be there.
     stream_key add(std::vector<upstream_id> parts, time_point first_due);
@@ -65,6 +67,7 @@
     void note_progress(stream_key key);
     /// The path changed; the stream has until `due` to go on.
     void change_path(stream_key key, std::vector<upstream_id> parts, time_point due);
+    /// The stream is over, or has left its path.
     void remove(stream_key key);
     /// Upstreams that are suspected now.
     [[nodiscard]] std::set<upstream_id> find_suspects(time_point now) const;
--- a/src/libs/placement/layerkeeper.h
+++ b/src/libs/placement/layerkeeper.h
@@ -49,6 +49,7 @@
 
     /// Plans and gives orders if this host has the duty. Called at the interval and when something changed.
     void look(const engine_profile& profile, const service_id& service);
+    /// Orders that have not been seen to be done.
     [[nodiscard]] std::size_t orders_open() const { return this->pending.size(); }
 
 private:
--- a/src/libs/routing/partloads.h
+++ b/src/libs/routing/partloads.h
@@ -29,12 +29,15 @@
     unsigned requests = 0;
 };
 
-/// This host's own counts of the work at the upstreams.
+/// The work at the upstreams: this host's own counts, and what the other hosts tell.
 class part_loads
 {
 public:
+    /// What is known of one; of an unknown one, that nothing is there.
     [[nodiscard]] const part_load& of(const upstream_id& id) const;
+    /// One request more passes through it, with so many tokens times layers.
     void add(const upstream_id& id, double token_layers);
+    /// One request less; `token_layers` as in `add`.
     void subtract(const upstream_id& id, double token_layers);
     /// Keeps new work away until `until`; a later time that stands already is kept.
     void suspend(const upstream_id& id, time_point until);
@@ -44,6 +47,7 @@
     void suspend_on_word(const upstream_id& id, time_point until);
     /// What the other hosts hold there. Those that are not named hold nothing.
     void set_others(const std::map<upstream_id, upstream_share>& shares);
+    /// It is this many times slower than its card should be.
     void set_pace(const upstream_id& id, double pace);
     /// It has answered, so it is there.
     void resume(const upstream_id& id);
--- a/src/libs/routing/pipemeter.cpp
+++ b/src/libs/routing/pipemeter.cpp
@@ -14,8 +14,8 @@
 double pipe_meter::decayed(const use& item, time_point now)
 {
     const std::chrono::duration<double> age = now - item.at;
-    const std::chrono::duration<double> half = memory;
-    return item.bits * std::exp(-std::max(0.0, age / half));
+    const std::chrono::duration<double> span = memory;
+    return item.bits * std::exp(-std::max(0.0, age / span));
 }
 
 void pipe_meter::note(const data_hall_id& from, const data_hall_id& to, double bits, time_point now)
--- a/src/libs/routing/pipemeter.h
+++ b/src/libs/routing/pipemeter.h
@@ -16,6 +16,7 @@
     /// Older use counts less and less; a pipe that stands still is empty after a few of these.
     static constexpr duration memory = std::chrono::milliseconds(500);
 
+    /// Hosts that send about as much as this one.
     void set_live_hosts(std::size_t count) { this->live_hosts = count == 0 ? 1 : count; }
     /// A request moved that many bits from one hall to the other.
     void note(const data_hall_id& from, const data_hall_id& to, double bits, time_point now);
--- a/src/libs/runtime/httpclient.cpp
+++ b/src/libs/runtime/httpclient.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+/// To one endpoint; only bounds what the idle time has not closed yet.
 constexpr std::size_t most_kept_connections = 4096;
 
 } // namespace
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
+#include <base/httpstatus.h>
 #include <base/json.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpserver.h>
 #include <runtime/socketaddress.h>
 
-#include <base/httpstatus.h>
 #include <cstring>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
--- a/src/libs/runtime/programsettings.h
+++ b/src/libs/runtime/programsettings.h
@@ -26,8 +26,7 @@
 
 /// Reads a program's settings: each one is a flag and an environment variable (SAILTILLER_ and the flag's
 /// name in upper case with underscores), and a line of the file that --config names. A flag goes before the
-/// variable, and the variable before the file. All faults are collected and told
-/// together.
+/// variable, and the variable before the file. All faults are collected and told together.
 class program_settings
 {
 public:
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -28,6 +28,7 @@
     clock_function now;
     /// Throws `error` for text that is no bundle.
     std::function<site_bundle(const std::string&)> decode_bundle;
+    /// Throws `error` for text that is no upstream's entry.
     std::function<discovered_upstream(const upstream_id&, const std::string&)> decode_upstream;
     /// A newer bundle is in force.
     std::function<void(const std::shared_ptr<const site_bundle>&)> on_bundle;
@@ -43,11 +44,15 @@
 public:
     site_knowledge(site_knowledge_settings settings, site_knowledge_hooks hooks);
 
+    /// Takes the bundle if the record holds one that is newer.
     void take_bundle_record(const keyed_record& record);
     /// The store had nothing newer than the present bundle at `asked`.
     void confirm_bundle(time_point asked);
+    /// One change of the upstreams' entries, which lies at that offset of the store's topic.
     void take_upstream_record(const keyed_record& record, log_offset offset);
+    /// All entries of the upstreams, up to `end`; what is not there is gone.
     void take_all_upstreams(const std::vector<keyed_record>& records, log_offset end);
+    /// All that the store had of the upstreams at `asked` has been taken.
     void confirm_upstreams(time_point asked);
     /// A call to the store failed.
     void note_store_disturbed();
@@ -62,9 +67,13 @@
     [[nodiscard]] const std::shared_ptr<const site_bundle>& bundle() const { return this->current; }
     /// False once the bundle may have been replaced for longer than a withdrawn key may be used.
     [[nodiscard]] bool is_bundle_fresh() const;
+    /// Since the bundle was known to be the newest; nothing if it never was.
     [[nodiscard]] std::optional<duration> bundle_age() const;
+    /// The same for the upstreams' entries.
     [[nodiscard]] std::optional<duration> upstreams_age() const;
+    /// Up to where the entries' topic is known.
     [[nodiscard]] const std::optional<log_offset>& upstreams_end() const { return this->mirror.end(); }
+    /// The upstreams that are believed to be there.
     [[nodiscard]] const upstream_directory& upstreams() const { return this->directory; }
 
 private:
--- a/src/libs/store/keyedfollower.h
+++ b/src/libs/store/keyedfollower.h
@@ -44,9 +44,11 @@
 public:
     keyed_follower(keyed_follower_settings settings, keyed_follower_hooks hooks);
 
+    /// Begins to read; goes on by itself.
     void start();
     /// Everything before `end` is known from elsewhere.
     void skip_to(log_offset end);
+    /// True if the last read failed.
     [[nodiscard]] bool is_lost() const { return this->failures > 0; }
 
 private:
@@ -59,8 +61,8 @@
 
     keyed_follower_settings settings;
     keyed_follower_hooks hooks;
-    std::optional<log_offset> next;
-    unsigned failures = 0;
+    std::optional<log_offset> next; ///< nothing: all keys must be read
+    unsigned failures = 0; ///< one after the other
 };
 
 } // namespace sailtiller
--- a/src/libs/store/recordmirror.h
+++ b/src/libs/store/recordmirror.h
@@ -11,7 +11,7 @@
 class record_mirror
 {
 public:
-    /// Changes beyond this number are forgotten; whoever lacks more gets everything.
+    /// Removals beyond this number are forgotten; whoever might lack one of them gets everything.
     static constexpr std::size_t most_removals = 1000;
 
     /// A record that changes something, at this offset.
@@ -21,8 +21,10 @@
     /// All up to `end` has been seen.
     void advance(log_offset end);
 
+    /// Up to where the topic is known; nothing before the first reading.
     [[nodiscard]] const std::optional<log_offset>& end() const { return this->known_end; }
 
+    /// What one lacks who knows less.
     struct difference
     {
         std::vector<keyed_record> records;
--- a/src/libs/store/storeclient.h
+++ b/src/libs/store/storeclient.h
@@ -28,11 +28,13 @@
     /// Reads records from an offset; waits up to `wait` for one if there is none.
     void read_after(store_topic topic, log_offset from, duration wait,
         const std::function<void(const record_page&)>& on_page, const failure_handler& on_failure);
+    /// Writes a record; one without a value drops its key.
     void put(store_topic topic, const keyed_record& record, const std::function<void()>& on_done,
         const failure_handler& on_failure);
     /// Joins the group of hosts that share out duties, or stays in it.
     void join(const host_id& self, duration silence_limit, group_generation last,
         const std::function<void(const group_membership&)>& on_answer, const failure_handler& on_failure);
+    /// Leaves the group; a failure isn't told, as the group notices the silence.
     void leave(const host_id& self, group_generation last);
     /// Calls made since the start.
     [[nodiscard]] std::uint64_t calls_made() const { return this->calls; }
