--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -170,15 +170,7 @@
     site_peers_hooks hooks;
     hooks.fill_report = [this](peer_report& report, const peer_report* asker) {
         this->knowledge.fill_report(report, asker);
-        for (const auto& [id, load] : this->loads.all()) {
-            if (load.requests > 0) {
-                report.work.push_back({id, load.token_layers, load.requests});
-            }
-            const duration left = load.suspended_until - this->loop.now();
-            if (load.is_suspended_here && left > duration::zero()) {
-                report.suspicions.push_back({id, left});
-            }
-        }
+        this->report_loads(report);
     };
     hooks.take_report = [this](const peer_report& report) {
         for (const upstream_suspicion& item : report.suspicions) {
@@ -191,20 +183,36 @@
             this->upstream_follower.skip_to(*this->knowledge.upstreams_end());
         }
     };
-    hooks.on_round = [this](const host_table& hosts) {
-        const time_point now = this->loop.now();
-        this->retries.set_live_hosts(hosts.live_count(now));
-        this->pipes.set_live_hosts(hosts.live_count(now));
-        std::map<upstream_id, upstream_share> shares;
-        for (const auto& [id, work] : hosts.sum_work(now)) {
-            shares[id] = {work.token_layers, work.requests};
-        }
-        this->loads.set_others(shares);
-    };
+    hooks.on_round = [this](const host_table& hosts) { this->take_round(hosts); };
     hooks.is_leaving = [this] { return this->is_stopping; };
     return hooks;
 }
 
+void site_host::report_loads(peer_report& report) const
+{
+    for (const auto& [id, load] : this->loads.all()) {
+        if (load.requests > 0) {
+            report.work.push_back({id, load.token_layers, load.requests});
+        }
+        const duration left = load.suspended_until - this->loop.now();
+        if (load.is_suspended_here && left > duration::zero()) {
+            report.suspicions.push_back({id, left});
+        }
+    }
+}
+
+void site_host::take_round(const host_table& hosts)
+{
+    const time_point now = this->loop.now();
+    this->retries.set_live_hosts(hosts.live_count(now));
+    this->pipes.set_live_hosts(hosts.live_count(now));
+    std::map<upstream_id, upstream_share> shares;
+    for (const auto& [id, work] : hosts.sum_work(now)) {
+        shares[id] = {work.token_layers, work.requests};
+    }
+    this->loads.set_others(shares);
+}
+
 bool site_host::is_reader() const
 {
     return this->peers.hosts().own_rank(this->loop.now()) < reader_count;
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -38,6 +38,11 @@
     keyed_follower make_bundle_follower();
     keyed_follower make_upstream_follower();
     site_peers_hooks make_peers_hooks();
+    /// Adds this host's work at the upstreams, and which of them it keeps away from.
+    void report_loads(peer_report& report) const;
+    /// Takes over how many hosts live and what the others' requests hold at the upstreams.
+    void take_round(const host_table& hosts);
+    /// True if this host is one of those that read the store for all.
     [[nodiscard]] bool is_reader() const;
     void look_at_layers();
     [[nodiscard]] bool is_ready() const;
--- a/src/libs/delivery/eventsplitter.cpp
+++ b/src/libs/delivery/eventsplitter.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <delivery/eventsplitter.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace sailtiller {
