Placement, Routing, Runtime: paths of many engines stay short; no exception passes through h2o

Ranges now stay wide enough for 14 parts in the mean, by more copies, and longer paths than engines take are none. Tests: layer_plan_test.many_engines..., http_call_test.a_handler_that_throws....

--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -112,7 +112,9 @@
     {
         double low = this->aim.least_requests * usual_tokens(this->profile);
         double high = low;
-        const double wanted = this->aim.copies * this->profile.layers;
+        const auto count = static_cast<double>(this->engines.size());
+        const double copies = std::max(this->aim.copies, count / this->aim.most_parts);
+        const double wanted = copies * this->profile.layers;
         while (this->sum_beside(high) >= wanted && high < most_room_tokens) {
             high = high * 2 + 1;
         }
--- a/src/libs/placement/layerplan.h
+++ b/src/libs/placement/layerplan.h
@@ -30,6 +30,9 @@
     /// Copies of every layer within a group of halls. More copies survive more losses but leave less room for
     /// tokens; 1.15 to 1.3 was best in trials.
     double copies = 1.3;
+    /// Engines that run one request in a hall of many, at the most in the mean: each part adds a hop to every
+    /// token, and an engine takes paths of 32 parts at the most.
+    double most_parts = 14;
     /// The least room for tokens that an engine is left with, in usual requests (prompt and answer).
     double least_requests = 16;
     /// The same where a layer has no holder: room goes before a path that isn't there.
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -22,6 +22,8 @@
 /// holds the layer.
 constexpr double full_share = 0.85;
 constexpr double full_ms = 20'000;
+/// Engines refuse longer paths.
+constexpr std::size_t most_path_parts = 32;
 constexpr double milliseconds_per_second = 1000;
 constexpr double bits_per_byte = 8;
 
@@ -276,7 +278,8 @@
     if (profile.layers == 0) {
         return std::nullopt;
     }
-    return path_search(profile, directory, loads, question).run();
+    std::optional<layer_path> path = path_search(profile, directory, loads, question).run();
+    return path && path->size() <= most_path_parts ? path : std::nullopt;
 }
 
 } // namespace sailtiller
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpcall.h>
 #include <runtime/socketaddress.h>
@@ -177,7 +178,7 @@
         [this] { this->end(call_ending::not_connected, "no connection within the time limit"); });
     this->socket = h2o_socket_connect(this->loop.native(), address.pointer(), address.length,
         [](h2o_socket_t* native, const char* failure) {
-            static_cast<http_call*>(native->data)->take_connection(failure);
+            static_cast<http_call*>(native->data)->guard(&http_call::take_connection, failure);
         });
     if (this->socket == nullptr) {
         this->loop.post([keep = this->shared_from_this()] {
@@ -189,6 +190,19 @@
     set_connection_options(this->socket);
 }
 
+/// No exception may pass through h2o's frames, which would leave its sockets in a state of their own.
+void http_call::guard(void (http_call::*action)(const char*), const char* failure)
+{
+    const std::shared_ptr<http_call> keep = this->shared_from_this();
+    try {
+        (this->*action)(failure);
+    } catch (const std::exception& fault) {
+        log_event(log_level::failure, "internal_error",
+            {{"step", "take answer"}, {"peer", this->target.value()}, {"reason", fault.what()}});
+        this->end(call_ending::broken, fault.what());
+    }
+}
+
 void http_call::take_connection(const char* failure)
 {
     this->loop.cancel(this->connect_timer);
@@ -214,7 +228,7 @@
         static_cast<http_call*>(native->data)->is_sent = failure == nullptr;
     });
     h2o_socket_read_start(this->socket, [](h2o_socket_t* native, const char* read_failure) {
-        static_cast<http_call*>(native->data)->take_bytes(read_failure);
+        static_cast<http_call*>(native->data)->guard(&http_call::take_bytes, read_failure);
     });
 }
 
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -38,6 +38,7 @@
     http_call(
         event_loop& loop, endpoint target, const http_call_options& options, http_call_handlers handlers);
     void connect();
+    void guard(void (http_call::*action)(const char*), const char* failure);
     void take_connection(const char* failure);
     void begin_exchange();
     [[nodiscard]] bool may_start_again() const;
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -139,6 +139,18 @@
     }
 }
 
+TEST_F(layer_plan_test, many_engines_hold_more_copies_rather_than_ever_thinner_ranges)
+{
+    std::vector<placeable_engine> engines;
+    for (int number = 0; number < 160; ++number) {
+        engines.push_back(make_engine(std::to_string(number), "x", "big"));
+    }
+    this->aim.most_parts = 4;
+    for (const placeable_engine& engine : this->plan(engines)) {
+        EXPECT_GE(engine.held.count(), 4U);
+    }
+}
+
 TEST_F(layer_plan_test, single_losses_leave_every_layer_with_a_holder_again)
 {
     std::vector<placeable_engine> engines;
--- a/tests/auto/runtime/tst_httpcall.cpp
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -194,6 +194,26 @@
     EXPECT_EQ(this->peer.requests, 0);
 }
 
+TEST_F(http_call_test, a_handler_that_throws_ends_only_its_own_call)
+{
+    std::optional<call_ending> ending;
+    http_call_handlers handlers;
+    handlers.on_head = [](int, const http_headers&) { throw std::runtime_error("test"); };
+    handlers.on_end = [&ending](call_ending how, const std::string&) { ending = how; };
+    http_request request;
+    request.method = "GET";
+    request.path = "/";
+    http_call::start(this->loop, this->peer.address, request, {}, std::move(handlers));
+    run_until(this->loop, [&] {
+        this->peer.serve("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", raw_peer::ending::keeps);
+        return ending.has_value();
+    });
+    EXPECT_EQ(ending, call_ending::broken);
+    this->peer.drop();
+    EXPECT_EQ(this->call("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", raw_peer::ending::keeps).ending,
+        call_ending::whole);
+}
+
 TEST_F(http_call_test, a_clean_connection_is_used_again)
 {
     connection_pool pool(this->loop, {});
