--- /dev/null
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "siteadmin.h"
+
+#include <base/httpstatus.h>
+#include <placement/layerplan.h>
+#include <runtime/eventlog.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+/// Requests whose decisions are kept for `explain`: at 12 requests a second the last five minutes, as on
+/// hosts that follow signed bundles.
+constexpr std::size_t explained_requests = 4'000;
+
+http_response make_page(int status, std::string body, const char* type = "text/plain")
+{
+    return {status, {{"content-type", type}}, std::move(body)};
+}
+
+http_response make_json(int status, const json& body)
+{
+    return make_page(status, body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+}
+
+std::int64_t to_milliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+json write_age(const std::optional<duration>& age)
+{
+    return age ? json(to_milliseconds(*age)) : json();
+}
+
+std::string age_text(const std::optional<duration>& age)
+{
+    return age ? std::to_string(to_milliseconds(*age)) : "never";
+}
+
+void write_gauge(std::string& out, const std::string& name, const std::string& help, double value)
+{
+    out += "# HELP " + name + " " + help + "\n# TYPE " + name + " gauge\n" + name + " "
+        + std::to_string(value) + "\n";
+}
+
+} // namespace
+
+site_admin::site_admin(site_admin_view view)
+    : view(std::move(view))
+    , decisions(explained_requests)
+    , requests("sailtiller_site_decisions_total", "Decisions about requests, by kind.", "kind")
+    , beliefs("sailtiller_site_beliefs_total", "Changes of what this host believes, by kind.", "kind")
+{
+}
+
+void site_admin::note(const delivery_event& event)
+{
+    const std::string what(event.what);
+    this->requests.add(what);
+    this->decisions.note(
+        request_id(std::string(event.request)), {this->view.now(), what, event.peer, event.detail});
+    const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
+    log_event(log_level::info, event.what,
+        {{"request", std::string(event.request)}, {"peer", event.peer}, {"detail", event.detail},
+            {"bundle", bundle ? std::to_string(bundle->version.value()) : "none"},
+            {"bundle_age_ms", age_text(this->view.knowledge.bundle_age())},
+            {"upstreams_age_ms", age_text(this->view.knowledge.upstreams_age())}});
+}
+
+void site_admin::handle(const std::shared_ptr<http_exchange>& exchange) const
+{
+    exchange->respond(this->answer(exchange->request()));
+}
+
+http_response site_admin::answer(const http_request& request) const
+{
+    const std::string_view route = request.route();
+    if (route == "/healthz") {
+        return make_page(http_status::ok, "alive\n");
+    }
+    if (route == "/readyz") {
+        return this->readiness();
+    }
+    if (route == "/metrics") {
+        return make_page(http_status::ok, this->write_metrics(), "text/plain; version=0.0.4");
+    }
+    if (route == "/status") {
+        return this->status();
+    }
+    if (route == "/explain") {
+        return this->explain(request);
+    }
+    return make_page(http_status::not_found,
+        "unknown page; there are /healthz, /readyz, /metrics, /status and /explain?request=ID\n");
+}
+
+http_response site_admin::readiness() const
+{
+    if (this->view.is_ready()) {
+        return make_page(http_status::ok, "ready\n");
+    }
+    return make_page(http_status::unavailable, this->view.is_stopping() ? "stopping\n" : "no bundle yet\n");
+}
+
+json site_admin::list_upstreams() const
+{
+    json list = json::array();
+    for (const auto& [id, entry] : this->view.knowledge.upstreams().entries()) {
+        const discovered_upstream& upstream = entry.upstream;
+        const part_load& load = this->view.loads.of(id);
+        list.push_back({{"id", id.value()}, {"service", upstream.service.value()},
+            {"address", upstream.address.value()}, {"data_hall", upstream.data_hall.value()},
+            {"card", upstream.card}, {"layers", json::array({upstream.held.begin, upstream.held.end})},
+            {"leaving", upstream.is_leaving}, {"lapsed", entry.is_lapsed},
+            {"suspended", load.suspended_until > this->view.now()}, {"requests", load.requests},
+            {"requests_of_others", load.other_requests}});
+    }
+    return list;
+}
+
+http_response site_admin::status() const
+{
+    const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
+    const std::optional<fencing_token> token = this->view.order_token();
+    json hosts = json::array();
+    for (const known_host& host : this->view.hosts.live_hosts(this->view.now())) {
+        hosts.push_back(host.id.value());
+    }
+    return make_json(http_status::ok,
+        {{"host", this->view.self.value()}, {"data_hall", this->view.data_hall.value()},
+            {"ready", this->view.is_ready()}, {"stopping", this->view.is_stopping()},
+            {"requests_in_flight", this->view.requests_in_flight()},
+            {"bundle", bundle ? json(bundle->version.value()) : json()},
+            {"bundle_age_ms", write_age(this->view.knowledge.bundle_age())},
+            {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())}, {"live_hosts", hosts},
+            {"gives_orders", token.has_value()}, {"order_token", token ? json(token->value()) : json()},
+            {"upstreams", this->list_upstreams()}});
+}
+
+http_response site_admin::explain(const http_request& request) const
+{
+    const std::optional<std::string> id = request.query_value("request");
+    if (!id) {
+        return make_json(http_status::bad_request, {{"error", "say which request: /explain?request=ID"}});
+    }
+    const std::vector<decision>* found = this->decisions.find(request_id(*id));
+    if (found == nullptr) {
+        return make_json(http_status::not_found, {{"error", "this host keeps no record of that request"}});
+    }
+    json list = json::array();
+    for (const decision& item : *found) {
+        list.push_back({{"ms_ago", to_milliseconds(this->view.now() - item.at)}, {"step", item.step},
+            {"peer", item.peer}, {"reason", item.reason}});
+    }
+    return make_json(
+        http_status::ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
+}
+
+std::string site_admin::write_metrics() const
+{
+    std::string out;
+    this->requests.write(out);
+    this->beliefs.write(out);
+    const auto seconds = [](const std::optional<duration>& age) {
+        return age ? std::chrono::duration<double>(*age).count() : -1;
+    };
+    write_gauge(out, "sailtiller_bundle_age_seconds",
+        "Since the bundle was known to be the newest; -1: never.",
+        seconds(this->view.knowledge.bundle_age()));
+    write_gauge(out, "sailtiller_upstreams_age_seconds", "Since the upstreams' entries were read; -1: never.",
+        seconds(this->view.knowledge.upstreams_age()));
+    write_gauge(out, "sailtiller_live_hosts", "Hosts heard lately, this one included.",
+        static_cast<double>(this->view.hosts.live_count(this->view.now())));
+    write_gauge(out, "sailtiller_gives_orders", "1 on the host that gives orders to engines.",
+        this->view.order_token() ? 1 : 0);
+    write_gauge(out, "sailtiller_requests_in_flight", "Requests under way on this host.",
+        static_cast<double>(this->view.requests_in_flight()));
+    return out;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/app/sailtillerd/siteadmin.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/json.h>
+#include <bundle/sitebundle.h>
+#include <delivery/decisionlog.h>
+#include <delivery/deliverycontext.h>
+#include <fleet/hosttable.h>
+#include <placement/layerorder.h>
+#include <runtime/httpexchange.h>
+#include <runtime/metrics.h>
+#include <site/siteknowledge.h>
+
+namespace sailtiller {
+
+/// What the operators' pages of a site's host show.
+struct site_admin_view
+{
+    const host_id& self;
+    const data_hall_id& data_hall;
+    const site_knowledge& knowledge;
+    const part_loads& loads;
+    const host_table& hosts;
+    std::function<std::optional<fencing_token>()> order_token; ///< nothing if another host gives the orders
+    std::function<bool()> is_ready;
+    std::function<bool()> is_stopping;
+    std::function<std::size_t()> requests_in_flight;
+    clock_function now;
+};
+
+/// The operators' pages of a site's host, and the record of its decisions.
+class site_admin
+{
+public:
+    explicit site_admin(site_admin_view view);
+
+    /// Records and logs one decision about a request, with the versions and ages of what it rests on.
+    void note(const delivery_event& event);
+    /// Counts a change of what this host believes.
+    void note_belief(std::string_view event) { this->beliefs.add(std::string(event)); }
+    void handle(const std::shared_ptr<http_exchange>& exchange) const;
+
+private:
+    [[nodiscard]] http_response answer(const http_request& request) const;
+    [[nodiscard]] http_response readiness() const;
+    [[nodiscard]] http_response status() const;
+    [[nodiscard]] http_response explain(const http_request& request) const;
+    [[nodiscard]] std::string write_metrics() const;
+    [[nodiscard]] json list_upstreams() const;
+
+    site_admin_view view;
+    decision_log decisions;
+    counter_family requests;
+    counter_family beliefs;
+};
+
+} // namespace sailtiller
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -42,11 +42,6 @@
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 
-http_response make_page(int status, const std::string& text)
-{
-    return {status, {{"content-type", "text/plain"}}, text};
-}
-
 } // namespace
 
 site_host::site_host(daemon_settings given)
@@ -67,10 +62,11 @@
     , keeper({}, this->make_keeper_hooks(), this->knowledge.upstreams())
     , bundle_follower(this->make_bundle_follower())
     , upstream_follower(this->make_upstream_follower())
+    , admin(this->make_admin_view())
     , callers(this->loop, this->settings.limits, this->settings.tls,
           [this](const std::shared_ptr<http_exchange>& exchange) { this->gateway.handle(exchange); })
     , admin_server(this->loop, this->settings.limits, std::nullopt,
-          [this](const std::shared_ptr<http_exchange>& exchange) { this->answer_admin(exchange); })
+          [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
 {
 }
 
@@ -86,12 +82,7 @@
         },
         this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->pipes, this->random,
         this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
-        [](const delivery_event& event) {
-            const bool is_bad = event.what != "sent" && event.what != "finished" && event.what != "answered";
-            log_event(is_bad ? log_level::info : log_level::debug, event.what,
-                {{"request", std::string(event.request)}, {"peer", event.peer}, {"detail", event.detail}});
-        },
-        {}};
+        [this](const delivery_event& event) { this->admin.note(event); }, {}};
 }
 
 void site_host::probe(const upstream_id& id, const std::function<void(bool)>& on_answer)
@@ -157,7 +148,8 @@
     hooks.decode_upstream = &platform::decode_upstream;
     hooks.on_bundle = [this](
                           const std::shared_ptr<const site_bundle>& next) { this->gateway.set_bundle(next); };
-    hooks.on_event = [](std::string_view event, const std::string& subject, const std::string& detail) {
+    hooks.on_event = [this](std::string_view event, const std::string& subject, const std::string& detail) {
+        this->admin.note_belief(event);
         log_event(log_level::info, event, {{"peer", subject}, {"detail", detail}});
     };
     return hooks;
@@ -297,17 +289,12 @@
     return this->gateway.current_bundle() != nullptr && !this->is_stopping;
 }
 
-void site_host::answer_admin(const std::shared_ptr<http_exchange>& exchange) const
+site_admin_view site_host::make_admin_view()
 {
-    const std::string_view route = exchange->request().route();
-    if (route == "/healthz") {
-        exchange->respond(make_page(http_status::ok, "alive\n"));
-    } else if (route == "/readyz") {
-        exchange->respond(this->is_ready() ? make_page(http_status::ok, "ready\n")
-                                           : make_page(http_status::unavailable, "not ready\n"));
-    } else {
-        exchange->respond(make_page(http_status::not_found, "there are /healthz and /readyz\n"));
-    }
+    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
+        [this] { return this->duties.order_token(); }, [this] { return this->is_ready(); },
+        [this] { return this->is_stopping; }, [this] { return this->gateway.requests_in_flight(); },
+        [this] { return this->loop.now(); }};
 }
 
 void site_host::run_turn()
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "siteadmin.h"
 #include "siteduties.h"
 #include "sitepeers.h"
 #include "upstreamlink.h"
@@ -46,7 +47,7 @@
     [[nodiscard]] bool is_reader() const;
     void look_at_layers();
     [[nodiscard]] bool is_ready() const;
-    void answer_admin(const std::shared_ptr<http_exchange>& exchange) const;
+    site_admin_view make_admin_view();
     void run_turn();
     void take_signal(int number);
     void begin_stop();
@@ -71,6 +72,7 @@
     layer_keeper keeper;
     keyed_follower bundle_follower;
     keyed_follower upstream_follower;
+    site_admin admin;
     http_server callers;
     http_server admin_server;
     bool is_stopping = false;
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -109,6 +109,19 @@
     return answer;
 }
 
+std::string site_bed::fetch(const site_host_process& host, const std::string& path)
+{
+    http_request request;
+    request.method = "GET";
+    request.path = path;
+    std::optional<std::string> body;
+    this->client.send(
+        host.admin, request, [&body](const http_response& response) { body = response.body; },
+        [&body](const http_failure& failure) { body = failure.reason; });
+    run_until(this->loop, [&body] { return body.has_value(); });
+    return *body;
+}
+
 void site_bed::wait_for(const std::shared_ptr<site_answer>& answer)
 {
     run_until(this->loop, [&answer] { return answer->is_done; });
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -46,6 +46,8 @@
         const std::string& path = "/chat/x", const std::string& key = "key-1");
     /// Waits until every layer has a holder that the host knows, shown by a stream that it serves.
     void wait_until_served(const site_host_process& host);
+    /// A page of a host's admin address.
+    std::string fetch(const site_host_process& host, const std::string& path);
     void wait_for(const std::shared_ptr<site_answer>& answer);
     /// All events of a stream, once each and in order.
     [[nodiscard]] std::string whole_stream() const;
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -28,6 +28,27 @@
     EXPECT_GE(this->world.orders, 4U);
 }
 
+TEST_F(site, tells_operators_what_it_knows_and_why_it_decided)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->wait_for(this->ask(host, "r1"));
+    const json status = json::parse(this->fetch(host, "/status"));
+    EXPECT_EQ(status.at("bundle"), 1);
+    EXPECT_TRUE(status.at("gives_orders").get<bool>());
+    EXPECT_EQ(status.at("upstreams").size(), 8U);
+    const json explained = json::parse(this->fetch(host, "/explain?request=r1"));
+    ASSERT_GE(explained.at("decisions").size(), 2U);
+    EXPECT_EQ(explained.at("decisions")[0].at("step"), "sent");
+    EXPECT_NE(explained.at("decisions")[0].at("reason").get<std::string>().find("=0-"), std::string::npos);
+    const std::string metrics = this->fetch(host, "/metrics");
+    EXPECT_NE(metrics.find("sailtiller_site_decisions_total{kind=\"sent\"}"), std::string::npos) << metrics;
+    EXPECT_NE(metrics.find("\nsailtiller_bundle_age_seconds "), std::string::npos);
+    EXPECT_EQ(metrics.find("sailtiller_bundle_age_seconds -1"), std::string::npos);
+    EXPECT_NE(this->fetch(host, "/explain?request=none").find("no record"), std::string::npos);
+}
+
 TEST_F(site, a_stream_outlives_any_engine_of_its_path)
 {
     this->start_engines(4);
