--- a/src/app/sailtillerd/siteduties.cpp
+++ b/src/app/sailtillerd/siteduties.cpp
@@ -34,13 +34,14 @@
 
 void site_duties::join()
 {
+    if (this->is_leaving) {
+        return; // joining once more would hold the duties until it is missed
+    }
     const group_generation last = this->membership ? this->membership->generation : group_generation(0);
     this->store.join(
         this->self, join_silence_limit, last,
         [this](const group_membership& next) { this->membership = next; }, &log_store_failure);
-    if (!this->is_leaving) {
-        this->loop.schedule_after(join_interval, [this] { this->join(); });
-    }
+    this->loop.schedule_after(join_interval, [this] { this->join(); });
 }
 
 void site_duties::leave()
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -276,6 +276,8 @@
 void site_host::look_at_layers()
 {
     this->knowledge.tidy();
+    this->loads.forget_idle(
+        [this](const upstream_id& id) { return this->knowledge.upstreams().find(id) != nullptr; });
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
     if (pool != nullptr) {
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -63,6 +63,7 @@
     }
     this->path.begin(std::move(found));
     ++this->sends;
+    this->is_changing_path = false;
     this->state = phase::waiting;
     this->answer = {};
     this->other_body.clear();
@@ -111,7 +112,8 @@
 /// Leads the running request around the upstreams that it avoids.
 void stream_delivery::change_path()
 {
-    if (!this->is_under_way() || !this->path.passes_any(this->avoided)) {
+    const bool may_change = this->is_under_way() && !this->is_changing_path;
+    if (!may_change || !this->path.passes_any(this->avoided)) {
         return;
     }
     std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.head());
@@ -160,8 +162,8 @@
     this->context.change_path(change,
         [self = this->shared_from_this(), number = this->call.number(), next](
             const path_change_answer& result) {
-            self->is_changing_path = false;
             if (self->call.number() == number && self->state != phase::done) {
+                self->is_changing_path = false;
                 self->take_path_answer(next, result);
             }
         });
--- a/src/libs/store/keyedfollower.cpp
+++ b/src/libs/store/keyedfollower.cpp
@@ -83,6 +83,10 @@
         this->schedule(this->settings.pause);
         return;
     }
+    if (page.records.empty()) {
+        this->schedule(this->settings.pause); // the store will have them before long
+        return;
+    }
     this->read_changes();
 }
 
--- a/src/libs/store/recordmirror.cpp
+++ b/src/libs/store/recordmirror.cpp
@@ -25,7 +25,8 @@
     }
     std::erase_if(this->entries, [this](const auto& item) {
         if (!item.second.value) {
-            this->complete_from = std::max(this->complete_from, item.second.changed);
+            const log_offset after(item.second.changed.value() + 1);
+            this->complete_from = std::max(this->complete_from, after);
         }
         return !item.second.value.has_value();
     });
--- a/src/libs/store/storeclient.cpp
+++ b/src/libs/store/storeclient.cpp
@@ -20,12 +20,12 @@
 }
 
 void store_client::call(const char* step, http_request request, duration limit,
-    const std::function<void(const http_response&)>& on_answer, const failure_handler& on_failure)
+    const std::function<void(const http_response&)>& on_answer, const failure_handler& on_failure,
+    const std::vector<int>& accepted)
 {
     ++this->calls;
     send_timed(this->loop, this->client,
-        {this->settings.address, std::move(request), limit, {step, this->settings.address.value()},
-            {http_status::ok, gone_status}},
+        {this->settings.address, std::move(request), limit, {step, this->settings.address.value()}, accepted},
         on_answer, on_failure);
 }
 
@@ -60,8 +60,7 @@
 void store_client::read_after(store_topic topic, log_offset from, duration wait,
     const std::function<void(const record_page&)>& on_page, const failure_handler& on_failure)
 {
-    this->call(
-        "read records", this->codec.encode_read(topic, from, wait), wait + this->settings.answer_limit,
+    this->call("read records", this->codec.encode_read(topic, from, wait), wait + this->settings.answer_limit,
         [this, from, on_page](const http_response& answer) {
             if (answer.status == gone_status) {
                 record_page page;
@@ -71,7 +70,7 @@
             }
             on_page(this->codec.decode_read(answer, from));
         },
-        on_failure);
+        on_failure, {http_status::ok, gone_status});
 }
 
 void store_client::put(store_topic topic, const keyed_record& record, const std::function<void()>& on_done,
--- a/src/libs/store/storeclient.h
+++ b/src/libs/store/storeclient.h
@@ -41,7 +41,8 @@
 
 private:
     void call(const char* step, http_request request, duration limit,
-        const std::function<void(const http_response&)>& on_answer, const failure_handler& on_failure);
+        const std::function<void(const http_response&)>& on_answer, const failure_handler& on_failure,
+        const std::vector<int>& accepted = {http_status::ok});
     void read_pages(store_topic topic, const std::shared_ptr<newest_page>& gathered,
         const std::function<void(const newest_page&)>& on_all, const failure_handler& on_failure);
 
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -216,6 +216,36 @@
     EXPECT_NE(this->changes[1].path[1].address, refused);
 }
 
+TEST_F(stream_delivery_test, no_two_path_changes_are_under_way_at_once)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("spare", 3, {8, 16});
+    this->put_engine("other", 4, {8, 16}, "x", "small");
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->changes.size(), 1U);
+    delivery->leave_upstream(upstream_id("tail"));
+    this->pass(100ms);
+    EXPECT_EQ(this->changes.size(), 1U);
+}
+
+TEST_F(stream_delivery_test, a_late_word_about_a_former_call_changes_nothing)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("spare", 3, {8, 16});
+    this->put_engine("second", 4, {0, 8});
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->change_answers.size(), 1U);
+    delivery->leave_upstream(upstream_id("head"));
+    ASSERT_EQ(this->sends.size(), 2U);
+    const std::string path = path_of(this->last_send());
+    this->change_answers[0]({path_change_result::changed, std::nullopt});
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_EQ(this->loads.of(upstream_id("spare")).requests, 0U);
+}
+
 TEST_F(stream_delivery_test, goes_on_in_another_hall_rather_than_over_the_pipe)
 {
     auto delivery = this->start_streaming(2);
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -153,6 +153,32 @@
     }
 }
 
+TEST(wire_request, numbers_that_make_no_sense_count_as_absent)
+{
+    for (const char* text : {"nan", "inf", "1e300", "-5", "12x", ""}) {
+        http_request message = make_request();
+        for (http_header& header : message.headers) {
+            const bool is_number = header.name == "x-deadline-ms" || header.name == "last-event-id";
+            header.value = is_number ? text : header.value;
+            header.value = header.name == "x-token-usage" ? std::string(text) + "," + text : header.value;
+        }
+        const caller_request request = make_request_codec().decode_request(message);
+        EXPECT_FALSE(request.time_limit.has_value()) << text;
+        EXPECT_FALSE(request.last_event.has_value()) << text;
+        EXPECT_EQ(request.prompt_tokens, 0) << text;
+    }
+}
+
+TEST(wire_request, only_whole_words_of_the_connection_header_name_headers)
+{
+    http_request message = make_request();
+    message.headers = {{"connection", "keep-alive, X-Hop"}, {"alive", "1"}, {"x-hop", "1"}, {"hop", "1"}};
+    const caller_request request = make_request_codec().decode_request(message);
+    EXPECT_TRUE(find_header(request.passed_on, "alive").has_value());
+    EXPECT_TRUE(find_header(request.passed_on, "hop").has_value());
+    EXPECT_FALSE(find_header(request.passed_on, "x-hop").has_value());
+}
+
 TEST(wire_request, without_an_account_none_is_named)
 {
     const request_codec codec = make_request_codec();
--- a/tests/auto/store/tst_keyedfollower.cpp
+++ b/tests/auto/store/tst_keyedfollower.cpp
@@ -108,6 +108,17 @@
     EXPECT_EQ(this->asked_from, (std::vector<std::uint64_t>{10, 11}));
 }
 
+TEST_F(keyed_follower_test, a_page_that_brings_nothing_is_not_asked_for_again_at_once)
+{
+    this->follower->start();
+    this->take_list(10);
+    this->pass(100ms);
+    this->take_page({}, 10, 20);
+    EXPECT_EQ(this->asked_from.size(), 1U);
+    this->pass(100ms);
+    EXPECT_EQ(this->asked_from.size(), 2U);
+}
+
 TEST_F(keyed_follower_test, forgotten_records_lead_back_to_all_keys)
 {
     this->follower->start();
--- a/tests/auto/store/tst_recordmirror.cpp
+++ b/tests/auto/store/tst_recordmirror.cpp
@@ -62,6 +62,9 @@
     mirror.advance(log_offset(offset));
     EXPECT_TRUE(mirror.since(log_offset(1)).is_whole);
     EXPECT_EQ(keys_of(mirror.since(log_offset(1))), "kept ");
+    EXPECT_TRUE(mirror.since(log_offset(offset - 1)).is_whole)
+        << "who lacks only the last removal lacks it still";
+    EXPECT_FALSE(mirror.since(log_offset(offset)).is_whole);
 }
 
 TEST(record_mirror, its_end_never_falls)
