Sailtillerd: changed settings are taken over, with a signal or without one

SIGHUP changed nothing on a site's host, and a file that changed by itself was not seen. Log, revoke limit, retries and the times of a stop are now taken over; wrong settings are told and the old ones kept. The test bed of deliveries ends the calls that a test leaves open (a leak under the sanitizers, in the bed alone). Test: site.changed_settings_are_taken_over_with_and_without_a_signal.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -121,6 +121,8 @@
     declare_all(flags);
     flags.parse(arguments);
     daemon_settings settings;
+    settings.arguments = arguments;
+    settings.file = flags.optional_text("config");
     settings.self = host_id(flags.text("host-id"));
     settings.data_hall = data_hall_id(flags.text("data-hall"));
     settings.store = read_store(flags);
--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -19,6 +19,8 @@
 /// Everything that a host process is told from outside. docs/operators/running.md lists the flags.
 struct daemon_settings
 {
+    std::vector<std::string> arguments; ///< from which these were read, to read them again
+    std::optional<std::string> file; ///< the settings file, if there is one
     host_id self;
     data_hall_id data_hall;
     trust_settings trust;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -10,6 +10,7 @@
 #include <platform/wirestore.h>
 #include <platform/wireupstream.h>
 #include <runtime/programsettings.h>
+#include <runtime/textfile.h>
 
 #include <csignal>
 
@@ -37,6 +38,8 @@
 constexpr duration own_upstream_read_age = milliseconds(1500);
 /// The same for the bundle, in tenths of a wait.
 constexpr int own_bundle_read_tenths = 26;
+/// The platform may change the settings file without a signal.
+constexpr duration settings_look_interval = std::chrono::seconds(1);
 /// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
@@ -323,6 +326,9 @@
     this->duties.start();
     this->look_at_layers();
     this->watch.start();
+    if (this->settings.file) {
+        this->look_at_settings_file();
+    }
     while (!this->loop.is_stopped()) {
         this->run_turn();
     }
@@ -332,13 +338,55 @@
 void site_host::take_signal(int number)
 {
     if (number == SIGHUP) {
-        log_event(
-            log_level::info, "reload", {{"outcome", "nothing in the settings can change while it runs"}});
+        this->reload();
         return;
     }
     this->begin_stop();
 }
 
+void site_host::reload()
+{
+    try {
+        const daemon_settings next = read_daemon_settings(this->settings.arguments);
+        if (!next.store) {
+            throw error(
+                {"reload settings", "store-address"}, "it can't be taken away while the process runs");
+        }
+        set_up_log(next.log);
+        this->knowledge.set_revoke_limit(next.store->revoke_limit);
+        this->retries.set_settings(next.store->retries);
+        this->settings.stop_grace = next.stop_grace;
+        this->settings.longest_stop = next.longest_stop;
+        const bool needs_restart = next.listen != this->settings.listen
+            || next.admin_listen != this->settings.admin_listen
+            || next.store->address != this->settings.store->address || next.self != this->settings.self;
+        log_event(log_level::info, "reload",
+            {{"outcome", "done"},
+                {"addresses", needs_restart ? "changed, restart to use them" : "unchanged"}});
+    } catch (const settings_stop& faults) {
+        log_event(
+            log_level::failure, "reload", {{"outcome", "kept the old settings"}, {"reason", faults.text}});
+    } catch (const error& fault) {
+        log_event(
+            log_level::failure, "reload", {{"outcome", "kept the old settings"}, {"reason", fault.what()}});
+    }
+}
+
+void site_host::look_at_settings_file()
+{
+    this->loop.schedule_after(settings_look_interval, [this] { this->look_at_settings_file(); });
+    try {
+        std::string text = read_text_file(*this->settings.file);
+        if (text != this->settings_text) {
+            this->settings_text = std::move(text);
+            this->reload();
+        }
+    } catch (const error& unreadable) {
+        log_event(log_level::warning, "settings_file_unreadable",
+            {{"step", unreadable.step()}, {"peer", unreadable.peer()}, {"reason", unreadable.reason()}});
+    }
+}
+
 void site_host::begin_stop()
 {
     if (this->is_stopping) {
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -50,6 +50,10 @@
     site_admin_view make_admin_view();
     void run_turn();
     void take_signal(int number);
+    /// Reads the settings again and takes over what may change while the process runs.
+    void reload();
+    /// Reloads once the settings file has other content than before.
+    void look_at_settings_file();
     void begin_stop();
     void finish_stop_when_idle();
 
@@ -75,6 +79,8 @@
     site_admin admin;
     http_server callers;
     http_server admin_server;
+    /// Of the settings file when it was last read; empty at first, as it may have changed since the start.
+    std::string settings_text;
     bool is_stopping = false;
     time_point stop_limit{};
     int exit_code = 0;
--- a/src/libs/routing/retryallowance.h
+++ b/src/libs/routing/retryallowance.h
@@ -28,6 +28,7 @@
     }
 
     /// Hosts over which the slack is split.
+    void set_settings(const retry_allowance_settings& next) { this->settings = next; }
     void set_live_hosts(std::size_t count) { this->live_hosts = count == 0 ? 1 : count; }
     /// A caller's request came; it earns its part of a repeat.
     void note_request(const service_id& service, time_point now);
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -45,6 +45,7 @@
     site_knowledge(site_knowledge_settings settings, site_knowledge_hooks hooks);
 
     /// Takes the bundle if the record holds one that is newer.
+    void set_revoke_limit(duration limit) { this->settings.revoke_limit = limit; }
     void take_bundle_record(const keyed_record& record);
     /// The store had nothing newer than the present bundle at `asked`.
     void confirm_bundle(time_point asked);
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -57,6 +57,13 @@
     this->context = std::make_unique<delivery_context>(this->make_context());
 }
 
+delivery_bed::~delivery_bed()
+{
+    for (const std::shared_ptr<fake_send>& send : this->sends) {
+        send->handlers = {};
+    }
+}
+
 delivery_context delivery_bed::make_context()
 {
     return {make_timer_hooks(this->timers, [this] { return this->now; }),
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -35,6 +35,10 @@
 {
 protected:
     delivery_bed();
+    /// Ends the calls that a test left open: each holds its delivery, which holds the call.
+    ~delivery_bed() override;
+    delivery_bed(const delivery_bed&) = delete;
+    delivery_bed& operator=(const delivery_bed&) = delete;
 
     delivery_context make_context();
     /// An engine of the sample profile; its address is "10.0.0.1:" and its number.
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -3,6 +3,9 @@
 #include "sitebed.h"
 
 #include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
 
 namespace sailtiller::tests {
 
@@ -211,6 +214,46 @@
     EXPECT_EQ(host.process->exit_code(), 0);
 }
 
+TEST_F(site, changed_settings_are_taken_over_with_and_without_a_signal)
+{
+    const std::string path = "/tmp/sailtiller-site-settings-" + std::to_string(getpid());
+    const auto write = [&path](const std::string& level) {
+        std::ofstream(path) << "log-level=" << level << "\n";
+    };
+    write("info");
+    site_host_process& host = this->start_host("a", {"--config", path});
+    const auto has_said = [&host](const std::string& part) {
+        return host.process->output().find(part) != std::string::npos;
+    };
+    const auto count_done = [&host] {
+        const std::string& text = host.process->output();
+        const std::string mark = "\"outcome\":\"done\"";
+        std::size_t count = 0;
+        for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1)) {
+            ++count;
+        }
+        return count;
+    };
+    run_until(this->loop, [&] { return count_done() == 1; });
+    write("loud");
+    run_until(this->loop, [&] { return has_said("kept the old settings"); });
+    EXPECT_TRUE(has_said("'loud'"));
+    write("info");
+    run_until(this->loop, [&] { return count_done() == 2; });
+    host.process->send_signal(SIGHUP);
+    run_until(this->loop, [&] { return count_done() == 3; });
+    run_until(this->loop, [&] {
+        const auto ready = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(ready);
+        return ready->status == 200;
+    });
+    host.process->send_signal(SIGHUP);
+    const auto answer = this->ask(host, "r", "/submit/x");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 200) << "a reload disturbs no request";
+    std::remove(path.c_str());
+}
+
 TEST_F(site, the_next_host_gives_the_orders_when_the_one_that_did_is_killed)
 {
     this->start_engines(3);
