--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -149,7 +149,7 @@
     }
 }
 
-void delivery_bed::give_head(fake_send& send, int status, http_headers headers)
+void delivery_bed::give_head(fake_send& send, int status, const http_headers& headers)
 {
     send.handlers.on_head(status, headers);
 }
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -33,13 +33,14 @@
 /// Requests are encoded as their target's address; a path and a last event show in headers of their own.
 class delivery_bed : public testing::Test
 {
-protected:
+public:
     delivery_bed();
     /// Ends the calls that a test left open: each holds its delivery, which holds the call.
     ~delivery_bed() override;
     delivery_bed(const delivery_bed&) = delete;
     delivery_bed& operator=(const delivery_bed&) = delete;
 
+protected:
     delivery_context make_context();
     /// An engine of the sample profile; its address is "10.0.0.1:" and its number.
     void put_engine(const std::string& id, int number, layer_span held, const std::string& hall = "x",
@@ -51,7 +52,7 @@
 
     fake_send& last_send() { return *this->sends.back(); }
     /// The upstream gives a head.
-    static void give_head(fake_send& send, int status, http_headers headers = {});
+    static void give_head(fake_send& send, int status, const http_headers& headers = {});
     static http_headers signed_head(const std::string& id = "r1");
     /// Whole events with the ids from `first` up to, without, `end`.
     static std::string events(unsigned first, unsigned end);
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -26,9 +26,9 @@
         })->start();
     }
 
-    static void answer(fake_send& send, int status, http_headers headers = signed_head())
+    static void answer(fake_send& send, int status, const http_headers& headers = signed_head())
     {
-        give_head(send, status, std::move(headers));
+        give_head(send, status, headers);
         send.handlers.on_body("body");
         end(send);
     }
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -141,8 +141,10 @@
 
 TEST_F(layer_plan_test, many_engines_hold_more_copies_rather_than_ever_thinner_ranges)
 {
+    constexpr int count = 160;
     std::vector<placeable_engine> engines;
-    for (int number = 0; number < 160; ++number) {
+    engines.reserve(count);
+    for (int number = 0; number < count; ++number) {
         engines.push_back(make_engine(std::to_string(number), "x", "big"));
     }
     this->aim.most_parts = 4;
--- a/tests/auto/runtime/tst_eventlog.cpp
+++ b/tests/auto/runtime/tst_eventlog.cpp
@@ -32,7 +32,7 @@
 /// Standard output as a pipe that the test reads, or doesn't.
 class event_log_test : public testing::Test
 {
-protected:
+public:
     event_log_test()
     {
         fflush(stdout);
@@ -53,6 +53,7 @@
     event_log_test(const event_log_test&) = delete;
     event_log_test& operator=(const event_log_test&) = delete;
 
+protected:
     std::string read_all() const
     {
         fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
--- a/tests/auto/runtime/tst_programsettings.cpp
+++ b/tests/auto/runtime/tst_programsettings.cpp
@@ -52,7 +52,7 @@
 
 class settings_file : public testing::Test
 {
-protected:
+public:
     settings_file()
     {
         std::string name = "/tmp/sailtiller-settings-XXXXXX";
@@ -66,6 +66,7 @@
     settings_file(const settings_file&) = delete;
     settings_file& operator=(const settings_file&) = delete;
 
+protected:
     void write(const std::string& text) const { std::ofstream(this->path) << text; }
 
     std::string path;
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -86,7 +86,7 @@
 std::shared_ptr<site_answer> site_bed::ask(
     const site_host_process& host, const std::string& id, const std::string& path, const std::string& key)
 {
-    const auto answer = std::make_shared<site_answer>();
+    auto answer = std::make_shared<site_answer>();
     http_request request;
     request.method = "POST";
     request.path = path;
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -58,8 +58,10 @@
     site_host_process& host = this->start_host("a");
     this->wait_until_served(host);
     this->world.stream_events = 120;
+    constexpr int streams = 6;
     std::vector<std::shared_ptr<site_answer>> answers;
-    for (int number = 0; number < 6; ++number) {
+    answers.reserve(streams);
+    for (int number = 0; number < streams; ++number) {
         answers.push_back(this->ask(host, "r" + std::to_string(number)));
     }
     run_until(this->loop, [this] { return this->world.events_made["r5"].size() >= 20; });
@@ -198,8 +200,10 @@
     site_host_process& host = this->start_host("a");
     this->wait_until_served(host);
     this->world.stream_events = 150;
+    constexpr int streams = 5;
     std::vector<std::shared_ptr<site_answer>> answers;
-    for (int number = 0; number < 5; ++number) {
+    answers.reserve(streams);
+    for (int number = 0; number < streams; ++number) {
         answers.push_back(this->ask(host, "r" + std::to_string(number)));
     }
     run_until(this->loop, [this] { return this->world.events_made["r4"].size() >= 5; });
