Tests: a site's gate to the store goes before the flag that it reads

Found by the address sanitizer in the whole run: a request that came while the bed was torn down read a flag that was gone. A fault of the bed alone.

--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -18,8 +18,9 @@
     std::unique_ptr<child_process> process;
     endpoint callers;
     endpoint admin;
-    std::unique_ptr<http_server> store_gate;
+    /// Outlives the gate, which answers what has come until its end.
     std::unique_ptr<bool> is_gate_open = std::make_unique<bool>(true);
+    std::unique_ptr<http_server> store_gate;
 };
 
 /// What came of a caller's request.
