Placement: the first copy lies on the cards that cost a usual request least

Cause: cards were ordered by the time of a step alone. Cards of nearly the same step time but half the layers came first, so a path of a whole hall had 8 to 13 parts, and each part is a hop for every token and one more engine whose loss the stream feels. Change: the order is that of the predicted time a layer, prompt, steps and its share of the hop included.

--- a/src/libs/bundle/sitebundle.h
+++ b/src/libs/bundle/sitebundle.h
@@ -49,6 +49,9 @@
     }
 };
 
+/// Milliseconds from an engine to the next in its hall, for each token; measured links are of this order.
+constexpr double engine_hop_ms = 0.3;
+
 /// An accelerator of the engines.
 struct card_kind
 {
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -26,6 +26,8 @@
 /// A second holder never takes part in giving up a layer's last holder.
 constexpr unsigned least_holders_to_give = 2;
 
+constexpr double milliseconds_per_second = 1000;
+
 using engine_list = std::vector<const placeable_engine*>;
 
 /// Tokens of a usual request, prompt and answer.
@@ -377,18 +379,32 @@
     return groups;
 }
 
-/// The same order on every host: the fastest cards first, so that the layers with a second holder have them.
-void sort_engines(const engine_profile& profile, engine_list& engines)
+/// Milliseconds that one layer on this card costs a usual request: reading its prompt, the steps of its
+/// answer, and its share of the hop to the next engine, which is dearer on cards with few layers.
+double predict_layer_cost(const engine_profile& profile, const card_kind& card, const placement_aim& aim)
+{
+    const double room_mb = aim.least_requests * usual_tokens(profile) * profile.token_layer_mb();
+    const double layers = std::max(1.0, std::floor(card.memory_mb / (profile.layer_mb + room_mb)));
+    const double prompt_ms = profile.prompt_tokens_per_s <= 0 ? 0
+                                                              : profile.usual_prompt_tokens
+            / profile.prompt_tokens_per_s * milliseconds_per_second * card.prompt_factor;
+    const double step_ms = profile.step_ms * card.step_factor;
+    return (prompt_ms + profile.usual_answer_tokens * step_ms) / profile.layers
+        + profile.usual_answer_tokens * engine_hop_ms / layers;
+}
+
+/// The same order on every host: cheapest cards first, so that the first copy of the layers lies on them.
+void sort_engines(const engine_profile& profile, engine_list& engines, const placement_aim& aim)
 {
-    const auto speed_of = [&profile](const placeable_engine* engine) {
+    const auto cost_of = [&profile, &aim](const placeable_engine* engine) {
         const auto card = profile.kinds.find(engine->card);
-        return card == profile.kinds.end() ? 0 : -card->second.step_factor;
+        return card == profile.kinds.end() ? 0 : predict_layer_cost(profile, card->second, aim);
     };
     std::sort(engines.begin(), engines.end(),
-        [&speed_of](const placeable_engine* left, const placeable_engine* right) {
-            const double left_speed = speed_of(left);
-            const double right_speed = speed_of(right);
-            return left_speed != right_speed ? left_speed > right_speed : left->id < right->id;
+        [&cost_of](const placeable_engine* left, const placeable_engine* right) {
+            const double left_cost = cost_of(left);
+            const double right_cost = cost_of(right);
+            return left_cost != right_cost ? left_cost < right_cost : left->id < right->id;
         });
 }
 
@@ -399,7 +415,7 @@
 {
     std::vector<placement_step> steps;
     for (engine_list& group : split_into_groups(profile, engines, aim)) {
-        sort_engines(profile, group);
+        sort_engines(profile, group, aim);
         const std::vector<placement_step> own = group_plan(profile, aim, std::move(group)).run();
         steps.insert(steps.end(), own.begin(), own.end());
     }
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Milliseconds from an engine to the next in its hall, for each token; measured links are of this order.
-constexpr double hop_ms = 0.3;
 /// The pipe between halls is shared by all, so that a crossing costs others as well; from trials.
 constexpr double crossing_weight = 100;
 /// How strongly the square of a pipe's use raises the price of a crossing: half used, it is eleven times
@@ -117,14 +115,15 @@
     {
         const double tokens = this->question.answer_tokens;
         if (from == to) {
-            return tokens * hop_ms;
+            return tokens * engine_hop_ms;
         }
         const double bits = this->question.prompt_tokens * this->profile.activation_bytes * bits_per_byte;
         const double transfer_ms = this->profile.hall_pipe_mbps <= 0
             ? 0
             : bits / (this->profile.hall_pipe_mbps * milliseconds_per_second);
         const double share = this->question.pipe_share ? this->question.pipe_share(from, to) : 0;
-        return crossing_weight * (transfer_ms + tokens * hop_ms) * (1 + used_pipe_weight * share * share);
+        return crossing_weight * (transfer_ms + tokens * engine_hop_ms)
+            * (1 + used_pipe_weight * share * share);
     }
 
     [[nodiscard]] bool may_run(const candidate& item, unsigned layer) const
@@ -168,7 +167,9 @@
 
     [[nodiscard]] double entry_cost(const candidate& item) const
     {
-        return item.upstream->data_hall == this->question.origin ? 0 : this->question.answer_tokens * hop_ms;
+        return item.upstream->data_hall == this->question.origin
+            ? 0
+            : this->question.answer_tokens * engine_hop_ms;
     }
 
     [[nodiscard]] layer_path trace(const std::vector<std::vector<step>>& table) const
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -153,6 +153,17 @@
     }
 }
 
+TEST_F(layer_plan_test, the_first_copy_lies_on_the_cards_that_cost_a_request_least)
+{
+    // Steps take a little less on the small cards, but their few layers make for many hops.
+    this->profile.kinds["small"].step_factor = 0.95 * this->profile.kinds["big"].step_factor;
+    std::vector<placeable_engine> engines{make_engine("a", "x", "big"), make_engine("b", "x", "big"),
+        make_engine("c", "x", "small"), make_engine("d", "x", "small")};
+    engines = this->plan(engines);
+    EXPECT_EQ(engines[0].held.begin, 0U);
+    EXPECT_EQ(engines[1].held.begin, engines[0].held.end);
+}
+
 TEST_F(layer_plan_test, single_losses_leave_every_layer_with_a_holder_again)
 {
     std::vector<placeable_engine> engines;
