Health, Routing: a dead engine stays dead until a probe is answered, and is planned around at once

Cause: a dead engine was kept away from for 1.5 s, while its entry stands for 3 to 4; after that new streams went to it and stood still. Change: the watch probes a dead engine every 0.5 s until it answers or is gone; own evidence, other hosts' word and refusals stand in fields of their own; a word is not believed of an engine over which own streams just moved; a head without connection is probed before it counts as dead. The keeper believes no deaths of more than a third at once.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -115,7 +115,7 @@
             {"address", upstream.address.value()}, {"data_hall", upstream.data_hall.value()},
             {"card", upstream.card}, {"layers", json::array({upstream.held.begin, upstream.held.end})},
             {"leaving", upstream.is_leaving}, {"lapsed", entry.is_lapsed},
-            {"suspended", load.suspended_until > this->view.now()}, {"requests", load.requests},
+            {"suspended", !load.takes_work(this->view.now())}, {"requests", load.requests},
             {"requests_of_others", load.other_requests}});
     }
     return list;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -42,6 +42,9 @@
 constexpr duration settings_look_interval = std::chrono::seconds(1);
 /// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
+/// An upstream over which this host's streams moved within this time is there, whatever another host says:
+/// a sound stream has an event every 10 to 50 ms.
+constexpr duration moved_lately = milliseconds(80);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 
@@ -106,12 +109,18 @@
         this->probe(id, on_answer);
     };
     hooks.on_dead = [this](const upstream_id& id) {
-        log_event(log_level::warning, "upstream_dead", {{"peer", id.value()}});
-        this->loads.suspend(id, this->loop.now() + this->context.settings.death_suspension);
+        const time_point now = this->loop.now();
+        const bool is_news = this->loads.of(id).failed_until <= now;
+        log_event(is_news ? log_level::warning : log_level::debug, "upstream_dead", {{"peer", id.value()}});
+        this->loads.suspend(id, now + this->context.settings.death_suspension);
         this->gateway.leave_upstream(id);
     };
-    hooks.on_alive = [](const upstream_id& id) {
-        log_event(log_level::debug, "upstream_alive", {{"peer", id.value()}});
+    hooks.on_alive = [this](const upstream_id& id) {
+        const bool was_dead = this->loads.of(id).has_failed(this->loop.now());
+        log_event(was_dead ? log_level::info : log_level::debug, "upstream_alive", {{"peer", id.value()}});
+        if (was_dead) {
+            this->loads.resume(id);
+        }
     };
     return hooks;
 }
@@ -171,8 +180,12 @@
         this->report_loads(report);
     };
     hooks.take_report = [this](const peer_report& report) {
+        const time_point now = this->loop.now();
         for (const upstream_suspicion& item : report.suspicions) {
-            this->loads.suspend_on_word(item.id, this->loop.now() + item.left);
+            // Streams that move over it say that only the other host can't reach it.
+            if (!this->watch.has_moved(item.id, now - moved_lately)) {
+                this->loads.suspend_on_word(item.id, now + item.left);
+            }
         }
     };
     hooks.take_answer = [this](const peer_report& answer, time_point asked) {
@@ -192,8 +205,8 @@
         if (load.requests > 0) {
             report.work.push_back({id, load.token_layers, load.requests});
         }
-        const duration left = load.suspended_until - this->loop.now();
-        if (load.is_suspended_here && left > duration::zero()) {
+        const duration left = load.failed_until - this->loop.now();
+        if (left > duration::zero()) {
             report.suspicions.push_back({id, left});
         }
     }
@@ -263,10 +276,7 @@
     };
     hooks.token = [this] { return this->duties.order_token(); };
     hooks.on_fenced = [this](fencing_token token) { this->duties.note_refused(token); };
-    hooks.is_dead = [this](const upstream_id& id) {
-        const part_load& load = this->loads.of(id);
-        return load.is_suspended_here && load.suspended_until > this->loop.now();
-    };
+    hooks.is_dead = [this](const upstream_id& id) { return this->loads.of(id).has_failed(this->loop.now()); };
     hooks.on_result = [](const layer_order& order, order_result result) {
         log_event(log_level::info, "order",
             {{"peer", order.id.value()}, {"from", std::to_string(order.span.begin)},
@@ -279,8 +289,11 @@
 void site_host::look_at_layers()
 {
     this->knowledge.tidy();
-    this->loads.forget_idle(
-        [this](const upstream_id& id) { return this->knowledge.upstreams().find(id) != nullptr; });
+    const auto is_known = [this](const upstream_id& id) {
+        return this->knowledge.upstreams().find(id) != nullptr;
+    };
+    this->loads.forget_idle(is_known);
+    this->watch.forget_dead(is_known);
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
     if (pool != nullptr) {
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -46,7 +46,7 @@
     for (const auto& [id, entry] : this->context.directory.entries()) {
         const part_load& load = this->context.loads.of(id);
         if (entry.upstream.service != this->order.service || entry.upstream.is_leaving
-            || load.suspended_until > now || this->avoided.count(id) != 0) {
+            || !load.takes_work(now) || this->avoided.count(id) != 0) {
             continue;
         }
         // The fraction spreads equal choices of different hosts.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -257,8 +257,10 @@
 void stream_delivery::take_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
-        this->context.loads.suspend(
-            this->path.head().id, this->context.timers.now() + this->context.settings.suspension);
+        // A lost packet or a full engine looks the same; a probe tells whether it is dead.
+        this->context.loads.avoid(
+            this->path.head().id, this->context.timers.now() + this->context.settings.refusal_pause);
+        this->context.watch.suspect(this->path.head().id);
         this->fail_over("no connection: " + reason);
         return;
     }
--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -89,10 +89,37 @@
         }
         return;
     }
+    this->probe_suspects(now);
+    this->probe_dead(now);
+}
+
+void stall_watch::suspect(const upstream_id& id)
+{
+    this->named.insert(id);
+}
+
+bool stall_watch::has_moved(const upstream_id& id, time_point since) const
+{
+    return std::any_of(this->streams.begin(), this->streams.end(), [&id, since](const auto& item) {
+        const std::vector<upstream_id>& parts = item.second.parts;
+        return item.second.last_event >= since && std::find(parts.begin(), parts.end(), id) != parts.end();
+    });
+}
+
+void stall_watch::forget_dead(const std::function<bool(const upstream_id&)>& is_known)
+{
+    std::erase_if(this->dead, [&is_known](const auto& item) { return !is_known(item.first); });
+}
+
+void stall_watch::probe_suspects(time_point now)
+{
     std::erase_if(this->quiet_until, [now](const auto& item) { return item.second <= now; });
+    std::set<upstream_id> suspects = this->find_suspects(now);
+    suspects.merge(this->named);
+    this->named.clear();
     std::size_t sent = 0;
-    for (const upstream_id& id : this->find_suspects(now)) {
-        if (this->quiet_until.count(id) != 0 || sent >= this->settings.most_probes) {
+    for (const upstream_id& id : suspects) {
+        if (this->quiet_until.count(id) != 0 || this->is_dead(id) || sent >= this->settings.most_probes) {
             continue;
         }
         ++sent;
@@ -100,17 +127,33 @@
     }
 }
 
+void stall_watch::probe_dead(time_point now)
+{
+    for (auto& [id, due] : this->dead) {
+        if (due <= now) {
+            due = now + this->settings.dead_probe_interval;
+            this->probe(id);
+        }
+    }
+}
+
 void stall_watch::probe(const upstream_id& id)
 {
     this->quiet_until[id] = this->hooks.timers.now() + this->settings.probe_pause;
-    this->hooks.probe(id, [this, id](bool is_alive) {
-        if (is_alive) {
-            this->quiet_until[id] = this->hooks.timers.now() + this->settings.alive_pause;
-            this->hooks.on_alive(id);
-        } else {
-            this->hooks.on_dead(id);
-        }
-    });
+    this->hooks.probe(id, [this, id](bool is_alive) { this->take_answer(id, is_alive); });
+}
+
+void stall_watch::take_answer(const upstream_id& id, bool is_alive)
+{
+    const time_point now = this->hooks.timers.now();
+    if (is_alive) {
+        this->quiet_until[id] = now + this->settings.alive_pause;
+        this->dead.erase(id);
+        this->hooks.on_alive(id);
+        return;
+    }
+    this->dead[id] = now + this->settings.dead_probe_interval;
+    this->hooks.on_dead(id);
 }
 
 } // namespace sailtiller
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -25,6 +25,9 @@
     duration alive_pause = std::chrono::milliseconds(1000);
     /// Probes sent at one look.
     std::size_t most_probes = 12;
+    /// A dead upstream is probed again at this interval: its entry stays for some seconds after it died, and
+    /// nothing else would show whether it is back.
+    duration dead_probe_interval = std::chrono::milliseconds(500);
 };
 
 /// One stream under way, as the watch sees it.
@@ -42,7 +45,8 @@
     timer_hooks timers;
     /// Asks an upstream for a sign of life.
     std::function<void(const upstream_id&, std::function<void(bool is_alive)>)> probe;
-    /// An upstream gave no sign of life while streams over it stood still.
+    /// An upstream gave no sign of life while streams over it stood still. Called again at each later probe
+    /// that stays without answer.
     std::function<void(const upstream_id&)> on_dead;
     /// It answered, so the stall has another cause.
     std::function<void(const upstream_id&)> on_alive;
@@ -69,17 +73,30 @@
     void change_path(stream_key key, std::vector<upstream_id> parts, time_point due);
     /// The stream is over, or has left its path.
     void remove(stream_key key);
+    /// Something other than a stream speaks against an upstream: it is probed at the next look.
+    void suspect(const upstream_id& id);
+    /// True from a probe without answer until one that is answered.
+    [[nodiscard]] bool is_dead(const upstream_id& id) const { return this->dead.count(id) != 0; }
+    /// True if a stream over the upstream had an event at `since` or later.
+    [[nodiscard]] bool has_moved(const upstream_id& id, time_point since) const;
+    /// Forgets dead upstreams that no longer exist.
+    void forget_dead(const std::function<bool(const upstream_id&)>& is_known);
     /// Upstreams that are suspected now.
     [[nodiscard]] std::set<upstream_id> find_suspects(time_point now) const;
 
 private:
     void look();
+    void probe_suspects(time_point now);
+    void probe_dead(time_point now);
     void probe(const upstream_id& id);
+    void take_answer(const upstream_id& id, bool is_alive);
 
     stall_watch_settings settings;
     stall_watch_hooks hooks;
     std::map<stream_key, watched_stream> streams;
     std::map<upstream_id, time_point> quiet_until; ///< no probe goes there before this
+    std::map<upstream_id, time_point> dead; ///< when each is probed next
+    std::set<upstream_id> named; ///< suspected for other reasons than a stream's
     stream_key last_key = 0;
     time_point last_look{};
 };
--- a/src/libs/placement/layerkeeper.cpp
+++ b/src/libs/placement/layerkeeper.cpp
@@ -25,13 +25,30 @@
     std::erase_if(this->left_alone, [now](const auto& item) { return item.second <= now; });
 }
 
+std::set<upstream_id> layer_keeper::list_dead(const service_id& service) const
+{
+    std::set<upstream_id> dead;
+    std::size_t count = 0;
+    for (const auto& [id, entry] : this->directory.entries()) {
+        if (entry.upstream.service != service) {
+            continue;
+        }
+        ++count;
+        if (this->hooks.is_dead(id)) {
+            dead.insert(id);
+        }
+    }
+    const double most = this->settings.most_dead_share * static_cast<double>(count);
+    return static_cast<double>(dead.size()) > most ? std::set<upstream_id>() : dead;
+}
+
 layer_keeper::engine_view layer_keeper::list_engines(const service_id& service, time_point now) const
 {
     engine_view view;
+    const std::set<upstream_id> dead = this->list_dead(service);
     for (const auto& [id, entry] : this->directory.entries()) {
         const discovered_upstream& upstream = entry.upstream;
-        if (upstream.service != service || upstream.is_leaving || entry.is_lapsed
-            || this->hooks.is_dead(id)) {
+        if (upstream.service != service || upstream.is_leaving || entry.is_lapsed || dead.count(id) != 0) {
             continue;
         }
         const auto alone = this->left_alone.find(id);
--- a/src/libs/placement/layerkeeper.h
+++ b/src/libs/placement/layerkeeper.h
@@ -6,6 +6,7 @@
 #include <placement/layerplan.h>
 
 #include <map>
+#include <set>
 
 namespace sailtiller {
 
@@ -19,6 +20,9 @@
     duration longest_start = std::chrono::seconds(5);
     /// On top of the predicted time of a load, before it counts as failed.
     duration load_slack = std::chrono::seconds(4);
+    /// More engines than this share that seem dead at once say that this host can't reach them, so nothing is
+    /// placed anew on that word.
+    double most_dead_share = 0.34;
     /// An engine that refused an order is left alone for this long.
     duration refusal_pause = std::chrono::seconds(1);
     /// An order without answer is repeated after this.
@@ -71,6 +75,8 @@
     };
 
     void drop_finished(time_point now);
+    /// The service's engines that seem dead; none if these are too many to be believed.
+    [[nodiscard]] std::set<upstream_id> list_dead(const service_id& service) const;
     [[nodiscard]] engine_view list_engines(const service_id& service, time_point now) const;
     /// True while engines still appear for a first plan, or there are none.
     [[nodiscard]] bool must_wait(const engine_view& view, time_point now);
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -101,7 +101,7 @@
             || card == this->profile.kinds.end()) {
             return;
         }
-        const bool is_usable = !upstream.is_leaving && load.suspended_until <= this->question.now
+        const bool is_usable = !upstream.is_leaving && load.takes_work(this->question.now)
             && this->question.avoided.count(upstream.id) == 0;
         if (!is_usable && !is_fixed) {
             return;
--- a/src/libs/routing/partloads.cpp
+++ b/src/libs/routing/partloads.cpp
@@ -5,6 +5,16 @@
 
 namespace sailtiller {
 
+bool part_load::has_failed(time_point now) const
+{
+    return this->failed_until > now || this->told_until > now;
+}
+
+bool part_load::takes_work(time_point now) const
+{
+    return !this->has_failed(now) && this->avoided_until <= now;
+}
+
 const part_load& part_loads::of(const upstream_id& id) const
 {
     static const part_load none;
@@ -34,17 +44,19 @@
 void part_loads::suspend(const upstream_id& id, time_point until)
 {
     part_load& load = this->loads[id];
-    load.suspended_until = std::max(load.suspended_until, until);
-    load.is_suspended_here = true;
+    load.failed_until = std::max(load.failed_until, until);
+}
+
+void part_loads::avoid(const upstream_id& id, time_point until)
+{
+    part_load& load = this->loads[id];
+    load.avoided_until = std::max(load.avoided_until, until);
 }
 
 void part_loads::suspend_on_word(const upstream_id& id, time_point until)
 {
     part_load& load = this->loads[id];
-    if (until > load.suspended_until) {
-        load.suspended_until = until;
-        load.is_suspended_here = false;
-    }
+    load.told_until = std::max(load.told_until, until);
 }
 
 void part_loads::set_others(const std::map<upstream_id, upstream_share>& shares)
@@ -67,7 +79,10 @@
 
 void part_loads::resume(const upstream_id& id)
 {
-    this->loads[id].suspended_until = {};
+    part_load& load = this->loads[id];
+    load.failed_until = {};
+    load.told_until = {};
+    load.avoided_until = {};
 }
 
 void part_loads::forget_idle(const std::function<bool(const upstream_id&)>& is_known)
--- a/src/libs/routing/partloads.h
+++ b/src/libs/routing/partloads.h
@@ -17,9 +17,15 @@
     unsigned requests = 0; ///< of this host, that pass through it
     double other_token_layers = 0; ///< of the other hosts, as they told lately
     unsigned other_requests = 0;
-    time_point suspended_until{}; ///< it failed a request; nothing new goes there before this
-    bool is_suspended_here = false; ///< by this host's own requests, not on another host's word
+    time_point failed_until{}; ///< it failed this host's requests; nothing new goes there before this
+    time_point told_until{}; ///< the same on the word of another host
+    time_point avoided_until{}; ///< it refused a request, for a reason that may pass soon
     double pace = 1; ///< how many times slower than its card it has been seen to be
+
+    /// True while it is believed to be dead or out of reach, by this host or another one.
+    [[nodiscard]] bool has_failed(time_point now) const;
+    /// True if new requests may go there.
+    [[nodiscard]] bool takes_work(time_point now) const;
 };
 
 /// What other hosts' requests hold at an upstream.
@@ -39,10 +45,11 @@
     void add(const upstream_id& id, double token_layers);
     /// One request less; `token_layers` as in `add`.
     void subtract(const upstream_id& id, double token_layers);
-    /// Keeps new work away until `until`; a later time that stands already is kept.
+    /// It failed this host's requests: keeps new work away until `until`; a later time that stands already is
+    /// kept. Other hosts are told.
     void suspend(const upstream_id& id, time_point until);
     /// It refused a request, for a reason that may pass soon; other hosts aren't told.
-    void avoid(const upstream_id& id, time_point until) { this->suspend_on_word(id, until); }
+    void avoid(const upstream_id& id, time_point until);
     /// The same as `suspend` on the word of another host; it isn't passed on.
     void suspend_on_word(const upstream_id& id, time_point until);
     /// What the other hosts hold there. Those that are not named hold nothing.
--- a/tests/auto/health/tst_stallwatch.cpp
+++ b/tests/auto/health/tst_stallwatch.cpp
@@ -72,6 +72,48 @@
     EXPECT_EQ(this->dead, std::vector<std::string>{"a"});
 }
 
+TEST_F(stall_watch_test, a_dead_one_is_probed_again_until_it_answers)
+{
+    this->watch->suspect(upstream_id("a"));
+    this->pass(40ms);
+    ASSERT_EQ(this->probed.size(), 1U);
+    this->answers["a"](false);
+    EXPECT_TRUE(this->watch->is_dead(upstream_id("a")));
+    this->pass(480ms);
+    EXPECT_EQ(this->probed.size(), 1U);
+    this->pass(60ms);
+    ASSERT_EQ(this->probed.size(), 2U);
+    this->answers["a"](false);
+    EXPECT_EQ(this->dead.size(), 2U) << "each probe without answer tells it anew";
+    this->pass(560ms);
+    ASSERT_EQ(this->probed.size(), 3U);
+    this->answers["a"](true);
+    EXPECT_FALSE(this->watch->is_dead(upstream_id("a")));
+    this->pass(2s);
+    EXPECT_EQ(this->probed.size(), 3U);
+}
+
+TEST_F(stall_watch_test, a_dead_one_that_no_longer_exists_is_forgotten)
+{
+    this->watch->suspect(upstream_id("a"));
+    this->pass(40ms);
+    this->answers["a"](false);
+    this->watch->forget_dead([](const upstream_id&) { return false; });
+    this->pass(2s);
+    EXPECT_EQ(this->probed.size(), 1U);
+}
+
+TEST_F(stall_watch_test, tells_whether_streams_moved_over_an_upstream_lately)
+{
+    const auto key = this->watch->add(parts({"a", "b"}), this->now + 1s);
+    EXPECT_FALSE(this->watch->has_moved(upstream_id("a"), this->now));
+    this->pass(40ms, {key});
+    EXPECT_TRUE(this->watch->has_moved(upstream_id("b"), this->now - 20ms));
+    EXPECT_FALSE(this->watch->has_moved(upstream_id("c"), this->now - 20ms));
+    this->pass(80ms);
+    EXPECT_FALSE(this->watch->has_moved(upstream_id("b"), this->now - 40ms));
+}
+
 TEST_F(stall_watch_test, a_suspect_that_answers_is_left_alone_for_a_second)
 {
     const auto first = this->watch->add(parts({"a"}), this->now + 1s);
--- a/tests/auto/placement/tst_layerkeeper.cpp
+++ b/tests/auto/placement/tst_layerkeeper.cpp
@@ -174,6 +174,16 @@
     EXPECT_EQ(this->sent.size(), 2U);
 }
 
+TEST_F(layer_keeper_test, many_dead_engines_at_once_are_a_host_that_reaches_none)
+{
+    this->put("a", {0, 8});
+    this->put("b", {8, 16});
+    this->put("c", {0, 5});
+    this->dead = {upstream_id("b"), upstream_id("c")};
+    this->look();
+    EXPECT_TRUE(this->sent.empty());
+}
+
 TEST_F(layer_keeper_test, layers_of_a_dead_or_leaving_engine_are_placed_again)
 {
     this->put("a", {0, 8});
