Delivery, Routing: streams are led around engines that gave up layers, and keep the parts that know their prompt

And a stream that changed its path could get other engines for all of its layers, each of which had to read its prompt anew, and was never allowed to stay on an engine that is leaving, so that often only a path through another hall was found, which is not taken. A change of path keeps the present parts free of charge, leaving ones too, and rather squeezes in than crosses. Engines that hold layer 0 are moved last, since a head can't be led around.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -294,6 +294,7 @@
     };
     this->loads.forget_idle(is_known);
     this->watch.forget_dead(is_known);
+    this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
     if (pool != nullptr) {
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -39,7 +39,7 @@
 }
 
 std::optional<layer_path> path_chooser::find(
-    const std::set<upstream_id>& avoided, const std::optional<path_part>& fixed_head) const
+    const std::set<upstream_id>& avoided, const layer_path& present) const
 {
     path_question question;
     question.service = this->order.service;
@@ -47,7 +47,7 @@
     question.prompt_tokens = this->order.request.prompt_tokens;
     question.answer_tokens = this->expected_answer_tokens();
     question.avoided = avoided;
-    question.fixed_head = fixed_head;
+    question.present = present;
     question.now = this->context.timers.now();
     question.pipe_share = [this, now = question.now](const data_hall_id& from, const data_hall_id& to) {
         return this->pipe_share(from, to, now);
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -17,10 +17,10 @@
 
     /// The profile of the service's engines; null if the bundle has no engines for it.
     [[nodiscard]] const engine_profile* profile() const;
-    /// The cheapest path without the avoided upstreams; with a fixed head, another path for the running
+    /// The cheapest path without the avoided upstreams; with a present path, another one for the running
     /// request. There must be a profile, as for all that follows.
-    [[nodiscard]] std::optional<layer_path> find(const std::set<upstream_id>& avoided,
-        const std::optional<path_part>& fixed_head = std::nullopt) const;
+    [[nodiscard]] std::optional<layer_path> find(
+        const std::set<upstream_id>& avoided, const layer_path& present = {}) const;
     /// True if neither an engine of the path nor a pipe between its halls is too full for the request.
     [[nodiscard]] bool has_room(const layer_path& path) const;
     /// Time to read the prompt over the path.
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -58,6 +58,15 @@
         [&ids](const path_part& part) { return ids.count(part.id) != 0; });
 }
 
+bool path_use::outlives_layers() const
+{
+    return std::any_of(this->path.begin(), this->path.end(), [this](const path_part& part) {
+        const directory_entry* entry = this->context.directory.find(part.id);
+        return entry != nullptr && part.id != this->path.front().id
+            && !entry->upstream.held.contains(part.span);
+    });
+}
+
 void path_use::add_work()
 {
     const double tokens = this->chooser.expected_tokens();
--- a/src/libs/delivery/pathuse.h
+++ b/src/libs/delivery/pathuse.h
@@ -33,6 +33,8 @@
     [[nodiscard]] const path_part& head() const { return this->path.front(); }
     [[nodiscard]] bool passes(const upstream_id& id) const;
     [[nodiscard]] bool passes_any(const std::set<upstream_id>& ids) const;
+    /// True if an engine behind the head has given up layers that it runs for this path.
+    [[nodiscard]] bool outlives_layers() const;
 
 private:
     void add_work();
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+void stream_delivery::leave_given_up_layers()
+{
+    const bool may_change = this->state == phase::streaming && !this->is_changing_path;
+    if (!may_change || !this->path.outlives_layers()) {
+        return;
+    }
+    std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.parts());
+    if (next && !this->crosses_more(*next)) {
+        this->ask_for_path(std::move(*next));
+    }
+}
+
+bool stream_delivery::crosses_more(const layer_path& next) const
+{
+    return count_crossings(this->context.directory, next)
+        > count_crossings(this->context.directory, this->path.parts());
+}
+
 void stream_delivery::leave_head()
 {
     if (!this->order.route->may_repeat()) {
@@ -116,13 +134,10 @@
     if (!may_change || !this->path.passes_any(this->avoided)) {
         return;
     }
-    std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.head());
+    std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.parts());
     // All streams of a dead part would press through the pipe between the halls at once; reading anew in
     // another hall is sooner done.
-    const bool crosses_more = next
-        && count_crossings(this->context.directory, *next)
-            > count_crossings(this->context.directory, this->path.parts());
-    if (crosses_more && this->may_resume_elsewhere()) {
+    if (next && this->crosses_more(*next) && this->may_resume_elsewhere()) {
         this->runs += this->state == phase::waiting ? 1 : 0;
         this->call.end();
         this->fail_over("a part of its path is dead and has no other holder in its hall");
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -24,6 +24,9 @@
     void abandon();
     /// An upstream is dead: if the stream passes through it, the stream goes on without it.
     void leave_upstream(const upstream_id& id);
+    /// Leads the stream around engines that have given up layers of its path: they load new ones only once no
+    /// stream passes through the old ones. If there is no good other path, the stream stays where it is.
+    void leave_given_up_layers();
 
 private:
     enum class phase { searching, waiting, streaming, done };
@@ -33,6 +36,8 @@
     void leave_head();
     void change_path();
     void schedule_change(duration pause);
+    /// True if that path crosses from hall to hall more often than the present one.
+    [[nodiscard]] bool crosses_more(const layer_path& next) const;
     [[nodiscard]] bool may_resume_elsewhere() const;
     void ask_for_path(layer_path next);
     void take_path_answer(layer_path next, const path_change_answer& result);
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -23,6 +23,10 @@
     [[nodiscard]] bool is_empty() const { return this->begin >= this->end; }
     [[nodiscard]] unsigned count() const { return this->is_empty() ? 0 : this->end - this->begin; }
     [[nodiscard]] bool holds(unsigned layer) const { return layer >= this->begin && layer < this->end; }
+    [[nodiscard]] bool contains(const layer_span& other) const
+    {
+        return other.is_empty() || (this->begin <= other.begin && other.end <= this->end);
+    }
     [[nodiscard]] bool overlaps(const layer_span& other) const
     {
         return this->begin < other.end && other.begin < this->end;
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -93,16 +93,26 @@
     return caller;
 }
 
-void gateway_service::leave_upstream(const upstream_id& id)
+void gateway_service::visit_streams(const std::function<void(stream_delivery&)>& action) const
 {
     const std::map<std::uint64_t, std::weak_ptr<stream_delivery>> under_way = this->streams;
     for (const auto& [key, weak] : under_way) {
         if (const std::shared_ptr<stream_delivery> stream = weak.lock()) {
-            stream->leave_upstream(id);
+            action(*stream);
         }
     }
 }
 
+void gateway_service::leave_upstream(const upstream_id& id)
+{
+    this->visit_streams([&id](stream_delivery& stream) { stream.leave_upstream(id); });
+}
+
+void gateway_service::leave_given_up_layers()
+{
+    this->visit_streams([](stream_delivery& stream) { stream.leave_given_up_layers(); });
+}
+
 void gateway_service::deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order)
 {
     ++this->in_flight;
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -26,6 +26,8 @@
 
     /// An upstream is dead; the streams over it go on without it.
     void leave_upstream(const upstream_id& id);
+    /// Leads streams around engines that have given up layers of their paths.
+    void leave_given_up_layers();
     /// Answers a caller's request, at once or by a delivery.
     void handle(const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] std::size_t requests_in_flight() const { return this->in_flight; }
@@ -37,6 +39,8 @@
     [[nodiscard]] caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange) const;
     /// One of the route's targets, by their weights.
     [[nodiscard]] service_id choose_service(const service_route& route) const;
+    /// Calls `action` for each stream under way; streams may end meanwhile.
+    void visit_streams(const std::function<void(stream_delivery&)>& action) const;
     void refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request, int status,
         const std::string& reason);
 
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -309,13 +309,17 @@
         return true;
     }
 
-    /// Slow cards with few layers move first: they are loaded again soonest and carry least.
+    /// Engines behind the head move first, as streams can be led around them; then those with few layers,
+    /// which are loaded again soonest and carry least.
     [[nodiscard]] engine_list list_donors() const
     {
         engine_list donors = this->engines;
-        std::stable_sort(
-            donors.begin(), donors.end(), [](const placeable_engine* left, const placeable_engine* right) {
-                return left->held.count() < right->held.count();
+        const auto rank_of = [](const placeable_engine* engine) {
+            return std::make_pair(engine->held.holds(0), engine->held.count());
+        };
+        std::stable_sort(donors.begin(), donors.end(),
+            [&rank_of](const placeable_engine* left, const placeable_engine* right) {
+                return rank_of(left) < rank_of(right);
             });
         return donors;
     }
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -29,18 +29,31 @@
 struct candidate
 {
     const discovered_upstream* upstream = nullptr;
+    layer_span runs; ///< layers that it may run
+    layer_span kept; ///< of these, what it runs already for the request that is led elsewhere
     double layer_ms = 0; ///< one layer for the whole request
+    double kept_layer_ms = 0; ///< one layer that it runs already
 };
 
-double predict_layer_ms(const engine_profile& profile, const card_kind& card, const part_load& load,
+/// Time to read the prompt through one layer.
+double predict_prompt_ms(const engine_profile& profile, const card_kind& card, const part_load& load,
+    const path_question& question)
+{
+    if (profile.prompt_tokens_per_s <= 0) {
+        return 0;
+    }
+    const double whole_ms =
+        question.prompt_tokens * milliseconds_per_second / profile.prompt_tokens_per_s * card.prompt_factor;
+    return whole_ms * load.pace / profile.layers;
+}
+
+/// Time of the answer's steps in one layer.
+double predict_steps_ms(const engine_profile& profile, const card_kind& card, const part_load& load,
     const path_question& question)
 {
-    const double prompt_ms = profile.prompt_tokens_per_s <= 0
-        ? 0
-        : question.prompt_tokens * milliseconds_per_second / profile.prompt_tokens_per_s * card.prompt_factor;
     const double requests = load.requests + load.other_requests;
     const double step_ms = profile.step_ms * card.step_factor + requests * profile.step_ms_per_request;
-    return (prompt_ms + question.answer_tokens * step_ms) * load.pace / profile.layers;
+    return question.answer_tokens * step_ms * load.pace / profile.layers;
 }
 
 /// The share of an upstream's room that is used once it holds `wanted` more.
@@ -56,7 +69,10 @@
 {
     const double wanted = (question.prompt_tokens + question.answer_tokens) * upstream.held.count();
     const double share = share_in_use(profile, card, upstream, load, wanted);
-    return used_room_ms * share * share + (share > full_share ? full_ms * share : 0);
+    // A running request that is led elsewhere is short of time; its tokens were there before, so it rather
+    // squeezes in than goes through the pipe to another hall.
+    const bool avoids_full = question.present.empty() && share > full_share;
+    return used_room_ms * share * share + (avoids_full ? full_ms * share : 0);
 }
 
 class path_search
@@ -95,20 +111,43 @@
 
     void add_candidate(const discovered_upstream& upstream, const part_load& load)
     {
-        const bool is_fixed = this->question.fixed_head && this->question.fixed_head->id == upstream.id;
         const auto card = this->profile.kinds.find(upstream.card);
-        if (upstream.service != this->question.service || upstream.held.is_empty()
-            || card == this->profile.kinds.end()) {
+        if (upstream.service != this->question.service || card == this->profile.kinds.end()) {
             return;
         }
-        const bool is_usable = !upstream.is_leaving && load.takes_work(this->question.now)
+        candidate item;
+        item.upstream = &upstream;
+        item.kept = this->find_kept(upstream, load);
+        const bool takes_work = !upstream.is_leaving && load.takes_work(this->question.now)
             && this->question.avoided.count(upstream.id) == 0;
-        if (!is_usable && !is_fixed) {
+        item.runs = takes_work && upstream.held.contains(item.kept) ? upstream.held : item.kept;
+        if (item.runs.is_empty()) {
             return;
         }
-        const double room_ms = price_room(this->profile, card->second, upstream, load, this->question);
-        this->candidates.push_back(
-            {&upstream, room_ms + predict_layer_ms(this->profile, card->second, load, this->question)});
+        item.kept_layer_ms = predict_steps_ms(this->profile, card->second, load, this->question);
+        item.layer_ms = item.kept_layer_ms
+            + predict_prompt_ms(this->profile, card->second, load, this->question)
+            + price_room(this->profile, card->second, upstream, load, this->question);
+        this->candidates.push_back(item);
+    }
+
+    [[nodiscard]] bool is_head(const upstream_id& id) const
+    {
+        return !this->question.present.empty() && this->question.present.front().id == id;
+    }
+
+    /// What the upstream may go on to run for the request that is led elsewhere.
+    [[nodiscard]] layer_span find_kept(const discovered_upstream& upstream, const part_load& load) const
+    {
+        for (const path_part& part : this->question.present) {
+            if (part.id != upstream.id) {
+                continue;
+            }
+            const bool is_sound = !load.has_failed(this->question.now)
+                && this->question.avoided.count(upstream.id) == 0 && upstream.held.contains(part.span);
+            return is_sound || this->is_head(part.id) ? part.span : layer_span();
+        }
+        return {};
     }
 
     [[nodiscard]] double hop_cost(const data_hall_id& from, const data_hall_id& to) const
@@ -128,14 +167,13 @@
 
     [[nodiscard]] bool may_run(const candidate& item, unsigned layer) const
     {
-        if (!item.upstream->held.holds(layer)) {
-            return false;
-        }
-        if (!this->question.fixed_head) {
-            return true;
+        if (this->question.present.empty()) {
+            return item.runs.holds(layer);
         }
-        const path_part& head = *this->question.fixed_head;
-        return head.span.holds(layer) == (item.upstream->id == head.id);
+        // The head keeps its layers for the running request, also those that it has given up since.
+        const layer_span& first = this->question.present.front().span;
+        return this->is_head(item.upstream->id) ? first.holds(layer)
+                                                : item.runs.holds(layer) && !first.holds(layer);
     }
 
     void fill_layer(std::vector<std::vector<step>>& table, unsigned layer) const
@@ -160,7 +198,7 @@
                     best.previous = before;
                 }
             }
-            best.cost += item.layer_ms;
+            best.cost += item.kept.holds(layer) ? item.kept_layer_ms : item.layer_ms;
             table[layer].push_back(best);
         }
     }
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -30,8 +30,10 @@
     double prompt_tokens = 0;
     double answer_tokens = 0; ///< expected
     std::set<upstream_id> avoided;
-    /// The first part must be this one, with these layers: another path for a running request.
-    std::optional<path_part> fixed_head;
+    /// The path of a running request that wants another one; empty for a new request. Its head stays as it
+    /// is. Its other parts may stay, also on upstreams that are leaving: they know the prompt, and new ones
+    /// must read it.
+    layer_path present;
     /// How far the pipe between two halls is used; may be left out.
     std::function<double(const data_hall_id& from, const data_hall_id& to)> pipe_share;
     time_point now{};
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -202,6 +202,46 @@
     EXPECT_EQ(this->sends.size(), 1U);
 }
 
+TEST_F(stream_delivery_test, a_part_that_gives_up_its_layers_is_led_around)
+{
+    auto delivery = this->start_streaming(1);
+    delivery->leave_given_up_layers();
+    EXPECT_TRUE(this->changes.empty()) << "every part holds its layers";
+    this->put_engine("second-tail", 3, {8, 16});
+    this->put_engine("tail", 2, {0, 4});
+    delivery->leave_given_up_layers();
+    ASSERT_EQ(this->changes.size(), 1U);
+    EXPECT_EQ(this->changes[0].path[1].address.value(), "10.0.0.1:3");
+    this->change_answers[0]({path_change_result::changed, std::nullopt});
+    EXPECT_EQ(this->loads.of(upstream_id("tail")).requests, 0U);
+    delivery->leave_given_up_layers();
+    EXPECT_EQ(this->changes.size(), 1U);
+}
+
+TEST_F(stream_delivery_test, a_head_that_gives_up_its_layers_keeps_them_for_the_stream)
+{
+    auto delivery = this->start_streaming(1);
+    this->put_engine("second-tail", 3, {8, 16});
+    this->put_engine("tail", 2, {0, 4});
+    this->put_engine("head", 1, {});
+    delivery->leave_given_up_layers();
+    ASSERT_EQ(this->changes.size(), 1U);
+    EXPECT_EQ(this->changes[0].path[0].address.value(), "10.0.0.1:1");
+    EXPECT_EQ(this->changes[0].path[1].address.value(), "10.0.0.1:3");
+}
+
+TEST_F(stream_delivery_test, a_part_that_gives_up_its_layers_keeps_a_stream_that_has_no_other_way)
+{
+    auto delivery = this->start_streaming(1);
+    this->put_engine("tail", 2, {0, 4});
+    delivery->leave_given_up_layers();
+    EXPECT_TRUE(this->changes.empty());
+    EXPECT_EQ(this->sends.size(), 1U);
+    this->put_engine("far-tail", 3, {8, 16}, "y");
+    delivery->leave_given_up_layers();
+    EXPECT_TRUE(this->changes.empty()) << "not through the pipe between halls";
+}
+
 TEST_F(stream_delivery_test, a_part_that_refuses_the_change_is_avoided_as_well)
 {
     auto delivery = this->start_streaming(2);
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -113,6 +113,18 @@
     EXPECT_GE(this->least_holders(engines), 1U);
 }
 
+TEST_F(layer_plan_test, a_holder_behind_the_head_is_moved_before_one_of_layer_0)
+{
+    // The hole lies beside nobody that could take it, and one small engine is enough for it.
+    this->plan({make_engine("a", "x", "big", {0, 8}), make_engine("b", "x", "big", {8, 12}),
+        make_engine("c", "x", "small", {0, 4}), make_engine("d", "x", "small", {4, 8}),
+        make_engine("e", "x", "small", {15, 16})});
+    ASSERT_FALSE(this->steps.empty());
+    for (const placement_step& step : this->steps) {
+        EXPECT_NE(step.id.value(), "c");
+    }
+}
+
 TEST_F(layer_plan_test, the_last_holder_of_a_layer_never_gives_it_up)
 {
     const std::vector<placeable_engine> before = {
--- a/tests/auto/routing/tst_layerpath.cpp
+++ b/tests/auto/routing/tst_layerpath.cpp
@@ -157,10 +157,40 @@
     this->put("head", {0, 10});
     this->put("better", {0, 10});
     this->put("tail", {8, 16});
-    this->question.fixed_head = path_part{upstream_id("head"), endpoint("10.0.0.1:0"), {0, 9}};
+    this->question.present = {{upstream_id("head"), endpoint("10.0.0.1:0"), {0, 9}}};
     EXPECT_EQ(this->find(), "head:0-9 tail:9-16");
 }
 
+TEST_F(layer_path_test, a_running_request_keeps_the_parts_that_know_its_prompt)
+{
+    this->put("head", {0, 4});
+    this->put("middle", {4, 10});
+    this->put("same-middle", {4, 10});
+    this->put("dead", {10, 16});
+    this->put("tail", {10, 16});
+    this->question.prompt_tokens = 4000;
+    this->question.present = {{upstream_id("head"), endpoint("10.0.0.1:0"), {0, 4}},
+        {upstream_id("same-middle"), endpoint("10.0.0.1:2"), {4, 10}},
+        {upstream_id("dead"), endpoint("10.0.0.1:3"), {10, 16}}};
+    this->question.avoided = {upstream_id("dead")};
+    EXPECT_EQ(this->find(), "head:0-4 same-middle:4-10 tail:10-16");
+}
+
+TEST_F(layer_path_test, a_running_request_keeps_parts_that_are_leaving_but_not_layers_given_up)
+{
+    this->put("head", {0, 4});
+    this->put("middle", {4, 10}, "x", "big", true);
+    this->put("moved", {0, 2});
+    this->put("tail", {10, 16});
+    this->put("other", {4, 10}, "y");
+    this->question.present = {{upstream_id("head"), endpoint("10.0.0.1:0"), {0, 4}},
+        {upstream_id("middle"), endpoint("10.0.0.1:1"), {4, 10}},
+        {upstream_id("moved"), endpoint("10.0.0.1:2"), {10, 16}}};
+    EXPECT_EQ(this->find(), "head:0-4 middle:4-10 tail:10-16");
+    this->question.present.clear();
+    EXPECT_EQ(this->find(), "head:0-4 other:4-10 tail:10-16") << "nothing new goes to one that leaves";
+}
+
 TEST_F(layer_path_test, a_holder_that_would_come_twice_runs_what_lies_between)
 {
     this->put("wide", {0, 16}, "x", "small");
