Health, Platform: probes tell the pace of engines, and paths are predicted with it

Change: where all suspects of a stall have answered, all parts of the path are probed, a second apart; a probe's answer tells the pace, paths are predicted with it, and a slow engine is probed until it is sound again. Most slow engines are the only holders of their layers in a hall, which binds.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -12,6 +12,7 @@
 #include <runtime/programsettings.h>
 #include <runtime/textfile.h>
 
+#include <cmath>
 #include <csignal>
 
 namespace sailtiller {
@@ -45,6 +46,8 @@
 /// An upstream over which this host's streams moved within this time is there, whatever another host says:
 /// a sound stream has an event every 10 to 50 ms.
 constexpr duration moved_lately = milliseconds(80);
+/// A change of an engine's pace that is worth a line in the log.
+constexpr double pace_margin = 0.5;
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 
@@ -91,21 +94,23 @@
         [this](const delivery_event& event) { this->admin.note(event); }, {}};
 }
 
-void site_host::probe(const upstream_id& id, const std::function<void(bool)>& on_answer)
+void site_host::probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer)
 {
     const directory_entry* entry = this->knowledge.upstreams().find(id);
     if (entry == nullptr) {
-        this->loop.post([on_answer] { on_answer(false); });
+        this->loop.post([on_answer] { on_answer(std::nullopt); });
         return;
     }
-    this->link.probe(entry->upstream.address, on_answer);
+    this->link.probe(entry->upstream.address, [on_answer](const std::optional<engine_report>& report) {
+        on_answer(report ? std::optional(report->pace) : std::nullopt);
+    });
 }
 
 stall_watch_hooks site_host::make_watch_hooks()
 {
     stall_watch_hooks hooks;
     hooks.timers = this->loop.hooks();
-    hooks.probe = [this](const upstream_id& id, const std::function<void(bool)>& on_answer) {
+    hooks.probe = [this](const upstream_id& id, const std::function<void(std::optional<double>)>& on_answer) {
         this->probe(id, on_answer);
     };
     hooks.on_dead = [this](const upstream_id& id) {
@@ -115,16 +120,23 @@
         this->loads.suspend(id, now + this->context.settings.death_suspension);
         this->gateway.leave_upstream(id);
     };
-    hooks.on_alive = [this](const upstream_id& id) {
-        const bool was_dead = this->loads.of(id).has_failed(this->loop.now());
-        log_event(was_dead ? log_level::info : log_level::debug, "upstream_alive", {{"peer", id.value()}});
-        if (was_dead) {
-            this->loads.resume(id);
-        }
-    };
+    hooks.on_alive = [this](const upstream_id& id, double pace) { this->take_pace(id, pace); };
     return hooks;
 }
 
+void site_host::take_pace(const upstream_id& id, double pace)
+{
+    const part_load& known = this->loads.of(id);
+    const bool was_dead = known.has_failed(this->loop.now());
+    const bool is_news = was_dead || std::abs(known.pace - pace) > pace_margin;
+    log_event(is_news ? log_level::info : log_level::debug, "upstream_alive",
+        {{"peer", id.value()}, {"pace", std::to_string(pace)}});
+    if (was_dead) {
+        this->loads.resume(id);
+    }
+    this->loads.set_pace(id, pace);
+}
+
 keyed_follower_hooks site_host::make_follower_hooks()
 {
     keyed_follower_hooks hooks;
@@ -293,7 +305,7 @@
         return this->knowledge.upstreams().find(id) != nullptr;
     };
     this->loads.forget_idle(is_known);
-    this->watch.forget_dead(is_known);
+    this->watch.forget(is_known);
     this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -30,7 +30,9 @@
 private:
     delivery_context make_delivery_context();
     stall_watch_hooks make_watch_hooks();
-    void probe(const upstream_id& id, const std::function<void(bool)>& on_answer);
+    void probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer);
+    /// An engine gave a sign of life and runs so many times slower than it should.
+    void take_pace(const upstream_id& id, double pace);
     keyed_follower_hooks make_follower_hooks();
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "upstreamlink.h"
 
+#include <base/error.h>
 #include <platform/wireorder.h>
 #include <platform/wirerequest.h>
+#include <runtime/eventlog.h>
 #include <runtime/wholecall.h>
 
 namespace sailtiller {
@@ -55,18 +57,34 @@
         });
 }
 
-void upstream_link::probe(const endpoint& target, const std::function<void(bool)>& on_answer)
+engine_report upstream_link::read_report(const endpoint& target, const http_response& answer) const
+{
+    try {
+        return this->orders.decode_report(answer);
+    } catch (const error& malformed) {
+        log_event(log_level::warning, "engine_report_unusable",
+            {{"step", malformed.step()}, {"peer", target.value()}, {"reason", malformed.reason()}});
+        return {};
+    }
+}
+
+void upstream_link::probe(
+    const endpoint& target, const std::function<void(const std::optional<engine_report>&)>& on_answer)
 {
     const http_request question = this->orders.encode_probe(target);
+    const auto take = [this, target, on_answer](
+                          const http_response& answer) { on_answer(this->read_report(target, answer)); };
     // One lost packet must not condemn an upstream, so a second connection is tried before the limit.
     send_whole(this->loop, {target, question, first_probe_limit, &this->connections},
-        [this, target, question, on_answer](const std::optional<http_response>& answer) {
+        [this, target, question, on_answer, take](const std::optional<http_response>& answer) {
             if (answer) {
-                on_answer(true);
+                take(*answer);
                 return;
             }
             send_whole(this->loop, {target, question, second_probe_limit, nullptr},
-                [on_answer](const std::optional<http_response>& second) { on_answer(second.has_value()); });
+                [on_answer, take](const std::optional<http_response>& second) {
+                    second ? take(*second) : on_answer(std::nullopt);
+                });
         });
 }
 
--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -90,7 +90,8 @@
         return;
     }
     this->probe_suspects(now);
-    this->probe_dead(now);
+    this->probe_due(this->dead, this->settings.dead_probe_interval, now);
+    this->probe_due(this->slow, this->settings.slow_probe_interval, now);
 }
 
 void stall_watch::suspect(const upstream_id& id)
@@ -106,15 +107,18 @@
     });
 }
 
-void stall_watch::forget_dead(const std::function<bool(const upstream_id&)>& is_known)
+void stall_watch::forget(const std::function<bool(const upstream_id&)>& is_known)
 {
-    std::erase_if(this->dead, [&is_known](const auto& item) { return !is_known(item.first); });
+    const auto is_gone = [&is_known](const auto& item) { return !is_known(item.first); };
+    std::erase_if(this->dead, is_gone);
+    std::erase_if(this->slow, is_gone);
 }
 
 void stall_watch::probe_suspects(time_point now)
 {
     std::erase_if(this->quiet_until, [now](const auto& item) { return item.second <= now; });
     std::set<upstream_id> suspects = this->find_suspects(now);
+    this->add_slow(suspects, now);
     suspects.merge(this->named);
     this->named.clear();
     std::size_t sent = 0;
@@ -127,11 +131,27 @@
     }
 }
 
-void stall_watch::probe_dead(time_point now)
+void stall_watch::add_slow(std::set<upstream_id>& suspects, time_point now) const
 {
-    for (auto& [id, due] : this->dead) {
-        if (due <= now) {
-            due = now + this->settings.dead_probe_interval;
+    const auto may_be_dead = [this, &suspects](const upstream_id& id) {
+        const bool has_answered = this->quiet_until.count(id) != 0 && this->asked.count(id) == 0;
+        return suspects.count(id) != 0 && !has_answered;
+    };
+    std::set<upstream_id> slow_ones;
+    for (const auto& [key, stream] : this->streams) {
+        const bool is_explained = std::any_of(stream.parts.begin(), stream.parts.end(), may_be_dead);
+        if (stream.due <= now && !is_explained) {
+            slow_ones.insert(stream.parts.begin(), stream.parts.end());
+        }
+    }
+    suspects.merge(slow_ones);
+}
+
+void stall_watch::probe_due(std::map<upstream_id, time_point>& due, duration interval, time_point now)
+{
+    for (auto& [id, next] : due) {
+        if (next <= now) {
+            next = now + interval;
             this->probe(id);
         }
     }
@@ -140,20 +160,27 @@
 void stall_watch::probe(const upstream_id& id)
 {
     this->quiet_until[id] = this->hooks.timers.now() + this->settings.probe_pause;
-    this->hooks.probe(id, [this, id](bool is_alive) { this->take_answer(id, is_alive); });
+    this->asked.insert(id);
+    this->hooks.probe(id, [this, id](std::optional<double> pace) { this->take_answer(id, pace); });
 }
 
-void stall_watch::take_answer(const upstream_id& id, bool is_alive)
+void stall_watch::take_answer(const upstream_id& id, const std::optional<double>& pace)
 {
     const time_point now = this->hooks.timers.now();
-    if (is_alive) {
-        this->quiet_until[id] = now + this->settings.alive_pause;
-        this->dead.erase(id);
-        this->hooks.on_alive(id);
+    this->asked.erase(id);
+    if (!pace) {
+        this->dead[id] = now + this->settings.dead_probe_interval;
+        this->hooks.on_dead(id);
         return;
     }
-    this->dead[id] = now + this->settings.dead_probe_interval;
-    this->hooks.on_dead(id);
+    this->quiet_until[id] = now + this->settings.alive_pause;
+    this->dead.erase(id);
+    if (*pace >= this->settings.slow_pace) {
+        this->slow[id] = now + this->settings.slow_probe_interval;
+    } else {
+        this->slow.erase(id);
+    }
+    this->hooks.on_alive(id, *pace);
 }
 
 } // namespace sailtiller
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -5,6 +5,7 @@
 #include <base/timerqueue.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,6 +29,9 @@
     /// A dead upstream is probed again at this interval: its entry stays for some seconds after it died, and
     /// nothing else would show whether it is back.
     duration dead_probe_interval = std::chrono::milliseconds(500);
+    /// An upstream that runs so many times slower than it should is probed on, until it is sound again.
+    double slow_pace = 1.5;
+    duration slow_probe_interval = std::chrono::milliseconds(1000);
 };
 
 /// One stream under way, as the watch sees it.
@@ -43,13 +47,14 @@
 struct stall_watch_hooks
 {
     timer_hooks timers;
-    /// Asks an upstream for a sign of life.
-    std::function<void(const upstream_id&, std::function<void(bool is_alive)>)> probe;
+    /// Asks an upstream for a sign of life: tells how many times slower than it should it runs, or nothing if
+    /// it gave none.
+    std::function<void(const upstream_id&, std::function<void(std::optional<double> pace)>)> probe;
     /// An upstream gave no sign of life while streams over it stood still. Called again at each later probe
     /// that stays without answer.
     std::function<void(const upstream_id&)> on_dead;
-    /// It answered, so the stall has another cause.
-    std::function<void(const upstream_id&)> on_alive;
+    /// It answered, and runs at that pace.
+    std::function<void(const upstream_id&, double pace)> on_alive;
 };
 
 /// Finds dead upstreams long before the engines report them, from the streams of this host: an upstream is
@@ -79,23 +84,28 @@
     [[nodiscard]] bool is_dead(const upstream_id& id) const { return this->dead.count(id) != 0; }
     /// True if a stream over the upstream had an event at `since` or later.
     [[nodiscard]] bool has_moved(const upstream_id& id, time_point since) const;
-    /// Forgets dead upstreams that no longer exist.
-    void forget_dead(const std::function<bool(const upstream_id&)>& is_known);
+    /// Forgets upstreams that no longer exist.
+    void forget(const std::function<bool(const upstream_id&)>& is_known);
     /// Upstreams that are suspected now.
     [[nodiscard]] std::set<upstream_id> find_suspects(time_point now) const;
 
 private:
     void look();
     void probe_suspects(time_point now);
-    void probe_dead(time_point now);
+    /// Adds the parts of streams that stand still though everything on their path gave a sign of life: one of
+    /// them is slow.
+    void add_slow(std::set<upstream_id>& suspects, time_point now) const;
+    void probe_due(std::map<upstream_id, time_point>& due, duration interval, time_point now);
     void probe(const upstream_id& id);
-    void take_answer(const upstream_id& id, bool is_alive);
+    void take_answer(const upstream_id& id, const std::optional<double>& pace);
 
     stall_watch_settings settings;
     stall_watch_hooks hooks;
     std::map<stream_key, watched_stream> streams;
     std::map<upstream_id, time_point> quiet_until; ///< no probe goes there before this
+    std::set<upstream_id> asked; ///< probed, and without answer yet
     std::map<upstream_id, time_point> dead; ///< when each is probed next
+    std::map<upstream_id, time_point> slow; ///< when each is probed next
     std::set<upstream_id> named; ///< suspected for other reasons than a stream's
     stream_key last_key = 0;
     time_point last_look{};
--- a/src/libs/placement/layerorder.h
+++ b/src/libs/placement/layerorder.h
@@ -33,6 +33,12 @@
     unanswered ///< it may be carried out, also later
 };
 
+/// What an engine tells of itself when it is probed.
+struct engine_report
+{
+    double pace = 1; ///< how many times slower than its card it runs at present
+};
+
 /// How orders look on the wire.
 struct order_codec
 {
@@ -40,6 +46,9 @@
     std::function<order_result(int status)> decode_result;
     /// A small request that any engine or service answers at once.
     std::function<http_request(const endpoint&)> encode_probe;
+    /// What an answer to a probe tells; what is missing in it counts as usual. Throws `error` if it is
+    /// unreadable.
+    std::function<engine_report(const http_response&)> decode_report;
 };
 
 } // namespace sailtiller
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -47,7 +47,7 @@
 {
     stall_watch_hooks hooks;
     hooks.timers = make_timer_hooks(this->timers, [this] { return this->now; });
-    hooks.probe = [this](const upstream_id& id, const std::function<void(bool)>&) {
+    hooks.probe = [this](const upstream_id& id, const std::function<void(std::optional<double>)>&) {
         this->probed.push_back(id.value());
     };
     this->watch = std::make_unique<stall_watch>(stall_watch_settings{}, hooks);
--- a/tests/auto/health/tst_stallwatch.cpp
+++ b/tests/auto/health/tst_stallwatch.cpp
@@ -21,12 +21,12 @@
     {
         stall_watch_hooks hooks;
         hooks.timers = make_timer_hooks(this->timers, [this] { return this->now; });
-        hooks.probe = [this](const upstream_id& id, std::function<void(bool)> on_answer) {
+        hooks.probe = [this](const upstream_id& id, std::function<void(std::optional<double>)> on_answer) {
             this->probed.push_back(id.value());
             this->answers[id.value()] = std::move(on_answer);
         };
         hooks.on_dead = [this](const upstream_id& id) { this->dead.push_back(id.value()); };
-        hooks.on_alive = [](const upstream_id&) {};
+        hooks.on_alive = [this](const upstream_id& id, double pace) { this->paces[id.value()] = pace; };
         this->watch = std::make_unique<stall_watch>(stall_watch_settings{}, hooks);
         this->watch->start();
     }
@@ -47,8 +47,9 @@
     time_point now{100s};
     timer_queue timers;
     std::vector<std::string> probed;
-    std::map<std::string, std::function<void(bool)>> answers;
+    std::map<std::string, std::function<void(std::optional<double>)>> answers;
     std::vector<std::string> dead;
+    std::map<std::string, double> paces;
     std::unique_ptr<stall_watch> watch;
 };
 
@@ -68,7 +69,7 @@
     this->pass(140ms);
     ASSERT_EQ(this->probed.size(), 1U);
     EXPECT_TRUE(this->dead.empty());
-    this->answers["a"](false);
+    this->answers["a"](std::nullopt);
     EXPECT_EQ(this->dead, std::vector<std::string>{"a"});
 }
 
@@ -77,17 +78,17 @@
     this->watch->suspect(upstream_id("a"));
     this->pass(40ms);
     ASSERT_EQ(this->probed.size(), 1U);
-    this->answers["a"](false);
+    this->answers["a"](std::nullopt);
     EXPECT_TRUE(this->watch->is_dead(upstream_id("a")));
     this->pass(480ms);
     EXPECT_EQ(this->probed.size(), 1U);
     this->pass(60ms);
     ASSERT_EQ(this->probed.size(), 2U);
-    this->answers["a"](false);
+    this->answers["a"](std::nullopt);
     EXPECT_EQ(this->dead.size(), 2U) << "each probe without answer tells it anew";
     this->pass(560ms);
     ASSERT_EQ(this->probed.size(), 3U);
-    this->answers["a"](true);
+    this->answers["a"](1.0);
     EXPECT_FALSE(this->watch->is_dead(upstream_id("a")));
     this->pass(2s);
     EXPECT_EQ(this->probed.size(), 3U);
@@ -97,12 +98,39 @@
 {
     this->watch->suspect(upstream_id("a"));
     this->pass(40ms);
-    this->answers["a"](false);
-    this->watch->forget_dead([](const upstream_id&) { return false; });
+    this->answers["a"](std::nullopt);
+    this->watch->forget([](const upstream_id&) { return false; });
     this->pass(2s);
     EXPECT_EQ(this->probed.size(), 1U);
 }
 
+TEST_F(stall_watch_test, a_stall_on_a_path_that_moves_for_others_is_looked_for_in_all_its_parts)
+{
+    const auto slow = this->watch->add(parts({"a", "b"}), this->now + 1s);
+    const auto other = this->watch->add(parts({"a", "b"}), this->now + 1s);
+    this->pass(100ms, {slow, other});
+    this->pass(120ms, {other});
+    EXPECT_EQ(this->probed, (std::vector<std::string>{"a", "b"}));
+    this->answers["a"](1.0);
+    this->answers["b"](12.0);
+    EXPECT_EQ(this->paces["b"], 12.0);
+    this->pass(900ms, {other});
+    EXPECT_EQ(this->probed.size(), 2U) << "each has answered a moment ago";
+}
+
+TEST_F(stall_watch_test, a_slow_one_is_probed_until_it_is_sound_again)
+{
+    this->watch->suspect(upstream_id("a"));
+    this->pass(40ms);
+    this->answers["a"](4.0);
+    this->pass(1100ms);
+    ASSERT_EQ(this->probed.size(), 2U);
+    this->answers["a"](1.0);
+    EXPECT_EQ(this->paces["a"], 1.0);
+    this->pass(3s);
+    EXPECT_EQ(this->probed.size(), 2U);
+}
+
 TEST_F(stall_watch_test, tells_whether_streams_moved_over_an_upstream_lately)
 {
     const auto key = this->watch->add(parts({"a", "b"}), this->now + 1s);
@@ -119,7 +147,7 @@
     const auto first = this->watch->add(parts({"a"}), this->now + 1s);
     this->pass(60ms, {first});
     this->pass(140ms);
-    this->answers["a"](true);
+    this->answers["a"](1.0);
     this->pass(800ms);
     EXPECT_EQ(this->probed.size(), 1U);
     EXPECT_TRUE(this->dead.empty());
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -244,6 +244,16 @@
     EXPECT_EQ(codec.decode_result(400), order_result::refused);
 }
 
+TEST(wire_order, reads_the_pace_of_an_engines_report)
+{
+    const order_codec codec = make_order_codec();
+    EXPECT_EQ(codec.decode_report({200, {}, R"({"pace":12.5,"queued":3})"}).pace, 12.5);
+    EXPECT_EQ(codec.decode_report({200, {}, R"({"queued":3})"}).pace, 1);
+    EXPECT_EQ(codec.decode_report({404, {}, "not here"}).pace, 1) << "a plain service knows no reports";
+    EXPECT_THROW((void)codec.decode_report({200, {}, "{"}), error);
+    EXPECT_THROW((void)codec.decode_report({200, {}, R"({"pace":"fast"})"}), error);
+}
+
 TEST(wire_store, reads_pages_of_newest_records)
 {
     const store_codec codec = make_store_codec();
