Placement, Fleet: a newcomer stands in for slower holders first; a new host reckons with hosts it has not heard

Cause: an empty engine got the first range with single holders, whoever held it. And after all hosts were down, each knew only its own requests for the first round. Change: a layer's worth to a newcomer grows with the time that a request saves there. A host reckons with as much work as its own for each host of which it has a record but no report, asks at once when it has the records, and asks all every 0.1 s for its first two seconds.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -234,6 +234,7 @@
         shares[id] = {work.token_layers, work.requests};
     }
     this->loads.set_others(shares);
+    this->loads.set_unheard_hosts(hosts.unheard_count(now));
 }
 
 bool site_host::is_reader() const
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -19,6 +19,9 @@
 constexpr duration answer_limit = milliseconds(600);
 /// A leaving upstream, a new bundle and the work at the upstreams reach every host within a round or two.
 constexpr duration round_interval = milliseconds(250);
+/// The same while this host is new: after all hosts were down, their callers come back to all of them at
+/// once, and each must know what the others send where.
+constexpr duration new_round_interval = milliseconds(100);
 /// Hosts come and go rarely, so the list goes along only now and then.
 constexpr unsigned rounds_between_hosts = 4;
 /// After a failed call to the store.
@@ -55,6 +58,7 @@
 {
     this->table.set_own_address(this->server.listen(address));
     this->write_own_record();
+    this->table.note_start(this->loop.now());
     this->run_round();
     return this->table.own().address;
 }
@@ -93,6 +97,8 @@
                 {{"peer", record.key}, {"reason", malformed.what()}});
         }
     }
+    this->ask_peers();
+    this->hooks.on_round(this->table);
     this->loop.schedule_after(lonely_interval, [this] {
         if (this->table.live_count(this->loop.now()) <= 1) {
             this->read_records();
@@ -127,7 +133,8 @@
     ++this->rounds;
     this->ask_peers();
     this->hooks.on_round(this->table);
-    this->loop.schedule_after(round_interval, [this] { this->run_round(); });
+    const duration pause = this->table.is_new(this->loop.now()) ? new_round_interval : round_interval;
+    this->loop.schedule_after(pause, [this] { this->run_round(); });
 }
 
 void site_peers::announce_leaving()
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -15,10 +15,26 @@
     if (!this->is_live(item, now)) {
         return this->settings.gone_interval;
     }
+    if (this->is_new(now)) {
+        return duration::zero();
+    }
     const bool is_here = item.host.data_hall == this->self.data_hall;
     return is_here ? duration::zero() : this->settings.other_hall_interval;
 }
 
+bool host_table::is_new(time_point now) const
+{
+    return this->started && now - *this->started < this->settings.new_time;
+}
+
+std::size_t host_table::unheard_count(time_point now) const
+{
+    const auto is_unheard = [this, now](const auto& item) {
+        return !item.second.heard && now - item.second.added < this->settings.silence_limit;
+    };
+    return static_cast<std::size_t>(std::count_if(this->others.begin(), this->others.end(), is_unheard));
+}
+
 void host_table::add(const known_host& host, time_point now)
 {
     if (host.id == this->self.id) {
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -16,6 +16,9 @@
     duration other_hall_interval = std::chrono::milliseconds(500);
     /// One that is gone is asked again at this interval, as it may come back.
     duration gone_interval = std::chrono::seconds(2);
+    /// A host counts as new for this long after its start: the rush after all hosts were down is over by
+    /// then.
+    duration new_time = std::chrono::seconds(2);
     /// One that stays gone is forgotten.
     duration forget_after = std::chrono::seconds(60);
     /// Asked in one round; bounds the bytes of a large fleet.
@@ -37,8 +40,16 @@
     void add(const known_host& host, time_point now);
     /// It sent a message.
     void note_heard(const peer_report& report, time_point now);
-    /// Whom to ask in this round: live hosts in turn, and gone ones from time to time.
+    /// Whom to ask in this round: live hosts in turn, and gone ones from time to time. While this host is
+    /// new, all live ones at each round.
     std::vector<known_host> choose_asked(time_point now);
+    /// This host has started; until it has heard the others it knows nothing of their work.
+    void note_start(time_point now) { this->started = now; }
+    /// True for the first moments, in which much changes at once.
+    [[nodiscard]] bool is_new(time_point now) const;
+    /// Hosts that have a record but were not heard yet, a moment after this one learned of them: they may
+    /// have started just now as well.
+    [[nodiscard]] std::size_t unheard_count(time_point now) const;
     /// Hosts that were heard lately and are not leaving, this one included, in the order of their ids.
     [[nodiscard]] std::vector<known_host> live_hosts(time_point now) const;
     [[nodiscard]] std::size_t live_count(time_point now) const { return this->live_hosts(now).size(); }
@@ -67,6 +78,7 @@
     known_host self;
     host_table_settings settings;
     std::map<host_id, entry> others;
+    std::optional<time_point> started;
 };
 
 } // namespace sailtiller
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -15,6 +16,9 @@
 constexpr double uncovered_worth = 1000;
 constexpr double single_worth = 10;
 constexpr double spare_worth = 1;
+/// Worth of a holder that is faster than all others of a layer: the share of its time that a request saves
+/// there. Below the worth of a second holder, above that of a third.
+constexpr double faster_worth = 8;
 /// A lost head can't be replaced within a running stream, so layer 0 is doubled first.
 constexpr double head_worth = 30;
 /// Halvings of the range of tokens; after these it is far below one token.
@@ -49,6 +53,20 @@
     }
 }
 
+/// Milliseconds that one layer on this card costs a usual request: reading its prompt, the steps of its
+/// answer, and its share of the hop to the next engine, which is dearer on cards with few layers.
+double predict_layer_cost(const engine_profile& profile, const card_kind& card, const placement_aim& aim)
+{
+    const double room_mb = aim.least_requests * usual_tokens(profile) * profile.token_layer_mb();
+    const double layers = std::max(1.0, std::floor(card.memory_mb / (profile.layer_mb + room_mb)));
+    const double prompt_ms = profile.prompt_tokens_per_s <= 0 ? 0
+                                                              : profile.usual_prompt_tokens
+            / profile.prompt_tokens_per_s * milliseconds_per_second * card.prompt_factor;
+    const double step_ms = profile.step_ms * card.step_factor;
+    return (prompt_ms + profile.usual_answer_tokens * step_ms) / profile.layers
+        + profile.usual_answer_tokens * engine_hop_ms / layers;
+}
+
 /// Plans for one group of halls.
 class group_plan
 {
@@ -58,9 +76,11 @@
         , aim(aim)
         , engines(std::move(engines))
         , holders(profile.layers, 0)
+        , costs(profile.layers, std::numeric_limits<double>::infinity())
     {
         for (const placeable_engine* engine : this->engines) {
             this->count(engine->held, 1);
+            this->note_cost(*engine, engine->held);
         }
         this->token_room = this->choose_room();
     }
@@ -87,6 +107,21 @@
         }
     }
 
+    [[nodiscard]] double cost_on(const placeable_engine& engine) const
+    {
+        const auto card = this->profile.kinds.find(engine.card);
+        return card == this->profile.kinds.end() ? std::numeric_limits<double>::infinity()
+                                                 : predict_layer_cost(this->profile, card->second, this->aim);
+    }
+
+    void note_cost(const placeable_engine& engine, const layer_span& span)
+    {
+        const double cost = this->cost_on(engine);
+        for (unsigned layer = span.begin; layer < std::min(span.end, this->profile.layers); ++layer) {
+            this->costs[layer] = std::min(this->costs[layer], cost);
+        }
+    }
+
     /// Layers that a card holds beside room for that many tokens through all of them.
     [[nodiscard]] unsigned layers_beside(const placeable_engine& engine, double tokens) const
     {
@@ -138,6 +173,7 @@
     {
         this->count(engine.held, -1);
         this->count(span, 1);
+        this->note_cost(engine, span);
         this->steps.push_back({engine.id, span});
         this->moved.insert(engine.id);
     }
@@ -157,22 +193,25 @@
         }
     }
 
-    [[nodiscard]] double worth_of(unsigned layer) const
+    /// Worth of one more holder for this layer, whose cost there is `cost`.
+    [[nodiscard]] double worth_of(unsigned layer, double cost) const
     {
         const unsigned count = this->holders[layer];
-        return worth_of_holder(count) + (layer == 0 && count <= 1 ? head_worth : 0);
+        const double saved = count == 0 ? 0 : std::max(0.0, 1 - cost / this->costs[layer]);
+        return worth_of_holder(count) + faster_worth * saved + (layer == 0 && count <= 1 ? head_worth : 0);
     }
 
-    [[nodiscard]] layer_span best_span(unsigned size) const
+    [[nodiscard]] layer_span best_span(const placeable_engine& engine, unsigned size) const
     {
+        const double cost = this->cost_on(engine);
         double sum = 0;
         for (unsigned layer = 0; layer < size; ++layer) {
-            sum += this->worth_of(layer);
+            sum += this->worth_of(layer, cost);
         }
         layer_span best{0, size};
         double most = sum;
         for (unsigned begin = 1; begin + size <= this->profile.layers; ++begin) {
-            sum += this->worth_of(begin + size - 1) - this->worth_of(begin - 1);
+            sum += this->worth_of(begin + size - 1, cost) - this->worth_of(begin - 1, cost);
             if (sum > most + worth_margin) {
                 most = sum;
                 best = {begin, begin + size};
@@ -186,7 +225,7 @@
         for (const placeable_engine* engine : this->engines) {
             const unsigned size = this->layers_beside(*engine, this->token_room);
             if (engine->held.is_empty() && size > 0) {
-                this->place(*engine, this->best_span(size));
+                this->place(*engine, this->best_span(*engine, size));
             }
         }
     }
@@ -333,7 +372,7 @@
             const unsigned size = this->layers_beside(*engine, this->token_room);
             if (size > 0 && this->can_give_up(*engine)) {
                 this->count(engine->held, -1);
-                const layer_span span = this->best_span(size);
+                const layer_span span = this->best_span(*engine, size);
                 this->count(engine->held, 1);
                 this->place(*engine, span);
             }
@@ -344,6 +383,7 @@
     const placement_aim& aim;
     engine_list engines;
     std::vector<unsigned> holders;
+    std::vector<double> costs; ///< of each layer on its cheapest holder
     double token_room = 0;
     std::vector<placement_step> steps;
     std::set<upstream_id> moved;
@@ -383,20 +423,6 @@
     return groups;
 }
 
-/// Milliseconds that one layer on this card costs a usual request: reading its prompt, the steps of its
-/// answer, and its share of the hop to the next engine, which is dearer on cards with few layers.
-double predict_layer_cost(const engine_profile& profile, const card_kind& card, const placement_aim& aim)
-{
-    const double room_mb = aim.least_requests * usual_tokens(profile) * profile.token_layer_mb();
-    const double layers = std::max(1.0, std::floor(card.memory_mb / (profile.layer_mb + room_mb)));
-    const double prompt_ms = profile.prompt_tokens_per_s <= 0 ? 0
-                                                              : profile.usual_prompt_tokens
-            / profile.prompt_tokens_per_s * milliseconds_per_second * card.prompt_factor;
-    const double step_ms = profile.step_ms * card.step_factor;
-    return (prompt_ms + profile.usual_answer_tokens * step_ms) / profile.layers
-        + profile.usual_answer_tokens * engine_hop_ms / layers;
-}
-
 /// The same order on every host: cheapest cards first, so that the first copy of the layers lies on them.
 void sort_engines(const engine_profile& profile, engine_list& engines, const placement_aim& aim)
 {
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -35,8 +35,22 @@
     double kept_layer_ms = 0; ///< one layer that it runs already
 };
 
+/// What all hosts' requests take of an upstream.
+struct upstream_use
+{
+    double token_layers = 0;
+    double requests = 0;
+    double pace = 1;
+};
+
+upstream_use use_of(const part_loads& loads, const upstream_id& id)
+{
+    const part_load& load = loads.of(id);
+    return {loads.all_token_layers(load), loads.all_requests(load), load.pace};
+}
+
 /// Time to read the prompt through one layer.
-double predict_prompt_ms(const engine_profile& profile, const card_kind& card, const part_load& load,
+double predict_prompt_ms(const engine_profile& profile, const card_kind& card, const upstream_use& use,
     const path_question& question)
 {
     if (profile.prompt_tokens_per_s <= 0) {
@@ -44,31 +58,30 @@
     }
     const double whole_ms =
         question.prompt_tokens * milliseconds_per_second / profile.prompt_tokens_per_s * card.prompt_factor;
-    return whole_ms * load.pace / profile.layers;
+    return whole_ms * use.pace / profile.layers;
 }
 
 /// Time of the answer's steps in one layer.
-double predict_steps_ms(const engine_profile& profile, const card_kind& card, const part_load& load,
+double predict_steps_ms(const engine_profile& profile, const card_kind& card, const upstream_use& use,
     const path_question& question)
 {
-    const double requests = load.requests + load.other_requests;
-    const double step_ms = profile.step_ms * card.step_factor + requests * profile.step_ms_per_request;
-    return question.answer_tokens * step_ms * load.pace / profile.layers;
+    const double step_ms = profile.step_ms * card.step_factor + use.requests * profile.step_ms_per_request;
+    return question.answer_tokens * step_ms * use.pace / profile.layers;
 }
 
 /// The share of an upstream's room that is used once it holds `wanted` more.
 double share_in_use(const engine_profile& profile, const card_kind& card, const discovered_upstream& upstream,
-    const part_load& load, double wanted)
+    const upstream_use& use, double wanted)
 {
     const double room = token_layer_room(profile, card, upstream.held.count());
-    return room <= 0 ? 1 : (load.token_layers + load.other_token_layers + wanted) / room;
+    return room <= 0 ? 1 : (use.token_layers + wanted) / room;
 }
 
 double price_room(const engine_profile& profile, const card_kind& card, const discovered_upstream& upstream,
-    const part_load& load, const path_question& question)
+    const upstream_use& use, const path_question& question)
 {
     const double wanted = (question.prompt_tokens + question.answer_tokens) * upstream.held.count();
-    const double share = share_in_use(profile, card, upstream, load, wanted);
+    const double share = share_in_use(profile, card, upstream, use, wanted);
     // A running request that is led elsewhere is short of time; its tokens were there before, so it rather
     // squeezes in than goes through the pipe to another hall.
     const bool avoids_full = question.present.empty() && share > full_share;
@@ -84,7 +97,7 @@
         , question(question)
     {
         for (const auto& [id, entry] : directory.entries()) {
-            this->add_candidate(entry.upstream, loads.of(id));
+            this->add_candidate(entry.upstream, loads.of(id), use_of(loads, id));
         }
     }
 
@@ -109,7 +122,7 @@
         std::size_t previous = 0; ///< index in the layer before
     };
 
-    void add_candidate(const discovered_upstream& upstream, const part_load& load)
+    void add_candidate(const discovered_upstream& upstream, const part_load& load, const upstream_use& use)
     {
         const auto card = this->profile.kinds.find(upstream.card);
         if (upstream.service != this->question.service || card == this->profile.kinds.end()) {
@@ -124,10 +137,10 @@
         if (item.runs.is_empty()) {
             return;
         }
-        item.kept_layer_ms = predict_steps_ms(this->profile, card->second, load, this->question);
+        item.kept_layer_ms = predict_steps_ms(this->profile, card->second, use, this->question);
         item.layer_ms = item.kept_layer_ms
-            + predict_prompt_ms(this->profile, card->second, load, this->question)
-            + price_room(this->profile, card->second, upstream, load, this->question);
+            + predict_prompt_ms(this->profile, card->second, use, this->question)
+            + price_room(this->profile, card->second, upstream, use, this->question);
         this->candidates.push_back(item);
     }
 
@@ -304,8 +317,8 @@
         const auto card = entry == nullptr ? profile.kinds.end() : profile.kinds.find(entry->upstream.card);
         if (card != profile.kinds.end()) {
             fullest = std::max(fullest,
-                share_in_use(
-                    profile, card->second, entry->upstream, loads.of(part.id), tokens * part.span.count()));
+                share_in_use(profile, card->second, entry->upstream, use_of(loads, part.id),
+                    tokens * part.span.count()));
         }
     }
     return fullest;
--- a/src/libs/routing/partloads.cpp
+++ b/src/libs/routing/partloads.cpp
@@ -72,6 +72,16 @@
     }
 }
 
+double part_loads::all_token_layers(const part_load& load) const
+{
+    return load.token_layers * (1 + this->unheard_hosts) + load.other_token_layers;
+}
+
+double part_loads::all_requests(const part_load& load) const
+{
+    return load.requests * (1 + this->unheard_hosts) + load.other_requests;
+}
+
 void part_loads::set_pace(const upstream_id& id, double pace)
 {
     this->loads[id].pace = pace;
--- a/src/libs/routing/partloads.h
+++ b/src/libs/routing/partloads.h
@@ -54,6 +54,12 @@
     void suspend_on_word(const upstream_id& id, time_point until);
     /// What the other hosts hold there. Those that are not named hold nothing.
     void set_others(const std::map<upstream_id, upstream_share>& shares);
+    /// Hosts of whose work nothing is known yet; each is taken to do as much as this one.
+    void set_unheard_hosts(std::size_t count) { this->unheard_hosts = static_cast<double>(count); }
+    /// What all hosts' requests hold at an upstream: tokens times layers.
+    [[nodiscard]] double all_token_layers(const part_load& load) const;
+    /// Requests of all hosts that pass through an upstream.
+    [[nodiscard]] double all_requests(const part_load& load) const;
     /// It is this many times slower than its card should be.
     void set_pace(const upstream_id& id, double pace);
     /// It has answered, so it is there.
@@ -65,6 +71,7 @@
 
 private:
     std::unordered_map<upstream_id, part_load> loads;
+    double unheard_hosts = 0;
 };
 
 } // namespace sailtiller
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -69,6 +69,28 @@
     EXPECT_TRUE(this->table.sum_work(this->now + 2s).empty());
 }
 
+TEST_F(host_table_test, a_host_with_a_record_is_unheard_until_it_speaks_or_stays_silent)
+{
+    this->table.add(make_host("a"), this->now);
+    this->table.add(make_host("c"), this->now);
+    EXPECT_EQ(this->table.unheard_count(this->now), 2U);
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    EXPECT_EQ(this->table.unheard_count(this->now), 1U);
+    EXPECT_EQ(this->table.unheard_count(this->now + 1500ms), 0U);
+}
+
+TEST_F(host_table_test, a_new_host_asks_all_live_ones_at_each_round)
+{
+    this->table.note_start(this->now);
+    this->table.note_heard(make_report(make_host("far", "y")), this->now);
+    EXPECT_EQ(this->table.choose_asked(this->now).size(), 1U);
+    EXPECT_EQ(this->table.choose_asked(this->now + 100ms).size(), 1U);
+    this->table.note_heard(make_report(make_host("far", "y")), this->now + 2s);
+    EXPECT_FALSE(this->table.is_new(this->now + 2s));
+    EXPECT_EQ(this->table.choose_asked(this->now + 2s).size(), 1U);
+    EXPECT_TRUE(this->table.choose_asked(this->now + 2250ms).empty());
+}
+
 TEST_F(host_table_test, its_own_hall_is_asked_in_each_round_and_others_less_often)
 {
     this->table.note_heard(make_report(make_host("near")), this->now);
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -176,6 +176,15 @@
     EXPECT_EQ(engines[1].held.begin, engines[0].held.end);
 }
 
+TEST_F(layer_plan_test, an_empty_engine_stands_in_for_slower_ones)
+{
+    // Every layer has one holder; only those of the second half are slow.
+    const std::vector<placeable_engine> engines = this->plan({make_engine("a", "x", "big", {0, 8}),
+        make_engine("b", "x", "small", {8, 12}), make_engine("c", "x", "small", {12, 16}),
+        make_engine("d", "x", "small", {0, 4}), make_engine("new", "x", "big")});
+    EXPECT_GE(engines[4].held.begin, 8U);
+}
+
 TEST_F(layer_plan_test, single_losses_leave_every_layer_with_a_holder_again)
 {
     std::vector<placeable_engine> engines;
--- a/tests/auto/routing/tst_layerpath.cpp
+++ b/tests/auto/routing/tst_layerpath.cpp
@@ -152,6 +152,18 @@
     EXPECT_EQ(this->find(), "a:0-8 tail:8-16");
 }
 
+TEST_F(layer_path_test, hosts_that_were_not_heard_yet_are_taken_to_do_as_much_as_this_one)
+{
+    this->put("a", {0, 8});
+    this->put("b", {0, 8});
+    this->put("tail", {8, 16});
+    this->loads.add(upstream_id("a"), 2000);
+    this->loads.set_others({{upstream_id("b"), {6000, 3}}});
+    EXPECT_EQ(this->find(), "a:0-8 tail:8-16");
+    this->loads.set_unheard_hosts(4);
+    EXPECT_EQ(this->find(), "b:0-8 tail:8-16");
+}
+
 TEST_F(layer_path_test, a_fixed_head_keeps_its_layers)
 {
     this->put("head", {0, 10});
