Delivery: callers that have come back are held rather than sent away again

Change: a request that goes on after an event, or whose caller has 0.5 s less than the route allows, is held for up to three objectives while there is no room; a new caller is still told to come back after 0.1 s.

--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -13,6 +13,10 @@
 /// Answers go out a little before the limit, so that they arrive within it.
 constexpr duration answer_margin = std::chrono::milliseconds(20);
 
+/// A caller that has so much less time than its route allows has spent it on an earlier try: connections take
+/// milliseconds, and one that is sent away comes back after a second.
+constexpr duration first_try_margin = std::chrono::milliseconds(500);
+
 std::string write_seconds(duration time)
 {
     std::array<char, 32> text{};
@@ -31,9 +35,16 @@
     return this->arrived + std::max(limit - answer_margin, answer_margin);
 }
 
-time_point delivery_order::hold_end(double most_hold_share) const
+time_point delivery_order::hold_end(const delivery_settings& settings) const
+{
+    const double share = this->has_come_back() ? settings.most_return_hold_share : settings.most_hold_share;
+    return this->arrived + scale(this->route->latency_objective, share);
+}
+
+bool delivery_order::has_come_back() const
 {
-    return this->arrived + scale(this->route->latency_objective, most_hold_share);
+    const std::optional<duration>& left = this->request.time_limit;
+    return this->request.last_event || (left && *left + first_try_margin < this->route->time_limit);
 }
 
 bool delivery_order::may_run_again(unsigned runs) const
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -57,6 +57,9 @@
     duration search_pause = std::chrono::milliseconds(25);
     /// Share of the latency objective for which a request without a path is held before it is refused.
     double most_hold_share = 0.2;
+    /// The same for a caller who has been sent away or cut off before: refused once more, it would give up.
+    /// It leaves by itself after four objectives without an answer.
+    double most_return_hold_share = 3;
     /// A path with an upstream fuller than this isn't used for new requests: one request more would make it
     /// preempt others. Expected answers count whole, so a share of 1 is not yet quite full.
     double most_share = 1.3;
@@ -116,8 +119,10 @@
 
     /// The moment at which the request gets its final answer at the latest.
     [[nodiscard]] time_point deadline() const;
-    /// Until when the request is held while nothing can take it, if that may be this share of its objective.
-    [[nodiscard]] time_point hold_end(double most_hold_share) const;
+    /// Until when the request is held while nothing can take it.
+    [[nodiscard]] time_point hold_end(const delivery_settings& settings) const;
+    /// True if the caller has tried before: it goes on after an event, or has waited for a part of its time.
+    [[nodiscard]] bool has_come_back() const;
     /// True if one more upstream may run the request, after `runs` that have begun it.
     [[nodiscard]] bool may_run_again(unsigned runs) const;
     /// The request as it goes to this upstream, without a path.
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -72,7 +72,7 @@
         this->send_to(*upstream);
         return;
     }
-    const time_point hold_end = this->order.hold_end(this->context.settings.most_hold_share);
+    const time_point hold_end = this->order.hold_end(this->context.settings);
     if (this->context.timers.now() >= hold_end) {
         this->refuse("no upstream of the service is available");
         return;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -45,7 +45,7 @@
         this->send_on(std::move(*found));
         return;
     }
-    const time_point hold_end = this->order.hold_end(this->context.settings.most_hold_share);
+    const time_point hold_end = this->order.hold_end(this->context.settings);
     if (now >= hold_end && !this->has_started) {
         this->refuse(found ? "the engines that hold some layer, or the pipes between halls, are full"
                            : "no engines hold every layer of the model");
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -145,6 +145,32 @@
     EXPECT_TRUE(this->sends.empty());
 }
 
+TEST_F(stream_delivery_test, a_caller_that_has_come_back_is_held_longer_than_a_new_one)
+{
+    this->put_engine("tail", 2, {});
+    delivery_order order = this->make_order(route_kind::stream);
+    order.request.time_limit = 2s; // of the 3 s that the route allows
+    EXPECT_TRUE(order.has_come_back());
+    const auto delivery =
+        std::make_shared<stream_delivery>(*this->context, order, this->make_caller(), [] {});
+    delivery->start();
+    this->pass(1450ms);
+    EXPECT_FALSE(this->caller.answer.has_value());
+    this->pass(100ms);
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(stream_delivery_test, a_caller_that_goes_on_after_an_event_has_come_back)
+{
+    delivery_order order = this->make_order(route_kind::stream);
+    EXPECT_FALSE(order.has_come_back()) << "no limit of its own";
+    order.request.time_limit = 2900ms;
+    EXPECT_FALSE(order.has_come_back()) << "a little is lost on the way";
+    order.request.last_event = 0;
+    EXPECT_TRUE(order.has_come_back());
+}
+
 TEST_F(stream_delivery_test, takes_a_holder_that_comes_in_time)
 {
     this->directory.remove(upstream_id("tail"), this->now);
