Health: several streams that are silent together are believed sooner, and both sends of a probe overlap

Cause: most late streams before the loss of power are those that a dead engine cut, resumed with pauses of 200 to 450 ms; 140 to 160 ms of that passed until the engine was believed dead (90 ms of silence, up to 20 ms to the next look, two probes of 25 ms one after the other). Change: an upstream over which none of three or more streams has moved for 65 ms is probed; the second send of a probe goes out after 12 ms beside the first, both end after 32 ms; a look every 10 ms.

--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -23,8 +23,9 @@
 /// An engine answers at once; a path that can't be changed in this time is late anyway.
 constexpr duration path_change_limit = milliseconds(80);
 /// An engine answers a probe in two milliseconds, or in ten where links are slow.
-constexpr duration first_probe_limit = milliseconds(25);
-constexpr duration second_probe_limit = milliseconds(25);
+constexpr duration first_probe_limit = milliseconds(32);
+/// The second of the two sends of a probe goes out if the first has no answer by then.
+constexpr duration second_probe_after = milliseconds(12);
 
 } // namespace
 
@@ -71,20 +72,30 @@
 void upstream_link::probe(
     const endpoint& target, const std::function<void(const std::optional<engine_report>&)>& on_answer)
 {
-    const http_request question = this->orders.encode_probe(target);
-    const auto take = [this, target, on_answer](
-                          const http_response& answer) { on_answer(this->read_report(target, answer)); };
-    // One lost packet must not condemn an upstream, so a second connection is tried before the limit.
-    send_whole(this->loop, {target, question, first_probe_limit, &this->connections},
-        [this, target, question, on_answer, take](const std::optional<http_response>& answer) {
-            if (answer) {
-                take(*answer);
+    const auto race = std::make_shared<probe_race>();
+    race->on_answer = on_answer;
+    this->send_probe(target, first_probe_limit, &this->connections, race);
+    // One lost packet must not condemn an upstream, so a second connection is tried besides.
+    this->loop.schedule_after(second_probe_after, [this, target, race] {
+        if (race->on_answer) {
+            this->send_probe(target, first_probe_limit - second_probe_after, nullptr, race);
+        }
+    });
+}
+
+void upstream_link::send_probe(
+    const endpoint& target, duration limit, connection_pool* pool, const std::shared_ptr<probe_race>& race)
+{
+    send_whole(this->loop, {target, this->orders.encode_probe(target), limit, pool},
+        [this, target, race](const std::optional<http_response>& answer) {
+            --race->left;
+            const bool is_over = answer || race->left == 0;
+            if (!is_over || !race->on_answer) {
                 return;
             }
-            send_whole(this->loop, {target, question, second_probe_limit, nullptr},
-                [on_answer, take](const std::optional<http_response>& second) {
-                    second ? take(*second) : on_answer(std::nullopt);
-                });
+            const auto on_end = std::move(race->on_answer);
+            race->on_answer = nullptr;
+            on_end(answer ? std::optional(this->read_report(target, *answer)) : std::nullopt);
         });
 }
 
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -27,6 +27,15 @@
     void send_order(const layer_order& order, const std::function<void(order_result)>& on_result);
 
 private:
+    /// A probe that goes out twice; the first answer counts.
+    struct probe_race
+    {
+        std::function<void(const std::optional<engine_report>&)> on_answer; ///< empty once it is told
+        int left = 2; ///< sends without an end
+    };
+
+    void send_probe(const endpoint& target, duration limit, connection_pool* pool,
+        const std::shared_ptr<probe_race>& race);
     [[nodiscard]] engine_report read_report(const endpoint& target, const http_response& answer) const;
 
     event_loop& loop;
--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -73,9 +73,36 @@
             }
         }
     }
+    this->add_jointly_silent(suspects, now);
     return suspects;
 }
 
+void stall_watch::add_jointly_silent(std::set<upstream_id>& suspects, time_point now) const
+{
+    struct part_movement
+    {
+        std::size_t streams = 0;
+        time_point last{};
+    };
+    std::map<upstream_id, part_movement> movements;
+    for (const auto& [key, stream] : this->streams) {
+        const bool has_begun = stream.last_event != time_point{};
+        // A stream whose path was just changed is waited for.
+        const bool is_expected = stream.due <= stream.last_event + this->settings.stall_after;
+        for (const upstream_id& part : stream.parts) {
+            part_movement& movement = movements[part];
+            movement.streams += has_begun && is_expected ? 1 : 0;
+            movement.last = std::max(movement.last, stream.last_event);
+        }
+    }
+    for (const auto& [id, movement] : movements) {
+        if (movement.streams >= this->settings.least_joint_streams
+            && now - movement.last >= this->settings.joint_stall_after) {
+            suspects.insert(id);
+        }
+    }
+}
+
 void stall_watch::look()
 {
     const time_point now = this->hooks.timers.now();
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -15,9 +15,12 @@
 /// late, and an engine reports a dead part only after seconds.
 struct stall_watch_settings
 {
-    duration look_interval = std::chrono::milliseconds(20);
+    duration look_interval = std::chrono::milliseconds(10);
     /// A stream without an event for this long stands still.
     duration stall_after = std::chrono::milliseconds(90);
+    /// Several streams over one upstream that are all without an event for this long say as much.
+    duration joint_stall_after = std::chrono::milliseconds(65);
+    std::size_t least_joint_streams = 3;
     /// The same upstream is not probed again before this.
     duration probe_pause = std::chrono::milliseconds(250);
     /// A look that comes so much too late says that this process stood still, not the streams.
@@ -91,6 +94,8 @@
 
 private:
     void look();
+    /// Adds the upstreams over which none of several streams has moved for a while.
+    void add_jointly_silent(std::set<upstream_id>& suspects, time_point now) const;
     void probe_suspects(time_point now);
     /// Adds the parts of streams that stand still though everything on their path gave a sign of life: one of
     /// them is slow.
--- a/tests/auto/health/tst_stallwatch.cpp
+++ b/tests/auto/health/tst_stallwatch.cpp
@@ -62,6 +62,18 @@
     EXPECT_EQ(this->probed, std::vector<std::string>{"broken"});
 }
 
+TEST_F(stall_watch_test, several_streams_that_are_silent_together_are_believed_sooner)
+{
+    const auto first = this->watch->add(parts({"a"}), this->now + 1s);
+    const auto second = this->watch->add(parts({"a"}), this->now + 1s);
+    const auto third = this->watch->add(parts({"a"}), this->now + 1s);
+    this->pass(40ms, {first, second, third});
+    this->pass(60ms);
+    EXPECT_TRUE(this->probed.empty());
+    this->pass(20ms);
+    EXPECT_EQ(this->probed, std::vector<std::string>{"a"});
+}
+
 TEST_F(stall_watch_test, a_suspect_that_gives_no_answer_is_dead)
 {
     const auto first = this->watch->add(parts({"a"}), this->now + 1s);
