Runtime, Sailtillerd: the bundle's limits on what callers send hold on a site

Cause: the bundle's limits on headers, bodies, the time of headers and connections at rest were read and not applied; only the settings' own held, and h2o has one time for rest and request. Change: http_server takes new limits while it runs; it closes connections that rest longer than the bundle says, and those whose headers don't end in time. Bytes are bounded by the settings and the bundle, whichever is less.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -170,8 +170,10 @@
     hooks.now = [this] { return this->loop.now(); };
     hooks.decode_bundle = &platform::decode_site_bundle;
     hooks.decode_upstream = &platform::decode_upstream;
-    hooks.on_bundle = [this](
-                          const std::shared_ptr<const site_bundle>& next) { this->gateway.set_bundle(next); };
+    hooks.on_bundle = [this](const std::shared_ptr<const site_bundle>& next) {
+        this->gateway.set_bundle(next);
+        this->callers.set_limits(this->make_caller_limits(next->limits));
+    };
     hooks.on_event = [this](std::string_view event, const std::string& subject, const std::string& detail) {
         this->admin.note_belief(event);
         log_event(log_level::info, event, {{"peer", subject}, {"detail", detail}});
@@ -179,6 +181,17 @@
     return hooks;
 }
 
+http_server_limits site_host::make_caller_limits(const caller_limits& bundled) const
+{
+    http_server_limits limits = this->settings.limits;
+    // The settings protect the process, so the bundle can only lower these two.
+    limits.most_header_bytes = std::min(limits.most_header_bytes, bundled.most_header_bytes);
+    limits.most_body_bytes = std::min(limits.most_body_bytes, bundled.most_body_bytes);
+    limits.header_time = bundled.header_time;
+    limits.idle_time = bundled.idle_time;
+    return limits;
+}
+
 known_host site_host::own_host() const
 {
     return {this->settings.self, this->settings.peer_listen.value_or(endpoint()), this->settings.data_hall};
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -37,6 +37,8 @@
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
     site_knowledge_hooks make_knowledge_hooks();
+    /// What callers may send: by the bundle, within the settings.
+    [[nodiscard]] http_server_limits make_caller_limits(const caller_limits& bundled) const;
     [[nodiscard]] known_host own_host() const;
     keyed_follower make_bundle_follower();
     keyed_follower make_upstream_follower();
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -6,6 +6,7 @@
 #include <runtime/httpserver.h>
 #include <runtime/socketaddress.h>
 
+#include <algorithm>
 #include <cstring>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
@@ -19,6 +20,8 @@
 
 /// Connections taken in one turn of the loop, so that a burst of them doesn't hold up the streams.
 constexpr int most_accepts_a_turn = 32;
+/// Between two looks at what rests or is sent too slowly: small against the limits, which are seconds.
+constexpr duration connection_look_interval = std::chrono::milliseconds(250);
 /// Turns of the loop in which connections that were told to end must have closed.
 constexpr int most_closing_turns = 100;
 
@@ -148,10 +151,16 @@
     ssl_context tls;
     std::vector<h2o_socket_t*> listeners;
     std::set<h2o_socket_t*> connections;
+    timer_id look_timer = 0;
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
 
     static void filter(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
     static void forget(void* data);
+    /// Gives the limits to h2o, as far as it knows them.
+    void apply_limits();
+    void schedule_look();
+    /// Closes connections that rest for too long or whose headers take too long.
+    void look_at_connections();
     void end_connections();
 };
 
@@ -178,6 +187,8 @@
     endpoint peer;
     bool has_request = false;
     std::size_t open_requests = 0; ///< handed to the handler and not at their end
+    time_point rests_since{}; ///< its last request ended, or it was opened
+    std::optional<time_point> headers_since; ///< bytes of a request's headers wait for the rest of them
     bool is_closing = false; ///< this side has closed it
 };
 
@@ -190,6 +201,27 @@
     return entry;
 }
 
+/// True if the caller has sent something that is not read or not answered yet.
+bool has_bytes(h2o_socket_t& socket)
+{
+    char byte = 0;
+    return socket.input->size > 0 || recv(h2o_socket_get_fd(&socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// True if the headers of a request have begun and not ended; its body waits behind them in the same buffer.
+bool has_open_headers(const h2o_socket_t& socket)
+{
+    const std::string_view bytes(socket.input->bytes, socket.input->size);
+    return !bytes.empty() && bytes.find("\r\n\r\n") == std::string_view::npos;
+}
+
+/// A request that crosses this close is refused as not run.
+void close_connection(h2o_socket_t& socket, connection_entry& entry)
+{
+    entry.is_closing = true;
+    shutdown(h2o_socket_get_fd(&socket), SHUT_RDWR);
+}
+
 endpoint peer_of(h2o_socket_t* socket)
 {
     socket_address peer;
@@ -227,12 +259,8 @@
 
 void http_server::state::configure()
 {
-    using std::chrono::milliseconds;
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init("sailtiller", std::strlen("sailtiller"));
-    this->config.max_request_entity_size = this->limits.most_body_bytes;
-    this->config.http1.req_timeout = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(this->limits.request_time).count());
     h2o_hostconf_t* host = h2o_config_register_host(&this->config, h2o_iovec_init("default", 7), 65535);
     h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
     auto* handler_entry = reinterpret_cast<server_handler*>(h2o_create_handler(path, sizeof(server_handler)));
@@ -241,11 +269,60 @@
     this->configure_path(path);
     this->configure_path(&host->fallback_path);
     h2o_context_init(&this->context, this->loop.native(), &this->config);
+    this->apply_limits();
     this->accept_context.ctx = &this->context;
     this->accept_context.hosts = this->config.hosts;
     this->accept_context.ssl_ctx = this->tls.get();
 }
 
+void http_server::state::apply_limits()
+{
+    using std::chrono::milliseconds;
+    this->config.max_request_entity_size = this->limits.most_body_bytes;
+    // h2o has one time for a connection at rest and for the whole request; ours close what is over sooner.
+    const duration longest =
+        std::max(this->limits.request_time, this->limits.idle_time.value_or(duration::zero()));
+    this->context.http1.req_timeout.timeout =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(longest).count());
+}
+
+void http_server::state::schedule_look()
+{
+    const bool is_needed = this->limits.idle_time || this->limits.header_time;
+    if (!is_needed || this->look_timer != 0) {
+        return;
+    }
+    this->look_timer = this->loop.schedule_after(connection_look_interval, [this] {
+        this->look_timer = 0;
+        this->look_at_connections();
+        this->schedule_look();
+    });
+}
+
+void http_server::state::look_at_connections()
+{
+    const time_point now = this->loop.now();
+    for (h2o_socket_t* socket : this->connections) {
+        auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+        if (entry.open_requests > 0) {
+            entry.headers_since.reset();
+            continue;
+        }
+        if (!has_open_headers(*socket)) {
+            entry.headers_since.reset();
+        } else if (!entry.headers_since) {
+            entry.headers_since = now;
+        }
+        const bool are_headers_late = this->limits.header_time && entry.headers_since
+            && now - *entry.headers_since > *this->limits.header_time;
+        const bool rests_too_long = this->limits.idle_time && !has_bytes(*socket)
+            && now - entry.rests_since > *this->limits.idle_time;
+        if (are_headers_late || rests_too_long) {
+            close_connection(*socket, entry);
+        }
+    }
+}
+
 void http_server::state::reject(
     http_exchange& exchange, int status, const char* outcome, const std::string& reason)
 {
@@ -288,6 +365,7 @@
     connection_entry& connection = note_request(request);
     const bool is_own_answer = server->handled.erase(request) != 0;
     connection.open_requests -= is_own_answer ? 1 : 0;
+    connection.rests_since = server->loop.now();
     if (request->res.status == 0 || is_own_answer || !server->on_rejected) {
         return;
     }
@@ -305,7 +383,11 @@
         if (socket == nullptr) {
             return;
         }
-        auto* entry = new connection_entry{server, socket, peer_of(socket)};
+        auto* entry = new connection_entry;
+        entry->server = server;
+        entry->socket = socket;
+        entry->peer = peer_of(socket);
+        entry->rests_since = server->loop.now();
         server->connections.insert(socket);
         socket->on_close.cb = &state::forget;
         socket->on_close.data = entry;
@@ -341,10 +423,19 @@
         this->inner->tls = make_ssl_context(*tls);
     }
     this->inner->configure();
+    this->inner->schedule_look();
+}
+
+void http_server::set_limits(const http_server_limits& limits)
+{
+    this->inner->limits = limits;
+    this->inner->apply_limits();
+    this->inner->schedule_look();
 }
 
 http_server::~http_server()
 {
+    this->inner->loop.cancel(this->inner->look_timer);
     this->close_listeners();
     this->inner->end_connections();
     if (this->inner->connections.empty()) {
@@ -391,13 +482,8 @@
 {
     for (h2o_socket_t* socket : this->inner->connections) {
         auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
-        char byte = 0;
-        const int descriptor = h2o_socket_get_fd(socket);
-        const bool has_bytes =
-            socket->input->size > 0 || recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-        if (entry.open_requests == 0 && !has_bytes) {
-            entry.is_closing = true;
-            shutdown(descriptor, SHUT_RDWR);
+        if (entry.open_requests == 0 && !has_bytes(*socket)) {
+            close_connection(*socket, entry);
         }
     }
 }
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -11,6 +11,10 @@
     std::size_t most_body_bytes = 4U << 20U;
     std::size_t most_header_bytes = 32U << 10U; ///< names and values of all headers
     duration request_time = std::chrono::seconds(10); ///< to send the whole request
+    /// From the first byte of a request to the end of its headers; without it, `request_time` alone counts.
+    std::optional<duration> header_time = std::nullopt;
+    /// A kept connection without a request is closed after this; without it, after `request_time`.
+    std::optional<duration> idle_time = std::nullopt;
 };
 
 /// Paths of a certificate chain and its key, in PEM form.
@@ -44,6 +48,8 @@
     /// Throws `error` if the address can't be listened on. Port 0 lets the system choose; returns the
     /// address.
     endpoint listen(const endpoint& address);
+    /// Holds for all that comes from now on, on open connections too.
+    void set_limits(const http_server_limits& limits);
     /// Called for each answer that the handler did not give, such as to a body that is too large.
     void when_rejected(std::function<void(const http_server_event&)> action);
     /// Takes no new connections; those that are open are closed after their present requests.
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -259,6 +259,27 @@
     EXPECT_EQ(this->rejections, 1) << "it is counted";
 }
 
+TEST_F(http_test, limits_that_change_hold_for_open_connections)
+{
+    const auto server = this->make_server(
+        [](const std::shared_ptr<http_exchange>& exchange) {
+            exchange->respond({200, {}, ""});
+        },
+        {.request_time = 60s, .header_time = 60s, .idle_time = 60s});
+    server->set_limits({.most_body_bytes = 4, .request_time = 60s, .header_time = 60s, .idle_time = 300ms});
+    EXPECT_EQ(this->get("/", "12345").status, 413);
+    const std::string rested = this->exchange_raw("GET / HTTP/1.1\r\nhost: a\r\n\r\n", false);
+    EXPECT_EQ(rested.substr(0, 12), "HTTP/1.1 200") << "answered, and closed by this side after its rest";
+}
+
+TEST_F(http_test, headers_that_do_not_end_in_time_end_the_connection)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) {},
+        {.request_time = 60s, .header_time = 300ms, .idle_time = 60s});
+    EXPECT_EQ(this->exchange_raw("GET / HTTP/1.1\r\nhost", false), "");
+    run_until(this->loop, [this] { return this->rejections == 1; });
+}
+
 TEST_F(http_test, a_connection_half_closed_before_its_body_was_whole_is_ended)
 {
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>&) { FAIL(); });
