Base, Runtime: the log's event types are a closed list

Cause: events were named by strings at some seventy places, so nobody could tell what may stand in a log. Change: event_type lists them, grouped; log lines and the counters of decisions and beliefs take their names from it. The test of an output that nobody reads uses the listed events in turn, as many lines as before.

--- a/bench/bench_inforce.cpp
+++ b/bench/bench_inforce.cpp
@@ -87,7 +87,7 @@
         hooks.live_hosts = [this] { return this->names; };
         hooks.ask_peers = [](const std::vector<part_digest>&) { return std::size_t{0}; };
         hooks.on_bundle = [](const std::shared_ptr<const bundle_in_force>&) {};
-        hooks.on_event = [](const std::string&, const std::string&, const std::string&) {};
+        hooks.on_event = [](event_type, const std::string&, const std::string&) {};
         return hooks;
     }
 
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -54,7 +54,7 @@
         const std::string code = is_silent ? "no_request" : "http_" + std::to_string(event.status);
         this->metrics.rejected.add(code);
         // Balancers that only open a connection to see whether it works would fill the log.
-        log_event(is_silent ? log_level::debug : log_level::info, "request_refused",
+        log_event(is_silent ? log_level::debug : log_level::info, event_type::request_refused,
             {{"code", code}, {"step", "read request"}, {"peer", event.peer.value()},
                 {"reason", event.reason}});
     });
@@ -86,8 +86,8 @@
         return this->peers.ask_for_bundle(missing);
     };
     hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) { this->take_bundle(next); };
-    hooks.on_event = [this](const std::string& kind, const std::string& peer, const std::string& reason) {
-        this->metrics.bundle_events.add(kind);
+    hooks.on_event = [this](event_type kind, const std::string& peer, const std::string& reason) {
+        this->metrics.bundle_events.add(label_value(name_of(kind)));
         log_event(log_level::warning, kind, {{"step", "follow bundles"}, {"peer", peer}, {"reason", reason}});
     };
     return hooks;
@@ -171,7 +171,7 @@
     // An upstream that the bundle has just brought may stand in the list as leaving already.
     this->take_upstream_states();
     this->metrics.bundle_events.add("in_force");
-    log_event(log_level::info, "bundle_in_force",
+    log_event(log_level::info, event_type::bundle_in_force,
         {{"bundle", next->content.name}, {"generation", std::to_string(next->source.generation.value())},
             {"activation", next->source.id.value()}, {"operator", next->source.operator_name},
             {"reason", next->source.reason}});
@@ -181,8 +181,8 @@
 {
     upstream_load& load = *this->loads.load_of(name);
     if (load.is_leaving() != is_leaving) {
-        log_event(
-            log_level::info, is_leaving ? "upstream_leaving" : "upstream_back", {{"peer", name.value()}});
+        log_event(log_level::info, is_leaving ? event_type::upstream_leaving : event_type::upstream_back,
+            {{"peer", name.value()}});
     }
     load.set_leaving(is_leaving);
 }
@@ -205,8 +205,8 @@
     this->shares.note_hosts_changed();
     this->take_upstream_states();
     this->start_following();
-    log_event(
-        log_level::info, "host_list_changed", {{"entries", std::to_string(this->hosts->entries().size())}});
+    log_event(log_level::info, event_type::host_list_changed,
+        {{"entries", std::to_string(this->hosts->entries().size())}});
 }
 
 void host_process::run_turn()
@@ -216,7 +216,8 @@
         this->loop.run_once(longest_turn);
     } catch (const std::exception& fault) {
         this->metrics.rejected.add("internal_error");
-        log_event(log_level::failure, "internal_error", {{"step", "run loop"}, {"reason", fault.what()}});
+        log_event(
+            log_level::failure, event_type::internal_error, {{"step", "run loop"}, {"reason", fault.what()}});
     }
 }
 
@@ -228,7 +229,7 @@
     if (this->settings.metrics_listen) {
         this->admin_server.listen(*this->settings.metrics_listen);
     }
-    log_event(log_level::info, "started",
+    log_event(log_level::info, event_type::started,
         {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
             {"listen", address.value()}, {"admin", admin_address.value()}});
     if (this->settings.host_list_address) {
@@ -236,7 +237,7 @@
             this->loop, this->client, *this->settings.host_list_address, host_list_interval,
             [this] { this->take_host_list(); },
             [](const error& failure) {
-                log_event(log_level::warning, "host_list_unreachable",
+                log_event(log_level::warning, event_type::host_list_unreachable,
                     {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
             });
         this->hosts->start();
@@ -245,7 +246,7 @@
     this->tidy_shares();
     if (this->settings.peer_listen) {
         const endpoint peer_address = this->peers.listen(*this->settings.peer_listen);
-        log_event(log_level::info, "peers_welcome", {{"peer_listen", peer_address.value()}});
+        log_event(log_level::info, event_type::peers_welcome, {{"peer_listen", peer_address.value()}});
     }
     // The list tells whom to ask for the bundle; a host starts without it if it does not come.
     this->loop.schedule_after(
@@ -271,7 +272,7 @@
     }
     this->is_stopping = true;
     this->stop_limit = this->loop.now() + this->settings.longest_stop;
-    log_event(log_level::info, "stopping",
+    log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->entry.requests_in_flight())}});
     this->loop.schedule_after(this->settings.stop_grace, [this] {
         this->callers.close_listeners();
@@ -288,7 +289,8 @@
         return;
     }
     this->exit_code = is_idle ? exit_ok : exit_failed;
-    log_event(log_level::info, "stopped", {{"cut_off", std::to_string(this->entry.requests_in_flight())}});
+    log_event(log_level::info, event_type::stopped,
+        {{"cut_off", std::to_string(this->entry.requests_in_flight())}});
     this->follower.stop();
     this->loop.stop();
 }
--- a/src/app/sailtillerd/peerlink.cpp
+++ b/src/app/sailtillerd/peerlink.cpp
@@ -52,7 +52,7 @@
             host.peer_address, bundle_question, encode_bundle_question(missing), bundle_answer_limit,
             [this, name = host.name](const std::string& body) { this->take_bundle_answer(name, body); },
             [name = host.name](const peer_failure& failure) {
-                log_event(log_level::info, "peer_unreachable",
+                log_event(log_level::info, event_type::peer_unreachable,
                     {{"step", "ask for bundle"}, {"peer", name}, {"reason", failure.reason}});
             });
     }
@@ -64,7 +64,7 @@
     try {
         this->hooks.take_bundle(decode_bundle_state(body));
     } catch (const error& malformed) {
-        log_event(log_level::warning, "peer_answer_malformed",
+        log_event(log_level::warning, event_type::peer_answer_malformed,
             {{"step", malformed.step()}, {"peer", peer}, {"reason", malformed.reason()}});
     }
 }
@@ -119,7 +119,7 @@
             return state ? std::optional<std::string>(encode_bundle_state(*state)) : std::nullopt;
         }
     } catch (const error& malformed) {
-        log_event(log_level::warning, "peer_question_malformed",
+        log_event(log_level::warning, event_type::peer_question_malformed,
             {{"step", malformed.step()}, {"peer", method}, {"reason", malformed.reason()}});
     }
     return std::nullopt;
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -65,7 +65,7 @@
 
 void site_admin::note(const delivery_event& event)
 {
-    const std::string what(event.what);
+    const std::string what(name_of(event.what));
     this->requests.add(what);
     this->decisions.note(
         request_id(std::string(event.request)), {this->view.now(), what, event.peer, event.detail});
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -40,7 +40,7 @@
     /// Counts a change of what this host believes.
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
-    void note_belief(std::string_view event) { this->beliefs.add(std::string(event)); }
+    void note_belief(event_type event) { this->beliefs.add(label_value(name_of(event))); }
     void handle(const std::shared_ptr<http_exchange>& exchange) const;
 
 private:
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -119,8 +119,9 @@
     hooks.on_dead = [this](const upstream_id& id) {
         const time_point now = this->loop.now();
         const bool is_news = this->loads.of(id).failed_until <= now;
-        this->admin.note_belief(is_news ? "upstream_dead" : "upstream_still_dead");
-        log_event(is_news ? log_level::warning : log_level::debug, "upstream_dead", {{"peer", id.value()}});
+        this->admin.note_belief(is_news ? event_type::upstream_dead : event_type::upstream_still_dead);
+        log_event(is_news ? log_level::warning : log_level::debug, event_type::upstream_dead,
+            {{"peer", id.value()}});
         this->loads.suspend(id, now + this->context.settings.death_suspension);
         this->gateway.leave_upstream(id);
     };
@@ -133,7 +134,7 @@
     const part_load& known = this->loads.of(id);
     const bool was_dead = known.has_failed(this->loop.now());
     const bool is_news = was_dead || std::abs(known.pace - pace) > pace_margin;
-    log_event(is_news ? log_level::info : log_level::debug, "upstream_alive",
+    log_event(is_news ? log_level::info : log_level::debug, event_type::upstream_alive,
         {{"peer", id.value()}, {"pace", std::to_string(pace)}});
     if (was_dead) {
         this->loads.resume(id);
@@ -178,7 +179,7 @@
         this->gateway.set_bundle(next);
         this->callers.set_limits(this->make_caller_limits(next->limits));
     };
-    hooks.on_event = [this](std::string_view event, const std::string& subject, const std::string& detail) {
+    hooks.on_event = [this](event_type event, const std::string& subject, const std::string& detail) {
         this->admin.note_belief(event);
         log_event(log_level::info, event, {{"peer", subject}, {"detail", detail}});
     };
@@ -308,7 +309,7 @@
     hooks.on_fenced = [this](fencing_token token) { this->duties.note_refused(token); };
     hooks.is_dead = [this](const upstream_id& id) { return this->loads.of(id).has_failed(this->loop.now()); };
     hooks.on_result = [](const layer_order& order, order_result result) {
-        log_event(log_level::info, "order",
+        log_event(log_level::info, event_type::order,
             {{"peer", order.id.value()}, {"from", std::to_string(order.span.begin)},
                 {"to", std::to_string(order.span.end)}, {"token", std::to_string(order.token.value())},
                 {"result", std::to_string(static_cast<int>(result))}});
@@ -363,7 +364,8 @@
     try {
         this->loop.run_once(longest_turn);
     } catch (const std::exception& fault) {
-        log_event(log_level::failure, "internal_error", {{"step", "run loop"}, {"reason", fault.what()}});
+        log_event(
+            log_level::failure, event_type::internal_error, {{"step", "run loop"}, {"reason", fault.what()}});
     }
 }
 
@@ -375,7 +377,7 @@
         this->admin_server.listen(*this->settings.metrics_listen);
     }
     const endpoint peer_address = this->peers.start(*this->settings.peer_listen);
-    log_event(log_level::info, "started",
+    log_event(log_level::info, event_type::started,
         {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
             {"listen", address.value()}, {"admin", admin_address.value()},
             {"peer_listen", peer_address.value()}});
@@ -418,15 +420,15 @@
         const bool needs_restart = next.listen != this->settings.listen
             || next.admin_listen != this->settings.admin_listen
             || next.store->address != this->settings.store->address || next.self != this->settings.self;
-        log_event(log_level::info, "reload",
+        log_event(log_level::info, event_type::reload,
             {{"outcome", "done"},
                 {"addresses", needs_restart ? "changed, restart to use them" : "unchanged"}});
     } catch (const settings_stop& faults) {
-        log_event(
-            log_level::failure, "reload", {{"outcome", "kept the old settings"}, {"reason", faults.text}});
+        log_event(log_level::failure, event_type::reload,
+            {{"outcome", "kept the old settings"}, {"reason", faults.text}});
     } catch (const error& fault) {
-        log_event(
-            log_level::failure, "reload", {{"outcome", "kept the old settings"}, {"reason", fault.what()}});
+        log_event(log_level::failure, event_type::reload,
+            {{"outcome", "kept the old settings"}, {"reason", fault.what()}});
     }
 }
 
@@ -440,7 +442,7 @@
             this->reload();
         }
     } catch (const error& unreadable) {
-        log_event(log_level::warning, "settings_file_unreadable",
+        log_event(log_level::warning, event_type::settings_file_unreadable,
             {{"step", unreadable.step()}, {"peer", unreadable.peer()}, {"reason", unreadable.reason()}});
     }
 }
@@ -453,7 +455,7 @@
     this->is_stopping = true;
     this->gateway.begin_stop();
     this->stop_limit = this->loop.now() + this->settings.longest_stop - stop_margin;
-    log_event(log_level::info, "stopping",
+    log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->peers.announce_leaving();
     this->duties.leave();
@@ -473,7 +475,8 @@
         return;
     }
     this->exit_code = is_idle ? exit_ok : exit_failed;
-    log_event(log_level::info, "stopped", {{"cut_off", std::to_string(this->gateway.requests_in_flight())}});
+    log_event(log_level::info, event_type::stopped,
+        {{"cut_off", std::to_string(this->gateway.requests_in_flight())}});
     this->loop.stop();
 }
 
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -93,7 +93,7 @@
         try {
             this->table.add(read_record(record.key, *record.value), this->loop.now());
         } catch (const json::exception& malformed) {
-            log_event(log_level::warning, "host_record_unusable",
+            log_event(log_level::warning, event_type::host_record_unusable,
                 {{"peer", record.key}, {"reason", malformed.what()}});
         }
     }
@@ -160,12 +160,12 @@
                 this->take(report);
                 this->hooks.take_answer(report, asked);
             } catch (const error& malformed) {
-                log_event(log_level::warning, "peer_answer_malformed",
+                log_event(log_level::warning, event_type::peer_answer_malformed,
                     {{"step", malformed.step()}, {"peer", name.value()}, {"reason", malformed.reason()}});
             }
         },
         [name = peer.id](const peer_failure& failure) {
-            log_event(log_level::debug, "peer_unreachable",
+            log_event(log_level::debug, event_type::peer_unreachable,
                 {{"step", "exchange reports"}, {"peer", name.value()}, {"reason", failure.reason}});
         });
 }
@@ -180,7 +180,7 @@
         this->take(report);
         return encode_peer_report(this->make_report(&report));
     } catch (const error& malformed) {
-        log_event(log_level::warning, "peer_question_malformed",
+        log_event(log_level::warning, event_type::peer_question_malformed,
             {{"step", malformed.step()}, {"peer", method}, {"reason", malformed.reason()}});
         return std::nullopt;
     }
--- a/src/app/sailtillerd/storefailure.cpp
+++ b/src/app/sailtillerd/storefailure.cpp
@@ -7,7 +7,7 @@
 
 void log_store_failure(const error& failure)
 {
-    log_event(log_level::warning, "store_call_failed",
+    log_event(log_level::warning, event_type::store_call_failed,
         {{"step", failure.step()}, {"peer", failure.peer()}, {"reason", failure.reason()}});
 }
 
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -63,7 +63,7 @@
     try {
         return this->orders.decode_report(answer);
     } catch (const error& malformed) {
-        log_event(log_level::warning, "engine_report_unusable",
+        log_event(log_level::warning, event_type::engine_report_unusable,
             {{"step", malformed.step()}, {"peer", target.value()}, {"reason", malformed.reason()}});
         return {};
     }
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/eventtype.h>
 #include <base/httpcallhandlers.h>
 #include <base/random.h>
 #include <base/timerqueue.h>
@@ -38,7 +39,7 @@
 /// One decision about a request, for the log.
 struct delivery_event
 {
-    std::string_view what; ///< the event's name
+    event_type what = event_type::sent;
     std::string_view request; ///< id of the request
     std::string peer; ///< the upstream it is about
     std::string detail;
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -95,7 +95,7 @@
     ++this->sends;
     this->answer = {};
     this->body.clear();
-    this->log("sent", upstream.address.value());
+    this->log(event_type::sent, upstream.address.value());
     this->call.start(upstream.address, this->order.make_request(upstream.id, this->context.timers.now()),
         this->make_answer_hooks());
     if (this->order.route->may_repeat()) {
@@ -161,7 +161,7 @@
 
 void plain_delivery::pass_on()
 {
-    this->log("answered", "status " + std::to_string(this->answer.status));
+    this->log(event_type::answered, "status " + std::to_string(this->answer.status));
     measure_since_arrival(this->context, this->order, request_moment::first_event);
     this->caller.respond({this->answer.status, this->answer.passed_on, this->body});
     this->end();
@@ -181,7 +181,7 @@
 
 void plain_delivery::retry_or_fail(const std::string& reason)
 {
-    this->log("upstream_failed", reason);
+    this->log(event_type::upstream_failed, reason);
     if (this->target) {
         this->avoided.insert(*this->target);
     }
@@ -213,7 +213,7 @@
 
 void plain_delivery::refuse(const std::string& reason)
 {
-    this->log("refused", reason);
+    this->log(event_type::refused, reason);
     this->caller.respond(
         make_last_answer(this->order, this->runs, this->context.settings.retry_after, reason));
     this->end();
@@ -221,14 +221,14 @@
 
 void plain_delivery::end_at_limit()
 {
-    this->log("time_limit", "");
+    this->log(event_type::time_limit, "");
     this->caller.respond(make_failure(http_status::gateway_timeout, "the time limit has passed"));
     this->end();
 }
 
 void plain_delivery::end_abandoned()
 {
-    this->log("caller_left", "");
+    this->log(event_type::caller_left, "");
     this->end();
 }
 
@@ -258,7 +258,7 @@
     }
 }
 
-void plain_delivery::log(std::string_view what, const std::string& detail) const
+void plain_delivery::log(event_type what, const std::string& detail) const
 {
     this->context.log(
         {what, this->order.request.id.value(), this->target ? this->target->value() : std::string(), detail});
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -34,7 +34,7 @@
     void end_abandoned();
     void release();
     void end();
-    void log(std::string_view what, const std::string& detail) const;
+    void log(event_type what, const std::string& detail) const;
 
     delivery_context& context;
     delivery_order order;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -71,7 +71,7 @@
     this->answer = {};
     this->other_body.clear();
     this->events.clear();
-    this->log("sent", describe_path(this->path.parts()));
+    this->log(event_type::sent, describe_path(this->path.parts()));
     this->call.start(this->path.head().address, this->make_upstream_request(), this->make_answer_hooks());
 }
 
@@ -191,11 +191,11 @@
 {
     if (result.result == path_change_result::changed) {
         this->path.change(std::move(next));
-        this->log("path_changed", describe_path(this->path.parts()));
+        this->log(event_type::path_changed, describe_path(this->path.parts()));
         this->change_path(); // another upstream may have died meanwhile
         return;
     }
-    this->log("path_change_refused", std::to_string(static_cast<int>(result.result)));
+    this->log(event_type::path_change_refused, std::to_string(static_cast<int>(result.result)));
     if (result.result == path_change_result::unknown_request) {
         if (this->state == phase::waiting) {
             this->call.end();
@@ -326,7 +326,8 @@
     // A part that doesn't hold its layers will tell so in its entry before long; others are full for a
     // moment.
     this->context.loads.avoid(culprit, this->context.timers.now() + this->context.settings.refusal_pause);
-    this->log("refused_by_upstream", culprit.value() + " status " + std::to_string(this->answer.status));
+    this->log(
+        event_type::refused_by_upstream, culprit.value() + " status " + std::to_string(this->answer.status));
     this->release_path();
     if (this->sends >= this->context.settings.most_sends) {
         this->refuse("the engines refuse new work");
@@ -343,14 +344,15 @@
         this->fail_over("status " + std::to_string(this->answer.status));
         return;
     }
-    this->log("answered", "status " + std::to_string(this->answer.status));
+    this->log(event_type::answered, "status " + std::to_string(this->answer.status));
     this->caller.respond({this->answer.status, this->answer.passed_on, this->other_body});
     this->end();
 }
 
 void stream_delivery::fail_over(const std::string& reason)
 {
-    this->log("path_failed", reason + " after " + std::to_string(this->pace.event_count()) + " events");
+    this->log(
+        event_type::path_failed, reason + " after " + std::to_string(this->pace.event_count()) + " events");
     if (this->state == phase::streaming || this->runs > 0) {
         this->avoided.insert(this->path.head().id);
     }
@@ -365,7 +367,7 @@
 void stream_delivery::give_up(const std::string& reason)
 {
     if (this->has_started) {
-        this->log("broken_off", reason);
+        this->log(event_type::broken_off, reason);
         this->caller.abort();
     } else {
         this->caller.respond(make_failure(http_status::bad_gateway, "the engines failed: " + reason));
@@ -375,7 +377,7 @@
 
 void stream_delivery::refuse(const std::string& reason)
 {
-    this->log("refused", reason);
+    this->log(event_type::refused, reason);
     if (this->has_started) {
         this->caller.abort();
     } else {
@@ -388,7 +390,7 @@
 void stream_delivery::finish()
 {
     const bool is_late = this->pace.is_late(*this->order.route);
-    this->log(is_late ? "finished_late" : "finished",
+    this->log(is_late ? event_type::finished_late : event_type::finished,
         this->pace.describe() + ", sends " + std::to_string(this->sends)
             + (is_late ? " on " + this->pace.slowest_path() : ""));
     this->caller.finish();
@@ -397,7 +399,7 @@
 
 void stream_delivery::end_at_limit()
 {
-    this->log("time_limit", std::to_string(this->pace.event_count()) + " events");
+    this->log(event_type::time_limit, std::to_string(this->pace.event_count()) + " events");
     if (this->has_started) {
         this->caller.abort();
     } else {
@@ -411,7 +413,7 @@
     if (this->state == phase::done) {
         return;
     }
-    this->log("caller_left", std::to_string(this->pace.event_count()) + " events");
+    this->log(event_type::caller_left, std::to_string(this->pace.event_count()) + " events");
     if (this->has_started) {
         this->caller.abort();
     }
@@ -441,7 +443,7 @@
     }
 }
 
-void stream_delivery::log(std::string_view what, const std::string& detail) const
+void stream_delivery::log(event_type what, const std::string& detail) const
 {
     this->context.log({what, this->order.request.id.value(),
         this->path.is_empty() ? std::string() : this->path.head().id.value(), detail});
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -58,7 +58,7 @@
     void end_at_limit();
     void release_path();
     void end();
-    void log(std::string_view what, const std::string& detail) const;
+    void log(event_type what, const std::string& detail) const;
 
     delivery_context& context;
     delivery_order order;
--- a/src/libs/entry/completionexchange.cpp
+++ b/src/libs/entry/completionexchange.cpp
@@ -141,7 +141,7 @@
     } else {
         exchange.respond(error_response(reason, this->request.answer_headers));
     }
-    log_event(log_level::warning, "request_failed",
+    log_event(log_level::warning, event_type::request_failed,
         {{"request", this->request.id.value()}, {"account", this->request.account.name.value()},
             {"outcome", to_text(failure.outcome)}, {"step", failure.origin.step},
             {"peer", failure.origin.peer}, {"reason", failure.reason}});
@@ -152,7 +152,7 @@
 {
     this->relay->cancel();
     this->request.exchange->abort();
-    log_event(log_level::info, "caller_gone",
+    log_event(log_level::info, event_type::caller_gone,
         {{"request", this->request.id.value()}, {"tokens", std::to_string(this->tokens)}});
     this->close("abandoned");
 }
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -54,7 +54,7 @@
 void entry_service::refuse(http_exchange& exchange, const request_id& id, const caller_error& reason)
 {
     this->context.metrics.rejected.add(reason.code);
-    log_event(log_level::info, "request_refused",
+    log_event(log_level::info, event_type::request_refused,
         {{"request", id.value()}, {"code", reason.code}, {"step", "check request"},
             {"peer", exchange.request().peer.value()}, {"reason", reason.message}});
     exchange.respond(error_response(reason, {{"x-request-id", id.value()}}));
--- a/src/libs/entry/serviceexchange.cpp
+++ b/src/libs/entry/serviceexchange.cpp
@@ -66,7 +66,7 @@
 void service_exchange::handle_failure(const request_failure& failure)
 {
     this->request.exchange->respond(error_response(to_caller_error(failure), this->request.answer_headers));
-    log_event(log_level::warning, "request_failed",
+    log_event(log_level::warning, event_type::request_failed,
         {{"request", this->request.id.value()}, {"account", this->request.account.name.value()},
             {"outcome", to_text(failure.outcome)}, {"step", failure.origin.step},
             {"peer", failure.origin.peer}, {"reason", failure.reason}});
--- a/src/libs/fleet/bundlefollower.cpp
+++ b/src/libs/fleet/bundlefollower.cpp
@@ -113,7 +113,7 @@
     } catch (const error& malformed) {
         this->activations.skip(entry.offset);
         this->hooks.on_event(
-            "malformed_record", "offset " + std::to_string(entry.offset.value()), malformed.what());
+            event_type::malformed_record, "offset " + std::to_string(entry.offset.value()), malformed.what());
     }
 }
 
@@ -139,7 +139,7 @@
     const std::uint32_t doublings = std::min(this->failures_in_a_row++, most_doublings);
     const duration pause =
         std::min(this->settings.retry_pause * (1 << doublings), this->settings.longest_retry_pause);
-    this->hooks.on_event("log_unreachable", failure.peer(), failure.what());
+    this->hooks.on_event(event_type::log_unreachable, failure.peer(), failure.what());
     this->read_timer = this->hooks.timers.schedule_after(pause, [this] { this->read_log(); });
 }
 
@@ -313,7 +313,7 @@
 {
     this->refused = source.id;
     this->refusal = reason;
-    this->hooks.on_event("bundle_refused", source.operator_name, reason);
+    this->hooks.on_event(event_type::bundle_refused, source.operator_name, reason);
 }
 
 void bundle_follower::carry_forward()
@@ -347,7 +347,7 @@
         data, [](log_offset) {},
         [this, held = std::weak_ptr<bool>(this->alive)](const error& failure) {
             if (!held.expired()) {
-                this->hooks.on_event("carry_failed", failure.peer(), failure.what());
+                this->hooks.on_event(event_type::carry_failed, failure.peer(), failure.what());
             }
         });
 }
--- a/src/libs/fleet/bundlefollower.h
+++ b/src/libs/fleet/bundlefollower.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/eventtype.h>
 #include <base/logservice.h>
 #include <base/timerqueue.h>
 #include <bundle/activationfold.h>
@@ -50,7 +51,7 @@
     /// Takes a checked bundle into force.
     std::function<void(std::shared_ptr<const bundle_in_force>)> on_bundle;
     /// Tells an event for logs and metrics: its kind, the peer and the reason.
-    std::function<void(const std::string& kind, const std::string& peer, const std::string& reason)> on_event;
+    std::function<void(event_type kind, const std::string& peer, const std::string& reason)> on_event;
 };
 
 /// What a follower knows, for status pages.
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -9,7 +9,8 @@
 void gateway_service::refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request,
     int status, const std::string& reason)
 {
-    this->context.log({"refused_at_entry", request.id.value(), "", std::to_string(status) + " " + reason});
+    this->context.log(
+        {event_type::refused_at_entry, request.id.value(), "", std::to_string(status) + " " + reason});
     const caller_hooks caller = this->make_caller_hooks(exchange);
     caller.respond(status == http_status::unavailable
             ? make_refusal(this->context.settings.retry_after, reason)
--- a/src/libs/runtime/eventlog.cpp
+++ b/src/libs/runtime/eventlog.cpp
@@ -119,7 +119,7 @@
     log.logger.setLogLevel(to_native(settings.least));
 }
 
-void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields)
+void log_event(log_level level, event_type type, const std::vector<log_field>& fields)
 {
     std::optional<process_log>& log = the_log();
     if (!log || !log->logger.isEnabledFor(to_native(level))) {
@@ -129,6 +129,7 @@
         ++log->unread;
         return;
     }
+    const std::string_view event = name_of(type);
     const log_limiter::verdict verdict = log->limiter.ask(event, read_steady_clock());
     if (!verdict.may_write) {
         return;
@@ -138,7 +139,7 @@
     };
     if (verdict.left_out > 0 || log->unread > 0) {
         write(log_level::warning,
-            format_line(*log, "log_lines_left_out",
+            format_line(*log, name_of(event_type::log_lines_left_out),
                 {{"of", std::string(event)}, {"count", std::to_string(verdict.left_out)},
                     {"unread", std::to_string(log->unread)}}));
         log->unread = 0;
--- a/src/libs/runtime/eventlog.h
+++ b/src/libs/runtime/eventlog.h
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/eventtype.h>
+
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace sailtiller {
@@ -29,6 +30,6 @@
 /// Writes one event as one line: its name and its fields. Control characters in values are escaped. Never
 /// waits: a line is left out when nobody reads the output or when the event comes too often, and such lines
 /// are counted.
-void log_event(log_level level, std::string_view event, const std::vector<log_field>& fields = {});
+void log_event(log_level level, event_type event, const std::vector<log_field>& fields = {});
 
 } // namespace sailtiller
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -197,7 +197,7 @@
     try {
         (this->*action)(failure);
     } catch (const std::exception& fault) {
-        log_event(log_level::failure, "internal_error",
+        log_event(log_level::failure, event_type::internal_error,
             {{"step", "take answer"}, {"peer", this->target.value()}, {"reason", fault.what()}});
         this->end(call_ending::broken, fault.what());
     }
--- a/src/libs/runtime/metrics.h
+++ b/src/libs/runtime/metrics.h
@@ -12,8 +12,8 @@
 namespace sailtiller {
 
 /// Accounts and classes that get a histogram of their own; above the users' 2,800 accounts.
-constexpr std::size_t most_account_labels = 4096;
-constexpr std::size_t most_class_labels = 32;
+inline constexpr std::size_t most_account_labels = 4096;
+inline constexpr std::size_t most_class_labels = 32;
 
 /// The value of one label; the label's name belongs to the metric.
 using label_value = std::string;
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -44,10 +44,10 @@
         }
         this->current = next;
         this->bundle_text = text;
-        this->hooks.on_event("bundle_in_force", std::to_string(next->version.value()), "");
+        this->hooks.on_event(event_type::bundle_in_force, std::to_string(next->version.value()), "");
         this->hooks.on_bundle(this->current);
     } catch (const error& malformed) {
-        this->hooks.on_event("bundle_unusable", malformed.peer(), malformed.reason());
+        this->hooks.on_event(event_type::bundle_unusable, malformed.peer(), malformed.reason());
     }
 }
 
@@ -63,7 +63,7 @@
     try {
         return this->hooks.decode_upstream(upstream_id(record.key), *record.value);
     } catch (const error& malformed) {
-        this->hooks.on_event("upstream_entry_unusable", record.key, malformed.reason());
+        this->hooks.on_event(event_type::upstream_entry_unusable, record.key, malformed.reason());
         return std::nullopt;
     }
 }
@@ -77,7 +77,7 @@
     if (!upstream || !this->directory.put(*upstream, this->hooks.now())) {
         return false;
     }
-    this->hooks.on_event("upstream_changed", record.key,
+    this->hooks.on_event(event_type::upstream_changed, record.key,
         upstream->address.value() + (upstream->is_leaving ? " leaving " : " ")
             + std::to_string(upstream->held.begin) + "-" + std::to_string(upstream->held.end));
     return true;
@@ -88,7 +88,7 @@
     const bool is_known = this->directory.find(id) != nullptr;
     this->directory.remove(id, this->hooks.now());
     if (is_known) {
-        this->hooks.on_event("upstream_gone", id.value(), "");
+        this->hooks.on_event(event_type::upstream_gone, id.value(), "");
     }
     return is_known;
 }
@@ -127,7 +127,7 @@
         }
     }
     if (this->directory.replace(upstreams, this->hooks.now())) {
-        this->hooks.on_event("upstreams_listed", std::to_string(upstreams.size()), "");
+        this->hooks.on_event(event_type::upstreams_listed, std::to_string(upstreams.size()), "");
     }
 }
 
@@ -144,7 +144,7 @@
 void site_knowledge::tidy()
 {
     if (this->directory.drop_lapsed(this->hooks.now())) {
-        this->hooks.on_event("upstreams_lapsed", "", "");
+        this->hooks.on_event(event_type::upstreams_lapsed, "", "");
     }
 }
 
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/eventtype.h>
 #include <bundle/sitebundle.h>
 #include <directory/upstreamdirectory.h>
 #include <fleet/hosttable.h>
@@ -33,7 +34,7 @@
     /// A newer bundle is in force.
     std::function<void(const std::shared_ptr<const site_bundle>&)> on_bundle;
     /// Tells a change of what this host believes, for the log: event, subject, detail.
-    std::function<void(std::string_view, const std::string&, const std::string&)> on_event;
+    std::function<void(event_type, const std::string&, const std::string&)> on_event;
 };
 
 /// What a host of a site knows: the bundle and since when it was known to be the newest, and the upstreams.
--- a/tests/auto/fleet/tst_bundlefollower.cpp
+++ b/tests/auto/fleet/tst_bundlefollower.cpp
@@ -50,8 +50,8 @@
         hooks.on_bundle = [this](const std::shared_ptr<const bundle_in_force>& next) {
             this->generations.push_back(next->source.generation.value());
         };
-        hooks.on_event = [this](const std::string& kind, const std::string&, const std::string&) {
-            this->events.push_back(kind);
+        hooks.on_event = [this](event_type kind, const std::string&, const std::string&) {
+            this->events.emplace_back(name_of(kind));
         };
         return hooks;
     }
--- a/tests/auto/runtime/tst_eventlog.cpp
+++ b/tests/auto/runtime/tst_eventlog.cpp
@@ -72,26 +72,28 @@
 
 TEST_F(event_log_test, an_output_that_nobody_reads_stops_nothing)
 {
-    // Each event has a name of its own, so that only the full pipe holds lines back.
-    constexpr int lines = 2000;
-    for (int line = 0; line < lines; ++line) {
-        log_event(log_level::info, "event" + std::to_string(line), {{"text", std::string(200, 'x')}});
+    // All events in turn, none oftener than its own bound allows, so that only the full pipe holds lines
+    // back.
+    constexpr std::size_t lines = 2000;
+    for (std::size_t line = 0; line < lines; ++line) {
+        log_event(log_level::info, all_event_types[line % all_event_types.size()],
+            {{"line", std::to_string(line)}, {"text", std::string(200, 'x')}});
     }
     const std::string first = this->read_all();
-    EXPECT_NE(first.find("\"event\":\"event0\""), std::string::npos);
-    EXPECT_EQ(first.find("\"event\":\"event" + std::to_string(lines - 1) + "\""), std::string::npos);
-    log_event(log_level::info, "after", {});
+    EXPECT_NE(first.find("\"line\":\"0\""), std::string::npos);
+    EXPECT_EQ(first.find("\"line\":\"" + std::to_string(lines - 1) + "\""), std::string::npos);
+    log_event(log_level::info, event_type::stopped, {});
     const std::string second = this->read_all();
     EXPECT_NE(second.find("log_lines_left_out"), std::string::npos) << second;
-    EXPECT_NE(second.find("\"event\":\"after\""), std::string::npos);
+    EXPECT_NE(second.find("\"event\":\"stopped\""), std::string::npos);
 }
 
 TEST_F(event_log_test, an_overlong_line_stays_one_sound_line)
 {
-    log_event(log_level::info, "long", {{"text", std::string(10'000, 'x')}});
+    log_event(log_level::info, event_type::sent, {{"text", std::string(10'000, 'x')}});
     const std::string text = this->read_all();
     EXPECT_LT(text.size(), 1000U);
-    EXPECT_NE(text.find("\"event\":\"long\""), std::string::npos);
+    EXPECT_NE(text.find("\"event\":\"sent\""), std::string::npos);
 }
 
 } // namespace
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -41,8 +41,8 @@
                 .on_bundle = [this](
                                  const auto& bundle) { this->versions.push_back(bundle->version.value()); },
 
-                .on_event = [this](std::string_view event, const std::string&,
-                                const std::string&) { this->events.emplace_back(event); }})
+                .on_event = [this](event_type event, const std::string&,
+                                const std::string&) { this->events.emplace_back(name_of(event)); }})
     {
     }
 
