--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -49,7 +49,7 @@
     this->streams.erase(key);
 }
 
-std::set<upstream_id> stall_watch::find_suspects(time_point now) const
+std::map<upstream_id, time_point> stall_watch::list_last_moves(time_point now) const
 {
     std::map<upstream_id, time_point> last_moved;
     for (const auto& [key, stream] : this->streams) {
@@ -61,6 +61,12 @@
             moved = std::max(moved, stream.last_event);
         }
     }
+    return last_moved;
+}
+
+std::set<upstream_id> stall_watch::find_suspects(time_point now) const
+{
+    const std::map<upstream_id, time_point> last_moved = this->list_last_moves(now);
     std::set<upstream_id> suspects;
     for (const auto& [key, stream] : this->streams) {
         if (stream.due > now) {
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -94,6 +94,9 @@
 
 private:
     void look();
+    /// When each upstream of the streams that don't stand still had its last event; nothing came if it is
+    /// zero.
+    [[nodiscard]] std::map<upstream_id, time_point> list_last_moves(time_point now) const;
     /// Adds the upstreams over which none of several streams has moved for a while.
     void add_jointly_silent(std::set<upstream_id>& suspects, time_point now) const;
     void probe_suspects(time_point now);
