--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -196,26 +196,31 @@
             if (!this->may_run(item, layer)) {
                 continue;
             }
-            step best{index, std::numeric_limits<double>::infinity(), 0};
-            if (layer == 0) {
-                best.cost = this->entry_cost(item);
-            }
-            for (std::size_t before = 0; layer > 0 && before < table[layer - 1].size(); ++before) {
-                const step& previous = table[layer - 1][before];
-                const candidate& from = this->candidates[previous.candidate];
-                const double hop = previous.candidate == index
-                    ? 0
-                    : this->hop_cost(from.upstream->data_hall, item.upstream->data_hall);
-                if (previous.cost + hop < best.cost) {
-                    best.cost = previous.cost + hop;
-                    best.previous = before;
-                }
-            }
+            step best = layer == 0 ? step{index, this->entry_cost(item), 0}
+                                   : this->find_cheapest_step(table[layer - 1], index);
             best.cost += item.kept.holds(layer) ? item.kept_layer_ms : item.layer_ms;
             table[layer].push_back(best);
         }
     }
 
+    /// The cheapest way to this candidate from the steps of the layer before, without the layer itself.
+    [[nodiscard]] step find_cheapest_step(const std::vector<step>& before, std::size_t index) const
+    {
+        const data_hall_id& hall = this->candidates[index].upstream->data_hall;
+        step best{index, std::numeric_limits<double>::infinity(), 0};
+        for (std::size_t at = 0; at < before.size(); ++at) {
+            const step& previous = before[at];
+            const candidate& from = this->candidates[previous.candidate];
+            const double hop =
+                previous.candidate == index ? 0 : this->hop_cost(from.upstream->data_hall, hall);
+            if (previous.cost + hop < best.cost) {
+                best.cost = previous.cost + hop;
+                best.previous = at;
+            }
+        }
+        return best;
+    }
+
     [[nodiscard]] double entry_cost(const candidate& item) const
     {
         return item.upstream->data_hall == this->question.origin
