--- /dev/null
+++ b/src/libs/runtime/httprejection.h
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <runtime/h2oheaders.h>
+
+#include <string>
+
+namespace sailtiller {
+
+/// The body for an answer that was made without the handler, in the shape that callers' programs parse.
+std::string error_body_of(int status, const char* outcome);
+
+/// Puts our body into an answer that h2o made by itself; `slot` is where the answer's next filter goes.
+void set_up_rejection(h2o_req_t* request, h2o_ostream_t**& slot);
+
+} // namespace sailtiller
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
 #include <base/httpstatus.h>
-#include <base/json.h>
+#include <runtime/connectionentry.h>
 #include <runtime/h2oheaders.h>
+#include <runtime/httprejection.h>
 #include <runtime/httpserver.h>
 #include <runtime/socketaddress.h>
 
@@ -53,72 +54,6 @@
     return sum;
 }
 
-const char* advice_for(int status)
-{
-    switch (status) {
-    case 400:
-        return "the request is malformed; send valid HTTP";
-    case 408:
-        return "the request came too slowly; send it again";
-    case 413:
-        return "the body is too large; send a smaller one";
-    case http_status::headers_too_large:
-        return "the headers are too large; send smaller ones";
-    case http_status::internal_error:
-        return "the host failed at this request; operators find the reason in its log";
-    default:
-        return "the server refused the request";
-    }
-}
-
-/// The body for an answer that was made without the handler, in the shape that callers' programs parse.
-std::string error_body_of(int status, const char* outcome)
-{
-    const bool is_ours = status >= http_status::internal_error;
-    const json body = {{"error",
-        {{"message", advice_for(status)}, {"type", is_ours ? "server_error" : "invalid_request_error"},
-            {"code", nullptr}, {"param", nullptr}, {"outcome", outcome}}}};
-    return body.dump();
-}
-
-/// Replaces the body of h2o's own error answers by ours.
-struct rejection_stream
-{
-    h2o_ostream_t super;
-    std::string* body;
-
-    static void send(h2o_ostream_t* self, h2o_req_t* request, h2o_iovec_t*, size_t, h2o_send_state_t state)
-    {
-        const std::string& body = *reinterpret_cast<rejection_stream*>(self)->body;
-        if (state == H2O_SEND_STATE_IN_PROGRESS) {
-            h2o_ostream_send_next(self, request, nullptr, 0, state);
-            return;
-        }
-        h2o_iovec_t buffer = h2o_strdup(&request->pool, body.data(), body.size());
-        h2o_ostream_send_next(self, request, &buffer, 1, state);
-    }
-};
-
-/// Puts our body into an answer that h2o made by itself.
-void set_up_rejection(h2o_req_t* request, h2o_ostream_t**& slot)
-{
-    constexpr int first_error_status = 400;
-    if (request->res.status >= first_error_status) {
-        auto** memory = static_cast<std::string**>(h2o_mem_alloc_shared(&request->pool, sizeof(std::string*),
-            [](void* item) { delete *static_cast<std::string**>(item); }));
-        *memory = new std::string(error_body_of(request->res.status, "not-run"));
-        request->res.content_length = (*memory)->size();
-        const char* type = "application/json";
-        h2o_set_header(
-            &request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, type, std::strlen(type), 1);
-        auto* stream =
-            reinterpret_cast<rejection_stream*>(h2o_add_ostream(request, sizeof(rejection_stream), slot));
-        stream->super.do_send = &rejection_stream::send;
-        stream->body = *memory;
-        slot = &stream->super.next;
-    }
-}
-
 } // namespace
 
 struct http_server::state
@@ -138,8 +73,18 @@
     void reject(http_exchange& exchange, int status, const char* outcome, const std::string& reason);
 
     static int handle(h2o_handler_t* self, h2o_req_t* request);
+    static void filter(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
     static void log(h2o_logger_t* self, h2o_req_t* request);
     static void accept(h2o_socket_t* listener, const char* failure);
+    static void forget(void* data);
+
+    /// Gives the limits to h2o, as far as it knows them.
+    void apply_limits();
+    void schedule_look();
+    /// Closes connections that rest for too long or whose headers take too long.
+    void look_at_connections();
+    [[nodiscard]] bool is_overdue(h2o_socket_t& socket, const connection_entry& entry, time_point now) const;
+    void end_connections();
 
     event_loop& loop;
     http_server_limits limits;
@@ -153,15 +98,6 @@
     std::set<h2o_socket_t*> connections;
     timer_id look_timer = 0;
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
-
-    static void filter(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
-    static void forget(void* data);
-    /// Gives the limits to h2o, as far as it knows them.
-    void apply_limits();
-    void schedule_look();
-    /// Closes connections that rest for too long or whose headers take too long.
-    void look_at_connections();
-    void end_connections();
 };
 
 namespace {
@@ -179,56 +115,6 @@
     void* server;
 };
 
-/// A connection with a way back to the server, for the moment when h2o closes it.
-struct connection_entry
-{
-    void* server = nullptr;
-    h2o_socket_t* socket = nullptr;
-    endpoint peer;
-    bool has_request = false;
-    std::size_t open_requests = 0; ///< handed to the handler and not at their end
-    time_point rests_since{}; ///< its last request ended, or it was opened
-    std::optional<time_point> headers_since; ///< bytes of a request's headers wait for the rest of them
-    bool is_closing = false; ///< this side has closed it
-};
-
-/// The entry of a request's connection, which has now brought a request, so that its end is no event.
-connection_entry& note_request(h2o_req_t* request)
-{
-    h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
-    auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
-    entry.has_request = true;
-    return entry;
-}
-
-/// True if the caller has sent something that is not read or not answered yet.
-bool has_bytes(h2o_socket_t& socket)
-{
-    char byte = 0;
-    return socket.input->size > 0 || recv(h2o_socket_get_fd(&socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-/// True if the headers of a request have begun and not ended; its body waits behind them in the same buffer.
-bool has_open_headers(const h2o_socket_t& socket)
-{
-    const std::string_view bytes(socket.input->bytes, socket.input->size);
-    return !bytes.empty() && bytes.find("\r\n\r\n") == std::string_view::npos;
-}
-
-/// A request that crosses this close is refused as not run.
-void close_connection(h2o_socket_t& socket, connection_entry& entry)
-{
-    entry.is_closing = true;
-    shutdown(h2o_socket_get_fd(&socket), SHUT_RDWR);
-}
-
-endpoint peer_of(h2o_socket_t* socket)
-{
-    socket_address peer;
-    peer.length = h2o_socket_getpeername(socket, peer.pointer());
-    return to_endpoint(peer);
-}
-
 struct server_logger
 {
     h2o_logger_t super;
@@ -304,25 +190,25 @@
     const time_point now = this->loop.now();
     for (h2o_socket_t* socket : this->connections) {
         auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
-        if (entry.open_requests > 0) {
-            entry.headers_since.reset();
-            continue;
-        }
-        if (!has_open_headers(*socket)) {
-            entry.headers_since.reset();
-        } else if (!entry.headers_since) {
-            entry.headers_since = now;
-        }
-        const bool are_headers_late = this->limits.header_time && entry.headers_since
-            && now - *entry.headers_since > *this->limits.header_time;
-        const bool rests_too_long = this->limits.idle_time && !has_bytes(*socket)
-            && now - entry.rests_since > *this->limits.idle_time;
-        if (are_headers_late || rests_too_long) {
+        note_open_headers(*socket, entry, now);
+        if (this->is_overdue(*socket, entry, now)) {
             close_connection(*socket, entry);
         }
     }
 }
 
+bool http_server::state::is_overdue(h2o_socket_t& socket, const connection_entry& entry, time_point now) const
+{
+    if (entry.open_requests > 0) {
+        return false;
+    }
+    const bool are_headers_late = this->limits.header_time && entry.headers_since
+        && now - *entry.headers_since > *this->limits.header_time;
+    const bool rests_too_long =
+        this->limits.idle_time && !has_bytes(socket) && now - entry.rests_since > *this->limits.idle_time;
+    return are_headers_late || rests_too_long;
+}
+
 void http_server::state::reject(
     http_exchange& exchange, int status, const char* outcome, const std::string& reason)
 {
