--- /dev/null
+++ b/src/libs/placement/layercoverage.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <placement/layercoverage.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace sailtiller {
+
+namespace {
+
+/// Worth of one more holder for a layer that has none, one, or more. A layer without a holder stops its hall,
+/// so it goes before any number of others.
+constexpr double uncovered_worth = 1000;
+constexpr double single_worth = 10;
+constexpr double spare_worth = 1;
+/// Worth of a holder that is faster than all others of a layer: the share of its time that a request saves
+/// there. Below the worth of a second holder, above that of a third.
+constexpr double faster_worth = 8;
+/// A lost head can't be replaced within a running stream, so layer 0 is doubled first.
+constexpr double head_worth = 30;
+/// Sums of the same worths in another order differ by less than this.
+constexpr double worth_margin = 1e-9;
+/// A second holder never takes part in giving up a layer's last holder.
+constexpr unsigned least_holders_to_give = 2;
+
+/// Worth of one more holder for a layer that has so many.
+double worth_of_holder(unsigned holders)
+{
+    switch (holders) {
+    case 0:
+        return uncovered_worth;
+    case 1:
+        return single_worth;
+    default:
+        return spare_worth / holders;
+    }
+}
+
+} // namespace
+
+layer_coverage::layer_coverage(unsigned layers)
+    : holders(layers, 0)
+    , costs(layers, std::numeric_limits<double>::infinity())
+{
+}
+
+void layer_coverage::add_holder(const layer_span& span, double cost)
+{
+    for (unsigned layer = span.begin; layer < std::min(span.end, this->count()); ++layer) {
+        ++this->holders[layer];
+        this->costs[layer] = std::min(this->costs[layer], cost);
+    }
+}
+
+void layer_coverage::remove_holder(const layer_span& span)
+{
+    for (unsigned layer = span.begin; layer < std::min(span.end, this->count()); ++layer) {
+        --this->holders[layer];
+    }
+}
+
+double layer_coverage::worth_of(unsigned layer, double cost) const
+{
+    const unsigned holder_count = this->holders[layer];
+    const double saved = holder_count == 0 ? 0 : std::max(0.0, 1 - cost / this->costs[layer]);
+    return worth_of_holder(holder_count) + faster_worth * saved
+        + (layer == 0 && holder_count <= 1 ? head_worth : 0);
+}
+
+layer_span layer_coverage::find_worthiest(unsigned size, double cost) const
+{
+    double sum = 0;
+    for (unsigned layer = 0; layer < size; ++layer) {
+        sum += this->worth_of(layer, cost);
+    }
+    layer_span best{0, size};
+    double most = sum;
+    for (unsigned begin = 1; begin + size <= this->count(); ++begin) {
+        sum += this->worth_of(begin + size - 1, cost) - this->worth_of(begin - 1, cost);
+        if (sum > most + worth_margin) {
+            most = sum;
+            best = {begin, begin + size};
+        }
+    }
+    return best;
+}
+
+layer_span layer_coverage::find_hole(unsigned begin) const
+{
+    layer_span hole{begin, begin};
+    while (hole.begin < this->count() && this->holders[hole.begin] != 0) {
+        ++hole.begin;
+    }
+    hole.end = hole.begin;
+    while (hole.end < this->count() && this->holders[hole.end] == 0) {
+        ++hole.end;
+    }
+    return hole;
+}
+
+bool layer_coverage::has_hole() const
+{
+    return std::find(this->holders.begin(), this->holders.end(), 0U) != this->holders.end();
+}
+
+bool layer_coverage::is_spare(unsigned layer) const
+{
+    return this->holders[layer] >= least_holders_to_give;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/placement/layercoverage.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <directory/upstreamdirectory.h>
+
+#include <vector>
+
+namespace sailtiller {
+
+/// How a group of halls covers the layers: how many engines hold each, and what it costs on the cheapest.
+class layer_coverage
+{
+public:
+    explicit layer_coverage(unsigned layers);
+
+    /// One engine more holds these layers; `cost` is that of each layer there, in milliseconds.
+    void add_holder(const layer_span& span, double cost);
+    /// One engine less holds these layers. What they cost at least is kept.
+    void remove_holder(const layer_span& span);
+    /// The `size` layers for which one more holder with this cost of a layer is worth most.
+    [[nodiscard]] layer_span find_worthiest(unsigned size, double cost) const;
+    /// The first run of layers from `begin` on that nobody holds; empty if there is none.
+    [[nodiscard]] layer_span find_hole(unsigned begin) const;
+    [[nodiscard]] bool has_hole() const;
+    /// True if one holder of the layer may give it up.
+    [[nodiscard]] bool is_spare(unsigned layer) const;
+
+private:
+    [[nodiscard]] unsigned count() const { return static_cast<unsigned>(this->holders.size()); }
+    /// Worth of one more holder for this layer, whose cost there is `cost`.
+    [[nodiscard]] double worth_of(unsigned layer, double cost) const;
+
+    std::vector<unsigned> holders; ///< of each layer
+    std::vector<double> costs; ///< of each layer on its cheapest holder, in milliseconds
+};
+
+} // namespace sailtiller
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <placement/layercost.h>
+#include <placement/layercoverage.h>
 #include <placement/layerplan.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <set>
@@ -11,62 +12,13 @@
 
 namespace {
 
-/// Worth of one more holder for a layer that has none, one, or more. A layer without a holder stops its hall,
-/// so it goes before any number of others.
-constexpr double uncovered_worth = 1000;
-constexpr double single_worth = 10;
-constexpr double spare_worth = 1;
-/// Worth of a holder that is faster than all others of a layer: the share of its time that a request saves
-/// there. Below the worth of a second holder, above that of a third.
-constexpr double faster_worth = 8;
-/// A lost head can't be replaced within a running stream, so layer 0 is doubled first.
-constexpr double head_worth = 30;
 /// Halvings of the range of tokens; after these it is far below one token.
 constexpr int room_search_steps = 40;
 /// Tokens beyond which no more room is looked for; profiles without cache memory would have no end.
 constexpr double most_room_tokens = 1e9;
-/// Sums of the same worths in another order differ by less than this.
-constexpr double worth_margin = 1e-9;
-/// A second holder never takes part in giving up a layer's last holder.
-constexpr unsigned least_holders_to_give = 2;
-
-constexpr double milliseconds_per_second = 1000;
 
 using engine_list = std::vector<const placeable_engine*>;
 
-/// Tokens of a usual request, prompt and answer.
-double usual_tokens(const engine_profile& profile)
-{
-    return profile.usual_prompt_tokens + profile.usual_answer_tokens;
-}
-
-/// Worth of one more holder for a layer that has so many.
-double worth_of_holder(unsigned holders)
-{
-    switch (holders) {
-    case 0:
-        return uncovered_worth;
-    case 1:
-        return single_worth;
-    default:
-        return spare_worth / holders;
-    }
-}
-
-/// Milliseconds that one layer on this card costs a usual request: reading its prompt, the steps of its
-/// answer, and its share of the hop to the next engine, which is dearer on cards with few layers.
-double predict_layer_cost(const engine_profile& profile, const card_kind& card, const placement_aim& aim)
-{
-    const double room_mb = aim.least_requests * usual_tokens(profile) * profile.token_layer_mb();
-    const double layers = std::max(1.0, std::floor(card.memory_mb / (profile.layer_mb + room_mb)));
-    const double prompt_ms = profile.prompt_tokens_per_s <= 0 ? 0
-                                                              : profile.usual_prompt_tokens
-            / profile.prompt_tokens_per_s * milliseconds_per_second * card.prompt_factor;
-    const double step_ms = profile.step_ms * card.step_factor;
-    return (prompt_ms + profile.usual_answer_tokens * step_ms) / profile.layers
-        + profile.usual_answer_tokens * engine_hop_ms / layers;
-}
-
 /// Plans for one group of halls.
 class group_plan
 {
@@ -75,12 +27,10 @@
         : profile(profile)
         , aim(aim)
         , engines(std::move(engines))
-        , holders(profile.layers, 0)
-        , costs(profile.layers, std::numeric_limits<double>::infinity())
+        , coverage(profile.layers)
     {
         for (const placeable_engine* engine : this->engines) {
-            this->count(engine->held, 1);
-            this->note_cost(*engine, engine->held);
+            this->coverage.add_holder(engine->held, this->cost_on(*engine));
         }
         this->token_room = this->choose_room();
     }
@@ -100,13 +50,6 @@
     }
 
 private:
-    void count(const layer_span& span, int change)
-    {
-        for (unsigned layer = span.begin; layer < std::min(span.end, this->profile.layers); ++layer) {
-            this->holders[layer] = static_cast<unsigned>(static_cast<int>(this->holders[layer]) + change);
-        }
-    }
-
     [[nodiscard]] double cost_on(const placeable_engine& engine) const
     {
         const auto card = this->profile.kinds.find(engine.card);
@@ -114,14 +57,6 @@
                                                  : predict_layer_cost(this->profile, card->second, this->aim);
     }
 
-    void note_cost(const placeable_engine& engine, const layer_span& span)
-    {
-        const double cost = this->cost_on(engine);
-        for (unsigned layer = span.begin; layer < std::min(span.end, this->profile.layers); ++layer) {
-            this->costs[layer] = std::min(this->costs[layer], cost);
-        }
-    }
-
     /// Layers that a card holds beside room for that many tokens through all of them.
     [[nodiscard]] unsigned layers_beside(const placeable_engine& engine, double tokens) const
     {
@@ -129,8 +64,7 @@
         if (card == this->profile.kinds.end()) {
             return 0;
         }
-        const double each_mb = this->profile.layer_mb + tokens * this->profile.token_layer_mb();
-        const double fitting = std::floor(card->second.memory_mb / each_mb);
+        const double fitting = count_fitting_layers(this->profile, card->second, tokens);
         return static_cast<unsigned>(std::min<double>(fitting, this->profile.layers));
     }
 
@@ -171,9 +105,8 @@
 
     void place(const placeable_engine& engine, layer_span span)
     {
-        this->count(engine.held, -1);
-        this->count(span, 1);
-        this->note_cost(engine, span);
+        this->coverage.remove_holder(engine.held);
+        this->coverage.add_holder(span, this->cost_on(engine));
         this->steps.push_back({engine.id, span});
         this->moved.insert(engine.id);
     }
@@ -193,61 +126,21 @@
         }
     }
 
-    /// Worth of one more holder for this layer, whose cost there is `cost`.
-    [[nodiscard]] double worth_of(unsigned layer, double cost) const
-    {
-        const unsigned count = this->holders[layer];
-        const double saved = count == 0 ? 0 : std::max(0.0, 1 - cost / this->costs[layer]);
-        return worth_of_holder(count) + faster_worth * saved + (layer == 0 && count <= 1 ? head_worth : 0);
-    }
-
-    [[nodiscard]] layer_span best_span(const placeable_engine& engine, unsigned size) const
-    {
-        const double cost = this->cost_on(engine);
-        double sum = 0;
-        for (unsigned layer = 0; layer < size; ++layer) {
-            sum += this->worth_of(layer, cost);
-        }
-        layer_span best{0, size};
-        double most = sum;
-        for (unsigned begin = 1; begin + size <= this->profile.layers; ++begin) {
-            sum += this->worth_of(begin + size - 1, cost) - this->worth_of(begin - 1, cost);
-            if (sum > most + worth_margin) {
-                most = sum;
-                best = {begin, begin + size};
-            }
-        }
-        return best;
-    }
-
     void fill_empty()
     {
         for (const placeable_engine* engine : this->engines) {
             const unsigned size = this->layers_beside(*engine, this->token_room);
             if (engine->held.is_empty() && size > 0) {
-                this->place(*engine, this->best_span(*engine, size));
+                this->place(*engine, this->coverage.find_worthiest(size, this->cost_on(*engine)));
             }
         }
     }
 
-    /// The first run of layers from `begin` on that nobody holds; empty if there is none.
-    [[nodiscard]] layer_span find_hole(unsigned begin) const
-    {
-        layer_span hole{begin, begin};
-        while (hole.begin < this->profile.layers && this->holders[hole.begin] != 0) {
-            ++hole.begin;
-        }
-        hole.end = hole.begin;
-        while (hole.end < this->profile.layers && this->holders[hole.end] == 0) {
-            ++hole.end;
-        }
-        return hole;
-    }
-
     void extend_into_holes()
     {
         unsigned begin = 0;
-        for (layer_span hole = this->find_hole(begin); !hole.is_empty(); hole = this->find_hole(begin)) {
+        for (layer_span hole = this->coverage.find_hole(begin); !hole.is_empty();
+             hole = this->coverage.find_hole(begin)) {
             this->extend_into(hole);
             begin = hole.end;
         }
@@ -302,7 +195,7 @@
         unsigned count = 0;
         while (count + 1 < engine.held.count()) {
             const unsigned layer = is_to_the_right ? engine.held.begin + count : engine.held.end - 1 - count;
-            if (this->holders[layer] < least_holders_to_give) {
+            if (!this->coverage.is_spare(layer)) {
                 break;
             }
             ++count;
@@ -329,11 +222,6 @@
         return {engine.held.begin - more, engine.held.end - dropped};
     }
 
-    [[nodiscard]] bool has_hole() const
-    {
-        return std::find(this->holders.begin(), this->holders.end(), 0U) != this->holders.end();
-    }
-
     /// True if every layer of this engine has another holder.
     [[nodiscard]] bool can_give_up(const placeable_engine& engine) const
     {
@@ -341,7 +229,7 @@
             return false;
         }
         for (unsigned layer = engine.held.begin; layer < engine.held.end; ++layer) {
-            if (this->holders[layer] < least_holders_to_give) {
+            if (!this->coverage.is_spare(layer)) {
                 return false;
             }
         }
@@ -363,18 +251,23 @@
         return donors;
     }
 
+    /// Where the engine would be worth most if it held nothing.
+    [[nodiscard]] layer_span find_span_anew(const placeable_engine& engine, unsigned size) const
+    {
+        layer_coverage others = this->coverage;
+        others.remove_holder(engine.held);
+        return others.find_worthiest(size, this->cost_on(engine));
+    }
+
     void move_into_holes()
     {
         for (const placeable_engine* engine : this->list_donors()) {
-            if (!this->has_hole()) {
+            if (!this->coverage.has_hole()) {
                 return;
             }
             const unsigned size = this->layers_beside(*engine, this->token_room);
             if (size > 0 && this->can_give_up(*engine)) {
-                this->count(engine->held, -1);
-                const layer_span span = this->best_span(*engine, size);
-                this->count(engine->held, 1);
-                this->place(*engine, span);
+                this->place(*engine, this->find_span_anew(*engine, size));
             }
         }
     }
@@ -382,8 +275,7 @@
     const engine_profile& profile;
     const placement_aim& aim;
     engine_list engines;
-    std::vector<unsigned> holders;
-    std::vector<double> costs; ///< of each layer on its cheapest holder
+    layer_coverage coverage;
     double token_room = 0;
     std::vector<placement_step> steps;
     std::set<upstream_id> moved;
@@ -392,11 +284,10 @@
 bool can_hold_all(const engine_profile& profile, const engine_list& engines, const placement_aim& aim)
 {
     const double tokens = aim.least_requests * usual_tokens(profile);
-    const double each_mb = profile.layer_mb + tokens * profile.token_layer_mb();
     double sum = 0;
     for (const placeable_engine* engine : engines) {
         const auto card = profile.kinds.find(engine->card);
-        sum += card == profile.kinds.end() ? 0 : std::floor(card->second.memory_mb / each_mb);
+        sum += card == profile.kinds.end() ? 0 : count_fitting_layers(profile, card->second, tokens);
     }
     return sum >= profile.layers;
 }
