--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -40,6 +40,24 @@
     return age ? std::to_string(to_milliseconds(*age)) : "never";
 }
 
+using request_times_member = time_histogram_family request_times::*;
+
+/// The histograms that a time up to this moment belongs to.
+request_times_member times_until(request_moment moment)
+{
+    switch (moment) {
+    case request_moment::sent:
+        return &request_times::queue;
+    case request_moment::first_event:
+        return &request_times::first_token;
+    case request_moment::next_event:
+        return &request_times::between_tokens;
+    case request_moment::ended:
+        break;
+    }
+    return &request_times::total;
+}
+
 void write_gauge_header(std::string& out, const std::string& name, const std::string& help)
 {
     out += "# HELP " + name + " " + help + "\n# TYPE " + name + " gauge\n";
@@ -80,24 +98,9 @@
 void site_admin::measure(const delivery_order& order, request_moment moment, duration time)
 {
     const label_value account = order.account ? order.account->value() : "none";
-    const auto record = [&](time_histogram_family request_times::*family) {
-        (this->by_route.*family).record(order.route->name, time);
-        (this->by_account.*family).record(account, time);
-    };
-    switch (moment) {
-    case request_moment::sent:
-        record(&request_times::queue);
-        return;
-    case request_moment::first_event:
-        record(&request_times::first_token);
-        return;
-    case request_moment::next_event:
-        record(&request_times::between_tokens);
-        return;
-    case request_moment::ended:
-        record(&request_times::total);
-        return;
-    }
+    const request_times_member times = times_until(moment);
+    (this->by_route.*times).record(order.route->name, time);
+    (this->by_account.*times).record(account, time);
 }
 
 void site_admin::handle(const std::shared_ptr<http_exchange>& exchange) const
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -37,9 +37,9 @@
 
     /// Records and logs one decision about a request, with the versions and ages of what it rests on.
     void note(const delivery_event& event);
-    /// Counts a change of what this host believes.
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
+    /// Counts a change of what this host believes.
     void note_belief(event_type event) { this->beliefs.add(label_value(name_of(event))); }
     void handle(const std::shared_ptr<http_exchange>& exchange) const;
 
