--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -23,7 +23,7 @@
 /// An engine answers at once; a path that can't be changed in this time is late anyway.
 constexpr duration path_change_limit = milliseconds(80);
 /// An engine answers a probe in two milliseconds, or in ten where links are slow.
-constexpr duration first_probe_limit = milliseconds(32);
+constexpr duration probe_limit = milliseconds(32);
 /// The second of the two sends of a probe goes out if the first has no answer by then.
 constexpr duration second_probe_after = milliseconds(12);
 
@@ -74,11 +74,11 @@
 {
     const auto race = std::make_shared<probe_race>();
     race->on_answer = on_answer;
-    this->send_probe(target, first_probe_limit, &this->connections, race);
+    this->send_probe(target, probe_limit, &this->connections, race);
     // One lost packet must not condemn an upstream, so a second connection is tried besides.
     this->loop.schedule_after(second_probe_after, [this, target, race] {
         if (race->on_answer) {
-            this->send_probe(target, first_probe_limit - second_probe_after, nullptr, race);
+            this->send_probe(target, probe_limit - second_probe_after, nullptr, race);
         }
     });
 }
