--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -12,7 +12,6 @@
 #include <runtime/programsettings.h>
 #include <runtime/textfile.h>
 
-#include <cmath>
 #include <csignal>
 
 namespace sailtiller {
@@ -43,11 +42,6 @@
 constexpr duration settings_look_interval = std::chrono::seconds(1);
 /// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
-/// An upstream over which this host's streams moved within this time is there, whatever another host says:
-/// a sound stream has an event every 10 to 50 ms.
-constexpr duration moved_lately = milliseconds(80);
-/// A change of an engine's pace that is worth a line in the log.
-constexpr double pace_margin = 0.5;
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 
@@ -64,7 +58,8 @@
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
     , link(this->loop)
-    , watch({}, this->make_watch_hooks())
+    , health(this->loop, this->link, this->knowledge.upstreams(), this->loads,
+          delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
     , duties(this->loop, this->store, this->settings.self)
@@ -89,59 +84,22 @@
         [this](const path_change& change, const std::function<void(const path_change_answer&)>& on_answer) {
             this->link.send_path_change(change, on_answer);
         },
-        this->watch, this->knowledge.upstreams(), this->loads, this->retries, this->pipes, this->random,
-        this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
+        this->health.stream_watch(), this->knowledge.upstreams(), this->loads, this->retries, this->pipes,
+        this->random, this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
         [this](const delivery_event& event) { this->admin.note(event); }, {},
         [this](const delivery_order& order, request_moment moment, duration time) {
             this->admin.measure(order, moment, time);
         }};
 }
 
-void site_host::probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer)
+upstream_health_hooks site_host::make_health_hooks()
 {
-    const directory_entry* entry = this->knowledge.upstreams().find(id);
-    if (entry == nullptr) {
-        this->loop.post([on_answer] { on_answer(std::nullopt); });
-        return;
-    }
-    this->link.probe(entry->upstream.address, [on_answer](const std::optional<engine_report>& report) {
-        on_answer(report ? std::optional(report->pace) : std::nullopt);
-    });
-}
-
-stall_watch_hooks site_host::make_watch_hooks()
-{
-    stall_watch_hooks hooks;
-    hooks.timers = this->loop.hooks();
-    hooks.probe = [this](const upstream_id& id, const std::function<void(std::optional<double>)>& on_answer) {
-        this->probe(id, on_answer);
-    };
-    hooks.on_dead = [this](const upstream_id& id) {
-        const time_point now = this->loop.now();
-        const bool is_news = this->loads.of(id).failed_until <= now;
-        this->admin.note_belief(is_news ? event_type::upstream_dead : event_type::upstream_still_dead);
-        log_event(is_news ? log_level::warning : log_level::debug, event_type::upstream_dead,
-            {{"peer", id.value()}});
-        this->loads.suspend(id, now + this->context.settings.death_suspension);
-        this->gateway.leave_upstream(id);
-    };
-    hooks.on_alive = [this](const upstream_id& id, double pace) { this->take_pace(id, pace); };
+    upstream_health_hooks hooks;
+    hooks.on_belief = [this](event_type event) { this->admin.note_belief(event); };
+    hooks.on_dead = [this](const upstream_id& id) { this->gateway.leave_upstream(id); };
     return hooks;
 }
 
-void site_host::take_pace(const upstream_id& id, double pace)
-{
-    const part_load& known = this->loads.of(id);
-    const bool was_dead = known.has_failed(this->loop.now());
-    const bool is_news = was_dead || std::abs(known.pace - pace) > pace_margin;
-    log_event(is_news ? log_level::info : log_level::debug, event_type::upstream_alive,
-        {{"peer", id.value()}, {"pace", std::to_string(pace)}});
-    if (was_dead) {
-        this->loads.resume(id);
-    }
-    this->loads.set_pace(id, pace);
-}
-
 keyed_follower_hooks site_host::make_follower_hooks()
 {
     keyed_follower_hooks hooks;
@@ -207,17 +165,10 @@
     site_peers_hooks hooks;
     hooks.fill_report = [this](peer_report& report, const peer_report* asker) {
         this->knowledge.fill_report(report, asker);
-        this->report_loads(report);
-    };
-    hooks.take_report = [this](const peer_report& report) {
-        const time_point now = this->loop.now();
-        for (const upstream_suspicion& item : report.suspicions) {
-            // Streams that move over it say that only the other host can't reach it.
-            if (!this->watch.has_moved(item.id, now - moved_lately)) {
-                this->loads.suspend_on_word(item.id, now + item.left);
-            }
-        }
+        this->report_work(report);
+        this->health.report_suspicions(report);
     };
+    hooks.take_report = [this](const peer_report& report) { this->health.take_suspicions(report); };
     hooks.take_answer = [this](const peer_report& answer, time_point asked) {
         this->knowledge.take_answer(answer, asked);
         if (this->knowledge.upstreams_end()) {
@@ -229,16 +180,12 @@
     return hooks;
 }
 
-void site_host::report_loads(peer_report& report) const
+void site_host::report_work(peer_report& report) const
 {
     for (const auto& [id, load] : this->loads.all()) {
         if (load.requests > 0) {
             report.work.push_back({id, load.token_layers, load.requests});
         }
-        const duration left = load.failed_until - this->loop.now();
-        if (left > duration::zero()) {
-            report.suspicions.push_back({id, left});
-        }
     }
 }
 
@@ -324,7 +271,7 @@
         return this->knowledge.upstreams().find(id) != nullptr;
     };
     this->loads.forget_idle(is_known);
-    this->watch.forget(is_known);
+    this->health.forget(is_known);
     this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
@@ -385,7 +332,7 @@
     this->upstream_follower.start();
     this->duties.start();
     this->look_at_layers();
-    this->watch.start();
+    this->health.start();
     if (this->settings.file) {
         this->look_at_settings_file();
     }
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -5,6 +5,7 @@
 #include "siteadmin.h"
 #include "siteduties.h"
 #include "sitepeers.h"
+#include "upstreamhealth.h"
 #include "upstreamlink.h"
 
 #include <gateway/gatewayservice.h>
@@ -29,10 +30,7 @@
 
 private:
     delivery_context make_delivery_context();
-    stall_watch_hooks make_watch_hooks();
-    void probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer);
-    /// An engine gave a sign of life and runs so many times slower than it should.
-    void take_pace(const upstream_id& id, double pace);
+    upstream_health_hooks make_health_hooks();
     keyed_follower_hooks make_follower_hooks();
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
@@ -43,8 +41,8 @@
     keyed_follower make_bundle_follower();
     keyed_follower make_upstream_follower();
     site_peers_hooks make_peers_hooks();
-    /// Adds this host's work at the upstreams, and which of them it keeps away from.
-    void report_loads(peer_report& report) const;
+    /// Adds this host's work at the upstreams.
+    void report_work(peer_report& report) const;
     /// Takes over how many hosts live and what the others' requests hold at the upstreams.
     void take_round(const host_table& hosts);
     /// True if this host is one of those that read the store for all.
@@ -74,7 +72,7 @@
     retry_allowance retries;
     pipe_meter pipes;
     upstream_link link;
-    stall_watch watch;
+    upstream_health health;
     delivery_context context;
     gateway_service gateway;
     site_duties duties;
--- /dev/null
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "upstreamlink.h"
+
+#include <base/eventtype.h>
+#include <directory/upstreamdirectory.h>
+#include <fleet/peerreport.h>
+#include <health/stallwatch.h>
+#include <routing/partloads.h>
+
+namespace sailtiller {
+
+/// What the health of the upstreams tells the rest of its host.
+struct upstream_health_hooks
+{
+    /// An upstream is believed dead, newly or still.
+    std::function<void(event_type)> on_belief;
+    /// An upstream is dead: the streams over it must leave it.
+    std::function<void(const upstream_id&)> on_dead;
+};
+
+/// What a site's host believes of its upstreams: which are dead and how slowly the others run, by its own
+/// streams and probes, and on the word of the other hosts.
+class upstream_health
+{
+public:
+    /// Nothing new goes to a dead upstream for `death_suspension` after each probe without answer.
+    upstream_health(event_loop& loop, upstream_link& link, const upstream_directory& upstreams,
+        part_loads& loads, duration death_suspension, upstream_health_hooks hooks);
+
+    /// Begins to look at the streams; goes on by itself.
+    void start();
+    /// The watch over this host's streams.
+    [[nodiscard]] stall_watch& stream_watch() { return this->watch; }
+    /// Forgets upstreams that no longer exist.
+    void forget(const std::function<bool(const upstream_id&)>& is_known);
+    /// Adds the upstreams that failed this host's requests.
+    void report_suspicions(peer_report& report) const;
+    /// Takes over which upstreams failed another host's requests.
+    void take_suspicions(const peer_report& report);
+
+private:
+    stall_watch_hooks make_watch_hooks();
+    void probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer);
+    /// An engine gave no sign of life.
+    void take_death(const upstream_id& id);
+    /// An engine gave a sign of life and runs so many times slower than it should.
+    void take_pace(const upstream_id& id, double pace);
+
+    event_loop& loop;
+    upstream_link& link;
+    const upstream_directory& upstreams;
+    part_loads& loads;
+    duration death_suspension;
+    upstream_health_hooks hooks;
+    stall_watch watch;
+};
+
+} // namespace sailtiller
