--- /dev/null
+++ b/src/libs/delivery/pathchanges.cpp
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/pathchanges.h>
+#include <delivery/pathuse.h>
+
+namespace sailtiller {
+
+bool path_changes::may_take_one_more() const
+{
+    return this->taken < this->context.settings.most_changes;
+}
+
+void path_changes::ask(const request_id& request, const layer_path& next,
+    std::function<void(const path_change_answer&)> on_answer)
+{
+    path_change change;
+    change.head = next.front().id;
+    change.address = next.front().address;
+    change.request = request;
+    change.path = list_stops(next);
+    this->is_unanswered = true;
+    this->context.change_path(change, std::move(on_answer));
+}
+
+void path_changes::schedule(duration pause, std::function<void()> try_again)
+{
+    this->timer = this->context.timers.schedule_after(pause, std::move(try_again));
+}
+
+void path_changes::cancel()
+{
+    this->context.timers.cancel(this->timer);
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/delivery/pathchanges.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <delivery/deliverycontext.h>
+
+#include <functional>
+
+namespace sailtiller {
+
+/// The changes of path that one running stream asks its engines for: one at a time, and only so many for one
+/// failure.
+class path_changes
+{
+public:
+    explicit path_changes(delivery_context& context)
+        : context(context)
+    {
+    }
+
+    /// True from an ask until its answer.
+    [[nodiscard]] bool is_asking() const { return this->is_unanswered; }
+    /// True while the present failure may take one change more.
+    [[nodiscard]] bool may_take_one_more() const;
+    /// The present failure takes one change more.
+    void take_one() { ++this->taken; }
+    /// An event came, so the failure is over.
+    void note_progress() { this->taken = 0; }
+    /// Asks the first engine of `next` to lead the request over it.
+    void ask(const request_id& request, const layer_path& next,
+        std::function<void(const path_change_answer&)> on_answer);
+    /// The answer came, or the stream no longer waits for it.
+    void end_ask() { this->is_unanswered = false; }
+    /// Runs `try_again` after the pause, unless it is cancelled.
+    void schedule(duration pause, std::function<void()> try_again);
+    void cancel();
+
+private:
+    delivery_context& context;
+    bool is_unanswered = false;
+    unsigned taken = 0; ///< since the last event
+    timer_id timer = 0;
+};
+
+} // namespace sailtiller
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -17,6 +17,7 @@
     , pace(this->order.arrived)
     , last_event(this->order.request.last_event)
     , sends(context.settings)
+    , changes(context)
 {
 }
 
@@ -67,7 +68,7 @@
     }
     this->path.begin(std::move(found));
     this->sends.note_sent();
-    this->is_changing_path = false;
+    this->changes.end_ask();
     this->state = phase::waiting;
     this->answer = {};
     this->other_body.clear();
@@ -107,20 +108,20 @@
     this->avoided.insert(id);
     if (this->path.head().id == id) {
         this->leave_head();
-    } else if (!this->is_changing_path) {
+    } else if (!this->changes.is_asking()) {
         this->change_path();
     }
 }
 
 void stream_delivery::leave_given_up_layers()
 {
-    const bool may_change = this->state == phase::streaming && !this->is_changing_path;
+    const bool may_change = this->state == phase::streaming && !this->changes.is_asking();
     if (!may_change || !this->path.outlives_layers()) {
         return;
     }
     std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.parts());
     if (next && !this->crosses_more(*next)) {
-        this->ask_for_path(std::move(*next));
+        this->ask_for_path(*next);
     }
 }
 
@@ -144,7 +145,7 @@
 /// Leads the running request around the upstreams that it avoids.
 void stream_delivery::change_path()
 {
-    const bool may_change = this->is_under_way() && !this->is_changing_path;
+    const bool may_change = this->is_under_way() && !this->changes.is_asking();
     if (!may_change || !this->path.passes_any(this->avoided)) {
         return;
     }
@@ -157,19 +158,18 @@
         this->fail_over("a part of its path is dead and has no other holder in its hall");
         return;
     }
-    if (next && this->changes < this->context.settings.most_changes) {
-        ++this->changes;
-        this->ask_for_path(std::move(*next));
+    if (next && this->changes.may_take_one_more()) {
+        this->changes.take_one();
+        this->ask_for_path(*next);
         return;
     }
-    this->context.timers.cancel(this->change_timer);
+    this->changes.cancel();
     this->schedule_change(this->context.settings.change_pause);
 }
 
 void stream_delivery::schedule_change(duration pause)
 {
-    this->change_timer = this->context.timers.schedule_after(
-        pause, [self = this->shared_from_this()] { self->change_path(); });
+    this->changes.schedule(pause, [self = this->shared_from_this()] { self->change_path(); });
 }
 
 bool stream_delivery::may_resume_elsewhere() const
@@ -180,19 +180,13 @@
         && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
 }
 
-void stream_delivery::ask_for_path(layer_path next)
+void stream_delivery::ask_for_path(const layer_path& next)
 {
-    path_change change;
-    change.head = next.front().id;
-    change.address = next.front().address;
-    change.request = this->order.request.id;
-    change.path = list_stops(next);
-    this->is_changing_path = true;
-    this->context.change_path(change,
+    this->changes.ask(this->order.request.id, next,
         [self = this->shared_from_this(), number = this->call.number(), next](
             const path_change_answer& result) {
             if (self->call.number() == number && self->state != phase::done) {
-                self->is_changing_path = false;
+                self->changes.end_ask();
                 self->take_path_answer(next, result);
             }
         });
@@ -276,7 +270,7 @@
         text += event.text;
         this->last_event = event.id ? event.id : this->last_event;
     }
-    this->changes = 0;
+    this->changes.note_progress();
     this->path.note_progress();
     this->measure_event();
     this->pace.note_passed(whole.size(), this->context.timers.now(), this->path.parts());
@@ -444,7 +438,7 @@
 void stream_delivery::release_path()
 {
     this->path.release();
-    this->context.timers.cancel(this->change_timer);
+    this->changes.cancel();
 }
 
 void stream_delivery::end()
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -4,6 +4,7 @@
 #include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
 #include <delivery/eventsplitter.h>
+#include <delivery/pathchanges.h>
 #include <delivery/pathuse.h>
 #include <delivery/streampace.h>
 #include <delivery/streamsends.h>
@@ -40,7 +41,7 @@
     /// True if that path crosses from hall to hall more often than the present one.
     [[nodiscard]] bool crosses_more(const layer_path& next) const;
     [[nodiscard]] bool may_resume_elsewhere() const;
-    void ask_for_path(layer_path next);
+    void ask_for_path(const layer_path& next);
     void take_path_answer(layer_path next, const path_change_answer& result);
     void avoid_fault(const layer_path& refused, const endpoint& at_fault);
     void send_on(layer_path found);
@@ -81,9 +82,7 @@
     stream_sends sends;
     unsigned runs = 0; ///< calls that an upstream has begun
     bool has_started = false; ///< the caller has the head of the answer
-    bool is_changing_path = false;
-    unsigned changes = 0; ///< of the path, since the last event
-    timer_id change_timer = 0;
+    path_changes changes;
     timer_id search_timer = 0;
 };
 
