--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -10,7 +10,6 @@
 #include <platform/wirestore.h>
 #include <platform/wireupstream.h>
 #include <runtime/programsettings.h>
-#include <runtime/textfile.h>
 
 #include <csignal>
 
@@ -38,8 +37,6 @@
 constexpr duration own_upstream_read_age = milliseconds(1500);
 /// The same for the bundle, in tenths of a wait.
 constexpr int own_bundle_read_tenths = 26;
-/// The platform may change the settings file without a signal.
-constexpr duration settings_look_interval = std::chrono::seconds(1);
 /// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
@@ -71,6 +68,7 @@
           [this](const std::shared_ptr<http_exchange>& exchange) { this->gateway.handle(exchange); })
     , admin_server(this->loop, this->settings.limits, std::nullopt,
           [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
+    , settings_file(this->loop, [this] { this->reload(); })
 {
 }
 
@@ -334,7 +332,7 @@
     this->look_at_layers();
     this->health.start();
     if (this->settings.file) {
-        this->look_at_settings_file();
+        this->settings_file.start(*this->settings.file);
     }
     while (!this->loop.is_stopped()) {
         this->run_turn();
@@ -379,21 +377,6 @@
     }
 }
 
-void site_host::look_at_settings_file()
-{
-    this->loop.schedule_after(settings_look_interval, [this] { this->look_at_settings_file(); });
-    try {
-        std::string text = read_text_file(*this->settings.file);
-        if (text != this->settings_text) {
-            this->settings_text = std::move(text);
-            this->reload();
-        }
-    } catch (const error& unreadable) {
-        log_event(log_level::warning, event_type::settings_file_unreadable,
-            {{"step", unreadable.step()}, {"peer", unreadable.peer()}, {"reason", unreadable.reason()}});
-    }
-}
-
 void site_host::begin_stop()
 {
     if (this->is_stopping) {
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "settingswatch.h"
 #include "siteadmin.h"
 #include "siteduties.h"
 #include "sitepeers.h"
@@ -55,8 +56,6 @@
     void take_signal(int number);
     /// Reads the settings again and takes over what may change while the process runs.
     void reload();
-    /// Reloads once the settings file has other content than before.
-    void look_at_settings_file();
     void begin_stop();
     void finish_stop_when_idle();
 
@@ -82,8 +81,7 @@
     site_admin admin;
     http_server callers;
     http_server admin_server;
-    /// Of the settings file when it was last read; empty at first, as it may have changed since the start.
-    std::string settings_text;
+    settings_watch settings_file;
     bool is_stopping = false;
     time_point stop_limit{};
     int exit_code = 0;
