--- a/src/libs/bundle/sitebundle.cpp
+++ b/src/libs/bundle/sitebundle.cpp
@@ -16,6 +16,12 @@
     return this->layers == 0 ? 0 : this->token_bytes / this->layers / bytes_per_mb;
 }
 
+const card_kind* engine_profile::find_card(const std::string& card) const
+{
+    const auto found = this->kinds.find(card);
+    return found == this->kinds.end() ? nullptr : &found->second;
+}
+
 void site_bundle::build_index()
 {
     this->routes_by_host.clear();
--- a/src/libs/bundle/sitebundle.h
+++ b/src/libs/bundle/sitebundle.h
@@ -82,6 +82,8 @@
 
     /// Cache memory in MB of one token in one layer.
     [[nodiscard]] double token_layer_mb() const;
+    /// The kind of card with that name; null if the profile doesn't know it.
+    [[nodiscard]] const card_kind* find_card(const std::string& card) const;
 };
 
 /// Upstreams of one service.
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -52,19 +52,19 @@
 private:
     [[nodiscard]] double cost_on(const placeable_engine& engine) const
     {
-        const auto card = this->profile.kinds.find(engine.card);
-        return card == this->profile.kinds.end() ? std::numeric_limits<double>::infinity()
-                                                 : predict_layer_cost(this->profile, card->second, this->aim);
+        const card_kind* card = this->profile.find_card(engine.card);
+        return card == nullptr ? std::numeric_limits<double>::infinity()
+                               : predict_layer_cost(this->profile, *card, this->aim);
     }
 
     /// Layers that a card holds beside room for that many tokens through all of them.
     [[nodiscard]] unsigned layers_beside(const placeable_engine& engine, double tokens) const
     {
-        const auto card = this->profile.kinds.find(engine.card);
-        if (card == this->profile.kinds.end()) {
+        const card_kind* card = this->profile.find_card(engine.card);
+        if (card == nullptr) {
             return 0;
         }
-        const double fitting = count_fitting_layers(this->profile, card->second, tokens);
+        const double fitting = count_fitting_layers(this->profile, *card, tokens);
         return static_cast<unsigned>(std::min<double>(fitting, this->profile.layers));
     }
 
@@ -286,8 +286,8 @@
     const double tokens = aim.least_requests * usual_tokens(profile);
     double sum = 0;
     for (const placeable_engine* engine : engines) {
-        const auto card = profile.kinds.find(engine->card);
-        sum += card == profile.kinds.end() ? 0 : count_fitting_layers(profile, card->second, tokens);
+        const card_kind* card = profile.find_card(engine->card);
+        sum += card == nullptr ? 0 : count_fitting_layers(profile, *card, tokens);
     }
     return sum >= profile.layers;
 }
@@ -318,8 +318,8 @@
 void sort_engines(const engine_profile& profile, engine_list& engines, const placement_aim& aim)
 {
     const auto cost_of = [&profile, &aim](const placeable_engine* engine) {
-        const auto card = profile.kinds.find(engine->card);
-        return card == profile.kinds.end() ? 0 : predict_layer_cost(profile, card->second, aim);
+        const card_kind* card = profile.find_card(engine->card);
+        return card == nullptr ? 0 : predict_layer_cost(profile, *card, aim);
     };
     std::sort(engines.begin(), engines.end(),
         [&cost_of](const placeable_engine* left, const placeable_engine* right) {
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -124,8 +124,8 @@
 
     void add_candidate(const discovered_upstream& upstream, const part_load& load, const upstream_use& use)
     {
-        const auto card = this->profile.kinds.find(upstream.card);
-        if (upstream.service != this->question.service || card == this->profile.kinds.end()) {
+        const card_kind* card = this->profile.find_card(upstream.card);
+        if (upstream.service != this->question.service || card == nullptr) {
             return;
         }
         candidate item;
@@ -137,10 +137,9 @@
         if (item.runs.is_empty()) {
             return;
         }
-        item.kept_layer_ms = predict_steps_ms(this->profile, card->second, use, this->question);
-        item.layer_ms = item.kept_layer_ms
-            + predict_prompt_ms(this->profile, card->second, use, this->question)
-            + price_room(this->profile, card->second, upstream, use, this->question);
+        item.kept_layer_ms = predict_steps_ms(this->profile, *card, use, this->question);
+        item.layer_ms = item.kept_layer_ms + predict_prompt_ms(this->profile, *card, use, this->question)
+            + price_room(this->profile, *card, upstream, use, this->question);
         this->candidates.push_back(item);
     }
 
@@ -282,8 +281,8 @@
     double layers = 0; // weighed by how slowly each card reads
     for (const path_part& part : path) {
         const directory_entry* entry = directory.find(part.id);
-        const auto card = entry == nullptr ? profile.kinds.end() : profile.kinds.find(entry->upstream.card);
-        layers += part.span.count() * (card == profile.kinds.end() ? 1 : card->second.prompt_factor);
+        const card_kind* card = entry == nullptr ? nullptr : profile.find_card(entry->upstream.card);
+        layers += part.span.count() * (card == nullptr ? 1 : card->prompt_factor);
     }
     const double seconds = prompt_tokens / profile.prompt_tokens_per_s * layers / profile.layers;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
@@ -319,11 +318,11 @@
     double fullest = 0;
     for (const path_part& part : path) {
         const directory_entry* entry = directory.find(part.id);
-        const auto card = entry == nullptr ? profile.kinds.end() : profile.kinds.find(entry->upstream.card);
-        if (card != profile.kinds.end()) {
+        const card_kind* card = entry == nullptr ? nullptr : profile.find_card(entry->upstream.card);
+        if (card != nullptr) {
             fullest = std::max(fullest,
-                share_in_use(profile, card->second, entry->upstream, use_of(loads, part.id),
-                    tokens * part.span.count()));
+                share_in_use(
+                    profile, *card, entry->upstream, use_of(loads, part.id), tokens * part.span.count()));
         }
     }
     return fullest;
