--- a/src/libs/base/eventtype.h
+++ b/src/libs/base/eventtype.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <string_view>
 
 namespace sailtiller {
@@ -83,6 +84,8 @@
     event_type::path_changed, event_type::path_failed, event_type::refused, event_type::refused_at_entry,
     event_type::refused_by_upstream, event_type::request_failed, event_type::request_refused,
     event_type::sent, event_type::time_limit, event_type::upstream_failed};
+static_assert(all_event_types.size() == static_cast<std::size_t>(event_type::upstream_failed) + 1,
+    "each event type stands in the list, and the last one is the last of the enumeration");
 
 /// As it stands in the log: lower case, with underscores.
 std::string_view name_of(event_type event);
--- a/src/libs/delivery/pathchanges.cpp
+++ b/src/libs/delivery/pathchanges.cpp
@@ -23,6 +23,7 @@
 
 void path_changes::schedule(duration pause, std::function<void()> try_again)
 {
+    this->cancel();
     this->timer = this->context.timers.schedule_after(pause, std::move(try_again));
 }
 
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -314,6 +314,18 @@
     return groups;
 }
 
+/// The engines with what they hold of the model: an engine's own word may name layers beyond it.
+std::vector<placeable_engine> bound_to_model(
+    const engine_profile& profile, const std::vector<placeable_engine>& engines)
+{
+    std::vector<placeable_engine> bounded = engines;
+    for (placeable_engine& engine : bounded) {
+        engine.held.end = std::min(engine.held.end, profile.layers);
+        engine.held = engine.held.is_empty() ? layer_span() : engine.held;
+    }
+    return bounded;
+}
+
 /// The same order on every host: cheapest cards first, so that the first copy of the layers lies on them.
 void sort_engines(const engine_profile& profile, engine_list& engines, const placement_aim& aim)
 {
@@ -334,8 +346,9 @@
 std::vector<placement_step> plan_layers(
     const engine_profile& profile, const std::vector<placeable_engine>& engines, const placement_aim& aim)
 {
+    const std::vector<placeable_engine> bounded = bound_to_model(profile, engines);
     std::vector<placement_step> steps;
-    for (engine_list& group : split_into_groups(profile, engines, aim)) {
+    for (engine_list& group : split_into_groups(profile, bounded, aim)) {
         sort_engines(profile, group, aim);
         const std::vector<placement_step> own = group_plan(profile, aim, std::move(group)).run();
         steps.insert(steps.end(), own.begin(), own.end());
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -136,6 +136,17 @@
     }
 }
 
+TEST_F(layer_plan_test, layers_beyond_the_models_are_passed_over)
+{
+    // An entry is the engine's own word; whatever it says, the plan is for the model's 16 layers.
+    this->plan({make_engine("a", "x", "big", {4, 40}), make_engine("b", "x", "big", {4, 16}),
+        make_engine("c", "x", "big", {4, 16})});
+    for (const placement_step& step : this->steps) {
+        EXPECT_LE(step.span.end, this->profile.layers);
+    }
+    EXPECT_FALSE(this->steps.empty()) << "layers 0 to 4 have no holder";
+}
+
 TEST_F(layer_plan_test, a_sound_placement_stays_as_it_is)
 {
     this->plan({make_engine("a", "x", "big", {0, 8}), make_engine("b", "x", "big", {8, 16}),
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -254,6 +254,7 @@
         (layer_span{3, 9}));
     EXPECT_EQ(codec.decode_report({404, {}, "not here"}).pace, 1) << "a plain service knows no reports";
     EXPECT_THROW((void)codec.decode_report({200, {}, "{"}), error);
+    EXPECT_THROW((void)codec.decode_report({200, {}, R"({"layers":{"from":9,"target-version":3}})"}), error);
     EXPECT_THROW((void)codec.decode_report({200, {}, R"({"pace":"fast"})"}), error);
 }
 
