--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -163,7 +163,6 @@
         this->ask_for_path(*next);
         return;
     }
-    this->changes.cancel();
     this->schedule_change(this->context.settings.change_pause);
 }
 
