Site, Fleet: of two words on what an engine holds the newer one counts

Cause: while the store is away hosts tell each other what engines told them; a host took a peer's older word over its own newer one, and the two went on to exchange their words for as long as the store stayed away. Change: each word carries its age, and an older one is passed over. The test fails without the mend.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -96,7 +96,7 @@
     hooks.on_belief = [this](event_type event) { this->admin.note_belief(event); };
     hooks.on_dead = [this](const upstream_id& id) { this->gateway.leave_upstream(id); };
     hooks.on_held = [this](const upstream_id& id, const layer_span& held) {
-        this->knowledge.note_held(id, held);
+        this->knowledge.note_held(id, held, this->loop.now());
     };
     return hooks;
 }
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -72,7 +72,7 @@
 {
     json list = json::array();
     for (const engine_holding& item : report.holdings) {
-        list.push_back(json::array({item.id.value(), item.begin, item.end}));
+        list.push_back(json::array({item.id.value(), item.begin, item.end, item.age.count()}));
     }
     return list;
 }
@@ -100,8 +100,9 @@
             duration(suspicion.at(1).get<duration::rep>())});
     }
     for (const json& holding : item.at("holdings")) {
-        report.holdings.push_back({upstream_id(holding.at(0).get<std::string>()),
-            holding.at(1).get<unsigned>(), holding.at(2).get<unsigned>()});
+        report.holdings.push_back(
+            {upstream_id(holding.at(0).get<std::string>()), holding.at(1).get<unsigned>(),
+                holding.at(2).get<unsigned>(), duration(holding.at(3).get<duration::rep>())});
     }
     for (const json& host : item.at("hosts")) {
         report.hosts.push_back(read_host(host));
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -41,6 +41,7 @@
     upstream_id id;
     unsigned begin = 0;
     unsigned end = 0; ///< exclusive
+    duration age{}; ///< since it told so
 };
 
 /// One change of an upstream's entry, as it lies in the store.
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -142,16 +142,27 @@
     return age && *age > this->settings.entries_limit;
 }
 
-void site_knowledge::note_held(const upstream_id& id, const layer_span& held)
+void site_knowledge::note_held(const upstream_id& id, const layer_span& held, time_point told)
 {
     const directory_entry* entry = this->directory.find(id);
-    if (entry == nullptr || !this->are_entries_old() || entry->upstream.held == held) {
+    if (entry == nullptr || !this->are_entries_old()) {
+        return;
+    }
+    const auto known = this->told_holdings.find(id);
+    const bool is_newer = known == this->told_holdings.end() || told > known->second.told;
+    if (!is_newer) {
+        return;
+    }
+    if (entry->upstream.held == held) {
+        if (known != this->told_holdings.end()) {
+            known->second.told = told;
+        }
         return;
     }
     discovered_upstream upstream = entry->upstream;
     upstream.held = held;
     this->directory.put(upstream, this->hooks.now());
-    this->told_holdings[id] = held;
+    this->told_holdings[id] = {held, told};
     this->hooks.on_event(event_type::upstream_changed, id.value(),
         upstream.address.value() + " by its own report " + std::to_string(held.begin) + "-"
             + std::to_string(held.end));
@@ -182,8 +193,8 @@
         report.entries_offset = this->mirror.end()->value();
     }
     report.store_disturbed_age = age_of(this->directory.store_disturbed_at(), now);
-    for (const auto& [id, held] : this->told_holdings) {
-        report.holdings.push_back({id, held.begin, held.end});
+    for (const auto& [id, holding] : this->told_holdings) {
+        report.holdings.push_back({id, holding.held.begin, holding.held.end, now - holding.told});
     }
     if (asker == nullptr) {
         return;
@@ -218,7 +229,7 @@
     }
     this->take_entries(answer, asked);
     for (const engine_holding& holding : answer.holdings) {
-        this->note_held(holding.id, {holding.begin, holding.end});
+        this->note_held(holding.id, {holding.begin, holding.end}, asked - holding.age);
     }
 }
 
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -59,8 +59,9 @@
     void take_all_upstreams(const std::vector<keyed_record>& records, log_offset end);
     /// All that the store had of the upstreams at `asked` has been taken.
     void confirm_upstreams(time_point asked);
-    /// An engine told what it holds. Believed while the entries are too old to say.
-    void note_held(const upstream_id& id, const layer_span& held);
+    /// An engine told at `told` what it holds. Believed while the entries are too old to say, unless a newer
+    /// word is known.
+    void note_held(const upstream_id& id, const layer_span& held, time_point told);
     /// True while the store tells nobody what becomes of the upstreams.
     [[nodiscard]] bool are_entries_old() const;
     /// A call to the store failed.
@@ -105,7 +106,13 @@
     std::optional<time_point> bundle_confirmed;
     upstream_directory directory;
     record_mirror mirror;
-    std::map<upstream_id, layer_span> told_holdings; ///< by engines, since the entries are too old
+    /// An engine's own word.
+    struct told_holding
+    {
+        layer_span held;
+        time_point told{};
+    };
+    std::map<upstream_id, told_holding> told_holdings; ///< since the entries are too old
     std::optional<time_point> upstreams_confirmed;
     std::optional<time_point> own_disturbed; ///< when a call of this host to the store last failed
 };
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -147,6 +147,7 @@
     report.changes = {{"k", "v"}, {"gone", std::nullopt}};
     report.work = {{upstream_id("u"), 1000, 4}};
     report.suspicions = {{upstream_id("s"), 300ms}};
+    report.holdings = {{upstream_id("h"), 3, 9, 250ms}};
     report.hosts = {make_host("c", "y")};
     const peer_report read = decode_peer_report(encode_peer_report(report));
     EXPECT_EQ(read.sender, report.sender);
@@ -158,6 +159,11 @@
     EXPECT_FALSE(read.entries_age.has_value());
     EXPECT_EQ(*read.store_disturbed_age, duration(7ms));
     EXPECT_TRUE(read.are_entries_whole);
+    ASSERT_EQ(read.holdings.size(), 1U);
+    EXPECT_EQ(read.holdings[0].id.value(), "h");
+    EXPECT_EQ(read.holdings[0].begin, 3U);
+    EXPECT_EQ(read.holdings[0].end, 9U);
+    EXPECT_EQ(read.holdings[0].age, duration(250ms));
     ASSERT_EQ(read.changes.size(), 2U);
     EXPECT_EQ(*read.changes[0].value, "v");
     EXPECT_FALSE(read.changes[1].value.has_value());
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -79,12 +79,12 @@
     const auto held_by = [](const test_host& host) {
         return host.knowledge.upstreams().find(upstream_id("a"))->upstream.held;
     };
-    this->first.knowledge.note_held(upstream_id("a"), {0, 8});
+    this->first.knowledge.note_held(upstream_id("a"), {0, 8}, this->now);
     EXPECT_TRUE(held_by(this->first).is_empty()) << "the entries are fresh, so they say it";
     this->now += 2s;
     EXPECT_TRUE(this->first.knowledge.are_entries_old());
-    this->first.knowledge.note_held(upstream_id("a"), {0, 8});
-    this->first.knowledge.note_held(upstream_id("unknown"), {0, 8});
+    this->first.knowledge.note_held(upstream_id("a"), {0, 8}, this->now);
+    this->first.knowledge.note_held(upstream_id("unknown"), {0, 8}, this->now);
     EXPECT_EQ(held_by(this->first), (layer_span{0, 8}));
     this->exchange(this->second, this->first);
     EXPECT_EQ(held_by(this->second), (layer_span{0, 8}));
@@ -98,6 +98,26 @@
     EXPECT_TRUE(held_by(this->first).is_empty());
 }
 
+TEST_F(site_knowledge_test, of_two_words_on_what_an_engine_holds_the_newer_one_counts)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
+    this->first.knowledge.confirm_upstreams(this->now);
+    this->exchange(this->second, this->first);
+    this->now += 2s;
+    this->first.knowledge.note_held(upstream_id("a"), {0, 8}, this->now);
+    this->exchange(this->second, this->first);
+    this->now += 100ms;
+    this->first.knowledge.note_held(upstream_id("a"), {4, 12}, this->now);
+    // The other host still tells the older word.
+    this->exchange(this->first, this->second);
+    const layer_span newer{4, 12};
+    EXPECT_EQ(this->first.knowledge.upstreams().find(upstream_id("a"))->upstream.held, newer);
+    this->exchange(this->second, this->first);
+    this->exchange(this->first, this->second);
+    EXPECT_EQ(this->first.knowledge.upstreams().find(upstream_id("a"))->upstream.held, newer);
+    EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a"))->upstream.held, newer);
+}
+
 TEST_F(site_knowledge_test, the_version_never_falls)
 {
     this->first.knowledge.take_bundle_record({"config", "7"});
