--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -133,11 +133,8 @@
 
 void stream_delivery::leave_head()
 {
-    if (!this->order.route->may_repeat()) {
-        ++this->runs;
-    } else if (this->state == phase::streaming) {
-        --this->runs; // it has ended with the engine, so another one may begin where it stood
-    }
+    // An engine that answers no probe may be alive behind a bad link, so its run counts all the same.
+    this->runs += this->state == phase::waiting ? 1 : 0;
     this->call.end();
     this->fail_over("the first engine of its path is dead");
 }
--- a/src/libs/store/recordmirror.cpp
+++ b/src/libs/store/recordmirror.cpp
@@ -49,9 +49,27 @@
             item = {std::nullopt, last};
         }
     }
+    this->note_skipped(end);
     this->advance(end);
 }
 
+void record_mirror::note_skipped(log_offset end)
+{
+    if (!this->known_end) {
+        this->complete_from = end;
+        return;
+    }
+    const bool had_gap = this->gap_begin < this->gap_end;
+    this->gap_begin = had_gap ? this->gap_begin : *this->known_end;
+    this->gap_end = std::max(this->gap_end, end);
+}
+
+bool record_mirror::is_complete_since(log_offset offset) const
+{
+    const bool is_in_gap = this->gap_begin < offset && offset < this->gap_end;
+    return offset >= this->complete_from && !is_in_gap;
+}
+
 void record_mirror::advance(log_offset end)
 {
     this->known_end = std::max(end, this->known_end.value_or(end));
@@ -60,7 +78,7 @@
 record_mirror::difference record_mirror::since(const std::optional<log_offset>& offset) const
 {
     difference result;
-    result.is_whole = !offset || *offset < this->complete_from;
+    result.is_whole = !offset || !this->is_complete_since(*offset);
     for (const auto& [key, item] : this->entries) {
         const bool is_new = result.is_whole ? item.value.has_value() : item.changed >= *offset;
         if (is_new) {
--- a/src/libs/store/recordmirror.h
+++ b/src/libs/store/recordmirror.h
@@ -41,10 +41,16 @@
     };
 
     void forget_removals();
+    /// A list up to `end` was read, without the changes that led there.
+    void note_skipped(log_offset end);
+    [[nodiscard]] bool is_complete_since(log_offset offset) const;
 
     std::map<std::string, entry> entries;
     std::optional<log_offset> known_end;
     log_offset complete_from; ///< changes before this are not all known
+    /// Nor are those between these two, which a list skipped: records that came and went there.
+    log_offset gap_begin;
+    log_offset gap_end;
 };
 
 } // namespace sailtiller
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -355,6 +355,24 @@
     EXPECT_EQ(this->changes.size(), 1U);
 }
 
+TEST_F(stream_delivery_test, heads_that_are_called_dead_count_as_upstreams_that_ran_it)
+{
+    // A probe without answer may be the link's fault, and the engine may go on with the request.
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    auto delivery = this->start_streaming(1);
+    for (unsigned run = 1; run <= 2; ++run) {
+        delivery->leave_upstream(
+            upstream_id(find_header(this->last_send().message.headers, "target").value()));
+        if (this->sends.size() > run) {
+            give_head(this->last_send(), 200, signed_head());
+            this->last_send().handlers.on_body(events(run, run + 1));
+        }
+    }
+    EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
+    EXPECT_TRUE(this->caller.is_aborted);
+}
+
 TEST_F(stream_delivery_test, a_late_word_about_a_former_call_changes_nothing)
 {
     auto delivery = this->start_streaming(2);
--- a/tests/auto/store/tst_recordmirror.cpp
+++ b/tests/auto/store/tst_recordmirror.cpp
@@ -51,6 +51,18 @@
     EXPECT_EQ(mirror.end()->value(), 20U);
 }
 
+TEST(record_mirror, a_list_does_not_tell_what_was_removed_before_it)
+{
+    record_mirror mirror;
+    mirror.replace({{"a", "1"}}, log_offset(10));
+    EXPECT_TRUE(mirror.since(log_offset(8)).is_whole) << "that one may know a record that is gone by now";
+    EXPECT_FALSE(mirror.since(log_offset(10)).is_whole);
+    mirror.replace({{"a", "1"}}, log_offset(20));
+    EXPECT_TRUE(mirror.since(log_offset(15)).is_whole) << "added and removed between the two lists";
+    EXPECT_FALSE(mirror.since(log_offset(10)).is_whole);
+    EXPECT_FALSE(mirror.since(log_offset(20)).is_whole);
+}
+
 TEST(record_mirror, forgets_old_removals_and_then_tells_everything)
 {
     record_mirror mirror;
