Health: suspects are looked for only while some stream is silent

Change: a look returns at once unless a stream is due or has been silent for as long as joint silence takes; both kinds of suspicion need such a stream, so what is suspected stays the same.

--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -64,8 +64,21 @@
     return last_moved;
 }
 
+bool stall_watch::is_any_silent(time_point now) const
+{
+    return std::any_of(this->streams.begin(), this->streams.end(), [this, now](const auto& item) {
+        const watched_stream& stream = item.second;
+        const bool has_begun = stream.last_event != time_point{};
+        return stream.due <= now
+            || (has_begun && now - stream.last_event >= this->settings.joint_stall_after);
+    });
+}
+
 std::set<upstream_id> stall_watch::find_suspects(time_point now) const
 {
+    if (!this->is_any_silent(now)) {
+        return {}; // nearly always, at a hundred looks a second
+    }
     const std::map<upstream_id, time_point> last_moved = this->list_last_moves(now);
     std::set<upstream_id> suspects;
     for (const auto& [key, stream] : this->streams) {
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -93,6 +93,8 @@
     [[nodiscard]] std::set<upstream_id> find_suspects(time_point now) const;
 
 private:
+    /// True if some stream is without an event for so long that an upstream may be suspected at all.
+    [[nodiscard]] bool is_any_silent(time_point now) const;
     void look();
     /// When each upstream of the streams that don't stand still had its last event; nothing came if it is
     /// zero.
