Health: suspicion adapts to the gaps seen, and a verdict needs a second sign

Cause: a stream counted as standing still after 90 ms (65 jointly) and a probe as unanswered after 32 ms, times of one deployment.

Change: silence_model learns gaps against the predicted time of a token (mean and deviation as RFC 6298), capped at half of the pause that callers are promised. upstream_probes judges by the answer times it saw, in time in which the own loop ran, and only after a sign of life from some other upstream; it has a budget for host and fleet, and two hosts go on probing a dead or slow upstream for all. told_deaths believes a death on the word of two hosts. Answers to probes travel with the reports.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -57,7 +57,7 @@
     , retries(this->settings.store->retries)
     , link(this->loop)
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads,
-          delivery_settings().death_suspension, this->make_health_hooks())
+          this->settings.self, delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
     , duties(this->loop, this->store, this->settings.self)
@@ -168,11 +168,11 @@
     hooks.fill_report = [this](peer_report& report, const peer_report* asker) {
         this->knowledge.fill_report(report, asker);
         this->report_work(report);
-        this->health.report_suspicions(report);
+        this->health.fill_report(report);
     };
     hooks.take_report = [this](const peer_report& report) {
         this->bundles.note_holder(report.sender, report.bundle_version);
-        this->health.take_suspicions(report);
+        this->health.take_report(report);
     };
     hooks.give_bundle = [this] { return this->bundles.give(); };
     hooks.take_answer = [this](const peer_report& answer, time_point asked) {
@@ -217,8 +217,10 @@
 void site_host::take_round(const host_table& hosts)
 {
     const time_point now = this->loop.now();
-    this->retries.set_live_hosts(hosts.live_count(now));
-    this->pipes.set_live_hosts(hosts.live_count(now));
+    const std::vector<known_host> live = hosts.live_hosts(now);
+    this->retries.set_live_hosts(live.size());
+    this->pipes.set_live_hosts(live.size());
+    this->health.set_live_hosts(live);
     std::map<upstream_id, upstream_share> shares;
     for (const auto& [id, work] : hosts.sum_work(now)) {
         shares[id] = {work.token_layers, work.requests};
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -1,28 +1,33 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "upstreamhealth.h"
 
+#include <fleet/ownership.h>
 #include <runtime/eventlog.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace sailtiller {
 
 namespace {
 
-/// An upstream over which this host's streams moved within this time is there, whatever another host says:
-/// a sound stream has an event every 10 to 50 ms.
-constexpr duration moved_lately = std::chrono::milliseconds(80);
+/// Hosts that go on probing a dead or slow upstream for all others: a second one covers the time until the
+/// first is missed.
+constexpr std::size_t watcher_count = 2;
+/// How long an answer to a probe is told to other hosts: some rounds of reports.
+constexpr duration answer_told_time = std::chrono::milliseconds(1500);
 /// A change of an engine's pace that is worth a line in the log.
 constexpr double pace_margin = 0.5;
 
 } // namespace
 
 upstream_health::upstream_health(event_loop& loop, upstream_link& link, const upstream_directory& upstreams,
-    part_loads& loads, duration death_suspension, upstream_health_hooks hooks)
+    part_loads& loads, host_id self, duration death_suspension, upstream_health_hooks hooks)
     : loop(loop)
     , link(link)
     , upstreams(upstreams)
     , loads(loads)
+    , self(std::move(self))
     , death_suspension(death_suspension)
     , hooks(std::move(hooks))
     , watch({}, this->make_watch_hooks())
@@ -42,26 +47,66 @@
 void upstream_health::forget(const std::function<bool(const upstream_id&)>& is_known)
 {
     this->watch.forget(is_known);
+    this->told.forget(is_known);
+    const time_point now = this->loop.now();
+    std::erase_if(this->answers, [now](const auto& item) { return now - item.second.at > answer_told_time; });
+}
+
+void upstream_health::set_live_hosts(const std::vector<known_host>& hosts)
+{
+    this->live_hosts.clear();
+    for (const known_host& host : hosts) {
+        this->live_hosts.push_back(host.id);
+    }
+    this->told.set_live_hosts(hosts.size());
+    this->watch.prober().set_live_hosts(hosts.size());
 }
 
-void upstream_health::report_suspicions(peer_report& report) const
+bool upstream_health::is_watcher(const upstream_id& id) const
 {
+    const std::vector<host_id> ranked = rank_owners(id.value(), this->live_hosts);
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(watcher_count, ranked.size()));
+    return ranked.empty() || std::find(ranked.begin(), end, this->self) != end;
+}
+
+void upstream_health::fill_report(peer_report& report) const
+{
+    const time_point now = this->loop.now();
     for (const auto& [id, load] : this->loads.all()) {
-        const duration left = load.failed_until - this->loop.now();
+        const duration left = load.failed_until - now;
         if (left > duration::zero()) {
             report.suspicions.push_back({id, left});
         }
     }
+    for (const auto& [id, answer] : this->answers) {
+        if (now - answer.at <= answer_told_time) {
+            report.signs.push_back({id, answer.pace, now - answer.at});
+        }
+    }
 }
 
-void upstream_health::take_suspicions(const peer_report& report)
+void upstream_health::take_report(const peer_report& report)
 {
-    const time_point now = this->loop.now();
     for (const upstream_suspicion& item : report.suspicions) {
-        // Streams that move over it say that only the other host can't reach it.
-        if (!this->watch.has_moved(item.id, now - moved_lately)) {
-            this->loads.suspend_on_word(item.id, now + item.left);
-        }
+        this->take_suspicion(item, report.sender.id);
+    }
+    const time_point now = this->loop.now();
+    for (const upstream_sign& sign : report.signs) {
+        this->told.clear(sign.id);
+        this->watch.prober().note_told_alive(sign.id, sign.pace, now - sign.age);
+    }
+}
+
+void upstream_health::take_suspicion(const upstream_suspicion& item, const host_id& teller)
+{
+    // Streams that move over it say that only the other host can't reach it.
+    if (this->watch.is_moving(item.id)) {
+        return;
+    }
+    const time_point now = this->loop.now();
+    if (const std::optional<time_point> until = this->told.note(item.id, teller, now + item.left, now)) {
+        this->loads.suspend_on_word(item.id, *until);
+        this->watch.prober().note_told_dead(item.id);
     }
 }
 
@@ -73,11 +118,34 @@
                             const std::function<void(std::optional<double>)>& on_answer) {
         this->probe(id, on_answer);
     };
+    watch_hooks.find_other = [this](const upstream_id& id) { return this->find_other(id); };
+    watch_hooks.is_watcher = [this](const upstream_id& id) { return this->is_watcher(id); };
     watch_hooks.on_dead = [this](const upstream_id& id) { this->take_death(id); };
     watch_hooks.on_alive = [this](const upstream_id& id, double pace) { this->take_pace(id, pace); };
     return watch_hooks;
 }
 
+std::optional<upstream_id> upstream_health::find_other(const upstream_id& id) const
+{
+    const time_point now = this->loop.now();
+    const directory_entry* own = this->upstreams.find(id);
+    std::optional<upstream_id> other;
+    for (const auto& [name, entry] : this->upstreams.entries()) {
+        const bool may_answer = name != id && !entry.upstream.held.is_empty() && !entry.is_lapsed
+            && !entry.upstream.is_leaving && !this->loads.of(name).has_failed(now)
+            && !this->watch.is_dead(name);
+        if (!may_answer) {
+            continue;
+        }
+        other = name;
+        // Better one that shares no hall with it, as a hall may fall dark as a whole.
+        if (own == nullptr || entry.upstream.data_hall != own->upstream.data_hall) {
+            return other;
+        }
+    }
+    return other;
+}
+
 void upstream_health::probe(
     const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer)
 {
@@ -86,15 +154,24 @@
         this->loop.post([on_answer] { on_answer(std::nullopt); });
         return;
     }
-    this->link.probe(
-        entry->upstream.address, [this, id, on_answer](const std::optional<engine_report>& report) {
-            if (report && report->held) {
-                this->hooks.on_held(id, *report->held);
+    this->link.probe(entry->upstream.address, this->watch.prober().answer_limit() / 2,
+        [this, id, on_answer](const std::optional<engine_report>& report) {
+            if (report) {
+                this->note_answer(id, *report);
             }
             on_answer(report ? std::optional(report->pace) : std::nullopt);
         });
 }
 
+void upstream_health::note_answer(const upstream_id& id, const engine_report& report)
+{
+    this->answers[id] = {report.pace, this->loop.now()};
+    this->told.clear(id);
+    if (report.held) {
+        this->hooks.on_held(id, *report.held);
+    }
+}
+
 void upstream_health::take_death(const upstream_id& id)
 {
     const time_point now = this->loop.now();
--- a/src/app/sailtillerd/upstreamhealth.h
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -7,6 +7,7 @@
 #include <directory/upstreamdirectory.h>
 #include <fleet/peerreport.h>
 #include <health/stallwatch.h>
+#include <health/tolddeaths.h>
 #include <routing/partloads.h>
 
 namespace sailtiller {
@@ -29,7 +30,7 @@
 public:
     /// Nothing new goes to a dead upstream for `death_suspension` after each probe without answer.
     upstream_health(event_loop& loop, upstream_link& link, const upstream_directory& upstreams,
-        part_loads& loads, duration death_suspension, upstream_health_hooks hooks);
+        part_loads& loads, host_id self, duration death_suspension, upstream_health_hooks hooks);
 
     /// Begins to look at the streams; goes on by itself.
     void start();
@@ -39,14 +40,22 @@
     void ask(const upstream_id& id);
     /// Forgets upstreams that no longer exist.
     void forget(const std::function<bool(const upstream_id&)>& is_known);
-    /// Adds the upstreams that failed this host's requests.
-    void report_suspicions(peer_report& report) const;
-    /// Takes over which upstreams failed another host's requests.
-    void take_suspicions(const peer_report& report);
+    /// The hosts that live, this one included, in the order of their names.
+    void set_live_hosts(const std::vector<known_host>& hosts);
+    /// Adds the upstreams that failed this host's requests, and those that answered its probes lately.
+    void fill_report(peer_report& report) const;
+    /// Takes over which upstreams failed another host's requests, and which answered its probes.
+    void take_report(const peer_report& report);
 
 private:
     stall_watch_hooks make_watch_hooks();
     void probe(const upstream_id& id, const std::function<void(std::optional<double> pace)>& on_answer);
+    /// An engine's own report came.
+    void note_answer(const upstream_id& id, const engine_report& report);
+    /// Some upstream other than this one that is believed to be alive.
+    [[nodiscard]] std::optional<upstream_id> find_other(const upstream_id& id) const;
+    [[nodiscard]] bool is_watcher(const upstream_id& id) const;
+    void take_suspicion(const upstream_suspicion& item, const host_id& teller);
     /// An engine gave no sign of life.
     void take_death(const upstream_id& id);
     /// An engine gave a sign of life and runs so many times slower than it should.
@@ -56,9 +65,19 @@
     upstream_link& link;
     const upstream_directory& upstreams;
     part_loads& loads;
+    host_id self;
     duration death_suspension;
     upstream_health_hooks hooks;
     stall_watch watch;
+    told_deaths told;
+    /// An upstream's last answer to a probe of this host.
+    struct answered_probe
+    {
+        double pace = 1;
+        time_point at{};
+    };
+    std::map<upstream_id, answered_probe> answers; ///< of the last moments
+    std::vector<host_id> live_hosts;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -22,10 +22,8 @@
 constexpr duration order_answer_limit = milliseconds(800);
 /// An engine answers at once; a path that can't be changed in this time is late anyway.
 constexpr duration path_change_limit = milliseconds(80);
-/// An engine answers a probe in two milliseconds, or in ten where links are slow.
-constexpr duration probe_limit = milliseconds(32);
-/// The second of the two sends of a probe goes out if the first has no answer by then.
-constexpr duration second_probe_after = milliseconds(12);
+/// An answer that comes after the verdict still revives the upstream; beyond this, nothing is waited for.
+constexpr duration probe_limit = milliseconds(1000);
 
 } // namespace
 
@@ -69,16 +67,16 @@
     }
 }
 
-void upstream_link::probe(
-    const endpoint& target, const std::function<void(const std::optional<engine_report>&)>& on_answer)
+void upstream_link::probe(const endpoint& target, duration second_after,
+    const std::function<void(const std::optional<engine_report>&)>& on_answer)
 {
     const auto race = std::make_shared<probe_race>();
     race->on_answer = on_answer;
     this->send_probe(target, probe_limit, &this->connections, race);
     // One lost packet must not condemn an upstream, so a second connection is tried besides.
-    this->loop.schedule_after(second_probe_after, [this, target, race] {
+    this->loop.schedule_after(second_after, [this, target, second_after, race] {
         if (race->on_answer) {
-            this->send_probe(target, probe_limit - second_probe_after, nullptr, race);
+            this->send_probe(target, probe_limit - second_after, nullptr, race);
         }
     });
 }
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -20,9 +20,10 @@
     /// Asks an engine to lead a running request over another path.
     void send_path_change(
         const path_change& change, const std::function<void(const path_change_answer&)>& on_answer);
-    /// Asks for a sign of life: tells the upstream's report, or nothing if none came.
-    void probe(
-        const endpoint& target, const std::function<void(const std::optional<engine_report>&)>& on_answer);
+    /// Asks for a sign of life: tells the upstream's report, or nothing if none came. A question without
+    /// answer after `second_after` goes out once more, over a connection of its own.
+    void probe(const endpoint& target, duration second_after,
+        const std::function<void(const std::optional<engine_report>&)>& on_answer);
     /// Tells an engine which layers to hold.
     void send_order(const layer_order& order, const std::function<void(order_result)>& on_result);
 
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -79,10 +79,6 @@
     duration look_interval = std::chrono::milliseconds(100);
     /// Told to callers that are refused while a layer has no holder: about the time of one load.
     duration retry_after = std::chrono::milliseconds(1000);
-    /// On top of twice the predicted time to read the prompt, until a first event counts as missing.
-    duration first_event_slack = std::chrono::milliseconds(120);
-    /// A changed path must read what the lost part knew; until then the stream is not late.
-    duration change_slack = std::chrono::milliseconds(100);
     /// Pause before another path is looked for, when none avoids what is dead.
     duration change_pause = std::chrono::milliseconds(40);
     /// Changes of path that one failure may take.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -68,10 +68,16 @@
     return are_pipes_free && fullest <= this->context.settings.most_share;
 }
 
-duration path_chooser::predict_reading(const layer_path& path) const
+stream_expectation path_chooser::expect(const layer_path& path) const
 {
-    return predict_prompt_time(
-        *this->profile(), this->context.directory, path, this->order.request.prompt_tokens);
+    const engine_profile& profile = *this->profile();
+    stream_expectation expected;
+    expected.reading =
+        predict_prompt_time(profile, this->context.directory, path, this->order.request.prompt_tokens);
+    expected.token = predict_token_time(profile, this->context.directory, this->context.loads, path);
+    expected.first_objective = this->order.route->latency_objective;
+    expected.longest_pause = this->order.route->longest_pause;
+    return expected;
 }
 
 double path_chooser::crossing_bits() const
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -23,8 +23,8 @@
         const std::set<upstream_id>& avoided, const layer_path& present = {}) const;
     /// True if neither an engine of the path nor a pipe between its halls is too full for the request.
     [[nodiscard]] bool has_room(const layer_path& path) const;
-    /// Time to read the prompt over the path.
-    [[nodiscard]] duration predict_reading(const layer_path& path) const;
+    /// What the path leads one to expect of the stream over it.
+    [[nodiscard]] stream_expectation expect(const layer_path& path) const;
     /// Tokens of the prompt and of the expected answer.
     [[nodiscard]] double expected_tokens() const;
     /// What the prompt moves through each pipe that the path crosses.
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -9,9 +9,7 @@
 {
     this->path = std::move(next);
     this->add_work();
-    const duration reading = this->chooser.predict_reading(this->path);
-    this->watch_key = this->context.watch.add(this->list_ids(),
-        this->context.timers.now() + 2 * reading + this->context.settings.first_event_slack);
+    this->watch_key = this->context.watch.add(this->list_ids(), this->chooser.expect(this->path));
 }
 
 void path_use::change(layer_path next)
@@ -19,9 +17,7 @@
     this->subtract_work();
     this->path = std::move(next);
     this->add_work();
-    const duration reading = this->chooser.predict_reading(this->path);
-    this->context.watch.change_path(*this->watch_key, this->list_ids(),
-        this->context.timers.now() + reading + this->context.settings.change_slack);
+    this->context.watch.change_path(*this->watch_key, this->list_ids(), this->chooser.expect(this->path));
 }
 
 void path_use::note_begun()
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -68,6 +68,15 @@
     return list;
 }
 
+json write_signs(const peer_report& report)
+{
+    json list = json::array();
+    for (const upstream_sign& item : report.signs) {
+        list.push_back(json::array({item.id.value(), item.pace, item.age.count()}));
+    }
+    return list;
+}
+
 json write_holdings(const peer_report& report)
 {
     json list = json::array();
@@ -99,6 +108,10 @@
         report.suspicions.push_back({upstream_id(suspicion.at(0).get<std::string>()),
             duration(suspicion.at(1).get<duration::rep>())});
     }
+    for (const json& sign : item.at("signs")) {
+        report.signs.push_back({upstream_id(sign.at(0).get<std::string>()), sign.at(1).get<double>(),
+            duration(sign.at(2).get<duration::rep>())});
+    }
     for (const json& holding : item.at("holdings")) {
         report.holdings.push_back(
             {upstream_id(holding.at(0).get<std::string>()), holding.at(1).get<unsigned>(),
@@ -115,12 +128,11 @@
 {
     return to_cbor({{"sender", write_host(report.sender)}, {"leaving", report.is_leaving},
         {"version", report.bundle_version}, {"bundle_age", write_age(report.bundle_age)},
-        {"offset", write_optional(report.entries_offset)},
-        {"entries_age", write_age(report.entries_age)},
+        {"offset", write_optional(report.entries_offset)}, {"entries_age", write_age(report.entries_age)},
         {"disturbed_age", write_age(report.store_disturbed_age)}, {"whole", report.are_entries_whole},
         {"changes", write_changes(report)}, {"work", write_work(report)},
-        {"suspicions", write_suspicions(report)}, {"holdings", write_holdings(report)},
-        {"hosts", write_hosts(report)}});
+        {"suspicions", write_suspicions(report)}, {"signs", write_signs(report)},
+        {"holdings", write_holdings(report)}, {"hosts", write_hosts(report)}});
 }
 
 peer_report decode_peer_report(const std::string& bytes)
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -35,6 +35,14 @@
     duration left{};
 };
 
+/// An upstream that answered a host's probe.
+struct upstream_sign
+{
+    upstream_id id;
+    double pace = 1; ///< how many times slower than it should it runs
+    duration age{}; ///< since the answer
+};
+
 /// Layers that an engine holds by its own word, while its entry can't be read.
 struct engine_holding
 {
@@ -65,6 +73,7 @@
     std::vector<entry_change> changes; ///< only for one who knows less
     std::vector<upstream_work> work;
     std::vector<upstream_suspicion> suspicions;
+    std::vector<upstream_sign> signs; ///< of upstreams that were dead or are slow; only the latest
     std::vector<engine_holding> holdings; ///< that differ from the entries; only while the store is away
     std::vector<known_host> hosts; ///< that the sender has heard lately
 };
--- /dev/null
+++ b/src/libs/health/silencemodel.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <health/silencemodel.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+/// Where a route promises nothing: a quarter of a second is where a reader takes a pause for an end.
+constexpr duration unpromised_pause = std::chrono::milliseconds(250);
+constexpr duration unpromised_first = std::chrono::milliseconds(500);
+/// The predicted time of a token is at least this, so that a profile without step times divides nothing by
+/// zero.
+constexpr duration least_token = std::chrono::microseconds(100);
+/// Deviations beyond which a first event counts as missing; as for gaps between events.
+constexpr double missing_deviations = 4;
+
+double token_us(const stream_expectation& expected)
+{
+    return static_cast<double>(std::max(expected.token, least_token).count());
+}
+
+duration to_duration(double microseconds)
+{
+    return duration(static_cast<duration::rep>(microseconds));
+}
+
+duration first_objective(const stream_expectation& expected)
+{
+    return expected.first_objective > duration::zero() ? expected.first_objective : unpromised_first;
+}
+
+} // namespace
+
+duration silence_model::most_silence(const stream_expectation& expected)
+{
+    return (expected.longest_pause > duration::zero() ? expected.longest_pause : unpromised_pause) / 2;
+}
+
+running_estimate silence_model::expect_gap(const stream_expectation& expected) const
+{
+    if (!this->gap_ratio.has_value()) {
+        // Nothing was seen yet: the longest silence is waited for.
+        const auto most = static_cast<double>(most_silence(expected).count());
+        return {most / 2, most / 4};
+    }
+    const double token = token_us(expected);
+    return {this->gap_ratio.mean() * token, this->gap_ratio.deviation() * token};
+}
+
+void silence_model::note_gap(const stream_expectation& expected, duration gap)
+{
+    this->gap_ratio.note(static_cast<double>(gap.count()) / token_us(expected));
+}
+
+duration silence_model::first_event_limit(const stream_expectation& expected) const
+{
+    const duration objective = first_objective(expected);
+    const duration excess = this->first_excess.has_value()
+        ? to_duration(std::max(0.0, this->first_excess.bound(missing_deviations)))
+        : objective / 4;
+    // A long prompt is waited for; beyond that, half of the objective is left for another path.
+    return std::min(expected.reading + excess, std::max(objective / 2, 2 * expected.reading));
+}
+
+void silence_model::note_first_event(const stream_expectation& expected, duration wait)
+{
+    this->first_excess.note(static_cast<double>((wait - expected.reading).count()));
+}
+
+} // namespace sailtiller
--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -5,43 +5,121 @@
 
 namespace sailtiller {
 
-stall_watch::stall_watch(stall_watch_settings settings, stall_watch_hooks hooks)
+namespace {
+
+bool passes(const watched_stream& stream, const upstream_id& id)
+{
+    return std::find(stream.parts.begin(), stream.parts.end(), id) != stream.parts.end();
+}
+
+bool has_begun(const watched_stream& stream)
+{
+    return stream.last_event != time_point{};
+}
+
+/// True of a stream that has events on its present path and is silent for so long that it counts with others.
+bool is_jointly_silent(const watched_stream& stream, time_point now)
+{
+    return has_begun(stream) && stream.joint_due <= now;
+}
+
+} // namespace
+
+stall_watch::stall_watch(stall_watch_settings settings, stall_watch_hooks given)
     : settings(settings)
-    , hooks(std::move(hooks))
+    , hooks(std::move(given))
+    , probes(settings.probes, this->make_probe_hooks())
 {
 }
 
+upstream_probe_hooks stall_watch::make_probe_hooks()
+{
+    upstream_probe_hooks item;
+    item.timers = this->hooks.timers;
+    item.send = this->hooks.probe;
+    item.find_other = this->hooks.find_other;
+    item.has_moved = [this](const upstream_id& id, time_point since) { return this->has_moved(id, since); };
+    item.has_other_moved = [this](const upstream_id& id, time_point since) {
+        return std::any_of(this->streams.begin(), this->streams.end(), [&id, since](const auto& stream) {
+            return stream.second.last_event >= since && !passes(stream.second, id);
+        });
+    };
+    item.is_watcher = this->hooks.is_watcher;
+    item.on_dead = this->hooks.on_dead;
+    item.on_alive = this->hooks.on_alive;
+    return item;
+}
+
 void stall_watch::start()
 {
     this->last_look = this->hooks.timers.now();
     this->hooks.timers.schedule_after(this->settings.look_interval, [this] { this->look(); });
 }
 
-stall_watch::stream_key stall_watch::add(std::vector<upstream_id> parts, time_point first_due)
+stall_watch::stream_key stall_watch::add(std::vector<upstream_id> parts, const stream_expectation& expected)
 {
+    const time_point now = this->hooks.timers.now();
     ++this->last_key;
-    this->streams[this->last_key] = {std::move(parts), first_due, this->hooks.timers.now(), {}};
+    watched_stream& stream = this->streams[this->last_key];
+    stream.parts = std::move(parts);
+    stream.expected = expected;
+    stream.gap = this->model.expect_gap(expected);
+    stream.since = now;
+    stream.due = now + this->model.first_event_limit(expected);
+    stream.joint_due = stream.due;
     return this->last_key;
 }
 
+void stall_watch::expect_next_event(watched_stream& stream, time_point now) const
+{
+    const duration most = silence_model::most_silence(stream.expected);
+    const duration least = std::min(most, this->settings.least_silent_looks * this->settings.look_interval);
+    const double mean = stream.gap.mean();
+    const double spread = std::max(stream.gap.deviation(), mean * this->settings.least_spread);
+    const auto silence = [&](double deviations) {
+        return std::clamp(duration(static_cast<duration::rep>(mean + deviations * spread)), least, most);
+    };
+    stream.due = now + silence(this->settings.silent_deviations);
+    stream.joint_due = now + silence(this->settings.joint_deviations);
+}
+
 void stall_watch::note_progress(stream_key key)
 {
     const auto found = this->streams.find(key);
-    if (found != this->streams.end()) {
-        const time_point now = this->hooks.timers.now();
-        found->second.since = now;
-        found->second.last_event = now;
-        found->second.due = now + this->settings.stall_after;
+    if (found == this->streams.end()) {
+        return;
+    }
+    watched_stream& stream = found->second;
+    const time_point now = this->hooks.timers.now();
+    if (!has_begun(stream)) {
+        this->model.note_first_event(stream.expected, now - stream.since);
+    } else if (stream.is_gap_usual) {
+        stream.gap.note(static_cast<double>((now - stream.last_event).count()));
+        this->model.note_gap(stream.expected, now - stream.last_event);
     }
+    stream.is_gap_usual = true;
+    stream.since = now;
+    stream.last_event = now;
+    this->expect_next_event(stream, now);
 }
 
-void stall_watch::change_path(stream_key key, std::vector<upstream_id> parts, time_point due)
+void stall_watch::change_path(
+    stream_key key, std::vector<upstream_id> parts, const stream_expectation& expected)
 {
     const auto found = this->streams.find(key);
-    if (found != this->streams.end()) {
-        found->second.parts = std::move(parts);
-        found->second.due = due;
+    if (found == this->streams.end()) {
+        return;
     }
+    watched_stream& stream = found->second;
+    const time_point now = this->hooks.timers.now();
+    stream.parts = std::move(parts);
+    stream.expected = expected;
+    stream.gap = this->model.expect_gap(expected);
+    stream.is_gap_usual = false;
+    this->expect_next_event(stream, now);
+    // The new parts read what the lost ones knew, between the work of others: twice the time of an idle path.
+    stream.due += 2 * expected.reading;
+    stream.joint_due = stream.due;
 }
 
 void stall_watch::remove(stream_key key)
@@ -66,12 +144,14 @@
 
 bool stall_watch::is_any_silent(time_point now) const
 {
-    return std::any_of(this->streams.begin(), this->streams.end(), [this, now](const auto& item) {
-        const watched_stream& stream = item.second;
-        const bool has_begun = stream.last_event != time_point{};
-        return stream.due <= now
-            || (has_begun && now - stream.last_event >= this->settings.joint_stall_after);
-    });
+    std::size_t jointly = 0;
+    for (const auto& [key, stream] : this->streams) {
+        jointly += is_jointly_silent(stream, now) ? 1 : 0;
+        if (stream.due <= now || jointly >= this->settings.least_joint_streams) {
+            return true;
+        }
+    }
+    return false;
 }
 
 std::set<upstream_id> stall_watch::find_suspects(time_point now) const
@@ -100,23 +180,25 @@
 {
     struct part_movement
     {
-        std::size_t streams = 0;
-        time_point last{};
+        std::size_t silent = 0;
+        time_point silent_since{}; ///< the last event of a silent stream
+        time_point moved{}; ///< the last event of any other stream
     };
     std::map<upstream_id, part_movement> movements;
     for (const auto& [key, stream] : this->streams) {
-        const bool has_begun = stream.last_event != time_point{};
-        // A stream whose path was just changed is waited for.
-        const bool is_expected = stream.due <= stream.last_event + this->settings.stall_after;
         for (const upstream_id& part : stream.parts) {
             part_movement& movement = movements[part];
-            movement.streams += has_begun && is_expected ? 1 : 0;
-            movement.last = std::max(movement.last, stream.last_event);
+            if (is_jointly_silent(stream, now)) {
+                ++movement.silent;
+                movement.silent_since = std::max(movement.silent_since, stream.last_event);
+            } else {
+                movement.moved = std::max(movement.moved, stream.last_event);
+            }
         }
     }
     for (const auto& [id, movement] : movements) {
-        if (movement.streams >= this->settings.least_joint_streams
-            && now - movement.last >= this->settings.joint_stall_after) {
+        if (movement.silent >= this->settings.least_joint_streams
+            && movement.moved <= movement.silent_since) {
             suspects.insert(id);
         }
     }
@@ -125,19 +207,24 @@
 void stall_watch::look()
 {
     const time_point now = this->hooks.timers.now();
-    const bool is_late = now - this->last_look > this->settings.look_interval + this->settings.late_look;
+    const duration late = now - this->last_look - this->settings.look_interval;
     this->last_look = now;
     this->hooks.timers.schedule_after(this->settings.look_interval, [this] { this->look(); });
-    if (is_late) {
-        // Events may lie unread in the sockets; every stream gets its time anew.
-        for (auto& [key, stream] : this->streams) {
-            stream.due = std::max(stream.due, now + this->settings.stall_after);
-        }
-        return;
+    if (late > this->settings.late_look) {
+        this->forgive(late);
+        return; // events and answers may lie unread in the sockets
     }
     this->probe_suspects(now);
-    this->probe_due(this->dead, this->settings.dead_probe_interval, now);
-    this->probe_due(this->slow, this->settings.slow_probe_interval, now);
+    this->probes.look();
+}
+
+void stall_watch::forgive(duration stood_still)
+{
+    for (auto& [key, stream] : this->streams) {
+        stream.due += stood_still;
+        stream.joint_due += stood_still;
+    }
+    this->probes.forgive(stood_still);
 }
 
 void stall_watch::suspect(const upstream_id& id)
@@ -148,39 +235,39 @@
 bool stall_watch::has_moved(const upstream_id& id, time_point since) const
 {
     return std::any_of(this->streams.begin(), this->streams.end(), [&id, since](const auto& item) {
-        const std::vector<upstream_id>& parts = item.second.parts;
-        return item.second.last_event >= since && std::find(parts.begin(), parts.end(), id) != parts.end();
+        return item.second.last_event >= since && passes(item.second, id);
+    });
+}
+
+bool stall_watch::is_moving(const upstream_id& id) const
+{
+    const time_point now = this->hooks.timers.now();
+    return std::any_of(this->streams.begin(), this->streams.end(), [&id, now](const auto& item) {
+        return has_begun(item.second) && item.second.joint_due > now && passes(item.second, id);
     });
 }
 
 void stall_watch::forget(const std::function<bool(const upstream_id&)>& is_known)
 {
-    const auto is_gone = [&is_known](const auto& item) { return !is_known(item.first); };
-    std::erase_if(this->dead, is_gone);
-    std::erase_if(this->slow, is_gone);
+    this->probes.forget(is_known);
 }
 
 void stall_watch::probe_suspects(time_point now)
 {
-    std::erase_if(this->quiet_until, [now](const auto& item) { return item.second <= now; });
     std::set<upstream_id> suspects = this->find_suspects(now);
     this->add_slow(suspects, now);
     suspects.merge(this->named);
     this->named.clear();
-    std::size_t sent = 0;
     for (const upstream_id& id : suspects) {
-        if (this->quiet_until.count(id) != 0 || this->is_dead(id) || sent >= this->settings.most_probes) {
-            continue;
-        }
-        ++sent;
-        this->probe(id);
+        this->probes.ask(id);
     }
 }
 
 void stall_watch::add_slow(std::set<upstream_id>& suspects, time_point now) const
 {
     const auto may_be_dead = [this, &suspects](const upstream_id& id) {
-        const bool has_answered = this->quiet_until.count(id) != 0 && this->asked.count(id) == 0;
+        const bool has_answered =
+            this->probes.is_quiet(id) && !this->probes.is_asked(id) && !this->probes.is_dead(id);
         return suspects.count(id) != 0 && !has_answered;
     };
     std::set<upstream_id> slow_ones;
@@ -193,40 +280,4 @@
     suspects.merge(slow_ones);
 }
 
-void stall_watch::probe_due(std::map<upstream_id, time_point>& due, duration interval, time_point now)
-{
-    for (auto& [id, next] : due) {
-        if (next <= now) {
-            next = now + interval;
-            this->probe(id);
-        }
-    }
-}
-
-void stall_watch::probe(const upstream_id& id)
-{
-    this->quiet_until[id] = this->hooks.timers.now() + this->settings.probe_pause;
-    this->asked.insert(id);
-    this->hooks.probe(id, [this, id](std::optional<double> pace) { this->take_answer(id, pace); });
-}
-
-void stall_watch::take_answer(const upstream_id& id, const std::optional<double>& pace)
-{
-    const time_point now = this->hooks.timers.now();
-    this->asked.erase(id);
-    if (!pace) {
-        this->dead[id] = now + this->settings.dead_probe_interval;
-        this->hooks.on_dead(id);
-        return;
-    }
-    this->quiet_until[id] = now + this->settings.alive_pause;
-    this->dead.erase(id);
-    if (*pace >= this->settings.slow_pace) {
-        this->slow[id] = now + this->settings.slow_probe_interval;
-    } else {
-        this->slow.erase(id);
-    }
-    this->hooks.on_alive(id, *pace);
-}
-
 } // namespace sailtiller
--- /dev/null
+++ b/src/libs/health/upstreamprobes.cpp
@@ -0,0 +1,240 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <health/upstreamprobes.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace sailtiller {
+
+namespace {
+
+/// Deviations beyond which an answer counts as missing, as RFC 6298 has it for retransmissions.
+constexpr double missing_deviations = 4;
+
+} // namespace
+
+upstream_probes::upstream_probes(upstream_probe_settings settings, upstream_probe_hooks hooks)
+    : settings(settings)
+    , hooks(std::move(hooks))
+    , budget(settings.burst)
+{
+}
+
+duration upstream_probes::answer_limit() const
+{
+    if (!this->answer_time.has_value()) {
+        return this->settings.first_answer_limit;
+    }
+    const duration usual(static_cast<duration::rep>(this->answer_time.bound(missing_deviations)));
+    return std::clamp(usual, this->settings.least_answer_limit, this->settings.most_answer_limit);
+}
+
+bool upstream_probes::take_from_budget(time_point now)
+{
+    const std::chrono::duration<double> passed = now - this->budget_filled;
+    const double rate = this->settings.fleet_probes_per_s / static_cast<double>(this->live_hosts);
+    this->budget = std::min(this->settings.burst, this->budget + passed.count() * rate);
+    this->budget_filled = now;
+    if (this->budget < 1) {
+        return false;
+    }
+    this->budget -= 1;
+    return true;
+}
+
+bool upstream_probes::ask(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    const auto quiet = this->quiet_until.find(id);
+    if (this->is_dead(id) || this->is_asked(id)
+        || (quiet != this->quiet_until.end() && quiet->second > now)) {
+        return false;
+    }
+    if (!this->take_from_budget(now)) {
+        return false;
+    }
+    this->send(id);
+    return true;
+}
+
+void upstream_probes::send(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    this->quiet_until[id] = now + this->settings.pause;
+    this->asked[id] = {now, now + this->answer_limit(), 0, false};
+    this->hooks.send(
+        id, [this, id, now](const std::optional<double>& pace) { this->take_answer(id, now, pace); });
+}
+
+void upstream_probes::take_answer(const upstream_id& id, time_point sent, const std::optional<double>& pace)
+{
+    const auto pending = this->asked.find(id);
+    const bool is_awaited = pending != this->asked.end() && pending->second.sent == sent;
+    if (!pace) {
+        if (is_awaited) {
+            pending->second.is_over = true; // judged at its time, or at the next look
+        }
+        return;
+    }
+    const time_point now = this->hooks.timers.now();
+    this->answer_time.note(static_cast<double>((now - sent).count()));
+    if (this->last_answer && this->last_answer->first != id) {
+        this->other_answer = this->last_answer;
+    }
+    this->last_answer = {id, now};
+    if (is_awaited) {
+        this->asked.erase(pending);
+    }
+    this->quiet_until[id] = now + this->settings.alive_pause;
+    this->revive(id, *pace);
+}
+
+void upstream_probes::revive(const upstream_id& id, double pace)
+{
+    this->dead.erase(id);
+    if (pace >= this->settings.slow_pace) {
+        this->slow[id] = this->hooks.timers.now() + this->settings.slow_interval;
+    } else {
+        this->slow.erase(id);
+    }
+    this->hooks.on_alive(id, pace);
+}
+
+void upstream_probes::look()
+{
+    const time_point now = this->hooks.timers.now();
+    std::erase_if(this->quiet_until, [now](const auto& item) { return item.second <= now; });
+    std::vector<upstream_id> due;
+    for (const auto& [id, probe] : this->asked) {
+        if (probe.due <= now) {
+            due.push_back(id);
+        }
+    }
+    for (const upstream_id& id : due) {
+        this->judge(id, now);
+    }
+    this->ask_dead_again(now);
+    this->ask_slow_again(now);
+}
+
+bool upstream_probes::has_sign_of_others(const upstream_id& id, time_point since) const
+{
+    const auto speaks = [&id, since](const auto& answer) {
+        return answer && answer->first != id && answer->second >= since;
+    };
+    return speaks(this->last_answer) || speaks(this->other_answer) || this->hooks.has_other_moved(id, since);
+}
+
+void upstream_probes::judge(const upstream_id& id, time_point now)
+{
+    pending_probe& probe = this->asked[id];
+    if (this->hooks.has_moved(id, probe.sent)) {
+        this->asked.erase(id); // the answer is lost, but it works
+        return;
+    }
+    if (this->has_sign_of_others(id, probe.sent)) {
+        this->condemn(id);
+        return;
+    }
+    ++probe.doubts;
+    if (probe.doubts <= this->settings.most_doubts) {
+        probe.due = now + this->answer_limit();
+        this->ask_other(id);
+        return;
+    }
+    // Nobody gives a sign of life. If there is anybody else, it is this host that can't hear.
+    if (this->hooks.find_other(id)) {
+        this->asked.erase(id);
+        return;
+    }
+    this->condemn(id);
+}
+
+void upstream_probes::ask_other(const upstream_id& id)
+{
+    const std::optional<upstream_id> other = this->hooks.find_other(id);
+    if (other && !this->is_asked(*other)) {
+        this->send(*other);
+    }
+}
+
+void upstream_probes::condemn(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    this->asked.erase(id);
+    this->dead[id] = {now, now + this->settings.dead_interval};
+    this->hooks.on_dead(id);
+}
+
+void upstream_probes::ask_dead_again(time_point now)
+{
+    std::vector<upstream_id> due;
+    for (auto& [id, item] : this->dead) {
+        if (item.next_probe <= now && !this->is_asked(id) && this->hooks.is_watcher(id)) {
+            item.next_probe = now + this->settings.dead_interval;
+            due.push_back(id);
+        }
+    }
+    std::erase_if(this->dead, [this, now](const auto& item) {
+        return now - item.second.since >= this->settings.unwatched_time
+            && !this->hooks.is_watcher(item.first);
+    });
+    for (const upstream_id& id : due) {
+        this->send(id);
+    }
+}
+
+void upstream_probes::ask_slow_again(time_point now)
+{
+    std::vector<upstream_id> due;
+    for (auto& [id, next] : this->slow) {
+        if (next <= now && this->hooks.is_watcher(id) && !this->is_asked(id)) {
+            next = now + this->settings.slow_interval;
+            due.push_back(id);
+        }
+    }
+    for (const upstream_id& id : due) {
+        this->send(id);
+    }
+}
+
+void upstream_probes::forgive(duration stood_still)
+{
+    for (auto& [id, probe] : this->asked) {
+        probe.due += stood_still;
+    }
+}
+
+void upstream_probes::note_told_dead(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    const auto known = this->dead.find(id);
+    if (known != this->dead.end()) {
+        known->second.since = now;
+    } else if (this->hooks.is_watcher(id)) {
+        this->ask(id);
+    }
+}
+
+void upstream_probes::note_told_alive(const upstream_id& id, double pace, time_point at)
+{
+    const auto known = this->dead.find(id);
+    if (known != this->dead.end() && known->second.since >= at) {
+        return; // this host's own verdict is newer
+    }
+    const time_point quiet = at + this->settings.alive_pause;
+    if (quiet > this->hooks.timers.now()) {
+        time_point& until = this->quiet_until[id];
+        until = std::max(until, quiet);
+    }
+    this->revive(id, pace);
+}
+
+void upstream_probes::forget(const std::function<bool(const upstream_id&)>& is_known)
+{
+    const auto is_gone = [&is_known](const auto& item) { return !is_known(item.first); };
+    std::erase_if(this->dead, is_gone);
+    std::erase_if(this->slow, is_gone);
+}
+
+} // namespace sailtiller
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -61,12 +61,18 @@
     return whole_ms * use.pace / profile.layers;
 }
 
+/// Time of one token's step in one layer.
+double predict_step_ms(const engine_profile& profile, const card_kind& card, const upstream_use& use)
+{
+    const double step_ms = profile.step_ms * card.step_factor + use.requests * profile.step_ms_per_request;
+    return step_ms * use.pace / profile.layers;
+}
+
 /// Time of the answer's steps in one layer.
 double predict_steps_ms(const engine_profile& profile, const card_kind& card, const upstream_use& use,
     const path_question& question)
 {
-    const double step_ms = profile.step_ms * card.step_factor + use.requests * profile.step_ms_per_request;
-    return question.answer_tokens * step_ms * use.pace / profile.layers;
+    return question.answer_tokens * predict_step_ms(profile, card, use);
 }
 
 /// The share of an upstream's room that is used once it holds `wanted` more.
@@ -288,6 +294,21 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+duration predict_token_time(const engine_profile& profile, const upstream_directory& directory,
+    const part_loads& loads, const layer_path& path)
+{
+    double sum_ms = 0;
+    for (const path_part& part : path) {
+        const directory_entry* entry = directory.find(part.id);
+        const card_kind* card = entry == nullptr ? nullptr : profile.find_card(entry->upstream.card);
+        if (card != nullptr) {
+            sum_ms += part.span.count() * predict_step_ms(profile, *card, use_of(loads, part.id));
+        }
+        sum_ms += engine_hop_ms;
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(sum_ms));
+}
+
 void visit_crossings(const upstream_directory& directory, const layer_path& path,
     const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit)
 {
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -46,6 +46,11 @@
 duration predict_prompt_time(const engine_profile& profile, const upstream_directory& directory,
     const layer_path& path, double prompt_tokens);
 
+/// Time of one token through a path, by the steps of its upstreams at their present load and the hops between
+/// them.
+duration predict_token_time(const engine_profile& profile, const upstream_directory& directory,
+    const part_loads& loads, const layer_path& path);
+
 /// Visits each step of a path from one hall to another, in order.
 void visit_crossings(const upstream_directory& directory, const layer_path& path,
     const std::function<void(const data_hall_id& from, const data_hall_id& to)>& visit);
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -50,6 +50,8 @@
     hooks.probe = [this](const upstream_id& id, const std::function<void(std::optional<double>)>&) {
         this->probed.push_back(id.value());
     };
+    hooks.find_other = [](const upstream_id&) { return std::nullopt; };
+    hooks.is_watcher = [](const upstream_id&) { return true; };
     this->watch = std::make_unique<stall_watch>(stall_watch_settings{}, hooks);
     this->bundle->pools.push_back({service_id("llm"), "", 0, make_sample_profile()});
     this->bundle->pools.push_back({service_id("plain"), "", 0, std::nullopt});
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -146,6 +146,7 @@
     report.changes = {{"k", "v"}, {"gone", std::nullopt}};
     report.work = {{upstream_id("u"), 1000, 4}};
     report.suspicions = {{upstream_id("s"), 300ms}};
+    report.signs = {{upstream_id("p"), 2.5, 40ms}};
     report.holdings = {{upstream_id("h"), 3, 9, 250ms}};
     report.hosts = {make_host("c", "y")};
     const peer_report read = decode_peer_report(encode_peer_report(report));
@@ -157,6 +158,10 @@
     EXPECT_FALSE(read.entries_age.has_value());
     EXPECT_EQ(*read.store_disturbed_age, duration(7ms));
     EXPECT_TRUE(read.are_entries_whole);
+    ASSERT_EQ(read.signs.size(), 1U);
+    EXPECT_EQ(read.signs[0].id.value(), "p");
+    EXPECT_EQ(read.signs[0].pace, 2.5);
+    EXPECT_EQ(read.signs[0].age, duration(40ms));
     ASSERT_EQ(read.holdings.size(), 1U);
     EXPECT_EQ(read.holdings[0].id.value(), "h");
     EXPECT_EQ(read.holdings[0].begin, 3U);
