Routing, Fleet: the retry slack is split over all hosts that may have sent within the window

Cause: a host counted the hosts heard in the last 1.5 s, so after a loss of many at once each survivor took more than its part, and one that was killed and started again took its part anew, while what was sent before still counts in the window.

Change: hosts heard within the window share the slack; a new process has none until a window has passed.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -56,8 +56,8 @@
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
     , link(this->loop)
-    , health(this->loop, this->link, this->knowledge.upstreams(), this->loads,
-          this->settings.self, delivery_settings().death_suspension, this->make_health_hooks())
+    , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
+          delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
     , duties(this->loop, this->store, this->settings.self)
@@ -218,7 +218,7 @@
 {
     const time_point now = this->loop.now();
     const std::vector<known_host> live = hosts.live_hosts(now);
-    this->retries.set_live_hosts(live.size());
+    this->retries.set_sharing_hosts(hosts.heard_count(now, this->retries.window()));
     this->pipes.set_live_hosts(live.size());
     this->health.set_live_hosts(live);
     std::map<upstream_id, upstream_share> shares;
@@ -361,6 +361,7 @@
         {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
             {"listen", address.value()}, {"admin", admin_address.value()},
             {"peer_listen", peer_address.value()}});
+    this->retries.note_start(this->loop.now());
     this->bundle_follower.start();
     this->upstream_follower.start();
     this->duties.start();
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -98,6 +98,15 @@
     return live;
 }
 
+std::size_t host_table::heard_count(time_point now, duration within) const
+{
+    const auto is_heard = [now, within](const auto& item) {
+        return item.second.heard && now - *item.second.heard < within;
+    };
+    const auto count = std::count_if(this->others.begin(), this->others.end(), is_heard);
+    return 1 + static_cast<std::size_t>(count);
+}
+
 std::size_t host_table::own_rank(time_point now) const
 {
     const std::vector<known_host> live = this->live_hosts(now);
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -53,6 +53,8 @@
     /// Hosts that were heard lately and are not leaving, this one included, in the order of their ids.
     [[nodiscard]] std::vector<known_host> live_hosts(time_point now) const;
     [[nodiscard]] std::size_t live_count(time_point now) const { return this->live_hosts(now).size(); }
+    /// Hosts that were heard within that time, leaving ones and this one included.
+    [[nodiscard]] std::size_t heard_count(time_point now, duration within) const;
     /// This host's place among the live ones, from 0.
     [[nodiscard]] std::size_t own_rank(time_point now) const;
     /// Work of the other live hosts at each upstream.
--- a/src/libs/routing/retryallowance.cpp
+++ b/src/libs/routing/retryallowance.cpp
@@ -34,7 +34,8 @@
 {
     const recent_sends& sends = this->recent(service, now);
     const double earned = this->settings.ratio * static_cast<double>(sends.requests.size());
-    const double slack = this->settings.slack / static_cast<double>(this->live_hosts);
+    const bool is_new = this->started && now - *this->started < this->settings.window;
+    const double slack = is_new ? 0 : this->settings.slack / static_cast<double>(this->sharing_hosts);
     return safe_share * (earned + slack) - static_cast<double>(sends.repeats.size());
 }
 
--- a/src/libs/routing/retryallowance.h
+++ b/src/libs/routing/retryallowance.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace sailtiller {
 
@@ -27,9 +28,13 @@
     {
     }
 
-    /// Hosts over which the slack is split.
     void set_settings(const retry_allowance_settings& next) { this->settings = next; }
-    void set_live_hosts(std::size_t count) { this->live_hosts = count == 0 ? 1 : count; }
+    /// This process has begun. What one of the same host sent before counts still, so there is no slack until
+    /// a window has passed.
+    void note_start(time_point now) { this->started = now; }
+    /// Hosts over which the slack is split: all that may have sent something within the window.
+    void set_sharing_hosts(std::size_t count) { this->sharing_hosts = count == 0 ? 1 : count; }
+    [[nodiscard]] duration window() const { return this->settings.window; }
     /// A caller's request came; it earns its part of a repeat.
     void note_request(const service_id& service, time_point now);
     /// Takes one repeat if there is one left.
@@ -48,7 +53,8 @@
     recent_sends& recent(const service_id& service, time_point now);
 
     retry_allowance_settings settings;
-    std::size_t live_hosts = 1;
+    std::size_t sharing_hosts = 1;
+    std::optional<time_point> started;
     std::map<service_id, recent_sends> services;
 };
 
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -127,6 +127,20 @@
     EXPECT_EQ(asked.size(), 30U) << "all have their turn";
 }
 
+TEST_F(host_table_test, hosts_that_fell_silent_lately_are_counted_among_those_heard_within_a_time)
+{
+    EXPECT_EQ(this->table.heard_count(this->now, 10s), 1U);
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    peer_report leaving = make_report(make_host("c"));
+    leaving.is_leaving = true;
+    this->table.note_heard(leaving, this->now);
+    this->now += 5s;
+    EXPECT_EQ(this->table.live_count(this->now), 1U);
+    EXPECT_EQ(this->table.heard_count(this->now, 10s), 3U);
+    this->now += 5s;
+    EXPECT_EQ(this->table.heard_count(this->now, 10s), 1U);
+}
+
 TEST_F(host_table_test, its_own_word_goes_before_what_others_tell)
 {
     this->table.note_heard(make_report(make_host("a", "new")), this->now);
--- /dev/null
+++ b/tests/auto/routing/tst_retryallowance.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <routing/retryallowance.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(retry_allowance, no_window_exceeds_what_the_fleet_may_repeat)
+{
+    const std::size_t hosts = 3;
+    const service_id service("s");
+    std::vector<retry_allowance> allowances(
+        hosts, retry_allowance({.ratio = 0.2, .slack = 30, .window = 10s}));
+    for (retry_allowance& allowance : allowances) {
+        allowance.set_sharing_hosts(hosts);
+    }
+    std::deque<time_point> requests;
+    std::deque<time_point> repeats;
+    for (time_point now{100s}; now < time_point{160s}; now += 50ms) {
+        for (retry_allowance& allowance : allowances) {
+            allowance.note_request(service, now);
+            requests.push_back(now);
+            if (allowance.take(service, now)) {
+                repeats.push_back(now);
+            }
+        }
+        while (requests.front() <= now - 10s) {
+            requests.pop_front();
+        }
+        while (!repeats.empty() && repeats.front() <= now - 10s) {
+            repeats.pop_front();
+        }
+        EXPECT_LE(static_cast<double>(repeats.size()), 0.2 * static_cast<double>(requests.size()) + 30);
+    }
+    EXPECT_GT(repeats.size(), 100U) << "what is allowed is used";
+}
+
+TEST(retry_allowance, a_host_that_is_killed_and_started_again_spends_its_slack_once_in_a_window)
+{
+    const retry_allowance_settings settings{.ratio = 0, .slack = 20, .window = 10s};
+    const service_id service("a");
+    std::vector<time_point> repeats;
+    const auto spend_all = [&](retry_allowance& allowance, time_point now) {
+        while (allowance.take(service, now)) {
+            repeats.push_back(now);
+        }
+    };
+    time_point now{100s};
+    retry_allowance before(settings);
+    before.set_sharing_hosts(2);
+    spend_all(before, now);
+    EXPECT_EQ(repeats.size(), 8U) << "half of it, less what others may be wrong by";
+    for (int start = 0; start < 3; ++start) {
+        now += 2s;
+        retry_allowance again(settings);
+        again.note_start(now);
+        again.set_sharing_hosts(2);
+        spend_all(again, now);
+        spend_all(again, now + 1s);
+    }
+    EXPECT_EQ(repeats.size(), 8U);
+    retry_allowance later(settings);
+    later.note_start(now);
+    later.set_sharing_hosts(2);
+    spend_all(later, now + 10s);
+    EXPECT_EQ(repeats.size(), 16U);
+}
+
+TEST(retry_allowance, each_service_has_its_own)
+{
+    retry_allowance allowance({.ratio = 0, .slack = 2.5, .window = 10s});
+    const time_point now{100s};
+    EXPECT_TRUE(allowance.take(service_id("a"), now));
+    EXPECT_TRUE(allowance.take(service_id("b"), now));
+    EXPECT_TRUE(allowance.take(service_id("a"), now) || allowance.left(service_id("a"), now) < 1.1);
+    EXPECT_FALSE(allowance.take(service_id("a"), now));
+    EXPECT_TRUE(allowance.take(service_id("a"), now + 10s));
+}
+
+} // namespace
+
+} // namespace sailtiller
