Runtime: once a server closes, the connection of an answer under way ends with it

Cause: an answer whose head went out before a planned stop had promised to keep its connection.

Change: the server itself closes after answers, at the head and at the end, in place of the gateway at the head alone. The test fails before: the connection stayed open after the last byte.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -419,7 +419,7 @@
         return;
     }
     this->is_stopping = true;
-    this->gateway.begin_stop();
+    this->callers.close_after_answers();
     this->stop_limit = this->loop.now() + this->settings.longest_stop - stop_margin;
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -11,7 +11,7 @@
 {
     this->context.log(
         {event_type::refused_at_entry, request.id.value(), "", std::to_string(status) + " " + reason});
-    const caller_hooks caller = this->make_caller_hooks(exchange);
+    const caller_hooks caller = make_caller_hooks(exchange);
     caller.respond(status == http_status::unavailable
             ? make_refusal(this->context.settings.retry_after, reason)
             : make_failure(status, reason));
@@ -74,19 +74,11 @@
     return route.targets.back().service;
 }
 
-caller_hooks gateway_service::make_caller_hooks(const std::shared_ptr<http_exchange>& exchange) const
+caller_hooks gateway_service::make_caller_hooks(const std::shared_ptr<http_exchange>& exchange)
 {
-    if (this->is_stopping) {
-        exchange->close_connection_after();
-    }
     caller_hooks caller;
     caller.respond = [exchange](const http_response& response) { exchange->respond(response); };
-    caller.start = [this, exchange](int status, const http_headers& headers) {
-        if (this->is_stopping) {
-            exchange->close_connection_after();
-        }
-        exchange->start(status, headers);
-    };
+    caller.start = [exchange](int status, const http_headers& headers) { exchange->start(status, headers); };
     caller.send = [exchange](std::string_view bytes) { exchange->send(bytes); };
     caller.finish = [exchange] { exchange->finish(); };
     caller.abort = [exchange] { exchange->abort(); };
@@ -122,7 +114,7 @@
         --this->in_flight;
         this->streams.erase(key);
     };
-    caller_hooks caller = this->make_caller_hooks(exchange);
+    caller_hooks caller = make_caller_hooks(exchange);
     if (order.route->kind == route_kind::stream) {
         const auto delivery =
             std::make_shared<stream_delivery>(this->context, std::move(order), std::move(caller), on_done);
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -21,8 +21,6 @@
     /// Requests that come from now on are judged by this bundle.
     void set_bundle(std::shared_ptr<const site_bundle> next) { this->bundle = std::move(next); }
     [[nodiscard]] const std::shared_ptr<const site_bundle>& current_bundle() const { return this->bundle; }
-    /// Every answer from now on tells the caller to use another connection.
-    void begin_stop() { this->is_stopping = true; }
 
     /// An upstream is dead; the streams over it go on without it.
     void leave_upstream(const upstream_id& id);
@@ -36,7 +34,7 @@
     /// Finds the caller's account where the route wants one; false if the key is missing or not known.
     [[nodiscard]] bool admit(delivery_order& order) const;
     void deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order);
-    [[nodiscard]] caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange) const;
+    [[nodiscard]] static caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange);
     /// One of the route's targets, by their weights.
     [[nodiscard]] service_id choose_service(const service_route& route) const;
     /// Calls `action` for each stream under way; streams may end meanwhile.
@@ -49,7 +47,6 @@
     std::map<std::uint64_t, std::weak_ptr<stream_delivery>> streams; ///< under way
     std::uint64_t last_stream = 0;
     std::size_t in_flight = 0;
-    bool is_stopping = false;
 };
 
 } // namespace sailtiller
--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -67,17 +67,19 @@
     }
 };
 
-http_exchange::http_exchange(h2o_req_t* native)
+http_exchange::http_exchange(h2o_req_t* native, std::shared_ptr<const bool> is_closing)
     : incoming(read_request(native))
     , native(native)
+    , is_closing(std::move(is_closing))
 {
 }
 
 http_exchange::~http_exchange() = default;
 
-std::shared_ptr<http_exchange> http_exchange::create(h2o_req_t* native)
+std::shared_ptr<http_exchange> http_exchange::create(
+    h2o_req_t* native, std::shared_ptr<const bool> is_closing)
 {
-    std::shared_ptr<http_exchange> exchange(new http_exchange(native));
+    std::shared_ptr<http_exchange> exchange(new http_exchange(native, std::move(is_closing)));
     void* memory = h2o_mem_alloc_shared(&native->pool, sizeof(generator), &generator::dispose);
     exchange->source = static_cast<generator*>(memory);
     exchange->source->super = {&generator::proceed, nullptr};
@@ -102,6 +104,9 @@
         return;
     }
     this->started = true;
+    if (*this->is_closing) {
+        this->close_connection_after();
+    }
     this->native->res.status = status;
     this->native->res.reason = status < 400 ? "OK" : "Error";
     for (const http_header& header : headers) {
@@ -116,9 +121,7 @@
 
 void http_exchange::close_connection_after()
 {
-    if (this->native != nullptr) {
-        this->native->http1_is_persistent = 0;
-    }
+    this->native->http1_is_persistent = 0;
 }
 
 void http_exchange::send(std::string_view bytes)
@@ -149,6 +152,11 @@
     this->pending.clear();
     this->is_sending = true;
     this->is_done = this->is_ending;
+    if (this->is_done && *this->is_closing) {
+        // The head may have promised to keep the connection: its caller must not send the next request to a
+        // process that is about to end.
+        this->close_connection_after();
+    }
     h2o_iovec_t buffer = h2o_iovec_init(this->sending.data(), this->sending.size());
     const std::size_t buffers = this->sending.empty() ? 0 : 1;
     const h2o_send_state_t last_state = this->is_aborting ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
--- a/src/libs/runtime/httpexchange.h
+++ b/src/libs/runtime/httpexchange.h
@@ -17,7 +17,9 @@
 {
 public:
     /// Takes over a request of h2o's; only the server makes exchanges.
-    static std::shared_ptr<http_exchange> create(st_h2o_req_t* native);
+    /// Once `is_closing` is set, the connection of an answer ends with it.
+    static std::shared_ptr<http_exchange> create(
+        st_h2o_req_t* native, std::shared_ptr<const bool> is_closing);
     ~http_exchange();
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
@@ -28,8 +30,6 @@
     void respond(const http_response& response);
     /// Begins an answer of unknown length.
     void start(int status, const http_headers& headers);
-    /// The connection takes no further request after this answer (HTTP/1.1).
-    void close_connection_after();
     /// Sends a part of the body; parts are queued while the caller is slow.
     void send(std::string_view bytes);
     /// Ends the body.
@@ -48,12 +48,15 @@
 private:
     struct generator;
 
-    explicit http_exchange(st_h2o_req_t* native);
+    http_exchange(st_h2o_req_t* native, std::shared_ptr<const bool> is_closing);
+    /// The connection takes no further request after this answer (HTTP/1.1).
+    void close_connection_after();
     void flush();
     void detach();
 
     http_request incoming;
     st_h2o_req_t* native;
+    std::shared_ptr<const bool> is_closing; ///< of the server
     generator* source = nullptr;
     std::string sending; ///< owned by h2o until it asks for more
     std::string pending;
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -96,6 +96,7 @@
     ssl_context tls;
     std::vector<h2o_socket_t*> listeners;
     std::set<h2o_socket_t*> connections;
+    std::shared_ptr<bool> is_closing = std::make_shared<bool>(false);
     timer_id look_timer = 0;
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
 };
@@ -226,7 +227,7 @@
     connection_entry& connection = note_request(request);
     ++connection.open_requests;
     server->handled.insert(request);
-    const std::shared_ptr<http_exchange> exchange = http_exchange::create(request);
+    const std::shared_ptr<http_exchange> exchange = http_exchange::create(request, server->is_closing);
     if (connection.is_closing) {
         // It crossed the close: its caller sees that nobody took it, so nobody may.
         exchange->respond({http_status::unavailable, {}, ""});
@@ -364,6 +365,11 @@
     }
 }
 
+void http_server::close_after_answers()
+{
+    *this->inner->is_closing = true;
+}
+
 void http_server::close_idle_connections()
 {
     for (h2o_socket_t* socket : this->inner->connections) {
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -54,6 +54,8 @@
     void when_rejected(std::function<void(const http_server_event&)> action);
     /// Takes no new connections; those that are open are closed after their present requests.
     void close_listeners();
+    /// From now on, each connection ends with its present answer, also one whose head promised to keep it.
+    void close_after_answers();
     /// Closes kept connections that carry no request now. h2o leaves them open until their next request,
     /// which might come when there is no time left to answer it.
     void close_idle_connections();
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -49,7 +49,8 @@
     }
 
     /// Sends bytes over a plain connection and gives all that comes back until the server closes.
-    std::string exchange_raw(const std::string& bytes, bool closes_its_side = true)
+    std::string exchange_raw(const std::string& bytes, bool closes_its_side = true,
+        const std::function<void(const std::string& so_far)>& on_bytes = {})
     {
         socket_address target = to_socket_address(this->address);
         const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -66,6 +67,9 @@
             while ((count = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
                 received.append(buffer, static_cast<std::size_t>(count));
             }
+            if (on_bytes) {
+                on_bytes(received);
+            }
             is_closed = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             return is_closed;
         });
@@ -93,6 +97,40 @@
     EXPECT_EQ(find_header(answer.headers, "x-seen"), "/a?b=c");
 }
 
+TEST_F(http_test, an_answer_that_had_begun_is_the_last_of_its_connection_once_the_server_closes)
+{
+    std::shared_ptr<http_exchange> under_way;
+    const auto server = this->make_server([&under_way](const std::shared_ptr<http_exchange>& exchange) {
+        under_way = exchange;
+        exchange->start(200, {{"x-request-id", "1"}});
+        exchange->send("first");
+    });
+    // The head has promised to keep the connection. What follows on it must find it closed, not a process
+    // that reads the request and ends before it can answer.
+    bool was_closed = false;
+    const std::string received =
+        this->exchange_raw("GET / HTTP/1.1\r\nhost: a\r\n\r\n", false, [&](const std::string& so_far) {
+            if (so_far.find("first") != std::string::npos && !was_closed) {
+                was_closed = true;
+                server->close_after_answers();
+                under_way->finish();
+            }
+        });
+    EXPECT_NE(received.find("200 OK"), std::string::npos);
+    EXPECT_EQ(received.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(received.substr(received.size() - 5), "0\r\n\r\n") << "a whole answer";
+}
+
+TEST_F(http_test, answers_after_that_tell_that_their_connection_ends)
+{
+    const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->respond({200, {}, "x"});
+    });
+    server->close_after_answers();
+    const std::string received = this->exchange_raw("GET / HTTP/1.1\r\nhost: a\r\n\r\n", false);
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
 TEST_F(http_test, keeps_its_connections_and_streams_of_unknown_length)
 {
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
