--- a/src/libs/health/stallwatch.cpp
+++ b/src/libs/health/stallwatch.cpp
@@ -72,9 +72,9 @@
 
 void stall_watch::expect_next_event(watched_stream& stream, time_point now) const
 {
-    const duration most = silence_model::most_silence(stream.expected);
-    const duration least = std::min(most, this->settings.least_silent_looks * this->settings.look_interval);
     const double mean = stream.gap.mean();
+    const duration most = silence_model::most_silence(stream.expected, mean);
+    const duration least = std::min(most, this->settings.least_silent_looks * this->settings.look_interval);
     const double spread = std::max(stream.gap.deviation(), mean * this->settings.least_spread);
     const auto silence = [&](double deviations) {
         return std::clamp(duration(static_cast<duration::rep>(mean + deviations * spread)), least, most);
