Delivery: an answer to a change of path is waited for by the route's pause

The 80 ms were measured on one deployment; a third of the pause that callers are promised leaves two thirds for finding out and for reading. 67 ms where 200 ms are promised, 83 where it is 250.

--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -21,8 +21,6 @@
 constexpr duration idle_time = milliseconds(15'000);
 /// Without answer by then, an order counts as unanswered and is sent again.
 constexpr duration order_answer_limit = milliseconds(800);
-/// An engine answers at once; a path that can't be changed in this time is late anyway.
-constexpr duration path_change_limit = milliseconds(80);
 /// An answer that comes after the verdict still revives the upstream; beyond this, nothing is waited for.
 constexpr duration probe_limit = milliseconds(1000);
 
@@ -51,7 +49,7 @@
     const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
 {
     const http_request request = this->requests.encode_path_change(change);
-    send_whole(this->loop, {change.address, request, path_change_limit, &this->connections},
+    send_whole(this->loop, {change.address, request, change.limit, &this->connections},
         [this, on_answer](const std::optional<http_response>& answer) {
             on_answer(answer ? this->requests.decode_path_change(*answer) : path_change_answer{});
         });
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -63,6 +63,7 @@
     endpoint address; ///< of the head
     request_id request;
     std::vector<path_stop> path;
+    duration limit{}; ///< without an answer by then, it counts as failed
 };
 
 /// What came of a path change.
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -17,6 +17,12 @@
 /// milliseconds, and one that is sent away comes back after a second.
 constexpr duration first_try_margin = std::chrono::milliseconds(500);
 
+/// Of the pause that callers are promised, a third may go to the engine's answer to a change of path: another
+/// third goes to finding out that one is needed, and the rest to reading what the lost part knew.
+constexpr double path_change_share = 1.0 / 3;
+/// Where a route promises nothing: a quarter of a second is where a reader takes a pause for an end.
+constexpr duration unpromised_pause = std::chrono::milliseconds(250);
+
 std::string write_seconds(duration time)
 {
     std::array<char, 32> text{};
@@ -47,6 +53,12 @@
     return this->request.last_event || (left && *left + first_try_margin < this->route->time_limit);
 }
 
+duration delivery_order::path_change_limit() const
+{
+    const duration pause = this->route->longest_pause;
+    return scale(pause > duration::zero() ? pause : unpromised_pause, path_change_share);
+}
+
 bool delivery_order::may_run_again(unsigned runs) const
 {
     return runs == 0 || (this->route->may_repeat() && runs < this->route->most_attempts);
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -140,6 +140,8 @@
     [[nodiscard]] time_point hold_end(const delivery_settings& settings) const;
     /// True if the caller has tried before: it goes on after an event, or has waited for a part of its time.
     [[nodiscard]] bool has_come_back() const;
+    /// How long an engine is waited for that is asked to change the path of this running request.
+    [[nodiscard]] duration path_change_limit() const;
     /// True if one more upstream may run the request, after `runs` that have begun it.
     [[nodiscard]] bool may_run_again(unsigned runs) const;
     /// The request as it goes to this upstream, without a path.
--- a/src/libs/delivery/pathchanges.cpp
+++ b/src/libs/delivery/pathchanges.cpp
@@ -9,13 +9,14 @@
     return this->taken < this->context.settings.most_changes;
 }
 
-void path_changes::ask(const request_id& request, const layer_path& next,
+void path_changes::ask(const delivery_order& order, const layer_path& next,
     std::function<void(const path_change_answer&)> on_answer)
 {
     path_change change;
     change.head = next.front().id;
     change.address = next.front().address;
-    change.request = request;
+    change.request = order.request.id;
+    change.limit = order.path_change_limit();
     change.path = list_stops(next);
     this->is_unanswered = true;
     this->context.change_path(change, std::move(on_answer));
--- a/src/libs/delivery/pathchanges.h
+++ b/src/libs/delivery/pathchanges.h
@@ -26,7 +26,7 @@
     /// An event came, so the failure is over.
     void note_progress() { this->taken = 0; }
     /// Asks the first engine of `next` to lead the request over it.
-    void ask(const request_id& request, const layer_path& next,
+    void ask(const delivery_order& order, const layer_path& next,
         std::function<void(const path_change_answer&)> on_answer);
     /// The answer came, or the stream no longer waits for it.
     void end_ask() { this->is_unanswered = false; }
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -178,7 +178,7 @@
 
 void stream_delivery::ask_for_path(const layer_path& next)
 {
-    this->changes.ask(this->order.request.id, next,
+    this->changes.ask(this->order, next,
         [self = this->shared_from_this(), number = this->call.number(), next](
             const path_change_answer& result) {
             if (self->call.number() == number && self->state != phase::done) {
--- a/src/libs/health/tolddeaths.cpp
+++ b/src/libs/health/tolddeaths.cpp
@@ -29,6 +29,7 @@
         return std::nullopt;
     }
     std::vector<time_point> ends;
+    ends.reserve(tellers.size());
     for (const auto& [host, end] : tellers) {
         ends.push_back(end);
     }
--- a/src/libs/site/bundleexchange.h
+++ b/src/libs/site/bundleexchange.h
@@ -15,12 +15,12 @@
     /// Bytes of bundles that a host gives in one interval, at the least one bundle: about half of the
     /// smallest link that hosts have (20 Mbit/s), so that answers to callers keep the other half. The holders
     /// double in each interval, so a bundle reaches 400 hosts in nine.
-    std::size_t most_given_bytes = 128 * 1024;
+    std::size_t most_given_bytes = std::size_t{128} * 1024;
     duration give_interval = std::chrono::milliseconds(100);
     /// Pause after a host that could not give its bundle.
     duration retry_pause = std::chrono::milliseconds(100);
     /// Longer than any text that the store takes; guards against malformed bytes of a peer.
-    std::size_t most_text_bytes = 64 * 1024 * 1024;
+    std::size_t most_text_bytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// What the exchange needs from outside.
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -277,6 +277,8 @@
     this->put_engine("spare", 3, {8, 16});
     delivery->leave_upstream(upstream_id("tail"));
     ASSERT_EQ(this->changes.size(), 1U);
+    EXPECT_EQ(this->changes[0].limit, duration(200ms) / 3)
+        << "a third of the pause that callers are promised";
     EXPECT_EQ(this->changes[0].request.value(), "r1");
     EXPECT_EQ(this->changes[0].path[0].address.value(), "10.0.0.1:1") << "the head stays";
     EXPECT_EQ(this->changes[0].path[1].address.value(), "10.0.0.1:3");
--- a/tests/auto/health/tst_stallwatch.cpp
+++ b/tests/auto/health/tst_stallwatch.cpp
@@ -136,6 +136,7 @@
 {
     // Gaps of 20 and 60 ms by turns: one of them alone is waited for much longer.
     std::vector<stall_watch::stream_key> keys;
+    keys.reserve(3);
     for (int count = 0; count < 3; ++count) {
         keys.push_back(this->watch->add(parts({"a"}), usual_path()));
     }
