--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -20,8 +20,6 @@
 /// Of the pause that callers are promised, a third may go to the engine's answer to a change of path: another
 /// third goes to finding out that one is needed, and the rest to reading what the lost part knew.
 constexpr double path_change_share = 1.0 / 3;
-/// Where a route promises nothing: a quarter of a second is where a reader takes a pause for an end.
-constexpr duration unpromised_pause = std::chrono::milliseconds(250);
 
 std::string write_seconds(duration time)
 {
@@ -55,8 +53,7 @@
 
 duration delivery_order::path_change_limit() const
 {
-    const duration pause = this->route->longest_pause;
-    return scale(pause > duration::zero() ? pause : unpromised_pause, path_change_share);
+    return scale(promised_pause(this->route->longest_pause), path_change_share);
 }
 
 bool delivery_order::may_run_again(unsigned runs) const
--- a/src/libs/health/silencemodel.cpp
+++ b/src/libs/health/silencemodel.cpp
@@ -7,15 +7,11 @@
 
 namespace {
 
-/// Where a route promises nothing: a quarter of a second is where a reader takes a pause for an end.
-constexpr duration unpromised_pause = std::chrono::milliseconds(250);
+/// Where a route promises no time to the first event.
 constexpr duration unpromised_first = std::chrono::milliseconds(500);
 /// The predicted time of a token is at least this, so that a profile without step times divides nothing by
 /// zero.
 constexpr duration least_token = std::chrono::microseconds(100);
-/// Deviations beyond which a first event counts as missing; as for gaps between events.
-constexpr double missing_deviations = 4;
-
 /// A gap that is longer than usual by half is still no sign of a fault.
 constexpr double slow_gap_factor = 1.5;
 
@@ -36,10 +32,15 @@
 
 } // namespace
 
+duration promised_pause(duration route_pause)
+{
+    constexpr duration unpromised_pause = std::chrono::milliseconds(250);
+    return route_pause > duration::zero() ? route_pause : unpromised_pause;
+}
+
 duration silence_model::most_silence(const stream_expectation& expected, double mean_gap)
 {
-    const duration pause =
-        expected.longest_pause > duration::zero() ? expected.longest_pause : unpromised_pause;
+    const duration pause = promised_pause(expected.longest_pause);
     return std::clamp(to_duration(slow_gap_factor * mean_gap), pause / 2, pause);
 }
 
--- a/src/libs/health/silencemodel.h
+++ b/src/libs/health/silencemodel.h
@@ -6,6 +6,10 @@
 
 namespace sailtiller {
 
+/// The pause between two events that callers are promised, or, where a route promises none (zero), a quarter
+/// of a second: there a reader takes a pause for an end.
+[[nodiscard]] duration promised_pause(duration route_pause);
+
 /// What a stream's route and path lead one to expect.
 struct stream_expectation
 {
--- a/src/libs/health/stallwatch.h
+++ b/src/libs/health/stallwatch.h
@@ -17,7 +17,7 @@
     /// planned by less.
     duration late_look = std::chrono::milliseconds(5);
     /// A stream is silent if one in 1,400 gaps is longer (in mean deviations) ...
-    double silent_deviations = 4;
+    double silent_deviations = missing_deviations;
     /// ... or, together with others over the same upstream, if one in ten is: three of them are one in a
     /// thousand.
     double joint_deviations = 1.6;
--- a/src/libs/health/upstreamprobes.cpp
+++ b/src/libs/health/upstreamprobes.cpp
@@ -6,13 +6,6 @@
 
 namespace sailtiller {
 
-namespace {
-
-/// Deviations beyond which an answer counts as missing, as RFC 6298 has it for retransmissions.
-constexpr double missing_deviations = 4;
-
-} // namespace
-
 upstream_probes::upstream_probes(upstream_probe_settings settings, upstream_probe_hooks hooks)
     : settings(settings)
     , hooks(std::move(hooks))
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -59,8 +59,8 @@
     constexpr unsigned fraction_bits = 53;
     const double share = (static_cast<double>(random() >> (64U - fraction_bits)) + 0.5)
         / static_cast<double>(std::uint64_t{1} << fraction_bits);
-    return std::sqrt(
-        -std::log(share)); // the least of such draws is the more likely the less its square costs
+    // The least of such draws is the more likely the less the square of its cost.
+    return std::sqrt(-std::log(share));
 }
 
 /// What all hosts' requests take of an upstream.
@@ -111,20 +111,15 @@
     return room <= 0 ? 1 : (use.token_layers + wanted) / room;
 }
 
-/// Price in milliseconds for each layer of an upstream of which this share of something is used.
-double price_share(double share, bool avoids_full)
-{
-    return used_room_ms * share * share + (avoids_full && share > full_share ? full_ms * share : 0);
-}
-
 double price_room(const engine_profile& profile, const card_kind& card, const discovered_upstream& upstream,
     const upstream_use& use, const path_question& question)
 {
     const double wanted = (question.prompt_tokens + question.answer_tokens) * upstream.held.count();
+    const double share = share_in_use(profile, card, upstream, use, wanted);
     // A running request that is led elsewhere is short of time; its tokens were there before, so it rather
     // squeezes in than goes through the pipe to another hall.
-    const bool avoids_full = question.present.empty();
-    return price_share(share_in_use(profile, card, upstream, use, wanted), avoids_full);
+    const bool avoids_full = question.present.empty() && share > full_share;
+    return used_room_ms * share * share + (avoids_full ? full_ms * share : 0);
 }
 
 /// Price of beginning at an upstream: the first of a path holds a slot for the whole of a request. By room
--- a/src/libs/site/bundleexchange.cpp
+++ b/src/libs/site/bundleexchange.cpp
@@ -50,7 +50,12 @@
 {
     if (answer) {
         try {
-            this->hooks.take(unpack_text(*answer, this->settings.most_text_bytes));
+            const std::string text = unpack_text(*answer, this->settings.most_text_bytes);
+            this->hooks.take(text);
+            if (this->hooks.own_text() == text) {
+                this->packed = *answer;
+                this->packed_version = this->hooks.own_version();
+            }
         } catch (const error& malformed) {
             this->hooks.on_malformed(holder, malformed.reason());
         }
