Site, Fleet: when a host reads the store is decided in a class of its own

store_reading says when a read is due, and host_table who the readers are; both stood in the wiring of the program, where no test under a paused clock reached them.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -21,27 +21,13 @@
 
 /// The loop turns at least this often.
 constexpr duration longest_turn = std::chrono::seconds(1);
-/// How long a read waits for a newer bundle at the most; each answer also confirms the present one.
-constexpr duration longest_bundle_wait = milliseconds(1000);
-/// A reader confirms the bundle as of the begin of a wait, so up to two waits ago, and tells it to the others
-/// in half a second more; five waits fit into the time in which a withdrawn key may be used.
-constexpr int waits_in_revoke_limit = 5;
-/// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
-/// upstreams leave.
-constexpr duration upstream_interval = milliseconds(400);
 /// Between two looks whether a read is due.
 constexpr duration look_pause = milliseconds(50);
-/// The hosts that read the store for all; a second one covers the time until the first is missed.
-constexpr std::size_t reader_count = 2;
 /// All hosts together retry a failed read so often, besides the readers: while the store is away, each of
 /// them would ask for both topics once a second. The readers tell of its return within half a second.
 constexpr duration fleet_retry_interval = milliseconds(100);
 /// No host waits longer, as it may be one of the readers by then.
 constexpr duration longest_fleet_retry = std::chrono::seconds(3);
-/// A host that knows the upstreams only as of longer ago reads for itself, as the readers seem to be gone.
-constexpr duration own_upstream_read_age = milliseconds(1500);
-/// The same for the bundle, in tenths of a wait.
-constexpr int own_bundle_read_tenths = 26;
 /// Between two looks, during a stop, whether every answer is out.
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
@@ -57,6 +43,7 @@
     , store(
           this->loop, this->client, {.address = this->settings.store->address}, platform::make_store_codec())
     , knowledge(this->make_knowledge_settings(), this->make_knowledge_hooks())
+    , reading({.revoke_limit = this->settings.store->revoke_limit})
     , bundles({}, this->make_exchange_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
@@ -242,17 +229,14 @@
 
 bool site_host::is_reader() const
 {
-    return this->peers.hosts().own_rank(this->loop.now()) < reader_count;
+    return this->peers.hosts().is_reader(this->loop.now());
 }
 
 keyed_follower site_host::make_bundle_follower()
 {
     keyed_follower_hooks hooks = this->make_follower_hooks();
-    const duration wait =
-        std::min(longest_bundle_wait, this->settings.store->revoke_limit / waits_in_revoke_limit);
-    const duration own_read_age = wait * own_bundle_read_tenths / 10;
-    hooks.is_due = [this, own_read_age] {
-        return this->is_reader() || this->knowledge.bundle_age().value_or(own_read_age) >= own_read_age;
+    hooks.is_due = [this] {
+        return this->reading.is_bundle_due(this->is_reader(), this->knowledge.bundle_age());
     };
     hooks.on_all = [this](const std::vector<keyed_record>& records, log_offset) {
         for (const keyed_record& record : records) {
@@ -263,15 +247,15 @@
         this->knowledge.take_bundle_record(record);
     };
     hooks.on_confirmed = [this](time_point asked) { this->knowledge.confirm_bundle(asked); };
-    return {{.topic = store_topic::bundles, .wait = wait, .pause = look_pause}, std::move(hooks)};
+    return {{.topic = store_topic::bundles, .wait = this->reading.bundle_wait(), .pause = look_pause},
+        std::move(hooks)};
 }
 
 keyed_follower site_host::make_upstream_follower()
 {
     keyed_follower_hooks hooks = this->make_follower_hooks();
     hooks.is_due = [this] {
-        const duration limit = this->is_reader() ? upstream_interval : own_upstream_read_age;
-        return this->knowledge.upstreams_age().value_or(limit) >= limit;
+        return this->reading.are_upstreams_due(this->is_reader(), this->knowledge.upstreams_age());
     };
     hooks.on_all = [this](const std::vector<keyed_record>& records, log_offset end) {
         this->knowledge.take_all_upstreams(records, end);
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -15,6 +15,7 @@
 #include <runtime/signalwatch.h>
 #include <site/bundleexchange.h>
 #include <site/siteknowledge.h>
+#include <site/storereading.h>
 #include <store/keyedfollower.h>
 #include <store/storeclient.h>
 
@@ -69,6 +70,7 @@
     store_client store;
     site_knowledge knowledge;
     part_loads loads;
+    store_reading reading;
     bundle_exchange bundles;
     site_peers peers;
     retry_allowance retries;
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -115,6 +115,11 @@
     return static_cast<std::size_t>(own - live.begin());
 }
 
+bool host_table::is_reader(time_point now) const
+{
+    return this->own_rank(now) < this->settings.reader_count;
+}
+
 std::map<upstream_id, upstream_work> host_table::sum_work(time_point now) const
 {
     std::map<upstream_id, upstream_work> sums;
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -23,6 +23,8 @@
     duration forget_after = std::chrono::seconds(60);
     /// Asked in one round; bounds the bytes of a large fleet.
     std::size_t most_asked = 8;
+    /// The hosts that read the store for all; a second one covers the time until the first is missed.
+    std::size_t reader_count = 2;
 };
 
 /// The hosts of the site as this one knows them: from their records in the store, from their own messages,
@@ -57,6 +59,8 @@
     [[nodiscard]] std::size_t heard_count(time_point now, duration within) const;
     /// This host's place among the live ones, from 0.
     [[nodiscard]] std::size_t own_rank(time_point now) const;
+    /// True if this host is one of those that read the store for all.
+    [[nodiscard]] bool is_reader(time_point now) const;
     /// Work of the other live hosts at each upstream.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
     /// The address that was bound, once it is known.
--- /dev/null
+++ b/src/libs/site/storereading.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/clock.h>
+
+#include <optional>
+
+namespace sailtiller {
+
+/// What a host's reads of the store must keep to.
+struct store_reading_settings
+{
+    /// A withdrawn key must not be used for longer than this.
+    duration revoke_limit = std::chrono::seconds(5);
+};
+
+/// When a host reads the store. A few hosts, the readers, read it for all; the others hear from them, and
+/// read for themselves once what they hear is too old.
+class store_reading
+{
+public:
+    explicit store_reading(store_reading_settings settings)
+        : settings(settings)
+    {
+    }
+
+    /// How long a read for a newer bundle waits at the store. Its answer confirms the present one as of its
+    /// question, so a reader's confirmation is up to two waits old.
+    [[nodiscard]] duration bundle_wait() const;
+    /// True if this host should read the bundle, which it knows to have been the newest that long ago.
+    [[nodiscard]] bool is_bundle_due(bool is_reader, const std::optional<duration>& age) const;
+    /// The same for the upstreams' entries.
+    [[nodiscard]] bool are_upstreams_due(bool is_reader, const std::optional<duration>& age) const;
+
+private:
+    store_reading_settings settings;
+};
+
+} // namespace sailtiller
