--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,12 +1,35 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
 # Installs what is missing, then runs the formatter, the check for names of the wire, the build with -Werror, the tests,
-# the tests under the sanitizers, and clang-tidy. Any finding ends it with a non-zero code.
+# the tests under the sanitizers, and clang-tidy. Any finding ends it with a non-zero code. Tests that KNOWN-RED.txt
+# names fail for a known fault: they are run by themselves and printed, and one that passes has to leave the list.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 step() { printf '== %s\n' "$*"; }
 
+known_red=KNOWN-RED.txt
+most_known_red=3
+
+# The names that a line begins with, joined for a filter of GoogleTest.
+known_red_tests() { [ ! -s "$known_red" ] || cut -d: -f1 "$known_red" | paste -sd:; }
+
+# Runs the tests of a build, all but those that are known to fail.
+run_tests() { GTEST_FILTER="-$(known_red_tests)" ctest --test-dir "$1" --output-on-failure; }
+
+check_known_red() {
+  [ -s "$known_red" ] || return 0
+  [ "$(wc -l <"$known_red")" -le "$most_known_red" ] || { echo "$known_red holds over $most_known_red lines" >&2; exit 1; }
+  cat "$known_red"
+  local name
+  while IFS=: read -r name _; do
+    if GTEST_FILTER="$name" ctest --test-dir "$1" >/dev/null; then
+      echo "$name passes, or is not there: take it off $known_red" >&2
+      exit 1
+    fi
+  done <"$known_red"
+}
+
 step "packages"
 scripts/setup.sh
 
@@ -21,12 +44,15 @@
 cmake --build build
 
 step "tests"
-ctest --test-dir build --output-on-failure
+run_tests build
+
+step "tests that are known to fail"
+check_known_red build
 
 step "tests under the sanitizers"
 cmake -S . -B build-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DSAILTILLER_SANITIZE=ON -DSAILTILLER_BENCH=OFF >/dev/null
 cmake --build build-sanitize
-ctest --test-dir build-sanitize --output-on-failure
+run_tests build-sanitize
 
 step "clang-tidy"
 git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet --warnings-as-errors='*' 2>/dev/null
