Site, Fleet: readers are hosts that the store answers, and others step in within the limit for a change

Cause: the two hosts that read the store for all were the first ones by name of those that live. When the store answered neither, they lived on as readers, and the others read for themselves only once what they knew was 2.6 s old, though a change must be in force within 2 s.

Change: reports tell whether the store answers the sender's reads; readers are chosen among those whom it does. A host reads for itself at three quarters of the limit, which is a setting now (apply-limit-ms, from the platform), and a waiting read takes a fifth of it. A host that was failed tries again every 3 s.

Measured: the test, 2.35 s at the most -> under 2 s, under 0.5 s once the others have taken over.

--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -5,6 +5,7 @@
 #include <routing/retryallowance.h>
 #include <runtime/eventlog.h>
 #include <runtime/httpserver.h>
+#include <site/storereading.h>
 
 namespace sailtiller {
 
@@ -12,7 +13,7 @@
 struct store_settings
 {
     endpoint address;
-    duration revoke_limit{}; ///< a withdrawn key must not be used for longer than this
+    store_reading_settings reading;
     retry_allowance_settings retries;
 };
 
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -43,7 +43,7 @@
     , store(
           this->loop, this->client, {.address = this->settings.store->address}, platform::make_store_codec())
     , knowledge(this->make_knowledge_settings(), this->make_knowledge_hooks())
-    , reading({.revoke_limit = this->settings.store->revoke_limit})
+    , reading(this->settings.store->reading)
     , bundles({}, this->make_exchange_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
@@ -115,6 +115,7 @@
     };
     hooks.on_failure = [this](const error& failure) {
         this->knowledge.note_store_disturbed();
+        this->reading.note_failed(this->loop.now());
         log_store_failure(failure);
     };
     return hooks;
@@ -123,7 +124,7 @@
 site_knowledge_settings site_host::make_knowledge_settings() const
 {
     site_knowledge_settings item;
-    item.revoke_limit = this->settings.store->revoke_limit;
+    item.revoke_limit = this->settings.store->reading.revoke_limit;
     return item;
 }
 
@@ -165,6 +166,7 @@
     site_peers_hooks hooks;
     hooks.fill_report = [this](peer_report& report, const peer_report* asker) {
         this->knowledge.fill_report(report, asker);
+        report.reads_store = this->reading.reads_store();
         this->report_work(report);
         this->health.fill_report(report);
     };
@@ -229,14 +231,14 @@
 
 bool site_host::is_reader() const
 {
-    return this->peers.hosts().is_reader(this->loop.now());
+    return this->peers.hosts().is_reader(this->reading.reads_store(), this->loop.now());
 }
 
 keyed_follower site_host::make_bundle_follower()
 {
     keyed_follower_hooks hooks = this->make_follower_hooks();
     hooks.is_due = [this] {
-        return this->reading.is_bundle_due(this->is_reader(), this->knowledge.bundle_age());
+        return this->reading.is_bundle_due(this->is_reader(), this->knowledge.bundle_age(), this->loop.now());
     };
     hooks.on_all = [this](const std::vector<keyed_record>& records, log_offset) {
         for (const keyed_record& record : records) {
@@ -246,7 +248,10 @@
     hooks.on_record = [this](const keyed_record& record, log_offset) {
         this->knowledge.take_bundle_record(record);
     };
-    hooks.on_confirmed = [this](time_point asked) { this->knowledge.confirm_bundle(asked); };
+    hooks.on_confirmed = [this](time_point asked) {
+        this->reading.note_answered();
+        this->knowledge.confirm_bundle(asked);
+    };
     return {{.topic = store_topic::bundles, .wait = this->reading.bundle_wait(), .pause = look_pause},
         std::move(hooks)};
 }
@@ -263,7 +268,10 @@
     hooks.on_record = [this](const keyed_record& record, log_offset offset) {
         this->knowledge.take_upstream_record(record, offset);
     };
-    hooks.on_confirmed = [this](time_point asked) { this->knowledge.confirm_upstreams(asked); };
+    hooks.on_confirmed = [this](time_point asked) {
+        this->reading.note_answered();
+        this->knowledge.confirm_upstreams(asked);
+    };
     return {{.topic = store_topic::upstreams, .pause = look_pause}, std::move(hooks)};
 }
 
@@ -389,7 +397,9 @@
                 {"reload settings", "store-address"}, "it can't be taken away while the process runs");
         }
         set_up_log(next.log);
-        this->knowledge.set_revoke_limit(next.store->revoke_limit);
+        this->knowledge.set_revoke_limit(next.store->reading.revoke_limit);
+        this->reading.set_settings(next.store->reading);
+        this->bundle_follower.set_wait(this->reading.bundle_wait());
         this->retries.set_settings(next.store->retries);
         this->settings.stop_grace = next.stop_grace;
         this->settings.longest_stop = next.longest_stop;
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -60,6 +60,7 @@
     item.host = report.sender;
     item.heard = now;
     item.is_leaving = report.is_leaving;
+    item.reads_store = report.reads_store;
     item.work = report.work;
 }
 
@@ -115,9 +116,17 @@
     return static_cast<std::size_t>(own - live.begin());
 }
 
-bool host_table::is_reader(time_point now) const
+bool host_table::is_reader(bool reads_store, time_point now) const
 {
-    return this->own_rank(now) < this->settings.reader_count;
+    bool is_any_able = reads_store;
+    std::size_t able_before = 0;
+    for (const auto& [id, item] : this->others) {
+        const bool is_able = item.reads_store && this->is_live(item, now);
+        is_any_able = is_any_able || is_able;
+        able_before += is_able && id < this->self.id ? 1 : 0;
+    }
+    const std::size_t rank = is_any_able ? able_before : this->own_rank(now);
+    return reads_store == is_any_able && rank < this->settings.reader_count;
 }
 
 std::map<upstream_id, upstream_work> host_table::sum_work(time_point now) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -59,8 +59,11 @@
     [[nodiscard]] std::size_t heard_count(time_point now, duration within) const;
     /// This host's place among the live ones, from 0.
     [[nodiscard]] std::size_t own_rank(time_point now) const;
-    /// True if this host is one of those that read the store for all.
-    [[nodiscard]] bool is_reader(time_point now) const;
+    /// True if this host, whose own reads the store answers or not, is one of those that read it for all: the
+    /// first by their ids of the live hosts that the store answers, or of all live ones if it answers nobody.
+    /// A host that lives may be cut off from the store for long; as a reader it would leave all others
+    /// without a word from there.
+    [[nodiscard]] bool is_reader(bool reads_store, time_point now) const;
     /// Work of the other live hosts at each upstream.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
     /// The address that was bound, once it is known.
@@ -75,6 +78,7 @@
         time_point added{};
         time_point asked{};
         bool is_leaving = false;
+        bool reads_store = true;
         std::vector<upstream_work> work;
     };
 
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -129,8 +129,8 @@
     return to_cbor({{"sender", write_host(report.sender)}, {"leaving", report.is_leaving},
         {"version", report.bundle_version}, {"bundle_age", write_age(report.bundle_age)},
         {"offset", write_optional(report.entries_offset)}, {"entries_age", write_age(report.entries_age)},
-        {"disturbed_age", write_age(report.store_disturbed_age)}, {"whole", report.are_entries_whole},
-        {"changes", write_changes(report)}, {"work", write_work(report)},
+        {"disturbed_age", write_age(report.store_disturbed_age)}, {"reads_store", report.reads_store},
+        {"whole", report.are_entries_whole}, {"changes", write_changes(report)}, {"work", write_work(report)},
         {"suspicions", write_suspicions(report)}, {"signs", write_signs(report)},
         {"holdings", write_holdings(report)}, {"hosts", write_hosts(report)}});
 }
@@ -146,6 +146,7 @@
         report.entries_offset = read_optional<std::uint64_t>(item.at("offset"));
         report.entries_age = read_age(item.at("entries_age"));
         report.store_disturbed_age = read_age(item.at("disturbed_age"));
+        report.reads_store = item.at("reads_store").get<bool>();
         report.are_entries_whole = item.at("whole").get<bool>();
         read_lists(item, report);
         return report;
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -69,6 +69,7 @@
     std::optional<std::uint64_t> entries_offset; ///< up to which the sender knows the upstreams' entries
     std::optional<duration> entries_age;
     std::optional<duration> store_disturbed_age; ///< since the store last failed a call
+    bool reads_store = true; ///< false if the store failed the sender's last read
     bool are_entries_whole = false; ///< the changes are all entries, and what is not there is gone
     std::vector<entry_change> changes; ///< only for one who knows less
     std::vector<upstream_work> work;
--- a/src/libs/site/storereading.cpp
+++ b/src/libs/site/storereading.cpp
@@ -12,10 +12,15 @@
 /// How long a read waits for a newer bundle at the most; each answer also confirms the present one.
 constexpr duration longest_bundle_wait = milliseconds(1000);
 /// A reader confirms the bundle as of the begin of a wait, so up to two waits ago, and tells it to the others
-/// in half a second more; five waits fit into the time in which a withdrawn key may be used.
-constexpr int waits_in_revoke_limit = 5;
-/// A host that knows the bundle only as of longer ago reads for itself, in tenths of a wait.
-constexpr int own_bundle_read_tenths = 26;
+/// in half a second more: with five waits in the limit that is nine tenths of the age at which they read for
+/// themselves, so that they need not while the readers read.
+constexpr int waits_in_limit = 5;
+/// Share of the limit at which a host no longer waits for the readers' word, in quarters. The last quarter is
+/// left to its own read and to passing on what it finds. At 2.6 s, beyond the limit of 2 s, changes were in
+/// force up to 2.4 s after their confirmation while both readers were cut off from the store.
+constexpr int own_read_quarters = 3;
+/// A host that the store has failed tries again this often, so that it can be a reader again.
+constexpr duration retrial_pause = milliseconds(3000);
 /// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
 /// upstreams leave.
 constexpr duration upstream_interval = milliseconds(400);
@@ -26,13 +31,16 @@
 
 duration store_reading::bundle_wait() const
 {
-    return std::min(longest_bundle_wait, this->settings.revoke_limit / waits_in_revoke_limit);
+    const duration limit = std::min(this->settings.apply_limit, this->settings.revoke_limit);
+    return std::min(longest_bundle_wait, limit / waits_in_limit);
 }
 
-bool store_reading::is_bundle_due(bool is_reader, const std::optional<duration>& age) const
+bool store_reading::is_bundle_due(bool is_reader, const std::optional<duration>& age, time_point now) const
 {
-    const duration limit = this->bundle_wait() * own_bundle_read_tenths / 10;
-    return is_reader || age.value_or(limit) >= limit;
+    const duration limit = std::min(this->settings.apply_limit, this->settings.revoke_limit);
+    const duration own_read_age = limit * own_read_quarters / 4;
+    const bool is_retrial_due = this->failed && now - *this->failed >= retrial_pause;
+    return is_reader || is_retrial_due || age.value_or(own_read_age) >= own_read_age;
 }
 
 bool store_reading::are_upstreams_due(bool is_reader, const std::optional<duration>& age) const
--- a/src/libs/site/storereading.h
+++ b/src/libs/site/storereading.h
@@ -10,12 +10,14 @@
 /// What a host's reads of the store must keep to.
 struct store_reading_settings
 {
+    /// An accepted bundle must be in force on every host within this.
+    duration apply_limit = std::chrono::seconds(2);
     /// A withdrawn key must not be used for longer than this.
     duration revoke_limit = std::chrono::seconds(5);
 };
 
 /// When a host reads the store. A few hosts, the readers, read it for all; the others hear from them, and
-/// read for themselves once what they hear is too old.
+/// read for themselves once what they hear is too old. Whoever the store doesn't answer is no reader.
 class store_reading
 {
 public:
@@ -24,16 +26,26 @@
     {
     }
 
+    void set_settings(const store_reading_settings& next) { this->settings = next; }
     /// How long a read for a newer bundle waits at the store. Its answer confirms the present one as of its
     /// question, so a reader's confirmation is up to two waits old.
     [[nodiscard]] duration bundle_wait() const;
     /// True if this host should read the bundle, which it knows to have been the newest that long ago.
-    [[nodiscard]] bool is_bundle_due(bool is_reader, const std::optional<duration>& age) const;
+    [[nodiscard]] bool is_bundle_due(
+        bool is_reader, const std::optional<duration>& age, time_point now) const;
     /// The same for the upstreams' entries.
     [[nodiscard]] bool are_upstreams_due(bool is_reader, const std::optional<duration>& age) const;
 
+    /// The store answered a read of this host.
+    void note_answered() { this->failed.reset(); }
+    /// The store failed a read of this host.
+    void note_failed(time_point now) { this->failed = now; }
+    /// False from a failed read to the next one that is answered.
+    [[nodiscard]] bool reads_store() const { return !this->failed; }
+
 private:
     store_reading_settings settings;
+    std::optional<time_point> failed; ///< the last read, if the store failed it
 };
 
 } // namespace sailtiller
--- a/src/libs/store/keyedfollower.h
+++ b/src/libs/store/keyedfollower.h
@@ -50,6 +50,8 @@
     void start();
     /// Everything before `end` is known from elsewhere.
     void skip_to(log_offset end);
+    /// How long reads wait for a record from now on.
+    void set_wait(duration wait) { this->settings.wait = wait; }
     /// True if the last read failed.
     [[nodiscard]] bool is_lost() const { return this->failures > 0; }
 
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -57,6 +57,30 @@
     EXPECT_EQ(this->table.own_rank(this->now + 2s), 0U);
 }
 
+TEST_F(host_table_test, the_first_two_hosts_that_the_store_answers_read_it_for_all)
+{
+    peer_report cut_off = make_report(make_host("a"));
+    cut_off.reads_store = false;
+    this->table.note_heard(cut_off, this->now);
+    this->table.note_heard(make_report(make_host("a2")), this->now);
+    this->table.note_heard(make_report(make_host("c")), this->now);
+    EXPECT_TRUE(this->table.is_reader(true, this->now)) << "the second of those that are answered";
+    EXPECT_FALSE(this->table.is_reader(false, this->now));
+    this->table.note_heard(make_report(make_host("a")), this->now);
+    EXPECT_FALSE(this->table.is_reader(true, this->now)) << "two others come first";
+}
+
+TEST_F(host_table_test, while_the_store_answers_nobody_the_first_two_hosts_go_on_asking)
+{
+    for (const char* name : {"a", "c"}) {
+        peer_report report = make_report(make_host(name));
+        report.reads_store = false;
+        this->table.note_heard(report, this->now);
+    }
+    EXPECT_TRUE(this->table.is_reader(false, this->now));
+    EXPECT_TRUE(this->table.is_reader(true, this->now));
+}
+
 TEST_F(host_table_test, work_is_summed_over_the_others)
 {
     for (const char* name : {"a", "c"}) {
--- a/tests/auto/site/tst_storereading.cpp
+++ b/tests/auto/site/tst_storereading.cpp
@@ -125,7 +125,7 @@
     std::size_t calls = 0;
 };
 
-/// Hosts of one hall that read the store or hear from each other as those of a site do, under one paused
+/// Hosts of two halls that read the store or hear from each other as those of a site do, under one paused
 /// clock.
 class reading_fleet
 {
@@ -160,6 +160,14 @@
         }
     }
 
+    [[nodiscard]] bool is_reader(std::size_t number) const
+    {
+        const host& item = *this->hosts[number];
+        return item.table->is_reader(item.reading.reads_store(), this->now);
+    }
+
+    [[nodiscard]] std::size_t calls_made() const { return this->store.calls_made(); }
+
     /// Writes that version; how long it takes until every host whom the store answers has it.
     duration measure_delay(std::uint64_t version)
     {
@@ -183,6 +191,7 @@
         std::unique_ptr<site_knowledge> knowledge;
         std::unique_ptr<bundle_exchange> exchange;
         std::unique_ptr<keyed_follower> follower;
+        store_reading reading{{.apply_limit = apply_limit, .revoke_limit = 5s}};
     };
 
     void start(host& item)
@@ -196,7 +205,7 @@
 
     void wire(host& item, const std::string& name)
     {
-        item.name = {host_id(name), endpoint(name), data_hall_id("x")};
+        item.name = {host_id(name), endpoint(name), data_hall_id(this->hosts.size() % 2 == 0 ? "x" : "y")};
         item.table = std::make_unique<host_table>(item.name, host_table_settings{});
         site_knowledge_hooks hooks;
         hooks.now = [this] { return this->now; };
@@ -208,7 +217,7 @@
             std::make_unique<bundle_exchange>(bundle_exchange_settings{}, this->make_exchange_hooks(item));
         item.follower = std::make_unique<keyed_follower>(
             keyed_follower_settings{
-                .topic = store_topic::bundles, .wait = this->reading.bundle_wait(), .pause = 50ms},
+                .topic = store_topic::bundles, .wait = item.reading.bundle_wait(), .pause = 50ms},
             this->make_follower_hooks(item));
     }
 
@@ -243,8 +252,8 @@
             this->store.read_after(item.access, from, wait, on_page, on_failure);
         };
         hooks.is_due = [this, &item] {
-            return this->reading.is_bundle_due(
-                item.table->is_reader(this->now), item.knowledge->bundle_age());
+            const bool is_reader = item.table->is_reader(item.reading.reads_store(), this->now);
+            return item.reading.is_bundle_due(is_reader, item.knowledge->bundle_age(), this->now);
         };
         hooks.on_all = [&item](const std::vector<keyed_record>& records, log_offset) {
             item.knowledge->take_bundle_record(records.back());
@@ -252,8 +261,11 @@
         hooks.on_record = [&item](const keyed_record& record, log_offset) {
             item.knowledge->take_bundle_record(record);
         };
-        hooks.on_confirmed = [&item](time_point asked) { item.knowledge->confirm_bundle(asked); };
-        hooks.on_failure = [](const error&) {};
+        hooks.on_confirmed = [&item](time_point asked) {
+            item.reading.note_answered();
+            item.knowledge->confirm_bundle(asked);
+        };
+        hooks.on_failure = [this, &item](const error&) { item.reading.note_failed(this->now); };
         return hooks;
     }
 
@@ -268,6 +280,7 @@
     {
         peer_report report;
         report.sender = item.name;
+        report.reads_store = item.reading.reads_store();
         item.knowledge->fill_report(report, asker);
         return report;
     }
@@ -299,7 +312,6 @@
     timer_queue timers;
     random_function random = make_seeded_random(5);
     test_store store{this->timers, this->now};
-    store_reading reading{{.revoke_limit = 5s}};
     std::vector<std::unique_ptr<host>> hosts;
 };
 
@@ -322,6 +334,54 @@
     }
 }
 
+TEST(store_reading_test, hosts_that_the_store_answers_take_the_readers_place)
+{
+    for (const store_access access : {store_access::silent, store_access::refuses}) {
+        reading_fleet fleet(7);
+        fleet.set_access({0, 1, 2}, access);
+        fleet.pass(4s);
+        for (std::uint64_t version = 2; version < 20; ++version) {
+            EXPECT_LT(fleet.measure_delay(version), 500ms) << "two rounds of reports";
+            fleet.pass(370ms);
+        }
+    }
+}
+
+TEST(store_reading_test, readers_that_are_answered_again_read_for_all_again)
+{
+    reading_fleet fleet(7);
+    fleet.set_access({0, 1}, store_access::silent);
+    fleet.pass(6s);
+    EXPECT_FALSE(fleet.is_reader(0));
+    EXPECT_TRUE(fleet.is_reader(2));
+    EXPECT_TRUE(fleet.is_reader(3));
+    fleet.set_access({0, 1}, store_access::answers);
+    fleet.pass(5s);
+    EXPECT_TRUE(fleet.is_reader(0));
+    EXPECT_TRUE(fleet.is_reader(1));
+    EXPECT_FALSE(fleet.is_reader(2));
+}
+
+TEST(store_reading_test, a_store_that_was_away_for_all_brings_a_change_in_time_once_it_is_back)
+{
+    reading_fleet fleet(7);
+    fleet.set_access({0, 1, 2, 3, 4, 5, 6}, store_access::silent);
+    fleet.pass(9s);
+    fleet.set_access({0, 1, 2, 3, 4, 5, 6}, store_access::answers);
+    EXPECT_LT(fleet.measure_delay(2), apply_limit);
+    fleet.pass(5s);
+    EXPECT_LT(fleet.measure_delay(3), 500ms);
+}
+
+TEST(store_reading_test, only_the_readers_read_while_the_store_answers_them)
+{
+    reading_fleet fleet(7);
+    const std::size_t before = fleet.calls_made();
+    fleet.pass(45s);
+    // A wait of 0.4 s and a pause of 0.05 s each.
+    EXPECT_LE(fleet.calls_made() - before, 2 * 100U + 2);
+}
+
 } // namespace
 
 } // namespace sailtiller
