Delivery: every send counts as a run unless it is known not to be one, and the last call allowed isn't given up

Cause: each way of leaving a call had to count it, and two didn't: an engine that doesn't know the request when asked to change its path (also once it has ended it), and an answer that belongs to another request. A third engine then got what the route allows two. And a call was given up, because its head seemed dead or its engine didn't know it, also where nothing else could run the request: all that this could do was lose an answer on its way.

Change: - stream_sends counts runs as sends less those known not to have run, so a way of leaving a call can't forget to count. Every way goes through leave_call, which ends call and path together; before, an answer to a change of path of a call that had broken off was still heard while the stream searched, and changed a path that it no longer had. - A call is left only if the request could go out again at once: runs, sends, a retry and leave to send. Otherwise a head that seems dead is waited for, for a second at most, and an engine that doesn't know the request is asked again for the other path. limited_wait is the wait with its bound. - A stream under way whose host can't tell whether its configuration is the newest waits for the same second and searches again. "No engines for this route" can't come to be within a request, which keeps its bundle, and stays as it is. - An upstream's failure is passed on where no send or retry is left, instead of a refusal in its place. - path_failed and broken_off tell the runs so far and those allowed. A stream that was broken off for want of leave to send was logged as refused; it is broken_off now. - Cutting and measuring events is passed_events' job, moved as it stood.

The test heads_that_are_called_dead_count_as_upstreams_that_ran_it asked for an end at once. It now asks for two sends still, no end within the bound, and the end right after it; the test after it asks that an answer within the bound is passed on whole.

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -93,6 +93,10 @@
     unsigned immediate_sends = 4;
     duration first_resend_pause = std::chrono::milliseconds(60);
     duration longest_resend_pause = std::chrono::milliseconds(400);
+    /// How long a stream stays with a first engine that seems dead when nothing else may run the request, and
+    /// how long one that has begun waits for this host to learn whether its bundle is the newest. Half of the
+    /// two seconds without an event after which a caller leaves: it still has time to resume by itself.
+    duration longest_wait_under_way = std::chrono::milliseconds(1000);
 };
 
 struct delivery_order;
--- a/src/libs/delivery/pathchanges.h
+++ b/src/libs/delivery/pathchanges.h
@@ -23,6 +23,8 @@
     [[nodiscard]] bool may_take_one_more() const;
     /// The present failure takes one change more.
     void take_one() { ++this->taken; }
+    /// The engine didn't know the request, so the change that was taken last is still to be had.
+    void give_back_one() { --this->taken; }
     /// An event came, so the failure is over.
     void note_progress() { this->taken = 0; }
     /// Asks the first engine of `next` to lead the request over it.
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -42,16 +42,30 @@
     }
 }
 
+const upstream_id& path_use::find_culprit(const std::optional<endpoint>& at_fault) const
+{
+    const auto found = std::find_if(this->path.begin(), this->path.end(),
+        [&at_fault](const path_part& part) { return part.address == at_fault; });
+    return found == this->path.end() ? this->head().id : found->id;
+}
+
 bool path_use::passes(const upstream_id& id) const
 {
     return std::any_of(
         this->path.begin(), this->path.end(), [&id](const path_part& part) { return part.id == id; });
 }
 
-bool path_use::passes_any(const std::set<upstream_id>& ids) const
+bool path_use::passes_behind_head(const std::set<upstream_id>& ids) const
+{
+    return std::any_of(this->path.begin(), this->path.end(), [this, &ids](const path_part& part) {
+        return part.id != this->head().id && ids.count(part.id) != 0;
+    });
+}
+
+bool path_use::crosses_less_than(const layer_path& next) const
 {
-    return std::any_of(this->path.begin(), this->path.end(),
-        [&ids](const path_part& part) { return ids.count(part.id) != 0; });
+    return count_crossings(this->context.directory, this->path)
+        < count_crossings(this->context.directory, next);
 }
 
 bool path_use::outlives_layers() const
--- a/src/libs/delivery/pathuse.h
+++ b/src/libs/delivery/pathuse.h
@@ -31,8 +31,13 @@
     [[nodiscard]] const layer_path& parts() const { return this->path; }
     /// The engine to which the request was sent; the path must not be empty.
     [[nodiscard]] const path_part& head() const { return this->path.front(); }
+    /// The engine that refused: the one at this address if the path has it, else the head.
+    [[nodiscard]] const upstream_id& find_culprit(const std::optional<endpoint>& at_fault) const;
     [[nodiscard]] bool passes(const upstream_id& id) const;
-    [[nodiscard]] bool passes_any(const std::set<upstream_id>& ids) const;
+    /// True if a part that a change of path could replace is one of these; the head always stays.
+    [[nodiscard]] bool passes_behind_head(const std::set<upstream_id>& ids) const;
+    /// True if that path crosses from hall to hall more often than the present one.
+    [[nodiscard]] bool crosses_less_than(const layer_path& next) const;
     /// True if an engine behind the head has given up layers that it runs for this path.
     [[nodiscard]] bool outlives_layers() const;
 
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -14,10 +14,11 @@
     , call(context, this->order)
     , chooser(context, this->order)
     , path(context, this->chooser)
-    , pace(this->order.arrived)
-    , last_event(this->order.request.last_event)
-    , sends(context.settings)
+    , events(context, this->order)
+    , sends(context, this->order)
     , changes(context)
+    , head_wait(context)
+    , search_wait(context)
 {
 }
 
@@ -34,7 +35,7 @@
 {
     this->state = phase::searching;
     if (!this->context.may_send()) {
-        this->refuse("this host can't tell whether its configuration is the newest");
+        this->wait_or_refuse("this host can't tell whether its configuration is the newest");
         return;
     }
     if (this->chooser.profile() == nullptr) {
@@ -68,11 +69,12 @@
     }
     this->path.begin(std::move(found));
     this->sends.note_sent();
+    this->search_wait.end();
     this->changes.end_ask();
     this->state = phase::waiting;
     this->answer = {};
     this->other_body.clear();
-    this->events.clear();
+    this->events.drop_rest();
     this->log(event_type::sent, describe_path(this->path.parts()));
     this->call.start(this->path.head().address, this->make_upstream_request(), this->make_answer_hooks());
 }
@@ -90,7 +92,7 @@
 upstream_request stream_delivery::make_upstream_request() const
 {
     upstream_request upstream = this->order.make_request(this->path.head().id, this->context.timers.now());
-    upstream.last_event = this->last_event;
+    upstream.last_event = this->events.last();
     upstream.path = list_stops(this->path.parts());
     return upstream;
 }
@@ -120,38 +122,34 @@
         return;
     }
     std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.parts());
-    if (next && !this->crosses_more(*next)) {
+    if (next && !this->path.crosses_less_than(*next)) {
         this->ask_for_path(*next);
     }
 }
 
-bool stream_delivery::crosses_more(const layer_path& next) const
-{
-    return count_crossings(this->context.directory, next)
-        > count_crossings(this->context.directory, this->path.parts());
-}
-
 void stream_delivery::leave_head()
 {
-    // An engine that answers no probe may be alive behind a bad link, so its run counts all the same.
-    this->runs += this->state == phase::waiting ? 1 : 0;
-    this->call.end();
-    this->fail_over("the first engine of its path is dead");
+    // An engine that answers no probe may be alive behind a full link, and its answer on the way. Where
+    // nothing else may run the request, leaving it could only lose that answer.
+    if (this->sends.may_send_now(this->has_started) || this->head_wait.is_over()) {
+        this->fail_over("the first engine of its path is dead");
+        return;
+    }
+    this->head_wait.look_again(
+        this->context.settings.search_pause, [self = this->shared_from_this()] { self->leave_head(); });
 }
 
 /// Leads the running request around the upstreams that it avoids.
 void stream_delivery::change_path()
 {
     const bool may_change = this->is_under_way() && !this->changes.is_asking();
-    if (!may_change || !this->path.passes_any(this->avoided)) {
+    if (!may_change || !this->path.passes_behind_head(this->avoided)) {
         return;
     }
     std::optional<layer_path> next = this->chooser.find(this->avoided, this->path.parts());
     // All streams of a dead part would press through the pipe between the halls at once; reading anew in
     // another hall is sooner done.
-    if (next && this->crosses_more(*next) && this->may_resume_elsewhere()) {
-        this->runs += this->state == phase::waiting ? 1 : 0;
-        this->call.end();
+    if (next && this->path.crosses_less_than(*next) && this->sends.may_send_now(this->has_started)) {
         this->fail_over("a part of its path is dead and has no other holder in its hall");
         return;
     }
@@ -168,14 +166,6 @@
     this->changes.schedule(pause, [self = this->shared_from_this()] { self->change_path(); });
 }
 
-bool stream_delivery::may_resume_elsewhere() const
-{
-    const unsigned runs_so_far = this->runs + (this->state == phase::waiting ? 1 : 0);
-    return this->order.route->may_repeat() && runs_so_far < this->order.route->most_attempts
-        && this->sends.may_send_again(this->has_started)
-        && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
-}
-
 void stream_delivery::ask_for_path(const layer_path& next)
 {
     this->changes.ask(this->order, next,
@@ -198,10 +188,7 @@
     }
     this->log(event_type::path_change_refused, std::to_string(static_cast<int>(result.result)));
     if (result.result == path_change_result::unknown_request) {
-        if (this->state == phase::waiting) {
-            this->call.end();
-            this->fail_over("a part of its path is dead and it has not begun");
-        }
+        this->take_unknown_request();
         return;
     }
     if (result.at_fault) {
@@ -210,6 +197,22 @@
     this->schedule_change(result.at_fault ? duration::zero() : this->context.settings.change_pause);
 }
 
+/// The head has not begun the request, or has ended it and its answer is on the way.
+void stream_delivery::take_unknown_request()
+{
+    if (this->state != phase::waiting) {
+        return;
+    }
+    if (this->sends.may_send_now(this->has_started)) {
+        // The head answers, so it may take the request again.
+        this->go_on("a part of its path is dead, and its first engine doesn't know the request");
+        return;
+    }
+    // Nothing else may run it, so the answer is waited for; if it has yet to begin, it needs the other path.
+    this->changes.give_back_one();
+    this->schedule_change(this->context.settings.change_pause);
+}
+
 /// Keeps the stream, and new work for a while, away from the part that refused a path.
 void stream_delivery::avoid_fault(const layer_path& refused, const endpoint& at_fault)
 {
@@ -235,14 +238,13 @@
 {
     this->answer = this->context.codec.decode_answer(status, headers);
     if (this->answer.id != this->order.request.id) {
-        this->call.end();
         this->fail_over("the answer belongs to another request");
         return;
     }
+    this->head_wait.end(); // it lives
     if (status != http_status::ok || !this->answer.is_signed) {
         return; // judged at its end
     }
-    ++this->runs;
     this->state = phase::streaming;
     this->path.note_begun();
     if (!this->has_started) {
@@ -253,49 +255,31 @@
 
 void stream_delivery::take_body(std::string_view bytes)
 {
+    this->head_wait.end(); // it lives
     if (this->state != phase::streaming) {
         this->other_body += bytes;
         return;
     }
-    const std::vector<stream_event> whole = this->events.take(bytes);
-    if (whole.empty()) {
+    const std::string text = this->events.take(bytes, this->path.parts());
+    if (text.empty()) {
         return;
     }
-    std::string text;
-    for (const stream_event& event : whole) {
-        text += event.text;
-        this->last_event = event.id ? event.id : this->last_event;
-    }
     this->changes.note_progress();
     this->path.note_progress();
-    this->measure_event();
-    this->pace.note_passed(whole.size(), this->context.timers.now(), this->path.parts());
     this->caller.send(text);
 }
 
-void stream_delivery::measure_event()
-{
-    if (this->pace.event_count() == 0) {
-        measure_since_arrival(this->context, this->order, request_moment::first_event);
-        return;
-    }
-    if (this->context.measure) {
-        const duration gap = this->context.timers.now() - this->pace.last_event_at();
-        this->context.measure(this->order, request_moment::next_event, gap);
-    }
-}
-
 void stream_delivery::take_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
         // A lost packet or a full engine looks the same; a probe tells whether it is dead.
         avoid_after_refusal(this->context, this->path.head().id);
         this->context.watch.suspect(this->path.head().id);
+        this->sends.note_not_run();
         this->fail_over("no connection: " + reason);
         return;
     }
     if (ending == call_ending::broken) {
-        this->runs += this->state == phase::waiting ? 1 : 0;
         this->fail_over("broken off: " + reason);
         return;
     }
@@ -316,18 +300,14 @@
 
 void stream_delivery::take_refusal()
 {
-    upstream_id culprit = this->path.head().id;
-    if (this->answer.at_fault) {
-        for (const path_part& part : this->path.parts()) {
-            culprit = part.address == *this->answer.at_fault ? part.id : culprit;
-        }
-    }
+    this->sends.note_not_run();
+    const upstream_id culprit = this->path.find_culprit(this->answer.at_fault);
     // A part that doesn't hold its layers will tell so in its entry before long; others are full for a
     // moment.
     avoid_after_refusal(this->context, culprit);
     this->log(
         event_type::refused_by_upstream, culprit.value() + " status " + std::to_string(this->answer.status));
-    this->release_path();
+    this->leave_call();
     if (!this->sends.may_send_again(this->has_started)) {
         this->refuse("the engines refuse new work");
         return;
@@ -343,15 +323,13 @@
 
 void stream_delivery::schedule_search(duration pause)
 {
-    this->search_timer =
-        this->context.timers.schedule_after(pause, [self = this->shared_from_this()] { self->search(); });
+    this->search_wait.look_again(pause, [self = this->shared_from_this()] { self->search(); });
 }
 
 /// A status other than 200 that an upstream gave after it had begun.
 void stream_delivery::finish_other_answer()
 {
-    ++this->runs;
-    if (this->order.may_run_again(this->runs) || this->has_started || !this->answer.is_signed) {
+    if (this->sends.may_send_now(this->has_started) || this->has_started || !this->answer.is_signed) {
         this->fail_over("status " + std::to_string(this->answer.status));
         return;
     }
@@ -362,13 +340,20 @@
 
 void stream_delivery::fail_over(const std::string& reason)
 {
-    this->log(
-        event_type::path_failed, reason + " after " + std::to_string(this->pace.event_count()) + " events");
-    if (this->state == phase::streaming || this->runs > 0) {
+    if (this->sends.runs() > 0) {
         this->avoided.insert(this->path.head().id);
     }
-    this->release_path();
-    if (!this->order.may_run_again(this->runs) || !this->sends.may_send_again(this->has_started)) {
+    this->go_on(reason);
+}
+
+/// Goes on over another path, or gives up if it may not.
+void stream_delivery::go_on(const std::string& reason)
+{
+    this->log(event_type::path_failed,
+        reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
+            + this->sends.describe_runs());
+    this->leave_call();
+    if (!this->sends.may_send_again(this->has_started)) {
         this->give_up(reason);
         return;
     }
@@ -378,45 +363,57 @@
 void stream_delivery::give_up(const std::string& reason)
 {
     if (this->has_started) {
-        this->log(event_type::broken_off, reason);
-        this->caller.abort();
-    } else {
-        this->caller.respond(make_failure(http_status::bad_gateway, "the engines failed: " + reason));
+        this->log(event_type::broken_off, reason + ", " + this->sends.describe_runs());
     }
-    this->end();
+    this->end_unserved(make_failure(http_status::bad_gateway, "the engines failed: " + reason));
+}
+
+/// A stream that has begun can't be told to come back, and what is missing may be there in a moment.
+void stream_delivery::wait_or_refuse(const std::string& reason)
+{
+    if (!this->has_started || this->search_wait.is_over()) {
+        this->refuse(reason);
+        return;
+    }
+    this->schedule_search(this->context.settings.search_pause);
 }
 
 void stream_delivery::refuse(const std::string& reason)
 {
+    if (this->has_started) {
+        this->give_up(reason);
+        return;
+    }
     this->log(event_type::refused, reason);
+    this->end_unserved(
+        make_last_answer(this->order, this->sends.runs(), this->context.settings.retry_after, reason));
+}
+
+/// Ends with this answer, or breaks off the one that has begun.
+void stream_delivery::end_unserved(const http_response& answer)
+{
     if (this->has_started) {
         this->caller.abort();
     } else {
-        this->caller.respond(
-            make_last_answer(this->order, this->runs, this->context.settings.retry_after, reason));
+        this->caller.respond(answer);
     }
     this->end();
 }
 
 void stream_delivery::finish()
 {
-    const bool is_late = this->pace.is_late(*this->order.route);
+    const bool is_late = this->events.pace().is_late(*this->order.route);
     this->log(is_late ? event_type::finished_late : event_type::finished,
-        this->pace.describe() + ", sends " + std::to_string(this->sends.count())
-            + (is_late ? " on " + this->pace.slowest_path() : ""));
+        this->events.pace().describe() + ", sends " + std::to_string(this->sends.count())
+            + (is_late ? " on " + this->events.pace().slowest_path() : ""));
     this->caller.finish();
     this->end();
 }
 
 void stream_delivery::end_at_limit()
 {
-    this->log(event_type::time_limit, std::to_string(this->pace.event_count()) + " events");
-    if (this->has_started) {
-        this->caller.abort();
-    } else {
-        this->caller.respond(make_failure(http_status::gateway_timeout, "the time limit has passed"));
-    }
-    this->end();
+    this->log(event_type::time_limit, std::to_string(this->events.pace().event_count()) + " events");
+    this->end_unserved(make_failure(http_status::gateway_timeout, "the time limit has passed"));
 }
 
 void stream_delivery::abandon()
@@ -424,17 +421,20 @@
     if (this->state == phase::done) {
         return;
     }
-    this->log(event_type::caller_left, std::to_string(this->pace.event_count()) + " events");
+    this->log(event_type::caller_left, std::to_string(this->events.pace().event_count()) + " events");
     if (this->has_started) {
         this->caller.abort();
     }
     this->end();
 }
 
-void stream_delivery::release_path()
+/// The stream has no call and no path any more.
+void stream_delivery::leave_call()
 {
+    this->call.end();
     this->path.release();
     this->changes.cancel();
+    this->head_wait.end();
 }
 
 void stream_delivery::end()
@@ -444,10 +444,9 @@
     }
     this->state = phase::done;
     measure_since_arrival(this->context, this->order, request_moment::ended);
-    this->call.end();
-    this->release_path();
+    this->leave_call();
     this->patience.stop();
-    this->context.timers.cancel(this->search_timer);
+    this->search_wait.end();
     if (this->on_done) {
         const std::function<void()> action = std::move(this->on_done);
         action();
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -3,10 +3,10 @@
 
 #include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
-#include <delivery/eventsplitter.h>
+#include <delivery/limitedwait.h>
+#include <delivery/passedevents.h>
 #include <delivery/pathchanges.h>
 #include <delivery/pathuse.h>
-#include <delivery/streampace.h>
 #include <delivery/streamsends.h>
 #include <delivery/upstreamcall.h>
 
@@ -38,11 +38,9 @@
     void leave_head();
     void change_path();
     void schedule_change(duration pause);
-    /// True if that path crosses from hall to hall more often than the present one.
-    [[nodiscard]] bool crosses_more(const layer_path& next) const;
-    [[nodiscard]] bool may_resume_elsewhere() const;
     void ask_for_path(const layer_path& next);
     void take_path_answer(layer_path next, const path_change_answer& result);
+    void take_unknown_request();
     void avoid_fault(const layer_path& refused, const endpoint& at_fault);
     void send_on(layer_path found);
     void wait_for_allowance();
@@ -50,17 +48,19 @@
     [[nodiscard]] answer_hooks make_answer_hooks();
     void take_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
-    void measure_event();
     void take_end(call_ending ending, const std::string& reason);
     void take_refusal();
     void schedule_search(duration pause);
     void fail_over(const std::string& reason);
+    void go_on(const std::string& reason);
     void finish_other_answer();
     void give_up(const std::string& reason);
+    void wait_or_refuse(const std::string& reason);
     void refuse(const std::string& reason);
+    void end_unserved(const http_response& answer);
     void finish();
     void end_at_limit();
-    void release_path();
+    void leave_call();
     void end();
     void log(event_type what, const std::string& detail) const;
 
@@ -73,17 +73,15 @@
     phase state = phase::searching;
     path_chooser chooser;
     path_use path;
-    stream_pace pace;
     upstream_answer answer; ///< of the present call
     std::string other_body; ///< of an answer that is no stream
-    event_splitter events;
-    std::optional<std::uint64_t> last_event; ///< the caller has everything up to this one
+    passed_events events;
     std::set<upstream_id> avoided; ///< dead, or they have failed this request
     stream_sends sends;
-    unsigned runs = 0; ///< calls that an upstream has begun
     bool has_started = false; ///< the caller has the head of the answer
     path_changes changes;
-    timer_id search_timer = 0;
+    limited_wait head_wait; ///< for a first engine that seems dead
+    limited_wait search_wait; ///< for a path, or leave to send
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -7,19 +7,34 @@
 
 bool stream_sends::may_send_again(bool has_started) const
 {
-    return this->sent < (has_started ? this->settings.most_sends_under_way : this->settings.most_sends);
+    const unsigned most =
+        has_started ? this->context.settings.most_sends_under_way : this->context.settings.most_sends;
+    return this->sent < most && this->order.may_run_again(this->runs());
+}
+
+bool stream_sends::may_send_now(bool has_started) const
+{
+    return this->may_send_again(has_started) && this->context.may_send()
+        && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
 }
 
 duration stream_sends::pause_after_refusal() const
 {
-    if (this->sent < this->settings.immediate_sends) {
+    const delivery_settings& settings = this->context.settings;
+    if (this->sent < settings.immediate_sends) {
         return duration::zero();
     }
-    duration pause = this->settings.first_resend_pause;
-    for (unsigned send = this->settings.immediate_sends; send < this->sent; ++send) {
-        pause = std::min(2 * pause, this->settings.longest_resend_pause);
+    duration pause = settings.first_resend_pause;
+    for (unsigned send = settings.immediate_sends; send < this->sent; ++send) {
+        pause = std::min(2 * pause, settings.longest_resend_pause);
     }
     return pause;
 }
 
+std::string stream_sends::describe_runs() const
+{
+    const unsigned most = this->order.route->may_repeat() ? this->order.route->most_attempts : 1;
+    return "runs " + std::to_string(this->runs()) + " of " + std::to_string(most);
+}
+
 } // namespace sailtiller
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -132,6 +132,53 @@
     EXPECT_EQ(this->sends.size(), 2U);
 }
 
+TEST_F(stream_delivery_test, an_upstream_that_answers_another_request_may_have_run_this_one)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    this->start();
+    for (int run = 0; run < 2; ++run) {
+        give_head(this->last_send(), 200, signed_head("someone-else"));
+    }
+    EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->status, 502);
+}
+
+TEST_F(stream_delivery_test, sends_that_no_upstream_has_run_are_not_counted_as_runs)
+{
+    for (int number = 3; number < 7; ++number) {
+        this->put_engine("other" + std::to_string(number), number, {0, 8});
+    }
+    this->start();
+    give_head(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    end(this->last_send());
+    end(this->last_send(), call_ending::not_connected);
+    ASSERT_EQ(this->sends.size(), 3U);
+    end(this->last_send(), call_ending::broken);
+    ASSERT_EQ(this->sends.size(), 4U);
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->sends.size(), 4U) << "the route allows two";
+    EXPECT_EQ(this->caller.answer->status, 502);
+}
+
+TEST_F(stream_delivery_test, its_failures_tell_the_runs_so_far_and_those_allowed)
+{
+    std::vector<std::string> details;
+    this->context->log = [&details](const delivery_event& event) {
+        if (event.what == event_type::path_failed || event.what == event_type::broken_off) {
+            details.push_back(event.detail);
+        }
+    };
+    this->put_engine("other", 3, {0, 8});
+    auto delivery = this->start_streaming(2);
+    end(this->last_send(), call_ending::broken);
+    end(this->last_send(), call_ending::broken);
+    const std::vector<std::string> expected = {"broken off: test after 2 events, runs 1 of 2",
+        "broken off: test after 2 events, runs 2 of 2", "broken off: test, runs 2 of 2"};
+    EXPECT_EQ(details, expected);
+}
+
 TEST_F(stream_delivery_test, late_words_of_a_call_that_was_given_up_are_dropped)
 {
     this->put_engine("other", 3, {0, 8});
@@ -238,6 +285,37 @@
     EXPECT_EQ(this->sends.size(), 2U);
 }
 
+TEST_F(stream_delivery_test, a_stream_under_way_waits_until_this_host_knows_its_configuration)
+{
+    this->put_engine("other", 3, {0, 8});
+    auto delivery = this->start_streaming(2);
+    this->may_send = false;
+    end(this->last_send(), call_ending::broken);
+    this->pass(this->context->settings.longest_wait_under_way - 10ms);
+    EXPECT_FALSE(this->caller.is_aborted);
+    EXPECT_EQ(this->sends.size(), 1U);
+    this->may_send = true;
+    this->pass(30ms);
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
+TEST_F(stream_delivery_test, a_stream_under_way_is_broken_off_in_time_for_its_caller_to_resume_elsewhere)
+{
+    this->put_engine("other", 3, {0, 8});
+    auto delivery = this->start_streaming(2);
+    this->may_send = false;
+    end(this->last_send(), call_ending::broken);
+    this->pass(this->context->settings.longest_wait_under_way + 5ms);
+    EXPECT_TRUE(this->caller.is_aborted);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->done, 1);
+}
+
 TEST_F(stream_delivery_test, takes_a_holder_that_comes_in_time)
 {
     this->directory.remove(upstream_id("tail"), this->now);
@@ -378,7 +456,67 @@
         }
     }
     EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
+    this->pass(this->context->settings.longest_wait_under_way - 5ms);
+    EXPECT_FALSE(this->caller.is_aborted) << "the last one may still be heard";
+    EXPECT_FALSE(this->last_send().is_cancelled);
+    this->pass(10ms);
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_TRUE(this->last_send().is_cancelled);
     EXPECT_TRUE(this->caller.is_aborted);
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(stream_delivery_test, the_last_upstream_allowed_is_heard_again_after_it_seemed_dead)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    const duration bound = this->context->settings.longest_wait_under_way;
+    auto delivery = this->start_streaming(1);
+    delivery->leave_upstream(this->last_target());
+    ASSERT_EQ(this->sends.size(), 2U);
+    delivery->leave_upstream(this->last_target());
+    this->pass(bound - 100ms);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(1, 3));
+    this->pass(200ms);
+    EXPECT_EQ(this->caller.body, events(0, 3));
+    EXPECT_FALSE(this->caller.is_aborted) << "an answer came within the bound";
+    delivery->leave_upstream(this->last_target());
+    this->pass(bound - 5ms);
+    EXPECT_FALSE(this->caller.is_aborted) << "a later verdict has a bound of its own";
+    this->last_send().handlers.on_body(events(3, 5));
+    end(this->last_send());
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(this->caller.body, events(0, 5));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
+TEST_F(stream_delivery_test, a_head_that_seems_dead_is_left_once_the_allowance_of_retries_has_grown)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->retries.set_settings({.ratio = 0, .slack = 0, .window = 10s});
+    auto delivery = this->start_streaming(2);
+    delivery->leave_upstream(this->last_target());
+    this->pass(500ms);
+    EXPECT_FALSE(this->sends[0]->is_cancelled);
+    this->retries.set_settings({.ratio = 0, .slack = 10, .window = 10s});
+    this->pass(30ms);
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    EXPECT_EQ(this->sends.size(), 2U);
+}
+
+TEST_F(stream_delivery_test, a_head_that_seems_dead_is_kept_while_nothing_may_be_sent)
+{
+    this->put_engine("other", 3, {0, 8});
+    auto delivery = this->start_streaming(2);
+    this->may_send = false;
+    delivery->leave_upstream(this->last_target());
+    this->pass(500ms);
+    EXPECT_FALSE(this->sends[0]->is_cancelled);
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_TRUE(this->caller.is_finished);
 }
 
 TEST_F(stream_delivery_test, a_late_word_about_a_former_call_changes_nothing)
@@ -399,6 +537,25 @@
     EXPECT_EQ(this->loads.of(upstream_id("spare")).requests, 0U);
 }
 
+TEST_F(stream_delivery_test, a_late_word_about_a_call_that_broke_off_changes_nothing)
+{
+    auto delivery = this->start_streaming(2);
+    this->put_engine("spare", 3, {8, 16});
+    delivery->leave_upstream(upstream_id("tail"));
+    ASSERT_EQ(this->change_answers.size(), 1U);
+    end(this->last_send(), call_ending::broken);
+    ASSERT_EQ(this->sends.size(), 1U) << "no other engine holds the first layers";
+    this->change_answers[0]({path_change_result::changed, std::nullopt});
+    EXPECT_EQ(this->loads.of(upstream_id("spare")).requests, 0U);
+    this->put_engine("second", 4, {0, 8});
+    this->pass(30ms);
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+}
+
 TEST_F(stream_delivery_test, goes_on_in_another_hall_rather_than_over_the_pipe)
 {
     auto delivery = this->start_streaming(2);
@@ -456,6 +613,33 @@
     EXPECT_FALSE(this->caller.is_aborted);
 }
 
+TEST_F(stream_delivery_test, the_last_upstream_allowed_is_asked_again_for_a_path_until_it_has_begun)
+{
+    delivery_order order = this->make_order(route_kind::stream);
+    this->bundle->routes.front().is_resumable = false;
+    const auto delivery =
+        std::make_shared<stream_delivery>(*this->context, order, this->make_caller(), [] {});
+    delivery->start();
+    this->put_engine("spare", 3, {8, 16});
+    delivery->leave_upstream(upstream_id("tail"));
+    const unsigned tries = 2 * this->context->settings.most_changes;
+    for (unsigned tried = 1; tried <= tries; ++tried) {
+        ASSERT_EQ(this->changes.size(), tried);
+        this->change_answers.back()({path_change_result::unknown_request, std::nullopt});
+        this->pass(45ms);
+    }
+    EXPECT_EQ(this->sends.size(), 1U) << "it may have run and may not be repeated";
+    EXPECT_FALSE(this->sends[0]->is_cancelled);
+    this->change_answers.back()({path_change_result::changed, std::nullopt});
+    this->pass(100ms);
+    EXPECT_EQ(this->changes.size(), tries + 1U);
+    EXPECT_EQ(this->loads.of(upstream_id("spare")).requests, 1U);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(0, 2));
+    end(this->last_send());
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST_F(stream_delivery_test, an_upstream_that_is_not_on_its_path_is_nothing_to_it)
 {
     auto delivery = this->start_streaming(2);
@@ -498,6 +682,19 @@
     EXPECT_EQ(this->caller.answer->body, "why");
 }
 
+TEST_F(stream_delivery_test, a_failure_of_the_upstream_is_passed_on_when_no_retry_is_left)
+{
+    this->retries = retry_allowance({.ratio = 0, .slack = 0, .window = 10s});
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    give_head(this->last_send(), 500, signed_head());
+    this->last_send().handlers.on_body("why");
+    end(this->last_send());
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 500);
+    EXPECT_EQ(this->caller.answer->body, "why");
+}
+
 TEST_F(stream_delivery_test, a_used_up_allowance_of_retries_ends_it)
 {
     this->retries = retry_allowance({.ratio = 0, .slack = 0, .window = 10s});
