Delivery: a slow plain call is given up only if another upstream can take the request

Cause: a repeatable request whose answer was slow was taken from its upstream wherever the route's runs and the allowance of retries had room, also with no other upstream there, no send left, or no leave to send. It then got 503 or 502 in place of the answer that was on its way.

Change: the same question as for streams, with the choice of another upstream in it; otherwise the call is waited for.

--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -46,7 +46,7 @@
     for (const auto& [id, entry] : this->context.directory.entries()) {
         const part_load& load = this->context.loads.of(id);
         if (entry.upstream.service != this->order.service || entry.upstream.is_leaving
-            || !load.takes_work(now) || this->avoided.count(id) != 0) {
+            || !load.takes_work(now) || this->avoided.count(id) != 0 || this->target == id) {
             continue;
         }
         // The fraction spreads equal choices of different hosts.
@@ -197,12 +197,20 @@
     this->end();
 }
 
+/// True if the request could go to another upstream now. Where it couldn't, giving up the call that is under
+/// way could only lose its answer.
+bool plain_delivery::may_run_elsewhere() const
+{
+    return this->order.may_run_again(this->runs + 1) && this->sends < this->context.settings.most_sends
+        && this->context.may_send()
+        && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1
+        && this->choose() != nullptr;
+}
+
 void plain_delivery::give_up_on_slow()
 {
     this->slow_timer = 0;
-    const bool has_another = this->runs + 1 < this->order.route->most_attempts
-        && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
-    if (!has_another) {
+    if (!this->may_run_elsewhere()) {
         return; // the only try that is left is waited for
     }
     ++this->runs;
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -20,7 +20,9 @@
 
 private:
     void search();
+    /// The best upstream other than the one that has the request now; nothing if there is none.
     [[nodiscard]] const discovered_upstream* choose() const;
+    [[nodiscard]] bool may_run_elsewhere() const;
     void send_to(const discovered_upstream& upstream);
     [[nodiscard]] answer_hooks make_answer_hooks();
     void take_end(call_ending ending, const std::string& reason);
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -131,6 +131,44 @@
     EXPECT_EQ(this->caller.answer->status, 200);
 }
 
+TEST_F(plain_delivery_test, a_slow_call_is_waited_for_where_no_other_upstream_takes_it)
+{
+    this->directory.remove(upstream_id("b"), this->now);
+    this->directory.remove(upstream_id("c"), this->now);
+    this->start(route_kind::repeatable);
+    this->pass(1s);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_FALSE(this->sends[0]->is_cancelled);
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
+TEST_F(plain_delivery_test, a_slow_call_is_waited_for_while_nothing_may_be_sent)
+{
+    this->start(route_kind::repeatable);
+    this->may_send = false;
+    this->pass(1s);
+    EXPECT_FALSE(this->caller.answer.has_value());
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
+TEST_F(plain_delivery_test, a_slow_call_is_waited_for_once_all_sends_are_used_up)
+{
+    for (int number = 4; number < 9; ++number) {
+        this->put_service("more" + std::to_string(number), number);
+    }
+    this->start(route_kind::repeatable);
+    for (unsigned refused = 1; refused < this->context->settings.most_sends; ++refused) {
+        answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    }
+    ASSERT_EQ(this->sends.size(), this->context->settings.most_sends);
+    this->pass(1s);
+    EXPECT_FALSE(this->last_send().is_cancelled);
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
 TEST_F(plain_delivery_test, a_slow_single_run_is_waited_for)
 {
     this->start(route_kind::single_run);
