Gateway: a stopping host takes only what can be expected to end in time

Cause: the end of a stop's grace closed the listeners and the connections at rest; what came over any other connection, or during the grace, was taken without a look at the time that was left.

Change: the gateway judges each request once the host has been told to stop. After the grace none is taken; before, one is taken if its own time limit fits, if its route's usual longest time here (mean and four mean deviations) fits or isn't known, or if its caller has come back. The rest get 503 as not run, with Retry-After 0.05 and a connection that ends. What the end still cuts off is logged, a line each: how long it ran, and how long after the signal it was taken.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -425,7 +425,9 @@
     }
     this->is_stopping = true;
     this->callers.close_after_answers();
-    this->stop_limit = this->loop.now() + this->settings.longest_stop - stop_margin;
+    const time_point now = this->loop.now();
+    this->stop_limit = now + this->settings.longest_stop - stop_margin;
+    this->gateway.begin_stop({now, now + this->settings.stop_grace, this->stop_limit});
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->peers.announce_leaving();
@@ -446,6 +448,7 @@
         return;
     }
     this->exit_code = is_idle ? exit_ok : exit_failed;
+    this->gateway.log_cut_off();
     log_event(log_level::info, event_type::stopped,
         {{"cut_off", std::to_string(this->gateway.requests_in_flight())}});
     this->loop.stop();
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "sitebed.h"
 
+#include <algorithm>
+
 namespace sailtiller::tests {
 
 namespace {
@@ -70,7 +72,11 @@
     const endpoint store_address = host->store_gate->listen(endpoint("127.0.0.1:0"));
     std::vector<std::string> flags{"--host-id", name, "--data-hall", "x", "--listen", "127.0.0.1:0",
         "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store-address",
-        store_address.value(), "--retry-slack", "1000", "--stop-grace-ms", "100", "--log-layout", "json"};
+        store_address.value(), "--retry-slack", "1000", "--log-layout", "json"};
+    const std::string grace_flag = "--stop-grace-ms";
+    if (std::find(more_flags.begin(), more_flags.end(), grace_flag) == more_flags.end()) {
+        flags.insert(flags.end(), {grace_flag, "100"});
+    }
     flags.insert(flags.end(), more_flags.begin(), more_flags.end());
     host->process = std::make_unique<child_process>(SAILTILLERD_PATH, flags);
     run_until(this->loop, [&] {
@@ -99,6 +105,7 @@
         host.callers, request,
         [answer](const http_response& response) {
             answer->status = response.status;
+            answer->headers = response.headers;
             answer->body = response.body;
             answer->is_done = true;
         },
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -27,6 +27,7 @@
 struct site_answer
 {
     int status = 0; ///< -1 if there was no whole answer
+    http_headers headers;
     std::string body;
     bool is_done = false;
 };
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -27,6 +27,11 @@
     return text;
 }
 
+bool has_logged(const site_host_process& host, const std::string& event)
+{
+    return host.process->output().find("\"event\":\"" + event + "\"") != std::string::npos;
+}
+
 class site : public site_bed
 {
 };
@@ -306,6 +311,46 @@
     EXPECT_EQ(host.process->exit_code(), 0) << host.process->output();
 }
 
+TEST_F(site, a_stream_that_usually_outlasts_a_stop_is_sent_elsewhere_from_the_signal_on)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a", {"--stop-grace-ms", "2500", "--longest-stop-ms", "3000"});
+    this->wait_until_served(host);
+    // Streams of 3.2 s are longer than a stop of this host.
+    this->world.stream_events = 40;
+    this->world.event_interval = 80ms;
+    this->wait_for(this->ask(host, "long"));
+    host.process->send_signal(SIGTERM);
+    run_until(this->loop, [&host] { return has_logged(host, "stopping"); });
+    const auto answer = this->ask(host, "late");
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, 503) << answer->body;
+    EXPECT_EQ(find_header(answer->headers, "retry-after"), "0.050");
+    EXPECT_EQ(find_header(answer->headers, "connection"), "close");
+    EXPECT_EQ(this->world.runs.count("late"), 0U);
+}
+
+TEST_F(site, a_stream_that_the_end_of_a_stop_cuts_off_is_named_in_the_log)
+{
+    this->start_engines(3);
+    site_host_process& host = this->start_host("a", {"--longest-stop-ms", "1000"});
+    this->wait_until_served(host);
+    this->world.stream_events = 2000; // ten seconds
+    const auto answer = this->ask(host, "cut");
+    run_until(this->loop, [this] { return this->world.events_made["cut"].size() >= 5; });
+    host.process->send_signal(SIGTERM);
+    this->wait_for(answer);
+    EXPECT_EQ(answer->status, -1) << "it is seen to be broken off";
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 1);
+    const std::string& lines = host.process->output();
+    const std::size_t line = lines.find("\"event\":\"broken_off\",\"request\":\"cut\"");
+    ASSERT_NE(line, std::string::npos) << lines;
+    EXPECT_NE(lines.find("this host stops; it ran for ", line), std::string::npos);
+    EXPECT_NE(lines.find(" and was taken before the signal", line), std::string::npos);
+    EXPECT_NE(lines.find("\"cut_off\":\"1\""), std::string::npos);
+}
+
 TEST_F(site, changed_settings_are_taken_over_with_and_without_a_signal)
 {
     const std::string path = "/tmp/sailtiller-site-settings-" + std::to_string(getpid());
