Delivery: a head that seems dead is kept while no other engine holds its layers

Cause: it was left at once also where no path without it existed, and the stream then searched without a call: what a live engine behind a full link still sent was lost.

Change: a path that avoids it is asked for before it is left, at the pause of a search; the bound of a second holds.

Result: the test fails without the change (the other 84 of tst_delivery pass); with it all 85 pass, and all 31 of tst_system.

--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -131,7 +131,8 @@
 {
     // An engine that answers no probe may be alive behind a full link, and its answer on the way. Where
     // nothing else may run the request, leaving it could only lose that answer.
-    if (this->sends.may_send_now(this->has_started) || this->head_wait.is_over()) {
+    const bool may_follow = this->sends.may_send_now(this->has_started) && this->chooser.find(this->avoided);
+    if (may_follow || this->head_wait.is_over()) {
         this->fail_over("the first engine of its path is dead");
         return;
     }
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -505,6 +505,18 @@
     EXPECT_EQ(this->sends.size(), 2U);
 }
 
+TEST_F(stream_delivery_test, a_head_that_seems_dead_is_kept_until_another_engine_holds_its_layers)
+{
+    auto delivery = this->start_streaming(2);
+    delivery->leave_upstream(this->last_target());
+    this->pass(500ms);
+    EXPECT_FALSE(this->sends[0]->is_cancelled);
+    this->put_engine("other", 3, {0, 8});
+    this->pass(30ms);
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    EXPECT_EQ(this->sends.size(), 2U);
+}
+
 TEST_F(stream_delivery_test, a_head_that_seems_dead_is_kept_while_nothing_may_be_sent)
 {
     this->put_engine("other", 3, {0, 8});
