--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -130,8 +130,10 @@
 void stream_delivery::leave_head()
 {
     // An engine that answers no probe may be alive behind a full link, and its answer on the way. Where
-    // nothing else may run the request, leaving it could only lose that answer.
-    const bool may_follow = this->sends.may_send_now(this->has_started) && this->chooser.find(this->avoided);
+    // nothing else may or can run the request, leaving it could only lose that answer. A caller that has
+    // nothing yet is better told soon that no other engine can serve it.
+    const bool has_other_path = !this->has_started || this->chooser.find(this->avoided).has_value();
+    const bool may_follow = has_other_path && this->sends.may_send_now(this->has_started);
     if (may_follow || this->head_wait.is_over()) {
         this->fail_over("the first engine of its path is dead");
         return;
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -517,6 +517,16 @@
     EXPECT_EQ(this->sends.size(), 2U);
 }
 
+TEST_F(stream_delivery_test, a_caller_that_has_nothing_yet_is_told_soon_that_its_only_head_seems_dead)
+{
+    auto delivery = this->start();
+    delivery->leave_upstream(this->last_target());
+    EXPECT_TRUE(this->sends[0]->is_cancelled);
+    this->pass(scale(this->bundle->routes.front().latency_objective, 0.25));
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
 TEST_F(stream_delivery_test, a_head_that_seems_dead_is_kept_while_nothing_may_be_sent)
 {
     this->put_engine("other", 3, {0, 8});
