Site: a histogram of how old the word on the bundle becomes between confirmations

Cause: the gauge of the bundle's age shows the moment in which it is read. Ages that grow to the limit and fall again between two reads of the page, on every host at once, left no trace in the metrics.

Change: site_knowledge tells each new confirmation with the age that the last one had reached and who gave it; /metrics has them as sailtiller_bundle_confirmation_age_seconds by source, "store" or "host".

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -14,6 +14,10 @@
 /// Requests whose decisions are kept for `explain`: at 12 requests a second the last five minutes, as on
 /// hosts that follow signed bundles.
 constexpr std::size_t explained_requests = 4'000;
+/// Who confirmed a bundle. A label for each host would make hundreds of histograms on each of them.
+constexpr const char* store_label = "store";
+constexpr const char* host_label = "host";
+constexpr std::size_t source_labels = 2;
 
 http_response make_page(int status, std::string body, const char* type = "text/plain")
 {
@@ -76,6 +80,9 @@
     , decisions(explained_requests)
     , requests("sailtiller_site_decisions_total", "Decisions about requests, by kind.", "kind")
     , beliefs("sailtiller_site_beliefs_total", "Changes of what this host believes, by kind.", "kind")
+    , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
+          "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
+          "source", source_labels)
     , by_route("route", most_class_labels)
     , by_account("account", most_account_labels)
 {
@@ -103,6 +110,13 @@
     (this->by_account.*times).record(account, time);
 }
 
+void site_admin::measure_confirmation(const bundle_source& source, duration age)
+{
+    // The gauge of the present age shows only the moments in which it is read. A histogram keeps each age, so
+    // hosts that come near the limit show before a change is late.
+    this->confirmation_ages.record(source.peer ? host_label : store_label, age);
+}
+
 void site_admin::handle(const std::shared_ptr<http_exchange>& exchange) const
 {
     exchange->respond(this->answer(exchange->request()));
@@ -219,6 +233,7 @@
     for (const auto& [service, left] : this->view.retries_left()) {
         out += "sailtiller_retries_left{service=\"" + service.value() + "\"} " + std::to_string(left) + "\n";
     }
+    this->confirmation_ages.write(out, std::nullopt);
     this->by_route.write(out, std::nullopt);
     return out;
 }
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -39,6 +39,8 @@
     void note(const delivery_event& event);
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
+    /// Takes the age that the word on the bundle had reached when this source confirmed it anew.
+    void measure_confirmation(const bundle_source& source, duration age);
     /// Counts a change of what this host believes.
     void note_belief(event_type event) { this->beliefs.add(label_value(name_of(event))); }
     void handle(const std::shared_ptr<http_exchange>& exchange) const;
@@ -56,6 +58,7 @@
     decision_log decisions;
     counter_family requests;
     counter_family beliefs;
+    time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
 };
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -138,6 +138,9 @@
         this->gateway.set_bundle(next);
         this->callers.set_limits(this->make_caller_limits(next->limits));
     };
+    hooks.on_confirmed = [this](const bundle_source& source, duration age) {
+        this->admin.measure_confirmation(source, age);
+    };
     hooks.on_event = [this](event_type event, const std::string& subject, const std::string& detail) {
         this->admin.note_belief(event);
         log_event(log_level::info, event, {{"peer", subject}, {"detail", detail}});
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -70,9 +70,19 @@
 
 void site_knowledge::confirm_bundle(time_point asked)
 {
-    if (this->current) {
-        this->bundle_confirmed = std::max(asked, this->bundle_confirmed.value_or(asked));
+    this->renew_confirmation(asked, {});
+}
+
+void site_knowledge::renew_confirmation(time_point asked, const bundle_source& source)
+{
+    const bool is_newer = !this->bundle_confirmed || asked > *this->bundle_confirmed;
+    if (!this->current || !is_newer) {
+        return;
+    }
+    if (const std::optional<duration> age = this->bundle_age()) {
+        this->hooks.on_confirmed(source, *age);
     }
+    this->bundle_confirmed = asked;
 }
 
 std::optional<discovered_upstream> site_knowledge::read_upstream(const keyed_record& record) const
@@ -235,7 +245,7 @@
 void site_knowledge::take_answer(const peer_report& answer, time_point asked)
 {
     if (answer.bundle_age && answer.bundle_version == this->own_version()) {
-        this->confirm_bundle(asked - *answer.bundle_age);
+        this->renew_confirmation(asked - *answer.bundle_age, {answer.sender.id});
     }
     this->take_entries(answer, asked);
     for (const engine_holding& holding : answer.holdings) {
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -26,10 +26,10 @@
     duration entries_limit = std::chrono::milliseconds(1500);
 };
 
-/// Who gave a bundle.
+/// Who gave a bundle, or confirmed that it is the newest.
 struct bundle_source
 {
-    std::optional<host_id> peer; ///< nothing: it was read from the store
+    std::optional<host_id> peer; ///< nothing: the store itself
 };
 
 /// What the knowledge needs from outside.
@@ -42,6 +42,8 @@
     std::function<discovered_upstream(const upstream_id&, const std::string&)> decode_upstream;
     /// A newer bundle is in force.
     std::function<void(const std::shared_ptr<const site_bundle>&)> on_bundle;
+    /// The bundle was confirmed anew; its last confirmation had become that old.
+    std::function<void(const bundle_source&, duration)> on_confirmed;
     /// Tells a change of what this host believes, for the log: event, subject, detail.
     std::function<void(event_type, const std::string&, const std::string&)> on_event;
 };
@@ -99,6 +101,7 @@
     [[nodiscard]] const upstream_directory& upstreams() const { return this->directory; }
 
 private:
+    void renew_confirmation(time_point asked, const bundle_source& source);
     /// The upstream of a record that has a value; nothing, and a line in the log, if it can't be read.
     [[nodiscard]] std::optional<discovered_upstream> read_upstream(const keyed_record& record) const;
     /// Returns whether the record changed anything.
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -41,6 +41,10 @@
                 .on_bundle = [this](
                                  const auto& bundle) { this->versions.push_back(bundle->version.value()); },
 
+                .on_confirmed =
+                    [this](const bundle_source& source, duration age) {
+                        this->confirmations.push_back({source.peer, age});
+                    },
                 .on_event =
                     [this](event_type event, const std::string&, const std::string& detail) {
                         this->events.emplace_back(name_of(event));
@@ -52,6 +56,14 @@
     std::vector<std::uint64_t> versions;
     std::vector<std::string> events;
     std::vector<std::string> details; ///< of the events
+    struct confirmation
+    {
+        std::optional<host_id> peer;
+        duration age{};
+
+        bool operator==(const confirmation&) const = default;
+    };
+    std::vector<confirmation> confirmations;
     site_knowledge knowledge;
 };
 
@@ -154,6 +166,23 @@
             "from other, no bundle was confirmed before", "from other, known before as of 2714 ms ago"}));
 }
 
+TEST_F(site_knowledge_test, each_new_confirmation_tells_how_old_the_last_one_had_become)
+{
+    this->first.knowledge.take_bundle_record({"config", "7"});
+    this->first.knowledge.confirm_bundle(this->now);
+    this->exchange(this->second, this->first);
+    EXPECT_TRUE(this->first.confirmations.empty()) << "nothing was confirmed before";
+    this->now += 2s;
+    this->first.knowledge.confirm_bundle(this->now - 500ms);
+    this->first.knowledge.confirm_bundle(this->now - 700ms); // older than what is known
+    this->exchange(this->second, this->first);
+    this->exchange(this->second, this->first); // nothing newer
+    EXPECT_EQ(
+        this->first.confirmations, (std::vector<test_host::confirmation>{{std::nullopt, duration(2s)}}));
+    EXPECT_EQ(
+        this->second.confirmations, (std::vector<test_host::confirmation>{{host_id("other"), duration(2s)}}));
+}
+
 TEST_F(site_knowledge_test, without_a_bundle_nothing_is_fresh)
 {
     this->first.knowledge.confirm_bundle(this->now);
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -109,6 +109,8 @@
     EXPECT_NE(metrics.find("\nsailtiller_route_first_token_seconds_count{route="), std::string::npos)
         << metrics;
     EXPECT_NE(metrics.find("\nsailtiller_retries_left{service="), std::string::npos);
+    const std::string confirmed = "\nsailtiller_bundle_confirmation_age_seconds_count{source=\"store\"} ";
+    run_until(this->loop, [&] { return this->fetch(host, "/metrics").find(confirmed) != std::string::npos; });
     const std::string accounts = this->fetch(host, "/metrics/accounts");
     EXPECT_NE(accounts.find("\nsailtiller_account_request_seconds_count{account="), std::string::npos);
     EXPECT_NE(this->fetch(host, "/explain?request=none").find("no record"), std::string::npos);
@@ -227,6 +229,10 @@
         this->loop.run_once(20ms);
     }
     second.process->output(); // a host leaves lines out while nobody reads its output
+    const std::string metrics = this->fetch(second, "/metrics");
+    EXPECT_NE(metrics.find("\nsailtiller_bundle_confirmation_age_seconds_count{source=\"host\"} "),
+        std::string::npos)
+        << metrics;
     this->write_configuration(9, {"key-1"});
     run_until(this->loop, [&] {
         const auto answer = this->ask(second, "r" + std::to_string(this->probes++), "/submit/x", "key-2");
