Sailtillerd: status and metrics tell whether the store answers this host's reads

Who reads for all follows from that since readers are chosen by it, and an operator could see it from failed calls alone.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -187,8 +187,8 @@
             {"bundle", bundle ? json(bundle->version.value()) : json()},
             {"bundle_age_ms", write_age(this->view.knowledge.bundle_age())},
             {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())}, {"live_hosts", hosts},
-            {"gives_orders", token.has_value()}, {"order_token", token ? json(token->value()) : json()},
-            {"upstreams", this->list_upstreams()}});
+            {"reads_store", this->view.reads_store()}, {"gives_orders", token.has_value()},
+            {"order_token", token ? json(token->value()) : json()}, {"upstreams", this->list_upstreams()}});
 }
 
 http_response site_admin::explain(const http_request& request) const
@@ -225,6 +225,8 @@
         seconds(this->view.knowledge.upstreams_age()));
     write_gauge(out, "sailtiller_live_hosts", "Hosts heard lately, this one included.",
         static_cast<double>(this->view.hosts.live_count(this->view.now())));
+    write_gauge(out, "sailtiller_reads_store", "0 from a read that the store failed to the next it answers.",
+        this->view.reads_store() ? 1 : 0);
     write_gauge(out, "sailtiller_gives_orders", "1 on the host that gives orders to engines.",
         this->view.order_token() ? 1 : 0);
     write_gauge(out, "sailtiller_requests_in_flight", "Requests under way on this host.",
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -341,9 +341,10 @@
 site_admin_view site_host::make_admin_view()
 {
     return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
-        [this] { return this->duties.order_token(); }, [this] { return this->is_ready(); },
-        [this] { return this->is_stopping; }, [this] { return this->gateway.requests_in_flight(); },
-        [this] { return this->list_retries_left(); }, [this] { return this->loop.now(); }};
+        [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
+        [this] { return this->is_ready(); }, [this] { return this->is_stopping; },
+        [this] { return this->gateway.requests_in_flight(); }, [this] { return this->list_retries_left(); },
+        [this] { return this->loop.now(); }};
 }
 
 void site_host::run_turn()
--- a/tests/auto/site/tst_storereading.cpp
+++ b/tests/auto/site/tst_storereading.cpp
@@ -211,6 +211,7 @@
         hooks.now = [this] { return this->now; };
         hooks.decode_bundle = &decode_bundle;
         hooks.on_bundle = [](const auto&) {};
+        hooks.on_confirmed = [](const bundle_source&, duration) {};
         hooks.on_event = [](event_type, const std::string&, const std::string&) {};
         item.knowledge = std::make_unique<site_knowledge>(site_knowledge_settings{}, std::move(hooks));
         item.exchange =
@@ -232,7 +233,9 @@
             this->timers.schedule(this->now + round_trip,
                 [this, holder, on_answer] { on_answer(this->find(holder.id).exchange->give()); });
         };
-        hooks.take = [&item](const std::string& text) { item.knowledge->take_bundle_text(text); };
+        hooks.take = [&item](const known_host& giver, const std::string& text) {
+            item.knowledge->take_bundle_text(text, {giver.id});
+        };
         hooks.on_malformed = [](const known_host&, const std::string&) {};
         return hooks;
     }
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -97,6 +97,7 @@
     const json status = json::parse(this->fetch(host, "/status"));
     EXPECT_EQ(status.at("bundle"), 1);
     EXPECT_TRUE(status.at("gives_orders").get<bool>());
+    EXPECT_TRUE(status.at("reads_store").get<bool>());
     EXPECT_EQ(status.at("upstreams").size(), 8U);
     const json explained = json::parse(this->fetch(host, "/explain?request=r1"));
     ASSERT_GE(explained.at("decisions").size(), 2U);
@@ -228,6 +229,7 @@
         EXPECT_EQ(answer->status, 200);
         this->loop.run_once(20ms);
     }
+    EXPECT_NE(this->fetch(second, "/metrics").find("\nsailtiller_reads_store 0"), std::string::npos);
     second.process->output(); // a host leaves lines out while nobody reads its output
     const std::string metrics = this->fetch(second, "/metrics");
     EXPECT_NE(metrics.find("\nsailtiller_bundle_confirmation_age_seconds_count{source=\"host\"} "),
