--- a/src/app/sailtillerd/adminservice.cpp
+++ b/src/app/sailtillerd/adminservice.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "adminservice.h"
 
+#include "explainpage.h"
+
 #include <base/httpstatus.h>
 
 namespace sailtiller {
@@ -87,22 +89,9 @@
 
 http_response admin_service::explain(const http_request& request) const
 {
-    const std::optional<std::string> id = request.query_value("request");
-    if (!id) {
-        return make_json(http_status::bad_request, {{"error", "say which request: /explain?request=ID"}});
-    }
-    const std::vector<decision>* decisions = this->view.decisions.find(request_id(*id));
-    if (decisions == nullptr) {
-        return make_json(http_status::not_found, {{"error", "this host keeps no record of that request"}});
-    }
-    json list = json::array();
-    for (const decision& item : *decisions) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(this->view.now() - item.at);
-        list.push_back(
-            {{"ms_ago", age.count()}, {"step", item.step}, {"peer", item.peer}, {"reason", item.reason}});
-    }
-    return make_json(
-        http_status::ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
+    const json_page page =
+        make_explain_page(request, this->view.self, this->view.decisions, this->view.now());
+    return make_json(page.status, page.body);
 }
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "siteadmin.h"
 
+#include "explainpage.h"
+
 #include <base/httpstatus.h>
 #include <placement/layerplan.h>
 #include <runtime/eventlog.h>
@@ -193,21 +195,8 @@
 
 http_response site_admin::explain(const http_request& request) const
 {
-    const std::optional<std::string> id = request.query_value("request");
-    if (!id) {
-        return make_json(http_status::bad_request, {{"error", "say which request: /explain?request=ID"}});
-    }
-    const std::vector<decision>* found = this->decisions.find(request_id(*id));
-    if (found == nullptr) {
-        return make_json(http_status::not_found, {{"error", "this host keeps no record of that request"}});
-    }
-    json list = json::array();
-    for (const decision& item : *found) {
-        list.push_back({{"ms_ago", to_milliseconds(this->view.now() - item.at)}, {"step", item.step},
-            {"peer", item.peer}, {"reason", item.reason}});
-    }
-    return make_json(
-        http_status::ok, {{"host", this->view.self.value()}, {"request", *id}, {"decisions", list}});
+    const json_page page = make_explain_page(request, this->view.self, this->decisions, this->view.now());
+    return make_json(page.status, page.body);
 }
 
 std::string site_admin::write_metrics() const
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -115,6 +115,8 @@
     const std::string accounts = this->fetch(host, "/metrics/accounts");
     EXPECT_NE(accounts.find("\nsailtiller_account_request_seconds_count{account="), std::string::npos);
     EXPECT_NE(this->fetch(host, "/explain?request=none").find("no record"), std::string::npos);
+    EXPECT_EQ(
+        json::parse(this->fetch(host, "/explain")).at("error"), "say which request: /explain?request=ID");
 }
 
 TEST_F(site, a_stream_outlives_any_engine_of_its_path)
