Gateway: a stopping host takes what comes until its grace ends

Cause: a host told to stop refused in its grace what usually lasts longer than the time left to it (mean and four mean deviations of the route). A caller has one retry and may be led to the next stopping host, while a stream that is cut off goes on at another host after its last event.

What stays: nothing is taken after the grace (503 as not run, Retry-After 0.05, the connection ends), and a line for each request that the end cuts off. Both stand in planned_stop, which knows the moments of a stop and no requests.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -431,9 +431,8 @@
     }
     this->is_stopping = true;
     this->callers.close_after_answers();
-    const time_point now = this->loop.now();
-    this->stop_limit = now + this->settings.longest_stop - stop_margin;
-    this->gateway.begin_stop({now, now + this->settings.stop_grace, this->stop_limit});
+    this->stop_limit = this->loop.now() + this->settings.longest_stop - stop_margin;
+    this->gateway.begin_stop(this->settings.stop_grace);
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->peers.announce_leaving();
--- /dev/null
+++ b/src/libs/base/plannedstop.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/clock.h>
+
+#include <optional>
+#include <string>
+
+namespace sailtiller {
+
+/// Told to callers whom a stopping host doesn't take: other hosts serve them now. Small against latency
+/// objectives of half a second (chosen, not measured), yet more than nothing: a caller who is led here again
+/// mustn't spend all of its tries within a few milliseconds.
+constexpr duration retry_elsewhere_after = std::chrono::milliseconds(50);
+
+/// The planned stop of a host, as it concerns requests. Until the grace ends the host takes whatever comes,
+/// also what it may have to cut off: a stream that is cut off goes on at another host after its last event,
+/// while a refusal costs its caller a try, and the next host may be stopping too. After the grace it takes
+/// nothing.
+class planned_stop
+{
+public:
+    void begin(time_point now, duration grace);
+    [[nodiscard]] bool is_grace_over(time_point now) const;
+    /// For the log: how long a request ran that the end of the stop cuts off now, and when it was taken.
+    [[nodiscard]] std::string describe_cut(time_point arrived, time_point now) const;
+
+private:
+    std::optional<time_point> begun;
+    time_point grace_end{};
+};
+
+} // namespace sailtiller
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -6,21 +6,6 @@
 
 namespace sailtiller {
 
-namespace {
-
-/// Told to callers whom a stopping host doesn't take: other hosts serve them now. Small against latency
-/// objectives of half a second (chosen, not measured), yet more than nothing: a caller who is led here again
-/// mustn't spend all of its tries within a few milliseconds.
-constexpr duration retry_elsewhere_after = std::chrono::milliseconds(50);
-
-} // namespace
-
-void gateway_service::set_bundle(std::shared_ptr<const site_bundle> next)
-{
-    this->bundle = std::move(next);
-    this->admission.take_bundle(*this->bundle);
-}
-
 void gateway_service::answer_refused(const std::shared_ptr<http_exchange>& exchange,
     const caller_request& request, const http_response& response, const std::string& reason)
 {
@@ -39,8 +24,9 @@
 }
 
 void gateway_service::send_elsewhere(
-    const std::shared_ptr<http_exchange>& exchange, const caller_request& request, const std::string& reason)
+    const std::shared_ptr<http_exchange>& exchange, const caller_request& request)
 {
+    const std::string reason = "this host stops and takes nothing more";
     this->answer_refused(exchange, request, make_refusal(retry_elsewhere_after, reason), reason);
 }
 
@@ -51,8 +37,8 @@
     order.request = this->context.codec.decode_request(exchange->request());
     // Judged here, where every request passes: closing listeners and connections at rest leaves those that
     // carry a request or its beginning, and what came over them ran into the end of the stop.
-    if (this->admission.takes_nothing(order.arrived)) {
-        this->send_elsewhere(exchange, order.request, "this host stops and takes nothing more");
+    if (this->stop.is_grace_over(order.arrived)) {
+        this->send_elsewhere(exchange, order.request);
         return;
     }
     if (!this->bundle) {
@@ -70,10 +56,6 @@
         this->refuse(exchange, order.request, http_status::unauthorized, "the key is not known");
         return;
     }
-    if (const std::optional<std::string> objection = this->admission.find_objection(order, order.arrived)) {
-        this->send_elsewhere(exchange, order.request, *objection);
-        return;
-    }
     order.service = this->choose_service(*order.route);
     this->deliver(exchange, std::move(order));
 }
@@ -146,47 +128,22 @@
     this->visit_streams([](stream_delivery& stream) { stream.leave_given_up_layers(); });
 }
 
-void gateway_service::watch_good_end(caller_hooks& caller, route_kind kind, std::uint64_t key)
-{
-    if (kind == route_kind::stream) {
-        caller.finish = [this, key, finish = std::move(caller.finish)] {
-            this->note_good_end(key);
-            finish();
-        };
-        return;
-    }
-    caller.respond = [this, key, respond = std::move(caller.respond)](const http_response& response) {
-        if (response.status < http_status::bad_request) {
-            this->note_good_end(key);
-        }
-        respond(response);
-    };
-}
-
-void gateway_service::note_good_end(std::uint64_t key)
-{
-    const auto found = this->under_way.find(key);
-    if (found != this->under_way.end()) {
-        this->admission.note_ended(found->second.request, this->context.timers.now());
-    }
-}
-
 void gateway_service::log_cut_off() const
 {
     const time_point now = this->context.timers.now();
     for (const auto& [key, running] : this->under_way) {
-        this->context.log({event_type::broken_off, running.request.id.value(), "",
-            this->admission.describe_cut(running.request, now)});
+        this->context.log(
+            {event_type::broken_off, running.id.value(), "", this->stop.describe_cut(running.arrived, now)});
     }
 }
 
 void gateway_service::deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order)
 {
     const std::uint64_t key = ++this->last_taken;
-    const auto entry = this->under_way.emplace(key, request_under_way{taken_request(order), {}}).first;
+    const auto entry =
+        this->under_way.emplace(key, request_under_way{order.request.id, order.arrived, {}}).first;
     const auto on_done = [this, key] { this->under_way.erase(key); };
     caller_hooks caller = make_caller_hooks(exchange);
-    this->watch_good_end(caller, order.route->kind, key);
     if (order.route->kind == route_kind::stream) {
         const auto delivery =
             std::make_shared<stream_delivery>(this->context, std::move(order), std::move(caller), on_done);
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/plannedstop.h>
 #include <delivery/deliverycontext.h>
-#include <gateway/stopadmission.h>
 #include <runtime/httpexchange.h>
 
 namespace sailtiller {
@@ -20,7 +20,7 @@
     }
 
     /// Requests that come from now on are judged by this bundle.
-    void set_bundle(std::shared_ptr<const site_bundle> next);
+    void set_bundle(std::shared_ptr<const site_bundle> next) { this->bundle = std::move(next); }
     [[nodiscard]] const std::shared_ptr<const site_bundle>& current_bundle() const { return this->bundle; }
 
     /// An upstream is dead; the streams over it go on without it.
@@ -30,16 +30,16 @@
     /// Answers a caller's request, at once or by a delivery.
     void handle(const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] std::size_t requests_in_flight() const { return this->under_way.size(); }
-    /// The host has been told to stop: takes only what can be expected to end in time, and nothing once the
-    /// grace is over.
-    void begin_stop(const stop_times& times) { this->admission.begin(times); }
+    /// The host has been told to stop: takes nothing once the grace is over.
+    void begin_stop(duration grace) { this->stop.begin(this->context.timers.now(), grace); }
     /// Logs each request that is still under way when the stop's limit comes.
     void log_cut_off() const;
 
 private:
     struct request_under_way
     {
-        taken_request request;
+        request_id id;
+        time_point arrived;
         std::weak_ptr<stream_delivery> stream; ///< empty for a plain service's
     };
 
@@ -47,9 +47,6 @@
     [[nodiscard]] bool admit(delivery_order& order) const;
     void deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order);
     [[nodiscard]] static caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange);
-    /// Has the length of this request learned once its answer is whole.
-    void watch_good_end(caller_hooks& caller, route_kind kind, std::uint64_t key);
-    void note_good_end(std::uint64_t key);
     /// One of the route's targets, by their weights.
     [[nodiscard]] service_id choose_service(const service_route& route) const;
     /// Calls `action` for each stream under way; streams may end meanwhile.
@@ -57,14 +54,13 @@
     void refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request, int status,
         const std::string& reason);
     /// Sends the caller to another host at once, as this one stops.
-    void send_elsewhere(const std::shared_ptr<http_exchange>& exchange, const caller_request& request,
-        const std::string& reason);
+    void send_elsewhere(const std::shared_ptr<http_exchange>& exchange, const caller_request& request);
     void answer_refused(const std::shared_ptr<http_exchange>& exchange, const caller_request& request,
         const http_response& response, const std::string& reason);
 
     delivery_context& context;
     std::shared_ptr<const site_bundle> bundle;
-    stop_admission admission;
+    planned_stop stop;
     std::map<std::uint64_t, request_under_way> under_way;
     std::uint64_t last_taken = 0;
 };
