Tests: a request read after the grace by a host that follows signed bundles

Cause: such a host closes its listeners at the end of a stop's grace; a request whose beginning came before over an open connection is taken whenever it is whole, and runs into the end of the stop.

Change: a system test sends a request so. It fails on the code as it is. The plain connection of tst_site.cpp moves to files of its own, as two suites use it now.

--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -1,17 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 // Hosts of a site whose bundle, upstreams and duties lie in the platform's store.
+#include "rawconnection.h"
 #include "sitebed.h"
 
-#include <runtime/socketaddress.h>
-
 #include <algorithm>
-#include <array>
 #include <cctype>
-#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace sailtiller::tests {
@@ -36,44 +32,6 @@
 {
 };
 
-/// A plain connection, over which a test sends a request part by part.
-class raw_connection
-{
-public:
-    explicit raw_connection(const endpoint& address)
-        : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        socket_address target = to_socket_address(address);
-        this->connected = connect(this->descriptor, target.pointer(), target.length) == 0;
-    }
-    ~raw_connection() { close(this->descriptor); }
-    raw_connection(const raw_connection&) = delete;
-    raw_connection& operator=(const raw_connection&) = delete;
-
-    [[nodiscard]] bool is_connected() const { return this->connected; }
-    void write(std::string_view bytes) const
-    {
-        EXPECT_EQ(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL),
-            static_cast<ssize_t>(bytes.size()));
-    }
-    /// Takes what has come; true once the other side has closed.
-    bool read_to_end()
-    {
-        std::array<char, 4096> buffer{};
-        ssize_t count = 0;
-        while ((count = recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
-            this->received.append(buffer.data(), static_cast<std::size_t>(count));
-        }
-        return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-    [[nodiscard]] const std::string& text() const { return this->received; }
-
-private:
-    int descriptor = -1;
-    bool connected = false;
-    std::string received;
-};
-
 TEST_F(site, places_the_layers_and_serves_whole_streams)
 {
     this->start_engines(3);
--- a/tests/auto/system/tst_stops.cpp
+++ b/tests/auto/system/tst_stops.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Planned and unplanned ends of hosts.
 #include "fleetbed.h"
+#include "rawconnection.h"
 
 #include <csignal>
 
@@ -41,6 +42,36 @@
     EXPECT_EQ(late->status, -1) << "no new connection is taken";
 }
 
+// What users saw: a completion ended without an answer though its host had been told to stop seconds before
+// it was sent, and nothing had failed. In order: a host that follows signed bundles is told to stop; its
+// grace ends and it takes no new connection; a request is whole only now, on a connection that is open
+// because its beginning came before; the host runs it; the time of the stop is over first, and the connection
+// ends without an answer. Cause: the end of the grace closes the listeners only, and whoever reads a request
+// from a connection that is open gives it to the entry service, which knows of no stop. Evidence: this test,
+// in which the request is sent so; its engines take the first steps for it.
+TEST_F(stops, a_request_that_is_read_after_the_grace_is_refused_at_once_as_not_run)
+{
+    this->start_engines(100ms);
+    bed_host& host = this->start_host("a", {"--longest-stop-ms", "3000"});
+    this->activate("one", {&host});
+    raw_connection caller(host.callers);
+    const std::string body = json({{"model", "model-0"}, {"max_tokens", 100}, {"prompt", "late"}}).dump();
+    caller.write("POST /v1/completions HTTP/1.1\r\nhost: a.example\r\nauthorization: Bearer key-0\r\n");
+    host.process->send_signal(SIGTERM);
+    run_until(this->loop, [&host] { return !raw_connection(host.callers).is_connected(); });
+    caller.write("content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    run_until(this->loop, [&caller] { return caller.read_to_end(); });
+    const std::string& answer = caller.text();
+    EXPECT_EQ(answer.substr(0, answer.find(' ', 9)), "HTTP/1.1 503") << answer.substr(0, 400);
+    EXPECT_EQ(this->total(&engine_standin::steps), 0U) << "what was refused as not run must not have run";
+    EXPECT_NE(answer.find("x-sailtiller-outcome: not-run"), std::string::npos);
+    EXPECT_NE(answer.find("\"outcome\":\"not-run\""), std::string::npos);
+    EXPECT_NE(answer.find("retry-after: 1\r\n"), std::string::npos) << "another host can take it now";
+    EXPECT_NE(answer.find("onnection: close\r\n"), std::string::npos);
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 0) << host.process->output();
+}
+
 TEST_F(stops, a_host_that_was_killed_comes_back_under_the_same_generation)
 {
     this->start_engines(0ms);
