Runtime: a call that was sent once never ends as not connected

Cause: the ending spoke of the last try alone.

Change: the call keeps that bytes of its request may have left; without a second connection it then ends as broken off.

Result: all 56 of tst_runtime pass, with the two that failed before.

--- a/src/libs/base/httpcallhandlers.h
+++ b/src/libs/base/httpcallhandlers.h
@@ -12,7 +12,9 @@
 enum class call_ending {
     whole, ///< the answer came to its proper end
     not_connected, ///< no connection was made, so no byte of the request left this process
-    broken ///< the connection ended, or the bytes were no HTTP, before the answer's end
+    /// The connection ended, or the bytes were no HTTP, before the answer's end; or what had gone out over a
+    /// kept connection could not go out again.
+    broken
 };
 
 /// What a call tells its caller; handlers run from the loop, never within `start` or `cancel`.
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -175,15 +175,14 @@
 {
     socket_address address = to_socket_address(this->target);
     this->connect_timer = this->loop.schedule_after(this->options.connect_limit,
-        [this] { this->end(call_ending::not_connected, "no connection within the time limit"); });
+        [this] { this->end_without_connection("no connection within the time limit"); });
     this->socket = h2o_socket_connect(this->loop.native(), address.pointer(), address.length,
         [](h2o_socket_t* native, const char* failure) {
             static_cast<http_call*>(native->data)->guard(&http_call::take_connection, failure);
         });
     if (this->socket == nullptr) {
-        this->loop.post([keep = this->shared_from_this()] {
-            keep->end(call_ending::not_connected, "the system gave no socket");
-        });
+        this->loop.post(
+            [keep = this->shared_from_this()] { keep->end_without_connection("the system gave no socket"); });
         return;
     }
     this->socket->data = this;
@@ -207,18 +206,26 @@
 {
     this->loop.cancel(this->connect_timer);
     if (failure != nullptr) {
-        this->end(call_ending::not_connected, failure);
+        this->end_without_connection(failure);
         return;
     }
     if (this->handlers.may_send && !this->handlers.may_send()) {
-        this->end(call_ending::not_connected, "it may no longer be sent");
+        this->end_without_connection("it may no longer be sent");
         return;
     }
     this->begin_exchange();
 }
 
+/// "Not connected" is taken as proof that no upstream has the request. One that went out over a kept
+/// connection may have been begun before that closed, whatever becomes of its second connection.
+void http_call::end_without_connection(const std::string& reason)
+{
+    this->end(this->has_left ? call_ending::broken : call_ending::not_connected, reason);
+}
+
 void http_call::begin_exchange()
 {
+    this->has_left = true;
     this->incoming = std::make_unique<parser>(*this, this->is_head_request);
     this->is_sent = false;
     this->has_received = false;
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -40,6 +40,7 @@
     void connect();
     void guard(void (http_call::*action)(const char*), const char* failure);
     void take_connection(const char* failure);
+    void end_without_connection(const std::string& reason);
     void begin_exchange();
     [[nodiscard]] bool may_start_again() const;
     void take_bytes(const char* failure);
@@ -58,6 +59,7 @@
     timer_id connect_timer = 0;
     bool is_head_request = false;
     bool is_reused = false; ///< the connection has carried other requests
+    bool has_left = false; ///< bytes of the request may have left, over this connection or a former one
     bool is_sent = false; ///< all bytes of the request have left
     bool has_received = false;
     bool has_ended = false;
