Delivery: a test that fails, for runs that a refused second copy hides

Cause: a request that may be repeated goes out again to the same upstream when its kept connection closes without a byte of answer. If that second copy is refused as not run, the refusal is taken for the first copy as well, though it may have been begun, and the send isn't counted as a run.

--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -635,6 +635,27 @@
     EXPECT_FALSE(this->caller.is_aborted);
 }
 
+// What users saw: streams ran on three engines where their route allows two.
+// Order of events: a request goes out over a kept connection, which closes without a byte of answer; it goes
+// out again to the same engine over a new one, as it may be repeated; this second copy is refused as not run;
+// the request then goes to a second engine, is broken off there, and goes to a third. Cause: the refusal
+// speaks of the copy that it answers. The first copy may have been read and begun before its connection
+// closed, but the refusal was taken for both, so the first engine wasn't counted as a run. Evidence: found by
+// reading, not in a record of those days: a granted resend left no trace in the delivery, and this order of
+// events gives three sends that no upstream is known not to have run.
+TEST_F(stream_delivery_test, a_refusal_of_a_request_that_was_sent_again_tells_nothing_of_its_first_copy)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    this->start();
+    ASSERT_TRUE(this->last_send().handlers.may_resend());
+    give_head(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    end(this->last_send());
+    ASSERT_EQ(this->sends.size(), 2U);
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
+}
+
 TEST_F(stream_delivery_test, the_last_upstream_allowed_is_asked_again_for_a_path_until_it_has_begun)
 {
     delivery_order order = this->make_order(route_kind::stream);
