Entry: a stopping host takes nothing after its grace

Cause: a host that follows signed bundles closed only its listeners at the end of a stop's grace. The entry service took what came over open connections and ran it into the end of the stop, connections at rest were kept until their own time ran out, and no line named what was cut off.

Change: the entry service judges each request by planned_stop, as the gateway does: after the grace it answers 503 at once, not-run, code "stopping", with Retry-After (whole seconds in this API, so 1). From the signal on each connection ends with its answer; connections at rest are closed once the listeners are; a broken_off line names each request that the end cuts off. One map of the requests under way takes the place of the count of those that wait.

--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -271,6 +271,8 @@
         return;
     }
     this->is_stopping = true;
+    this->callers.close_after_answers();
+    this->entry.begin_stop(this->settings.stop_grace);
     this->stop_limit = this->loop.now() + this->settings.longest_stop;
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->entry.requests_in_flight())}});
@@ -282,6 +284,8 @@
 
 void host_process::finish_stop_when_idle()
 {
+    // Again and again: a connection whose answer began before the stop is still promised to be kept.
+    this->callers.close_idle_connections();
     const bool is_idle = this->entry.requests_in_flight() == 0 && this->callers.connection_count() == 0;
     const bool is_over = this->loop.now() >= this->stop_limit;
     if (!is_idle && !is_over) {
@@ -289,6 +293,7 @@
         return;
     }
     this->exit_code = is_idle ? exit_ok : exit_failed;
+    this->entry.log_cut_off();
     log_event(log_level::info, event_type::stopped,
         {{"cut_off", std::to_string(this->entry.requests_in_flight())}});
     this->follower.stop();
--- a/src/libs/entry/entryservice.cpp
+++ b/src/libs/entry/entryservice.cpp
@@ -60,6 +60,23 @@
     exchange.respond(error_response(reason, {{"x-request-id", id.value()}}));
 }
 
+void entry_service::send_elsewhere(http_exchange& exchange, const request_id& id)
+{
+    caller_error reason = make_error(http_status::unavailable, "server_error", "stopping",
+        "this host stops and takes nothing more; another host takes the request now");
+    reason.retry_after = retry_elsewhere_after;
+    this->refuse(exchange, id, reason);
+}
+
+void entry_service::log_cut_off() const
+{
+    const time_point now = this->context.timers.now();
+    for (const auto& [id, arrived] : this->under_way) {
+        log_event(log_level::info, event_type::broken_off,
+            {{"request", id.value()}, {"reason", this->stop.describe_cut(arrived, now)}});
+    }
+}
+
 void entry_service::handle(const std::shared_ptr<http_exchange>& exchange)
 {
     std::optional<admitted_request> request = this->authenticate(exchange);
@@ -98,6 +115,12 @@
     request.id = request_id(make_random_id(this->context.random));
     request.exchange = exchange;
     request.started_at = this->context.timers.now();
+    // Judged here, where every request passes: closed listeners leave the connections that are open, and what
+    // comes over those after the grace would run into the end of the stop.
+    if (this->stop.is_grace_over(request.started_at)) {
+        this->send_elsewhere(*exchange, request.id);
+        return std::nullopt;
+    }
     if (!this->state) {
         caller_error reason = make_error(http_status::unavailable, "server_error", "not_ready",
             "this host has no bundle in force yet; try again in a moment");
@@ -130,13 +153,13 @@
 {
     const client_account account = request.account;
     const auto held = std::make_shared<admitted_request>(std::move(request));
-    ++this->waiting;
+    this->under_way.emplace(held->id, held->started_at);
     this->context.shares.admit(
         account, [this, held, start = std::move(start)](const std::optional<share_refusal>& refusal) {
-            --this->waiting;
             this->context.metrics.record_queue(held->account.service_class.value(),
                 held->account.name.value(), this->context.timers.now() - held->started_at);
             if (refusal) {
+                this->under_way.erase(held->id);
                 this->refuse_by_limit(*held, *refusal);
             } else {
                 start(std::move(*held));
@@ -205,8 +228,13 @@
 void entry_service::start_completion(admitted_request request, const completion_request& wanted)
 {
     const request_id id = request.id;
-    auto exchange = std::make_unique<completion_exchange>(this->context, std::move(request), wanted,
-        [this, id] { this->post([this, id] { this->completions.erase(id); }); });
+    auto exchange =
+        std::make_unique<completion_exchange>(this->context, std::move(request), wanted, [this, id] {
+            this->post([this, id] {
+                this->under_way.erase(id);
+                this->completions.erase(id);
+            });
+        });
     completion_exchange& started = *exchange;
     this->completions.emplace(id, std::move(exchange));
     started.start();
@@ -224,8 +252,13 @@
 void entry_service::start_service(admitted_request request, const plain_service& service)
 {
     const request_id id = request.id;
-    auto exchange = std::make_unique<service_exchange>(this->context, std::move(request), service,
-        [this, id] { this->post([this, id] { this->service_calls.erase(id); }); });
+    auto exchange =
+        std::make_unique<service_exchange>(this->context, std::move(request), service, [this, id] {
+            this->post([this, id] {
+                this->under_way.erase(id);
+                this->service_calls.erase(id);
+            });
+        });
     service_exchange& started = *exchange;
     this->service_calls.emplace(id, std::move(exchange));
     started.start();
--- a/src/libs/entry/entryservice.h
+++ b/src/libs/entry/entryservice.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/plannedstop.h>
 #include <entry/completionexchange.h>
 #include <entry/serviceexchange.h>
 
@@ -19,10 +20,11 @@
     void set_state(std::shared_ptr<const serving_state> state) { this->state = std::move(state); }
     [[nodiscard]] const std::shared_ptr<const serving_state>& current_state() const { return this->state; }
     void handle(const std::shared_ptr<http_exchange>& exchange);
-    [[nodiscard]] std::size_t requests_in_flight() const
-    {
-        return this->waiting + this->completions.size() + this->service_calls.size();
-    }
+    [[nodiscard]] std::size_t requests_in_flight() const { return this->under_way.size(); }
+    /// The host has been told to stop: takes nothing once the grace is over.
+    void begin_stop(duration grace) { this->stop.begin(this->context.timers.now(), grace); }
+    /// Logs each request that is still under way when the stop's limit comes.
+    void log_cut_off() const;
 
 private:
     void refuse(http_exchange& exchange, const request_id& id, const caller_error& reason);
@@ -30,6 +32,8 @@
     /// Lets a request in by the account's limits and starts it, at once or after the account's home has
     /// answered.
     void admit(admitted_request request, std::function<void(admitted_request)> start);
+    /// Sends the caller to another host at once, as this one stops.
+    void send_elsewhere(http_exchange& exchange, const request_id& id);
     void refuse_by_limit(const admitted_request& request, const share_refusal& refusal);
     void start_completion(admitted_request request, const completion_request& wanted);
     void start_service(admitted_request request, const plain_service& service);
@@ -42,7 +46,9 @@
     entry_context context;
     std::function<void(std::function<void()>)> post;
     std::shared_ptr<const serving_state> state;
-    std::size_t waiting = 0; ///< requests that wait for their account's home
+    planned_stop stop;
+    /// When each request arrived that has no answer yet, also while it waits for its account's home.
+    std::unordered_map<request_id, time_point> under_way;
     std::unordered_map<request_id, std::unique_ptr<completion_exchange>> completions;
     std::unordered_map<request_id, std::unique_ptr<service_exchange>> service_calls;
 };
--- a/tests/auto/entry/tst_entryservice.cpp
+++ b/tests/auto/entry/tst_entryservice.cpp
@@ -292,6 +292,23 @@
     EXPECT_EQ(code_of(answer), "not_ready");
 }
 
+TEST_F(entry_service_test, a_stopping_host_takes_what_comes_until_its_grace_ends)
+{
+    this->entry.begin_stop(1min);
+    EXPECT_EQ(this->chat().status, 200);
+    this->entry.begin_stop(0s);
+    const std::uint64_t steps = this->total(&engine_standin::steps);
+    const http_response answer = this->chat();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(code_of(answer), "stopping");
+    EXPECT_EQ(find_header(answer.headers, "x-sailtiller-outcome"), "not-run");
+    EXPECT_EQ(find_header(answer.headers, "retry-after"), "1");
+    EXPECT_EQ(this->call("GET", "/blobs/a", "").status, 503);
+    EXPECT_EQ(this->service.calls(), 0U);
+    EXPECT_EQ(this->total(&engine_standin::steps), steps);
+    EXPECT_EQ(this->metrics.rejected.value("stopping"), 2U);
+}
+
 TEST_F(entry_service_test, an_account_over_its_limit_is_told_when_to_come_again)
 {
     this->content.accounts[0].limits.requests_per_second = 1.0;
--- a/tests/auto/system/tst_stops.cpp
+++ b/tests/auto/system/tst_stops.cpp
@@ -36,6 +36,7 @@
     for (std::size_t request = 0; request < answers.size(); ++request) {
         EXPECT_EQ(answers[request]->status, 200);
         EXPECT_EQ(text_of(*answers[request]), expected_text(std::to_string(request), bed_layers, 30));
+        EXPECT_EQ(find_header(answers[request]->headers, "connection"), "close");
     }
     const auto late = this->ask(host, "late");
     run_until(this->loop, [&] { return late->status != 0; });
@@ -72,6 +73,42 @@
     EXPECT_EQ(host.process->exit_code(), 0) << host.process->output();
 }
 
+TEST_F(stops, a_connection_at_rest_does_not_keep_a_host_from_stopping)
+{
+    this->start_engines(0ms);
+    bed_host& host = this->start_host("a", {"--longest-stop-ms", "3000"});
+    this->activate("one", {&host});
+    raw_connection caller(host.callers);
+    caller.write("GET /v1/models HTTP/1.1\r\nhost: a.example\r\nauthorization: Bearer key-0\r\n\r\n");
+    run_until(this->loop, [&caller] {
+        EXPECT_FALSE(caller.read_to_end()) << "it is kept";
+        return caller.text().find("model-0") != std::string::npos;
+    });
+    host.process->send_signal(SIGTERM);
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 0) << "a host that waits for it is out of time after 3 s";
+    EXPECT_TRUE(caller.read_to_end());
+}
+
+TEST_F(stops, a_request_that_the_end_of_a_stop_cuts_off_is_named_in_the_log)
+{
+    this->start_engines(100ms);
+    bed_host& host = this->start_host("a", {"--longest-stop-ms", "1000"});
+    this->activate("one", {&host});
+    const auto answer = this->ask(host, "cut", {}, 100);
+    run_until(this->loop, [this] { return this->total(&engine_standin::steps) >= 4; });
+    host.process->send_signal(SIGTERM);
+    run_until(this->loop, [&] { return answer->status != 0 && host.process->exit_code().has_value(); });
+    EXPECT_EQ(answer->status, -1) << "it is seen to be broken off";
+    EXPECT_EQ(host.process->exit_code(), 1);
+    const std::string& lines = host.process->output();
+    const std::size_t line = lines.find("\"event\":\"broken_off\",\"request\":\"");
+    ASSERT_NE(line, std::string::npos) << lines;
+    EXPECT_NE(lines.find("this host stops; it ran for ", line), std::string::npos);
+    EXPECT_NE(lines.find(" and was taken before the signal", line), std::string::npos);
+    EXPECT_NE(lines.find("\"cut_off\":\"1\""), std::string::npos);
+}
+
 TEST_F(stops, a_host_that_was_killed_comes_back_under_the_same_generation)
 {
     this->start_engines(0ms);
