Delivery: a refusal counts as no run only where one copy went out

Cause: a refusal of a second copy over a new connection was taken for the first copy too.

Change: the call of a delivery keeps that it was let out a second time; streams and plain calls then count the send as a run, whatever the second copy is told.

--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -141,6 +141,8 @@
         return;
     }
     if (this->answer.is_not_run) {
+        // The refusal of a second copy leaves open whether the first one was begun.
+        this->runs += this->call.was_sent_again() ? 1 : 0;
         avoid_after_refusal(this->context, *this->target);
         this->retry_or_fail("refused with status " + std::to_string(this->answer.status));
         return;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -303,7 +303,10 @@
 
 void stream_delivery::take_refusal()
 {
-    this->sends.note_not_run();
+    // The refusal of a second copy leaves open whether the first one was begun.
+    if (!this->call.was_sent_again()) {
+        this->sends.note_not_run();
+    }
     const upstream_id culprit = this->path.find_culprit(this->answer.at_fault);
     // A part that doesn't hold its layers will tell so in its entry before long; others are full for a
     // moment.
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -6,6 +6,7 @@
 void upstream_call::start(const endpoint& address, const upstream_request& request, const answer_hooks& hooks)
 {
     ++this->present;
+    this->has_gone_again = false;
     const http_request message = this->context.codec.encode_request(this->order.request, request);
     this->cancel =
         this->context.send(address, message, this->order.route->may_repeat(), this->make_handlers(hooks));
@@ -17,9 +18,7 @@
     http_call_handlers handlers;
     handlers.may_send = this->context.may_send;
     if (this->order.route->may_repeat()) {
-        handlers.may_resend = [&context = this->context, service = this->order.service] {
-            return context.retries.take(service, context.timers.now());
-        };
+        handlers.may_resend = [this, is_present] { return is_present() && this->take_resend(); };
     }
     handlers.on_head = [is_present, on_head = hooks.on_head](int status, const http_headers& headers) {
         if (is_present()) {
@@ -41,6 +40,15 @@
     return handlers;
 }
 
+bool upstream_call::take_resend()
+{
+    if (!this->context.retries.take(this->order.service, this->context.timers.now())) {
+        return false;
+    }
+    this->has_gone_again = true;
+    return true;
+}
+
 void upstream_call::end()
 {
     ++this->present;
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -29,15 +29,21 @@
     void start(const endpoint& address, const upstream_request& request, const answer_hooks& hooks);
     /// Gives the call up; none of its hooks runs after this.
     void end();
+    /// True if the present call, or the one that has just ended, went out a second time. Its upstream may
+    /// have begun the first copy; that it refuses the second one proves nothing of that.
+    [[nodiscard]] bool was_sent_again() const { return this->has_gone_again; }
     /// Rises with each call that begins or is given up.
     [[nodiscard]] std::uint64_t number() const { return this->present; }
 
 private:
     [[nodiscard]] http_call_handlers make_handlers(const answer_hooks& hooks);
+    /// Asked when a kept connection was found closed.
+    [[nodiscard]] bool take_resend();
 
     delivery_context& context;
     const delivery_order& order;
     std::uint64_t present = 0;
+    bool has_gone_again = false;
     cancel_call cancel;
 };
 
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -117,6 +117,32 @@
     EXPECT_EQ(this->caller.answer->status, 500);
 }
 
+TEST_F(plain_delivery_test, a_refusal_of_a_request_that_was_sent_again_tells_nothing_of_its_first_copy)
+{
+    this->start(route_kind::repeatable);
+    ASSERT_TRUE(this->last_send().handlers.may_resend());
+    answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    ASSERT_EQ(this->sends.size(), 2U);
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
+    EXPECT_EQ(this->caller.answer->status, 502) << "a refusal would say that it has not run";
+}
+
+TEST_F(plain_delivery_test, a_refusal_is_proof_where_the_allowance_let_nothing_out_again)
+{
+    this->start(route_kind::repeatable);
+    const service_id service("plain");
+    while (this->retries.take(service, this->now)) { }
+    ASSERT_FALSE(this->last_send().handlers.may_resend());
+    for (int request = 0; request < 5; ++request) {
+        this->retries.note_request(service, this->now);
+    }
+    answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    ASSERT_EQ(this->sends.size(), 2U);
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->sends.size(), 3U) << "one of two runs is left";
+}
+
 TEST_F(plain_delivery_test, a_slow_repeatable_request_is_asked_of_another_in_time)
 {
     this->start(route_kind::repeatable);
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -656,6 +656,19 @@
     EXPECT_EQ(this->sends.size(), 2U) << "the route allows two";
 }
 
+TEST_F(stream_delivery_test, a_refusal_counts_as_no_run_where_the_call_before_was_sent_again)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    this->start();
+    ASSERT_TRUE(this->last_send().handlers.may_resend());
+    end(this->last_send(), call_ending::broken);
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    end(this->last_send());
+    EXPECT_EQ(this->sends.size(), 3U) << "the second one surely has not run it";
+}
+
 TEST_F(stream_delivery_test, the_last_upstream_allowed_is_asked_again_for_a_path_until_it_has_begun)
 {
     delivery_order order = this->make_order(route_kind::stream);
