Delivery: a test that fails, for a step under way that is said not to have run

Cause: when the limit of a whole request passes, the relay gives up the step that is under way without counting it as one that may have run; without an earlier answer the caller is told that the request was run nowhere.

Result: the test fails on the code as it is (the other 90 of tst_delivery pass):

tst_streamrelay.cpp: Failure Expected equality of these values: this->failure->outcome Which is: 4-byte object <00-00 00-00> request_outcome::unknown Which is: 4-byte object <01-00 00-00>

--- a/tests/auto/delivery/tst_streamrelay.cpp
+++ b/tests/auto/delivery/tst_streamrelay.cpp
@@ -303,6 +303,25 @@
     EXPECT_EQ(this->timers.size(), 0U);
 }
 
+// What users see: a request at its time limit is told "not-run" though an engine is at work on it; a caller
+// that may not repeat it then sends it a second time.
+// Order of events: the first step is refused, and sent to another engine; the limit of the whole request
+// passes before the limit of that step and before any answer. Cause: of the ways to leave a step that is
+// under way, only this one doesn't count it as one that may have run. Evidence: found by reading; the step
+// here is with its engine when the request ends.
+TEST_F(stream_relay_test, a_step_that_is_under_way_at_the_time_limit_may_have_run)
+{
+    this->content.times.first_answer = this->content.times.request;
+    this->start(false);
+    this->pass(50ms);
+    this->fail_step(send_certainty::refused);
+    ASSERT_EQ(this->steps.size(), 2U);
+    this->pass(this->content.times.request - 50ms);
+    EXPECT_TRUE(this->steps[1].is_cancelled);
+    ASSERT_TRUE(this->failure);
+    EXPECT_EQ(this->failure->outcome, request_outcome::unknown);
+}
+
 TEST_F(stream_relay_test, a_caller_that_goes_away_cancels_the_stream_on_every_stage)
 {
     this->start();
