Delivery: a step under way at the limit of its request may have run

Cause: the limit gave up the step without counting it.

Change: a step that was sent and not yet answered counts as one that may have run.

--- a/src/libs/delivery/streamrelay.cpp
+++ b/src/libs/delivery/streamrelay.cpp
@@ -35,6 +35,8 @@
     this->request_timer = this->hooks.timers.schedule_after(this->request.times.request, [this] {
         this->request_timer = 0;
         const std::string peer = this->stages.empty() ? "" : this->stage().holder.value();
+        // The upstream may be at work on a step that was sent, whether or not it has answered.
+        this->may_have_run = this->may_have_run || this->call != 0;
         this->end_attempt();
         this->fail(this->may_have_run ? request_outcome::unknown : request_outcome::not_run,
             {send_certainty::may_have_run, {"run request", peer}, "the request's time limit has passed", {}});
