Delivery: a request goes out again to its upstream only right after its first send

Cause: a kept connection that closed without a byte of answer was taken for one that had been closed before, also seconds after the send; the request went out again with the time that was left at its first send.

Change: 250 ms after the send such a close counts as broken off, which it is.

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -93,6 +93,10 @@
     unsigned immediate_sends = 4;
     duration first_resend_pause = std::chrono::milliseconds(60);
     duration longest_resend_pause = std::chrono::milliseconds(400);
+    /// A kept connection that had been closed before shows within a round trip, or within the time of one
+    /// more send of a lost packet. One that closes later had the request; sent again as it stands, that would
+    /// carry the time that was left then.
+    duration longest_until_resend = std::chrono::milliseconds(250);
     /// How long a stream stays with a first engine that seems dead when nothing else may run the request, and
     /// how long one that has begun waits for this host to learn whether its bundle is the newest. Half of the
     /// two seconds without an event after which a caller leaves: it still has time to resume by itself.
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -43,6 +43,7 @@
     delivery_context& context;
     const delivery_order& order;
     std::uint64_t present = 0;
+    time_point sent_at{}; ///< the first copy of the present call
     bool has_gone_again = false;
     cancel_call cancel;
 };
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -672,10 +672,10 @@
 // What users would see: an upstream works on for longer than its caller waits, and a request runs twice at an
 // engine that had begun it.
 // Order of events: a request goes out over a kept connection and is begun; seconds later its engine ends, and
-// the connection closes before a byte of answer; the request goes out again as it stood, with the time that was
-// left at its first send. Cause: any close without an answer was taken for a connection that had been closed
-// while it was kept. Evidence: found by reading; a connection that had been closed before tells so within a
-// round trip.
+// the connection closes before a byte of answer; the request goes out again as it stood, with the time that
+// was left at its first send. Cause: any close without an answer was taken for a connection that had been
+// closed while it was kept. Evidence: found by reading; a connection that had been closed before tells so
+// within a round trip.
 TEST_F(stream_delivery_test, a_request_goes_out_again_only_right_after_its_first_send)
 {
     this->start();
