Delivery, Fleet: pauses between asks for a path grow; who has nothing yet and may try again is told at once

Cause: an engine that doesn't know a request was asked for another path every 40 ms for as long as the request lasted, 75 times in 3 s (a trial by a test); a stream that may be repeated and has not begun was held a second where no retry is left. A report without the word on whether its host reads the store was refused.

--- a/src/libs/delivery/pathchanges.cpp
+++ b/src/libs/delivery/pathchanges.cpp
@@ -2,6 +2,8 @@
 #include <delivery/pathchanges.h>
 #include <delivery/pathuse.h>
 
+#include <algorithm>
+
 namespace sailtiller {
 
 bool path_changes::may_take_one_more() const
@@ -9,6 +11,23 @@
     return this->taken < this->context.settings.most_changes;
 }
 
+duration path_changes::give_back_one()
+{
+    --this->taken;
+    duration pause = this->context.settings.change_pause;
+    for (unsigned answer = 0; answer < this->unknown; ++answer) {
+        pause = std::min(2 * pause, this->context.settings.longest_resend_pause);
+    }
+    ++this->unknown;
+    return pause;
+}
+
+void path_changes::note_progress()
+{
+    this->taken = 0;
+    this->unknown = 0;
+}
+
 void path_changes::ask(const delivery_order& order, const layer_path& next,
     std::function<void(const path_change_answer&)> on_answer)
 {
--- a/src/libs/delivery/pathchanges.h
+++ b/src/libs/delivery/pathchanges.h
@@ -23,10 +23,11 @@
     [[nodiscard]] bool may_take_one_more() const;
     /// The present failure takes one change more.
     void take_one() { ++this->taken; }
-    /// The engine didn't know the request, so the change that was taken last is still to be had.
-    void give_back_one() { --this->taken; }
+    /// The engine didn't know the request, so the change that was taken last is still to be had. Returns the
+    /// pause until it is asked for again, which doubles: at 40 ms each, one stream asked 75 times in 3 s.
+    duration give_back_one();
     /// An event came, so the failure is over.
-    void note_progress() { this->taken = 0; }
+    void note_progress();
     /// Asks the first engine of `next` to lead the request over it.
     void ask(const delivery_order& order, const layer_path& next,
         std::function<void(const path_change_answer&)> on_answer);
@@ -40,6 +41,7 @@
     delivery_context& context;
     bool is_unanswered = false;
     unsigned taken = 0; ///< since the last event
+    unsigned unknown = 0; ///< answers, since the last event, that the engine doesn't know the request
     timer_id timer = 0;
 };
 
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -131,10 +131,11 @@
 {
     // An engine that answers no probe may be alive behind a full link, and its answer on the way. Where
     // nothing else may or can run the request, leaving it could only lose that answer. A caller that has
-    // nothing yet is better told soon that no other engine can serve it.
-    const bool has_other_path = !this->has_started || this->chooser.find(this->avoided).has_value();
-    const bool may_follow = has_other_path && this->sends.may_send_now(this->has_started);
-    if (may_follow || this->head_wait.is_over()) {
+    // nothing yet and may try again is better told so at once.
+    const bool is_told_soon = !this->has_started && this->order.route->may_repeat();
+    const bool may_follow =
+        this->sends.may_send_now(this->has_started) && this->chooser.find(this->avoided).has_value();
+    if (is_told_soon || may_follow || this->head_wait.is_over()) {
         this->fail_over("the first engine of its path is dead");
         return;
     }
@@ -212,8 +213,7 @@
         return;
     }
     // Nothing else may run it, so the answer is waited for; if it has yet to begin, it needs the other path.
-    this->changes.give_back_one();
-    this->schedule_change(this->context.settings.change_pause);
+    this->schedule_change(this->changes.give_back_one());
 }
 
 /// Keeps the stream, and new work for a while, away from the part that refused a path.
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -146,7 +146,8 @@
         report.entries_offset = read_optional<std::uint64_t>(item.at("offset"));
         report.entries_age = read_age(item.at("entries_age"));
         report.store_disturbed_age = read_age(item.at("disturbed_age"));
-        report.reads_store = item.at("reads_store").get<bool>();
+        // A host of an older release doesn't say; it is taken to read.
+        report.reads_store = item.value("reads_store", true);
         report.are_entries_whole = item.at("whole").get<bool>();
         read_lists(item, report);
         return report;
