Fleet, Site: each host asks the others in an order of its own, and readers of a large fleet are missed by turns

Cause: all hosts asked the others in the order of their names, so what a reader knew went round no faster than the turns, and in fleets of 100 hosts and more each host read the store for itself: 33 reads a second of 100 hosts, 122 of 300, 162 of 400. And a host that wasn't heard for 1.5 s counted as no reader, though 300 hosts are heard in turns of 9 s: 100 of them took themselves for one.

Change: hosts that are due at once are asked in an order that differs from host to host; a reader counts as there for two turns. A topic of the store that fails keeps a host from reading for all while another is answered, and is tried again every second.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -94,7 +94,7 @@
     return hooks;
 }
 
-keyed_follower_hooks site_host::make_follower_hooks()
+keyed_follower_hooks site_host::make_follower_hooks(store_topic topic)
 {
     keyed_follower_hooks hooks;
     hooks.timers = this->loop.hooks();
@@ -113,9 +113,9 @@
             ? duration::zero()
             : std::min(longest_fleet_retry, fleet_retry_interval * static_cast<int>(live));
     };
-    hooks.on_failure = [this](const error& failure) {
+    hooks.on_failure = [this, topic](const error& failure) {
         this->knowledge.note_store_disturbed();
-        this->reading.note_failed(this->loop.now());
+        this->reading.note_failed(topic, this->loop.now());
         log_store_failure(failure);
     };
     return hooks;
@@ -241,7 +241,7 @@
 
 keyed_follower site_host::make_bundle_follower()
 {
-    keyed_follower_hooks hooks = this->make_follower_hooks();
+    keyed_follower_hooks hooks = this->make_follower_hooks(store_topic::bundles);
     hooks.is_due = [this] {
         return this->reading.is_bundle_due(this->is_reader(), this->knowledge.bundle_age(), this->loop.now());
     };
@@ -254,7 +254,7 @@
         this->knowledge.take_bundle_record(record);
     };
     hooks.on_confirmed = [this](time_point asked) {
-        this->reading.note_answered();
+        this->reading.note_answered(store_topic::bundles);
         this->knowledge.confirm_bundle(asked);
     };
     return {{.topic = store_topic::bundles, .wait = this->reading.bundle_wait(), .pause = look_pause},
@@ -263,9 +263,10 @@
 
 keyed_follower site_host::make_upstream_follower()
 {
-    keyed_follower_hooks hooks = this->make_follower_hooks();
+    keyed_follower_hooks hooks = this->make_follower_hooks(store_topic::upstreams);
     hooks.is_due = [this] {
-        return this->reading.are_upstreams_due(this->is_reader(), this->knowledge.upstreams_age());
+        return this->reading.are_upstreams_due(
+            this->is_reader(), this->knowledge.upstreams_age(), this->loop.now());
     };
     hooks.on_all = [this](const std::vector<keyed_record>& records, log_offset end) {
         this->knowledge.take_all_upstreams(records, end);
@@ -274,7 +275,7 @@
         this->knowledge.take_upstream_record(record, offset);
     };
     hooks.on_confirmed = [this](time_point asked) {
-        this->reading.note_answered();
+        this->reading.note_answered(store_topic::upstreams);
         this->knowledge.confirm_upstreams(asked);
     };
     return {{.topic = store_topic::upstreams, .pause = look_pause}, std::move(hooks)};
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -34,7 +34,7 @@
 private:
     delivery_context make_delivery_context();
     upstream_health_hooks make_health_hooks();
-    keyed_follower_hooks make_follower_hooks();
+    keyed_follower_hooks make_follower_hooks(store_topic topic);
     layer_keeper_hooks make_keeper_hooks();
     [[nodiscard]] site_knowledge_settings make_knowledge_settings() const;
     site_knowledge_hooks make_knowledge_hooks();
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -21,7 +21,7 @@
 /// To a bundle's whole text: 2.5 MB on a link of 20 Mbit/s, packed about a tenth of its size.
 constexpr duration bundle_answer_limit = milliseconds(1000);
 /// A leaving upstream, a new bundle and the work at the upstreams reach every host within a round or two.
-constexpr duration round_interval = milliseconds(250);
+constexpr duration round_interval = host_table_settings().round_interval;
 /// The same while this host is new: after all hosts were down, their callers come back to all of them at
 /// once, and each must know what the others send where.
 constexpr duration new_round_interval = milliseconds(100);
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/random.h>
 #include <fleet/hosttable.h>
 
 #include <algorithm>
@@ -10,6 +11,14 @@
     return item.heard && !item.is_leaving && now - *item.heard < this->settings.silence_limit;
 }
 
+bool host_table::is_heard_in_turn(const entry& item, time_point now) const
+{
+    // Two turns, so that one lost answer doesn't make a host seem gone.
+    const auto rounds = static_cast<duration::rep>(2 * this->others.size() / this->settings.most_asked);
+    const duration limit = std::max(this->settings.silence_limit, rounds * this->settings.round_interval);
+    return item.heard && !item.is_leaving && now - *item.heard < limit;
+}
+
 duration host_table::ask_interval(const entry& item, time_point now) const
 {
     if (!this->is_live(item, now)) {
@@ -35,13 +44,22 @@
     return static_cast<std::size_t>(std::count_if(this->others.begin(), this->others.end(), is_unheard));
 }
 
+host_table::entry& host_table::find_or_add(const host_id& id)
+{
+    const auto [place, is_new] = this->others.try_emplace(id);
+    if (is_new) {
+        place->second.turn = stable_hash(id.value(), stable_hash(this->self.id.value()));
+    }
+    return place->second;
+}
+
 void host_table::add(const known_host& host, time_point now)
 {
     if (host.id == this->self.id) {
         return;
     }
-    const auto [place, is_new] = this->others.try_emplace(host.id);
-    entry& item = place->second;
+    const bool is_new = this->others.count(host.id) == 0;
+    entry& item = this->find_or_add(host.id);
     // Its own word, if it was heard, goes before what others tell.
     if (is_new || !this->is_live(item, now)) {
         item.host = host;
@@ -56,7 +74,7 @@
     if (report.sender.id == this->self.id) {
         return;
     }
-    entry& item = this->others[report.sender.id];
+    entry& item = this->find_or_add(report.sender.id);
     item.host = report.sender;
     item.heard = now;
     item.is_leaving = report.is_leaving;
@@ -75,8 +93,9 @@
             due.push_back(&item);
         }
     }
-    std::stable_sort(due.begin(), due.end(),
-        [](const entry* left, const entry* right) { return left->asked < right->asked; });
+    std::sort(due.begin(), due.end(), [](const entry* left, const entry* right) {
+        return std::pair(left->asked, left->turn) < std::pair(right->asked, right->turn);
+    });
     due.resize(std::min(due.size(), this->settings.most_asked));
     std::vector<known_host> asked;
     for (entry* item : due) {
@@ -120,12 +139,15 @@
 {
     bool is_any_able = reads_store;
     std::size_t able_before = 0;
+    std::size_t before = 0;
     for (const auto& [id, item] : this->others) {
-        const bool is_able = item.reads_store && this->is_live(item, now);
-        is_any_able = is_any_able || is_able;
-        able_before += is_able && id < this->self.id ? 1 : 0;
+        const bool is_present = this->is_heard_in_turn(item, now);
+        const bool is_before = id < this->self.id;
+        is_any_able = is_any_able || (is_present && item.reads_store);
+        able_before += is_present && is_before && item.reads_store ? 1 : 0;
+        before += is_present && is_before ? 1 : 0;
     }
-    const std::size_t rank = is_any_able ? able_before : this->own_rank(now);
+    const std::size_t rank = is_any_able ? able_before : before;
     return reads_store == is_any_able && rank < this->settings.reader_count;
 }
 
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -23,6 +23,7 @@
     duration forget_after = std::chrono::seconds(60);
     /// Asked in one round; bounds the bytes of a large fleet.
     std::size_t most_asked = 8;
+    duration round_interval = std::chrono::milliseconds(250); ///< between two rounds of questions
     /// The hosts that read the store for all; a second one covers the time until the first is missed.
     std::size_t reader_count = 2;
 };
@@ -62,7 +63,8 @@
     /// True if this host, whose own reads the store answers or not, is one of those that read it for all: the
     /// first by their ids of the live hosts that the store answers, or of all live ones if it answers nobody.
     /// A host that lives may be cut off from the store for long; as a reader it would leave all others
-    /// without a word from there.
+    /// without a word from there. A host of a large fleet is heard in turn with all others: of 300 hosts, 100
+    /// thought so of themselves when those not heard for 1.5 s counted as gone.
     [[nodiscard]] bool is_reader(bool reads_store, time_point now) const;
     /// Work of the other live hosts at each upstream.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
@@ -77,12 +79,18 @@
         std::optional<time_point> heard;
         time_point added{};
         time_point asked{};
+        /// Orders those that are due at once, on each host in another way: when all hosts ask the same ones
+        /// in the same round, what one of them knows goes round no faster than the turns.
+        std::uint64_t turn = 0;
         bool is_leaving = false;
         bool reads_store = true;
         std::vector<upstream_work> work;
     };
 
+    entry& find_or_add(const host_id& id);
     [[nodiscard]] bool is_live(const entry& item, time_point now) const;
+    /// The same within a time in which every live host of a fleet of this size is heard.
+    [[nodiscard]] bool is_heard_in_turn(const entry& item, time_point now) const;
     [[nodiscard]] duration ask_interval(const entry& item, time_point now) const;
 
     known_host self;
--- a/src/libs/site/storereading.cpp
+++ b/src/libs/site/storereading.cpp
@@ -19,8 +19,9 @@
 /// left to its own read and to passing on what it finds. At 2.6 s, beyond the limit of 2 s, changes were in
 /// force up to 2.4 s after their confirmation while both readers were cut off from the store.
 constexpr int own_read_quarters = 3;
-/// A host that the store has failed tries again this often, so that it can be a reader again.
-constexpr duration retrial_pause = milliseconds(3000);
+/// A host that the store has failed tries again this often, so that it can be a reader again: as a reader it
+/// would read two or three times as often.
+constexpr duration retrial_pause = milliseconds(1000);
 /// Between two reads of the upstreams' entries by a reader. All hosts must know within two seconds which
 /// upstreams leave.
 constexpr duration upstream_interval = milliseconds(400);
@@ -35,18 +36,25 @@
     return std::min(longest_bundle_wait, limit / waits_in_limit);
 }
 
+bool store_reading::is_retrial_due(store_topic topic, time_point now) const
+{
+    const auto found = this->failed.find(topic);
+    return found != this->failed.end() && now - found->second >= retrial_pause;
+}
+
 bool store_reading::is_bundle_due(bool is_reader, const std::optional<duration>& age, time_point now) const
 {
     const duration limit = std::min(this->settings.apply_limit, this->settings.revoke_limit);
     const duration own_read_age = limit * own_read_quarters / 4;
-    const bool is_retrial_due = this->failed && now - *this->failed >= retrial_pause;
-    return is_reader || is_retrial_due || age.value_or(own_read_age) >= own_read_age;
+    return is_reader || this->is_retrial_due(store_topic::bundles, now)
+        || age.value_or(own_read_age) >= own_read_age;
 }
 
-bool store_reading::are_upstreams_due(bool is_reader, const std::optional<duration>& age) const
+bool store_reading::are_upstreams_due(
+    bool is_reader, const std::optional<duration>& age, time_point now) const
 {
     const duration limit = is_reader ? upstream_interval : own_upstream_read_age;
-    return age.value_or(limit) >= limit;
+    return this->is_retrial_due(store_topic::upstreams, now) || age.value_or(limit) >= limit;
 }
 
 } // namespace sailtiller
--- a/src/libs/site/storereading.h
+++ b/src/libs/site/storereading.h
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <base/clock.h>
+#include <store/storetypes.h>
 
+#include <map>
 #include <optional>
 
 namespace sailtiller {
@@ -34,18 +35,24 @@
     [[nodiscard]] bool is_bundle_due(
         bool is_reader, const std::optional<duration>& age, time_point now) const;
     /// The same for the upstreams' entries.
-    [[nodiscard]] bool are_upstreams_due(bool is_reader, const std::optional<duration>& age) const;
+    [[nodiscard]] bool are_upstreams_due(
+        bool is_reader, const std::optional<duration>& age, time_point now) const;
 
     /// The store answered a read of this host.
-    void note_answered() { this->failed.reset(); }
+    void note_answered(store_topic topic) { this->failed.erase(topic); }
     /// The store failed a read of this host.
-    void note_failed(time_point now) { this->failed = now; }
-    /// False from a failed read to the next one that is answered.
-    [[nodiscard]] bool reads_store() const { return !this->failed; }
+    void note_failed(store_topic topic, time_point now) { this->failed[topic] = now; }
+    /// False from a failed read of some topic to the next one that is answered.
+    [[nodiscard]] bool reads_store() const { return this->failed.empty(); }
 
 private:
+    /// True if a topic that the store has failed should be tried again.
+    [[nodiscard]] bool is_retrial_due(store_topic topic, time_point now) const;
+
     store_reading_settings settings;
-    std::optional<time_point> failed; ///< the last read, if the store failed it
+    /// The last read of each topic that the store failed. Kept apart, so that a store that answers one topic
+    /// and not the other makes no host a reader by turns.
+    std::map<store_topic, time_point> failed;
 };
 
 } // namespace sailtiller
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -70,6 +70,26 @@
     EXPECT_FALSE(this->table.is_reader(true, this->now)) << "two others come first";
 }
 
+TEST_F(host_table_test, a_reader_of_a_large_fleet_is_heard_in_turn_and_counts_until_its_turn_was_missed)
+{
+    // 301 others, eight of them asked every 250 ms: a turn takes 9.4 s.
+    for (int number = 0; number < 299; ++number) {
+        this->table.add(make_host("c" + std::to_string(number)), this->now);
+    }
+    this->table.note_heard(make_report(make_host("a1")), this->now);
+    this->table.note_heard(make_report(make_host("a2")), this->now);
+    EXPECT_FALSE(this->table.is_reader(true, this->now + 10s));
+    EXPECT_TRUE(this->table.is_reader(true, this->now + 20s)) << "both missed two turns";
+}
+
+TEST_F(host_table_test, a_reader_of_a_small_fleet_is_missed_soon)
+{
+    this->table.note_heard(make_report(make_host("a1")), this->now);
+    this->table.note_heard(make_report(make_host("a2")), this->now);
+    EXPECT_FALSE(this->table.is_reader(true, this->now + 1499ms));
+    EXPECT_TRUE(this->table.is_reader(true, this->now + 1500ms));
+}
+
 TEST_F(host_table_test, while_the_store_answers_nobody_the_first_two_hosts_go_on_asking)
 {
     for (const char* name : {"a", "c"}) {
--- a/tests/auto/site/tst_storereading.cpp
+++ b/tests/auto/site/tst_storereading.cpp
@@ -131,11 +131,12 @@
 {
 public:
     /// Starts as many hosts, named in the order of their numbers, with version 1 in force.
-    explicit reading_fleet(std::size_t count)
+    explicit reading_fleet(std::size_t count, duration limit = apply_limit)
     {
         this->store.write(1);
         for (std::size_t number = 0; number < count; ++number) {
             this->hosts.push_back(std::make_unique<host>());
+            this->hosts.back()->reading.set_settings({.apply_limit = limit, .revoke_limit = 5s});
             this->wire(*this->hosts.back(), "h" + std::to_string(number));
         }
         for (const auto& item : this->hosts) {
@@ -191,7 +192,7 @@
         std::unique_ptr<site_knowledge> knowledge;
         std::unique_ptr<bundle_exchange> exchange;
         std::unique_ptr<keyed_follower> follower;
-        store_reading reading{{.apply_limit = apply_limit, .revoke_limit = 5s}};
+        store_reading reading{{}};
     };
 
     void start(host& item)
@@ -265,10 +266,11 @@
             item.knowledge->take_bundle_record(record);
         };
         hooks.on_confirmed = [&item](time_point asked) {
-            item.reading.note_answered();
+            item.reading.note_answered(store_topic::bundles);
             item.knowledge->confirm_bundle(asked);
         };
-        hooks.on_failure = [this, &item](const error&) { item.reading.note_failed(this->now); };
+        hooks.on_failure = [this, &item](
+                               const error&) { item.reading.note_failed(store_topic::bundles, this->now); };
         return hooks;
     }
 
@@ -385,6 +387,33 @@
     EXPECT_LE(fleet.calls_made() - before, 2 * 100U + 2);
 }
 
+TEST(store_reading_test,
+    a_topic_that_the_store_fails_keeps_a_host_from_reading_for_all_while_it_answers_another)
+{
+    store_reading reading({});
+    const time_point now{100s};
+    reading.note_failed(store_topic::upstreams, now);
+    reading.note_answered(store_topic::bundles);
+    EXPECT_FALSE(reading.reads_store());
+    EXPECT_FALSE(reading.are_upstreams_due(false, 0s, now + 900ms));
+    EXPECT_TRUE(reading.are_upstreams_due(false, 0s, now + 1s)) << "it tries again";
+    EXPECT_FALSE(reading.is_bundle_due(false, 0s, now + 1s)) << "nothing failed there";
+    reading.note_answered(store_topic::upstreams);
+    EXPECT_TRUE(reading.reads_store());
+}
+
+// Hosts that ask the others in the same order hear what a reader knows only when its turn comes: 400 hosts
+// read the store 162 times a second, beside the two readers' 2.4.
+TEST(store_reading_test, only_the_readers_read_in_a_large_fleet)
+{
+    reading_fleet fleet(400, 4s);
+    fleet.pass(5s);
+    const std::size_t before = fleet.calls_made();
+    fleet.pass(10s);
+    EXPECT_LE(fleet.calls_made() - before, 30U);
+    EXPECT_LT(fleet.measure_delay(2), 1s);
+}
+
 } // namespace
 
 } // namespace sailtiller
