Store, Sailtillerd: a host that the store no longer answers gives its duty up by itself

Cause: a membership of the group that shares out duties was believed until the store said otherwise.

--- a/src/app/sailtillerd/siteduties.cpp
+++ b/src/app/sailtillerd/siteduties.cpp
@@ -3,8 +3,6 @@
 
 #include "storefailure.h"
 
-#include <algorithm>
-
 namespace sailtiller {
 
 namespace {
@@ -24,6 +22,7 @@
     : loop(loop)
     , store(store)
     , self(std::move(self))
+    , holding(join_silence_limit)
 {
 }
 
@@ -37,33 +36,29 @@
     if (this->is_leaving) {
         return; // joining once more would hold the duties until it is missed
     }
-    const group_generation last = this->membership ? this->membership->generation : group_generation(0);
+    const time_point asked = this->loop.now();
     this->store.join(
-        this->self, join_silence_limit, last,
-        [this](const group_membership& next) { this->membership = next; }, &log_store_failure);
+        this->self, join_silence_limit, this->holding.generation(),
+        [this, asked](const group_membership& next) { this->holding.take(next, asked); }, &log_store_failure);
     this->loop.schedule_after(join_interval, [this] { this->join(); });
 }
 
 void site_duties::leave()
 {
     this->is_leaving = true;
-    if (this->membership) {
-        this->store.leave(this->self, this->membership->generation);
+    if (this->holding.generation() != group_generation(0)) {
+        this->store.leave(this->self, this->holding.generation());
     }
 }
 
 std::optional<fencing_token> site_duties::order_token() const
 {
-    if (!this->membership || this->is_leaving) {
-        return std::nullopt;
-    }
-    const std::vector<unsigned>& duties = this->membership->duties;
-    const fencing_token token(this->membership->generation.value());
-    const bool has_duty = std::find(duties.begin(), duties.end(), layer_duty) != duties.end();
-    if (!has_duty || token <= this->refused_token) {
+    const std::optional<group_generation> held = this->holding.find(layer_duty, this->loop.now());
+    if (!held || this->is_leaving) {
         return std::nullopt;
     }
-    return token;
+    const fencing_token token(held->value());
+    return token > this->refused_token ? std::optional(token) : std::nullopt;
 }
 
 void site_duties::note_refused(fencing_token token)
--- a/src/app/sailtillerd/siteduties.h
+++ b/src/app/sailtillerd/siteduties.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <placement/layerorder.h>
+#include <store/dutyholding.h>
 #include <store/storeclient.h>
 
 namespace sailtiller {
@@ -27,7 +28,7 @@
     event_loop& loop;
     store_client& store;
     host_id self;
-    std::optional<group_membership> membership;
+    duty_holding holding;
     fencing_token refused_token;
     bool is_leaving = false;
 };
