Sailtillerd: a test that fails, for requests without an answer at the end of a stop

Cause: at the limit of a planned stop a host ends its loop while requests are under way. Those whose answer hasn't begun get neither an answer nor a refusal.

Change: a system test, and a stand-in of a plain service that never answers.

Result: the test fails on the code as it is:

tst_site.cpp: Failure Expected equality of these values: sent->status Which is: -1 502 it may have run, so nothing may be promised tst_site.cpp: Failure Expected equality of these values: answer.substr(0, answer.find(' ', 9)) Which is: "" "HTTP/1.1 503" tst_site.cpp: Failure Expected: (to_lower(answer).find("\r\nretry-after: 0.05")) != (std::string::npos) another host can take it now tst_site.cpp: Failure Expected: (host.process->output().find("\"cut_off\":\"0\"")) != (std::string::npos) none had begun

--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -328,6 +328,44 @@
     EXPECT_NE(lines.find("\"cut_off\":\"1\""), std::string::npos);
 }
 
+// What callers saw: a host that stops closed their connections without a byte of answer, though it had read
+// their requests and nothing had failed; they could not tell whether the request had run. In order: a host is
+// told to stop; a call of a service whose upstream doesn't answer, and a stream for which no engine holds
+// some layer, are under way; the time of the stop is over. Cause: the host then stopped its loop with
+// whatever was under way, and the end of the process closed the connections; nobody asked the deliveries for
+// their last answers, though 0.4 s are left until the process is killed. Evidence: with no more than these
+// two under way, both connections ended without a byte.
+TEST_F(site, what_has_no_answer_at_the_end_of_a_stop_is_told_whether_it_may_have_run)
+{
+    site_host_process& host = this->start_host("a", {"--longest-stop-ms", "1000"});
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+    for (const auto& service : this->services) {
+        service->fall_silent();
+    }
+    const auto sent = this->ask(host, "sent", "/submit/x");
+    run_until(this->loop, [this] { return this->world.runs.count("sent") > 0; });
+    // One that has come back is held for 1.5 s, three objectives; the time of the stop is over after 0.6 s.
+    raw_connection held(host.callers);
+    held.write("POST /chat/x HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: held\r\nx-deadline-ms: 20000\r\n"
+               "authorization: Bearer key-1\r\nx-token-usage: 80,20\r\nlast-event-id: 3\r\n"
+               "content-length: 3\r\n\r\nask");
+    host.process->send_signal(SIGTERM);
+    this->wait_for(sent);
+    EXPECT_EQ(sent->status, 502) << "it may have run, so nothing may be promised";
+    run_until(this->loop, [&held] { return held.read_to_end(); });
+    const std::string& answer = held.text();
+    EXPECT_EQ(answer.substr(0, answer.find(' ', 9)), "HTTP/1.1 503") << answer;
+    EXPECT_NE(to_lower(answer).find("\r\nretry-after: 0.05"), std::string::npos)
+        << "another host can take it now";
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 1);
+    EXPECT_NE(host.process->output().find("\"cut_off\":\"0\""), std::string::npos) << "none had begun";
+}
+
 TEST_F(site, changed_settings_are_taken_over_with_and_without_a_signal)
 {
     const std::string path = "/tmp/sailtiller-site-settings-" + std::to_string(getpid());
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -235,6 +235,9 @@
         exchange->abort();
         return;
     }
+    if (this->is_silent) {
+        return;
+    }
     exchange->respond(
         {200, {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id}}, "answer"});
 }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -97,6 +97,8 @@
 
     /// The next requests run and their answers are lost.
     void lose_answers(unsigned count) { this->answers_to_lose = count; }
+    /// From now on requests run and are never answered; their connections stay open.
+    void fall_silent() { this->is_silent = true; }
 
 private:
     void handle(const std::shared_ptr<http_exchange>& exchange);
@@ -105,6 +107,7 @@
     std::string id;
     std::unique_ptr<http_server> server;
     unsigned answers_to_lose = 0;
+    bool is_silent = false;
 };
 
 } // namespace sailtiller::standins
