Delivery: what has no answer at the end of a stop is told whether it may have run

Cause: at the limit of a planned stop a site's host ended its loop with whatever was under way, and the end of the process closed the connections of those requests too that had no answer yet.

Change: at the limit the gateway ends each delivery that is under way. A request without an answer gets its last one: 503 with a Retry-After of 0.05 s if no upstream can have run it or it may be repeated, else 502; a call that is under way counts as one that may have run. An answer that has begun is broken off as before, and `cut_off` counts these alone. The host then turns its loop until the connections have ended, for 100 ms of its margin of 400 ms at most.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -32,6 +32,12 @@
 constexpr duration idle_look_interval = milliseconds(50);
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
+/// So much of the margin at most goes to the answers of those that are told to go elsewhere: a few round
+/// trips between data halls (chosen, not measured).
+constexpr duration last_answer_time = milliseconds(100);
+static_assert(last_answer_time < stop_margin);
+/// Between two looks, in that time, whether they are out.
+constexpr duration last_answer_look = milliseconds(10);
 
 } // namespace
 
@@ -454,9 +460,21 @@
         return;
     }
     this->exit_code = is_idle ? exit_ok : exit_failed;
-    this->gateway.log_cut_off();
-    log_event(log_level::info, event_type::stopped,
-        {{"cut_off", std::to_string(this->gateway.requests_in_flight())}});
+    // What was read is owed an answer: a connection that ends without one doesn't tell its caller whether the
+    // request has run, so that one which may run only once is lost.
+    const std::size_t cut_off = this->gateway.end_for_stop();
+    this->stop_when_answers_are_out(this->loop.now() + last_answer_time, cut_off);
+}
+
+void site_host::stop_when_answers_are_out(time_point limit, std::size_t cut_off)
+{
+    this->callers.close_idle_connections();
+    if (this->callers.connection_count() > 0 && this->loop.now() < limit) {
+        this->loop.schedule_after(
+            last_answer_look, [this, limit, cut_off] { this->stop_when_answers_are_out(limit, cut_off); });
+        return;
+    }
+    log_event(log_level::info, event_type::stopped, {{"cut_off", std::to_string(cut_off)}});
     this->loop.stop();
 }
 
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -61,6 +61,8 @@
     void reload();
     void begin_stop();
     void finish_stop_when_idle();
+    /// Stops the loop once every connection has ended, at `limit` at the latest.
+    void stop_when_answers_are_out(time_point limit, std::size_t cut_off);
 
     daemon_settings settings;
     event_loop loop;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -3,6 +3,7 @@
 
 #include <base/eventtype.h>
 #include <base/httpcallhandlers.h>
+#include <base/plannedstop.h>
 #include <base/random.h>
 #include <base/timerqueue.h>
 #include <bundle/sitebundle.h>
@@ -156,6 +157,9 @@
     [[nodiscard]] upstream_request make_request(const upstream_id& target, time_point now) const;
 };
 
+/// Told to callers whose requests are under way when their host ends.
+constexpr const char* end_of_stop_reason = "this host stops and can wait for no answer any more";
+
 /// Measures a moment of the request now, counted from when it was read.
 void measure_since_arrival(
     const delivery_context& context, const delivery_order& order, request_moment moment);
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -221,13 +221,27 @@
 }
 
 void plain_delivery::refuse(const std::string& reason)
+{
+    this->refuse(reason, this->context.settings.retry_after);
+}
+
+void plain_delivery::refuse(const std::string& reason, duration retry_after)
 {
     this->log(event_type::refused, reason);
-    this->caller.respond(
-        make_last_answer(this->order, this->runs, this->context.settings.retry_after, reason));
+    this->caller.respond(make_last_answer(this->order, this->runs, retry_after, reason));
     this->end();
 }
 
+void plain_delivery::end_for_stop()
+{
+    if (this->is_done) {
+        return;
+    }
+    // The upstream of the call that is under way may be at work on it.
+    this->runs += this->target ? 1 : 0;
+    this->refuse(end_of_stop_reason, retry_elsewhere_after);
+}
+
 void plain_delivery::end_at_limit()
 {
     this->log(event_type::time_limit, "");
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -17,6 +17,8 @@
 
     /// Begins; the delivery keeps itself alive until its caller has the answer, and then runs `on_done`.
     void start();
+    /// This host ends now: the caller is told so, and whether an upstream may have run the request.
+    void end_for_stop();
 
 private:
     void search();
@@ -32,6 +34,7 @@
     void retry_or_pass_on();
     void give_up_on_slow();
     void refuse(const std::string& reason);
+    void refuse(const std::string& reason, duration retry_after);
     void end_at_limit();
     void end_abandoned();
     void release();
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -390,9 +390,29 @@
         this->give_up(reason);
         return;
     }
+    this->send_away(reason, this->context.settings.retry_after);
+}
+
+/// The last answer to a caller that has none yet.
+void stream_delivery::send_away(const std::string& reason, duration retry_after)
+{
     this->log(event_type::refused, reason);
-    this->end_unserved(
-        make_last_answer(this->order, this->sends.runs(), this->context.settings.retry_after, reason));
+    this->end_unserved(make_last_answer(this->order, this->sends.runs(), retry_after, reason));
+}
+
+bool stream_delivery::end_for_stop(const std::string& cut)
+{
+    if (this->state == phase::done) {
+        return false;
+    }
+    if (!this->has_started) {
+        this->send_away(end_of_stop_reason, retry_elsewhere_after);
+        return false;
+    }
+    this->log(event_type::broken_off, cut);
+    this->caller.abort();
+    this->end();
+    return true;
 }
 
 /// Ends with this answer, or breaks off the one that has begun.
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -24,6 +24,9 @@
     void start();
     /// The caller is gone; its work ends.
     void abandon();
+    /// This host ends now: a caller without an answer is told so, and whether an engine may have run the
+    /// request; an answer that has begun is broken off, with `cut` in the log. True if one was broken off.
+    bool end_for_stop(const std::string& cut);
     /// An upstream is dead: if the stream passes through it, the stream goes on without it.
     void leave_upstream(const upstream_id& id);
     /// Leads the stream around engines that have given up layers of its path: they load new ones only once no
@@ -57,6 +60,7 @@
     void give_up(const std::string& reason);
     void wait_or_refuse(const std::string& reason);
     void refuse(const std::string& reason);
+    void send_away(const std::string& reason, duration retry_after);
     void end_unserved(const http_response& answer);
     void finish();
     void end_at_limit();
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -128,20 +128,27 @@
     this->visit_streams([](stream_delivery& stream) { stream.leave_given_up_layers(); });
 }
 
-void gateway_service::log_cut_off() const
+std::size_t gateway_service::end_for_stop()
 {
     const time_point now = this->context.timers.now();
-    for (const auto& [key, running] : this->under_way) {
-        this->context.log(
-            {event_type::broken_off, running.id.value(), "", this->stop.describe_cut(running.arrived, now)});
+    std::size_t broken_off = 0;
+    const std::map<std::uint64_t, request_under_way> last = this->under_way; // each takes itself out
+    for (const auto& [key, running] : last) {
+        if (const std::shared_ptr<plain_delivery> plain = running.plain.lock()) {
+            plain->end_for_stop();
+        }
+        if (const std::shared_ptr<stream_delivery> stream = running.stream.lock()) {
+            const bool was_cut = stream->end_for_stop(this->stop.describe_cut(running.arrived, now));
+            broken_off += was_cut ? 1 : 0;
+        }
     }
+    return broken_off;
 }
 
 void gateway_service::deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order)
 {
     const std::uint64_t key = ++this->last_taken;
-    const auto entry =
-        this->under_way.emplace(key, request_under_way{order.request.id, order.arrived, {}}).first;
+    const auto entry = this->under_way.emplace(key, request_under_way{order.arrived, {}, {}}).first;
     const auto on_done = [this, key] { this->under_way.erase(key); };
     caller_hooks caller = make_caller_hooks(exchange);
     if (order.route->kind == route_kind::stream) {
@@ -152,7 +159,10 @@
         delivery->start();
         return;
     }
-    std::make_shared<plain_delivery>(this->context, std::move(order), std::move(caller), on_done)->start();
+    const auto delivery =
+        std::make_shared<plain_delivery>(this->context, std::move(order), std::move(caller), on_done);
+    entry->second.plain = delivery;
+    delivery->start();
 }
 
 } // namespace sailtiller
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -7,6 +7,7 @@
 
 namespace sailtiller {
 
+class plain_delivery;
 class stream_delivery;
 
 /// Takes callers' requests for the routes of a site's bundle: finds the route and the account, and starts the
@@ -32,15 +33,16 @@
     [[nodiscard]] std::size_t requests_in_flight() const { return this->under_way.size(); }
     /// The host has been told to stop: takes nothing once the grace is over.
     void begin_stop(duration grace) { this->stop.begin(this->context.timers.now(), grace); }
-    /// Logs each request that is still under way when the stop's limit comes.
-    void log_cut_off() const;
+    /// The stop's limit has come: ends every request that is under way, with a last answer where none has
+    /// begun. Returns how many answers were broken off.
+    std::size_t end_for_stop();
 
 private:
     struct request_under_way
     {
-        request_id id;
         time_point arrived;
-        std::weak_ptr<stream_delivery> stream; ///< empty for a plain service's
+        std::weak_ptr<stream_delivery> stream; ///< one of the two is empty
+        std::weak_ptr<plain_delivery> plain;
     };
 
     /// Finds the caller's account where the route wants one; false if the key is missing or not known.
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -19,11 +19,12 @@
         this->put_service("c", 3);
     }
 
-    void start(route_kind kind)
+    std::shared_ptr<plain_delivery> start(route_kind kind)
     {
-        std::make_shared<plain_delivery>(*this->context, this->make_order(kind), this->make_caller(), [this] {
-            ++this->done;
-        })->start();
+        auto delivery = std::make_shared<plain_delivery>(
+            *this->context, this->make_order(kind), this->make_caller(), [this] { ++this->done; });
+        delivery->start();
+        return delivery;
     }
 
     static void answer(fake_send& send, int status, const http_headers& headers = signed_head())
@@ -205,6 +206,59 @@
     EXPECT_EQ(this->caller.answer->status, 504);
 }
 
+TEST_F(plain_delivery_test, at_the_end_of_a_stop_a_single_run_that_was_sent_is_promised_nothing)
+{
+    const auto delivery = this->start(route_kind::single_run);
+    delivery->end_for_stop();
+    EXPECT_EQ(this->caller.answer->status, 502);
+    EXPECT_FALSE(find_header(this->caller.answer->headers, "retry-after").has_value());
+    EXPECT_TRUE(this->last_send().is_cancelled);
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(plain_delivery_test, at_the_end_of_a_stop_what_no_upstream_has_run_is_sent_elsewhere)
+{
+    for (const char* id : {"a", "b", "c"}) {
+        this->loads.suspend(upstream_id(id), this->now + 10s);
+    }
+    const auto delivery = this->start(route_kind::single_run);
+    ASSERT_TRUE(this->sends.empty());
+    delivery->end_for_stop();
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
+    this->pass(1s);
+    EXPECT_TRUE(this->sends.empty()) << "what was refused is not sent any more";
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(plain_delivery_test, at_the_end_of_a_stop_what_was_refused_by_an_upstream_has_not_run)
+{
+    this->directory.remove(upstream_id("b"), this->now);
+    this->directory.remove(upstream_id("c"), this->now);
+    const auto delivery = this->start(route_kind::single_run);
+    answer(this->last_send(), 503, {{"id", "r1"}, {"not-run", "1"}});
+    ASSERT_FALSE(this->caller.answer.has_value()) << "it waits for another upstream";
+    delivery->end_for_stop();
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
+TEST_F(plain_delivery_test, at_the_end_of_a_stop_what_may_be_repeated_is_sent_elsewhere)
+{
+    const auto delivery = this->start(route_kind::repeatable);
+    delivery->end_for_stop();
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
+}
+
+TEST_F(plain_delivery_test, the_end_of_a_stop_changes_nothing_of_an_answer_that_was_given)
+{
+    const auto delivery = this->start(route_kind::single_run);
+    answer(this->last_send(), 200);
+    delivery->end_for_stop();
+    EXPECT_EQ(this->caller.answer->status, 200);
+    EXPECT_EQ(this->done, 1);
+}
+
 TEST_F(plain_delivery_test, stays_away_from_upstreams_that_leave)
 {
     for (const char* id : {"a", "b"}) {
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -802,6 +802,55 @@
     EXPECT_NE(find_header(this->last_send().message.headers, "target").value(), target);
 }
 
+TEST_F(stream_delivery_test, at_the_end_of_a_stop_a_stream_without_a_path_is_sent_elsewhere)
+{
+    this->directory.remove(upstream_id("tail"), this->now);
+    const auto delivery = this->start();
+    ASSERT_TRUE(this->sends.empty());
+    EXPECT_FALSE(delivery->end_for_stop("cut"));
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
+    this->pass(1s);
+    EXPECT_TRUE(this->sends.empty()) << "what was refused is not sent any more";
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(stream_delivery_test, at_the_end_of_a_stop_a_resumable_stream_without_an_event_is_sent_elsewhere)
+{
+    const auto delivery = this->start();
+    EXPECT_FALSE(delivery->end_for_stop("cut"));
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_TRUE(this->last_send().is_cancelled);
+}
+
+TEST_F(stream_delivery_test, at_the_end_of_a_stop_a_stream_that_may_run_once_and_was_sent_is_promised_nothing)
+{
+    delivery_order order = this->make_order(route_kind::stream);
+    this->bundle->routes.front().is_resumable = false;
+    const auto delivery = std::make_shared<stream_delivery>(
+        *this->context, std::move(order), this->make_caller(), [this] { ++this->done; });
+    delivery->start();
+    ASSERT_EQ(this->sends.size(), 1U);
+    EXPECT_FALSE(delivery->end_for_stop("cut"));
+    EXPECT_EQ(this->caller.answer->status, 502);
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(stream_delivery_test, at_the_end_of_a_stop_an_answer_that_has_begun_is_broken_off)
+{
+    std::vector<std::pair<event_type, std::string>> logged;
+    this->context->log = [&logged](
+                             const delivery_event& event) { logged.emplace_back(event.what, event.detail); };
+    const auto delivery = this->start_streaming(3);
+    EXPECT_TRUE(delivery->end_for_stop("cut"));
+    EXPECT_TRUE(this->caller.is_aborted);
+    EXPECT_FALSE(this->caller.answer.has_value());
+    EXPECT_EQ(logged.back(), std::make_pair(event_type::broken_off, std::string("cut")));
+    EXPECT_TRUE(this->last_send().is_cancelled);
+    EXPECT_EQ(this->done, 1);
+    EXPECT_FALSE(delivery->end_for_stop("cut")) << "it has ended";
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
