Runtime: a connection between hosts that has gone silent is dropped

Cause: a question that ended at its limit reset its own stream only. A connection that goes silent without a reset brings no error, so it was kept for ever and every later question went over it.

Change: after two questions in a row that ended without a byte from the peer since the first of them was sent, the connection is dropped; what waits on it ends as when it breaks, and the next question connects anew. A line in the log tells it.

--- a/src/libs/runtime/peerclient.cpp
+++ b/src/libs/runtime/peerclient.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/peerclient.h>
 #include <runtime/socketaddress.h>
@@ -7,6 +8,15 @@
 
 namespace sailtiller {
 
+namespace {
+
+/// Questions in a row that end without a byte from the peer until their connection counts as silent. One may
+/// be a lost packet or a pause of the peer; each further one keeps two hosts deaf to each other for longer,
+/// and a connection that was dropped in vain costs a round trip.
+constexpr int most_silent_questions = 2;
+
+} // namespace
+
 /// One question until its answer, its failure or the end of its time.
 struct peer_client::question
 {
@@ -16,6 +26,7 @@
     failure_handler on_failure;
     timer_id timer = 0;
     std::int32_t stream = 0; ///< once it was sent
+    std::uint64_t received_before = 0; ///< bytes over its connection when it was sent
     bool is_done = false;
 
     void succeed(const std::string& reply)
@@ -43,7 +54,11 @@
     std::unique_ptr<peer_session> session;
     std::vector<std::shared_ptr<question>> waiting; ///< for the connection
     std::map<std::int32_t, std::shared_ptr<question>> asked;
+    int silent_questions = 0; ///< that ended in a row without a byte since the first of them was sent
+    std::uint64_t received_before_silence = 0; ///< bytes over the session at the last of them
 
+    /// Counts a question of the session that was given up; true if the session counts as silent now.
+    bool note_time_out(const question& item);
     /// Takes the question of a stream out; null if there is none.
     std::shared_ptr<question> take(std::int32_t stream);
 };
@@ -60,6 +75,20 @@
     return item;
 }
 
+bool peer_client::connection::note_time_out(const question& item)
+{
+    const std::uint64_t received = this->session->bytes_received();
+    if (received != item.received_before) {
+        return false;
+    }
+    if (received != this->received_before_silence) {
+        this->received_before_silence = received;
+        this->silent_questions = 0;
+    }
+    ++this->silent_questions;
+    return this->silent_questions >= most_silent_questions;
+}
+
 peer_client::peer_client(event_loop& loop, duration connect_limit)
     : loop(loop)
     , connect_limit(connect_limit)
@@ -102,7 +131,7 @@
     item->on_reply = std::move(on_reply);
     item->on_failure = std::move(on_failure);
     connection& target = this->connection_to(peer);
-    item->timer = this->loop.schedule_after(limit, [&target, item] { give_up(target, item); });
+    item->timer = this->loop.schedule_after(limit, [this, &target, item] { this->give_up(target, item); });
     if (target.session && target.session->is_open()) {
         this->send(target, item);
         return;
@@ -160,6 +189,8 @@
     };
     target.session =
         std::make_unique<peer_session>(self.loop, socket, peer_session::side::client, on_message, on_end);
+    target.silent_questions = 0;
+    target.received_before_silence = 0;
     std::vector<std::shared_ptr<question>> waiting;
     waiting.swap(target.waiting);
     for (const std::shared_ptr<question>& item : waiting) {
@@ -170,6 +201,7 @@
 void peer_client::send(connection& target, const std::shared_ptr<question>& item)
 {
     if (!item->is_done) {
+        item->received_before = target.session->bytes_received();
         item->stream = target.session->send_request({item->method, item->body, true});
         target.asked.emplace(item->stream, item);
     }
@@ -177,10 +209,17 @@
 
 void peer_client::give_up(connection& target, const std::shared_ptr<question>& item)
 {
+    const std::string reason = "no answer within the time limit";
     if (target.asked.erase(item->stream) == 1 && target.session) {
         target.session->reset(item->stream);
+        // A connection may go silent for good without a reset; only the questions that end over it show that.
+        if (target.note_time_out(*item)) {
+            log_event(log_level::warning, event_type::peer_unreachable,
+                {{"step", "drop silent connection"}, {"peer", target.peer.value()}, {"reason", reason}});
+            this->drop(target, "the connection is silent");
+        }
     }
-    item->fail({peer_failure_kind::no_answer, "no answer within the time limit"});
+    item->fail({peer_failure_kind::no_answer, reason});
 }
 
 void peer_client::fail_all(connection& target, peer_failure_kind kind, const std::string& reason)
--- a/src/libs/runtime/peerclient.h
+++ b/src/libs/runtime/peerclient.h
@@ -51,7 +51,7 @@
     static void on_connected(st_h2o_socket_t* socket, const char* failure);
     void send(connection& target, const std::shared_ptr<question>& item);
     /// A question's time has passed: nothing of it is kept, also when the peer never answers.
-    static void give_up(connection& target, const std::shared_ptr<question>& item);
+    void give_up(connection& target, const std::shared_ptr<question>& item);
     void fail_all(connection& target, peer_failure_kind kind, const std::string& reason);
     void drop(connection& target, const std::string& reason);
 
--- a/tests/auto/runtime/silencingproxy.cpp
+++ b/tests/auto/runtime/silencingproxy.cpp
@@ -3,6 +3,8 @@
 
 #include <runtime/socketaddress.h>
 
+#include <gtest/gtest.h>
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,8 +33,8 @@
 {
     socket_address address = to_socket_address(target);
     const int descriptor = socket(address.bytes.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    // The target listens on this machine, so this does not wait; a failure shows as a silent connection.
-    connect(descriptor, address.pointer(), address.length);
+    // The target listens on this machine, so this does not wait.
+    EXPECT_EQ(connect(descriptor, address.pointer(), address.length), 0);
     return descriptor;
 }
 
--- a/tests/auto/runtime/tst_peer.cpp
+++ b/tests/auto/runtime/tst_peer.cpp
@@ -59,6 +59,16 @@
         return answered.value_or(false);
     }
 
+    /// Asks with a short limit over a proxy that passes nothing on meanwhile.
+    void ask_unheard(const tests::silencing_proxy& proxy)
+    {
+        const std::size_t failed = this->failures.size();
+        this->client.ask(
+            proxy.address(), "echo", "unheard", 50ms, [](const std::string&) { FAIL(); },
+            [this](const peer_failure& failure) { this->failures.push_back(failure); });
+        run_until(this->loop, [&] { return this->failures.size() > failed; });
+    }
+
     event_loop loop;
     endpoint address{"127.0.0.1:0"};
     std::unique_ptr<peer_server> server;
@@ -156,6 +166,36 @@
     EXPECT_EQ(proxy.connection_count(), 2U);
 }
 
+TEST_F(peer_test, a_connection_that_comes_back_after_one_question_without_answer_is_kept)
+{
+    this->start_server();
+    tests::silencing_proxy proxy(this->address);
+    for (int round = 0; round < 3; ++round) {
+        EXPECT_TRUE(this->is_answered(proxy, "a", 5s));
+        this->ask_unheard(proxy);
+    }
+    EXPECT_TRUE(this->is_answered(proxy, "a", 5s));
+    EXPECT_EQ(proxy.connection_count(), 1U);
+}
+
+TEST_F(peer_test, a_question_that_waits_on_a_silent_connection_ends_with_it)
+{
+    this->start_server();
+    tests::silencing_proxy proxy(this->address);
+    ASSERT_TRUE(this->is_answered(proxy, "a", 5s));
+    proxy.silence();
+    std::optional<peer_failure> ended;
+    this->client.ask(
+        proxy.address(), "echo", "b", 60s, [](const std::string&) { FAIL(); },
+        [&ended](const peer_failure& failure) { ended = failure; });
+    this->ask_unheard(proxy);
+    EXPECT_FALSE(ended.has_value());
+    this->ask_unheard(proxy);
+    ASSERT_TRUE(ended.has_value());
+    EXPECT_EQ(ended->kind, peer_failure_kind::no_answer);
+    EXPECT_EQ(this->client.questions_open(), 0U);
+}
+
 } // namespace
 
 } // namespace sailtiller
