Runtime: a call without answer drops the idle connections kept before it

Cause: a call that ended at its limit closed its own connection only. Connections that go silent without a reset do so together, and each that was kept cost a call its whole time: three to the store, three calls in a row.

Change: a call that ends at its limit without a byte of answer closes the connections to its target that have carried nothing since it began. One that has carried an answer since then stays. This holds for timed calls (store, log, host list) and for whole ones over kept connections (probes, changes of path).

--- a/src/libs/runtime/connectionpool.cpp
+++ b/src/libs/runtime/connectionpool.cpp
@@ -3,6 +3,7 @@
 #include <runtime/h2oheaders.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace sailtiller {
 
@@ -42,6 +43,7 @@
     item->owner = this;
     item->target = target;
     item->socket = socket;
+    item->last_used = this->loop.now();
     item->timer =
         this->loop.schedule_after(this->settings.idle_time, [this, socket] { this->close(socket); });
     socket->data = item.get();
@@ -50,6 +52,20 @@
     h2o_socket_read_start(socket, &connection_pool::drop);
 }
 
+void connection_pool::drop_idle(const endpoint& target, time_point before)
+{
+    const auto found = this->by_target.find(target);
+    if (found == this->by_target.end()) {
+        return;
+    }
+    std::vector<h2o_socket_t*> idle;
+    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(idle),
+        [this, before](h2o_socket_t* socket) { return this->kept.at(socket)->last_used <= before; });
+    for (h2o_socket_t* socket : idle) {
+        this->close(socket);
+    }
+}
+
 void connection_pool::drop(st_h2o_socket_t* socket, const char*)
 {
     static_cast<entry*>(socket->data)->owner->close(socket);
--- a/src/libs/runtime/connectionpool.h
+++ b/src/libs/runtime/connectionpool.h
@@ -33,6 +33,8 @@
     st_h2o_socket_t* take(const endpoint& target);
     /// Keeps a connection on which everything that was asked has been answered.
     void give(const endpoint& target, st_h2o_socket_t* socket);
+    /// Closes the connections to a target that have carried nothing since `before`.
+    void drop_idle(const endpoint& target, time_point before);
     [[nodiscard]] std::size_t kept_count() const { return this->kept.size(); }
 
 private:
@@ -42,6 +44,7 @@
         endpoint target;
         st_h2o_socket_t* socket = nullptr;
         timer_id timer = 0;
+        time_point last_used{};
     };
 
     static void drop(st_h2o_socket_t* socket, const char* failure);
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -157,6 +157,7 @@
 {
     std::shared_ptr<http_call> call(new http_call(loop, target, options, std::move(handlers)));
     call->self = call;
+    call->began = loop.now();
     call->outgoing = encode_request(request);
     call->is_head_request = request.method == "HEAD";
     h2o_socket_t* kept = options.pool == nullptr ? nullptr : options.pool->take(target);
@@ -311,6 +312,19 @@
     }
 }
 
+void http_call::give_up()
+{
+    if (this->has_ended) {
+        return;
+    }
+    // Whatever made this connection silent without a reset may have made the others so, and each would cost a
+    // call its whole time. One that has carried an answer since then is sound.
+    if (this->options.pool != nullptr && !this->has_received) {
+        this->options.pool->drop_idle(this->target, this->began);
+    }
+    this->close();
+}
+
 void http_call::release_socket(bool keeps_it)
 {
     if (this->socket == nullptr) {
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -31,6 +31,9 @@
 
     /// Closes the connection; no handler runs after this.
     void cancel();
+    /// As `cancel`, for a call without answer within its time: without a byte of it, the connections to its
+    /// target that were kept when it began are closed too.
+    void give_up();
 
 private:
     struct parser;
@@ -57,6 +60,7 @@
     struct st_h2o_socket_t* socket = nullptr;
     std::unique_ptr<parser> incoming;
     timer_id connect_timer = 0;
+    time_point began{};
     bool is_head_request = false;
     bool is_reused = false; ///< the connection has carried other requests
     bool has_left = false; ///< bytes of the request may have left, over this connection or a former one
--- a/src/libs/runtime/httpclient.cpp
+++ b/src/libs/runtime/httpclient.cpp
@@ -144,6 +144,13 @@
     }
 }
 
+void http_client::give_up(call_id call)
+{
+    if (const std::shared_ptr<http_client::call> item = this->inner->take(call)) {
+        item->exchange->give_up();
+    }
+}
+
 std::size_t http_client::calls_in_flight() const
 {
     return this->inner->calls.size();
--- a/src/libs/runtime/httpclient.h
+++ b/src/libs/runtime/httpclient.h
@@ -51,6 +51,8 @@
         failure_handler on_failure);
     /// Gives a call up; its connection is closed. Calls that have ended are ignored.
     void cancel(call_id call);
+    /// Gives a call up that has no answer within its time, see `http_call::give_up`.
+    void give_up(call_id call);
     [[nodiscard]] std::size_t calls_in_flight() const;
 
 private:
--- a/src/libs/runtime/timedcall.cpp
+++ b/src/libs/runtime/timedcall.cpp
@@ -36,7 +36,7 @@
     const auto pending = std::make_shared<pending_call>();
     const error_origin origin = call.origin;
     pending->timer = loop.schedule_after(call.limit, [&client, pending, origin, on_failure] {
-        client.cancel(pending->call);
+        client.give_up(pending->call);
         on_failure(error(origin, "no answer within the time limit"));
     });
     pending->call = client.send(
--- a/src/libs/runtime/wholecall.cpp
+++ b/src/libs/runtime/wholecall.cpp
@@ -33,7 +33,7 @@
     const std::shared_ptr<http_call> exchange =
         http_call::start(loop, call.target, call.request, options, std::move(handlers));
     pending->timer = loop.schedule_after(call.limit, [exchange, on_end] {
-        exchange->cancel();
+        exchange->give_up();
         on_end(std::nullopt);
     });
 }
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -453,6 +453,34 @@
     this->expect_one_time_out(this->whole_calls(pool));
 }
 
+TEST_F(kept_connections_test, one_that_has_carried_an_answer_during_the_silent_call_stays)
+{
+    connection_pool pool(this->loop, {});
+    const start_call start = this->whole_calls(pool);
+    ASSERT_EQ(this->count_answers(start, 1, 5s), 1);
+    this->proxy->silence();
+    std::optional<bool> silent_call;
+    start(200ms, [&silent_call](bool is_answered) { silent_call = is_answered; });
+    EXPECT_EQ(this->count_answers(start, 1, 5s), 1);
+    ASSERT_FALSE(silent_call.has_value());
+    run_until(this->loop, [&] { return silent_call.has_value(); });
+    EXPECT_EQ(silent_call, false);
+    EXPECT_EQ(pool.kept_count(), 1U);
+    EXPECT_EQ(this->count_answers(start, 1, 5s), 1);
+    EXPECT_EQ(this->proxy->connection_count(), 2U);
+}
+
+TEST_F(kept_connections_test, those_to_other_targets_stay)
+{
+    connection_pool pool(this->loop, {});
+    ASSERT_EQ(this->count_answers(this->whole_calls(pool), 2, 5s), 2);
+    ASSERT_EQ(pool.kept_count(), 2U);
+    pool.drop_idle(endpoint("127.0.0.1:1"), this->loop.now());
+    EXPECT_EQ(pool.kept_count(), 2U);
+    pool.drop_idle(this->proxy->address(), this->loop.now());
+    EXPECT_EQ(pool.kept_count(), 0U);
+}
+
 } // namespace
 
 } // namespace sailtiller
