Placement: halls with little room stand alone where the pipe between halls carries less

Cause: a hall that held the model beside less than 16 requests was joined with all other such halls, and the joined engines were laid out by cost, whatever their hall: a path of ten parts crossed four times, each time with the whole prompt. What a group serves a second is now the least of its room, slots, reading and pipe, and joined halls hold neighbouring layers.

Test: tst_hallgroups; against the code before, two halls of two big cards came out as one group.

--- /dev/null
+++ b/src/libs/placement/grouprate.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <placement/grouprate.h>
+#include <placement/layercost.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace sailtiller {
+
+namespace {
+
+/// Halvings of the range of tokens; after these it is far below one token.
+constexpr int room_search_steps = 40;
+/// Tokens beyond which no more room is looked for; profiles without cache memory would have no end.
+constexpr double most_room_tokens = 1e9;
+/// A pipe that is used further than this makes its users wait for longer than their prompts take through it.
+constexpr double most_pipe_share = 0.7;
+constexpr double milliseconds_per_second = 1000;
+constexpr double bits_per_byte = 8;
+constexpr double bits_per_mbit = 1e6;
+
+bool hold_copies(const engine_profile& profile, const engine_list& engines, double tokens, double copies)
+{
+    unsigned sum = 0;
+    for (const placeable_engine* engine : engines) {
+        sum += count_layers_beside(profile, *engine, tokens);
+    }
+    return sum >= copies * profile.layers;
+}
+
+/// What one usual request costs the engines, each of which holds as much as it can beside that room.
+struct request_cost
+{
+    double copies = 0;
+    double life_ms = 0; ///< from its first engine to its last token
+    double longest_reading_ms = 0; ///< on the engine that reads longest
+};
+
+request_cost predict_cost(const engine_profile& profile, const engine_list& engines, double tokens)
+{
+    request_cost cost;
+    double parts = 0;
+    for (const placeable_engine* engine : engines) {
+        const card_kind* card = profile.find_card(engine->card);
+        const unsigned layers = count_layers_beside(profile, *engine, tokens);
+        if (card == nullptr || layers == 0) {
+            continue;
+        }
+        const double share = static_cast<double>(layers) / profile.layers;
+        const double reading_ms = share * predict_prompt_ms(profile, *card);
+        cost.copies += share;
+        cost.life_ms +=
+            reading_ms + share * profile.usual_answer_tokens * profile.step_ms * card->step_factor;
+        cost.longest_reading_ms = std::max(cost.longest_reading_ms, reading_ms);
+        ++parts;
+    }
+    cost.life_ms += parts * profile.usual_answer_tokens * engine_hop_ms;
+    cost.life_ms /= std::max(cost.copies, 1.0);
+    return cost;
+}
+
+/// Prompts a second that go through a pipe between two halls.
+double predict_pipe_rate(const engine_profile& profile)
+{
+    const double prompt_bits = profile.usual_prompt_tokens * profile.activation_bytes * bits_per_byte;
+    if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return most_pipe_share * profile.hall_pipe_mbps * bits_per_mbit / prompt_bits;
+}
+
+} // namespace
+
+unsigned count_layers_beside(const engine_profile& profile, const placeable_engine& engine, double tokens)
+{
+    const card_kind* card = profile.find_card(engine.card);
+    if (card == nullptr) {
+        return 0;
+    }
+    const double fitting = count_fitting_layers(profile, *card, tokens);
+    return static_cast<unsigned>(std::min<double>(fitting, profile.layers));
+}
+
+std::optional<double> find_largest_room(
+    const engine_profile& profile, const engine_list& engines, double copies)
+{
+    if (!hold_copies(profile, engines, 0, copies)) {
+        return std::nullopt;
+    }
+    double low = 0;
+    double high = 1;
+    while (hold_copies(profile, engines, high, copies) && high < most_room_tokens) {
+        low = high;
+        high *= 2;
+    }
+    for (int turn = 0; turn < room_search_steps; ++turn) {
+        const double middle = (low + high) / 2;
+        (hold_copies(profile, engines, middle, copies) ? low : high) = middle;
+    }
+    return low;
+}
+
+double predict_group_rate(const engine_profile& profile, const engine_list& engines, unsigned hall_count)
+{
+    const std::optional<double> room = find_largest_room(profile, engines, 1);
+    if (!room) {
+        return 0;
+    }
+    const request_cost cost = predict_cost(profile, engines, *room);
+    double at_once = *room / std::max(usual_tokens(profile), 1.0);
+    if (profile.request_slots > 0) {
+        at_once = std::min<double>(at_once, profile.request_slots);
+    }
+    double rate = at_once / std::max(cost.life_ms / milliseconds_per_second, 1e-6);
+    if (cost.longest_reading_ms > 0) {
+        rate = std::min(rate, milliseconds_per_second / cost.longest_reading_ms);
+    }
+    return hall_count > 1 ? std::min(rate, predict_pipe_rate(profile)) : rate;
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/placement/hallgroups.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <placement/hallgroups.h>
+#include <placement/layercost.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+namespace sailtiller {
+
+namespace {
+
+/// The engines of one hall, or of several that stand together.
+struct hall_set
+{
+    engine_list engines; ///< hall by hall
+    unsigned hall_count = 1;
+};
+
+hall_set join(hall_set left, const hall_set& right)
+{
+    left.engines.insert(left.engines.end(), right.engines.begin(), right.engines.end());
+    left.hall_count += right.hall_count;
+    return left;
+}
+
+/// Splits the halls of one deployment; made for one plan.
+class hall_grouping
+{
+public:
+    hall_grouping(const engine_profile& profile, const placement_aim& aim)
+        : profile(profile)
+        , least_room(aim.least_requests * usual_tokens(profile))
+        , least_tight_room(aim.least_requests_in_tight_hall * usual_tokens(profile))
+    {
+    }
+
+    std::vector<hall_set> run(const std::vector<hall_set>& halls)
+    {
+        std::vector<hall_set> tight;
+        for (const hall_set& hall : halls) {
+            (this->holds_model(hall, this->least_room) ? this->groups : tight).push_back(hall);
+        }
+        const std::vector<hall_set> apart = this->join_beside(tight, this->least_tight_room);
+        const std::vector<hall_set> joined = this->join_beside(tight, this->least_room);
+        const bool is_better_apart = this->sum_rates(apart) >= this->sum_rates(joined);
+        const std::vector<hall_set>& chosen = is_better_apart ? apart : joined;
+        this->groups.insert(this->groups.end(), chosen.begin(), chosen.end());
+        return this->groups;
+    }
+
+private:
+    [[nodiscard]] bool holds_model(const hall_set& set, double room) const
+    {
+        return find_largest_room(this->profile, set.engines, 1).value_or(-1) >= room;
+    }
+
+    [[nodiscard]] double sum_rates(const std::vector<hall_set>& sets) const
+    {
+        return std::accumulate(sets.begin(), sets.end(), 0.0, [this](double sum, const hall_set& set) {
+            return sum + predict_group_rate(this->profile, set.engines, set.hall_count);
+        });
+    }
+
+    [[nodiscard]] double weights_held(const hall_set& set) const
+    {
+        return std::accumulate(
+            set.engines.begin(), set.engines.end(), 0.0, [this](double sum, const placeable_engine* engine) {
+                return sum + count_layers_beside(this->profile, *engine, 0);
+            });
+    }
+
+    /// Joins halls until each group holds the model beside that room: the one that holds most with the one
+    /// that holds least of those that suffice, so that the others are left for more groups.
+    [[nodiscard]] std::vector<hall_set> join_beside(std::vector<hall_set> halls, double room) const
+    {
+        std::stable_sort(halls.begin(), halls.end(), [this](const hall_set& left, const hall_set& right) {
+            return this->weights_held(left) > this->weights_held(right);
+        });
+        std::vector<hall_set> made;
+        while (!halls.empty()) {
+            hall_set group = halls.front();
+            halls.erase(halls.begin());
+            while (!this->holds_model(group, room) && !halls.empty()) {
+                const auto partner = this->find_partner(group, halls, room);
+                group = join(std::move(group), *partner);
+                halls.erase(partner);
+            }
+            made.push_back(std::move(group));
+        }
+        return made;
+    }
+
+    /// The smallest hall that suffices, or the largest if none does.
+    [[nodiscard]] std::vector<hall_set>::iterator find_partner(
+        const hall_set& group, std::vector<hall_set>& halls, double room) const
+    {
+        for (auto hall = halls.end(); hall != halls.begin();) {
+            --hall;
+            if (this->holds_model(join(group, *hall), room)) {
+                return hall;
+            }
+        }
+        return halls.begin();
+    }
+
+    const engine_profile& profile;
+    double least_room; ///< tokens, of the aim
+    double least_tight_room; ///< tokens, of a hall that stays apart for want of a better way
+    std::vector<hall_set> groups;
+};
+
+} // namespace
+
+std::vector<engine_list> split_into_hall_groups(
+    const engine_profile& profile, const std::vector<placeable_engine>& engines, const placement_aim& aim)
+{
+    std::map<data_hall_id, hall_set> halls;
+    for (const placeable_engine& engine : engines) {
+        halls[engine.data_hall].engines.push_back(&engine);
+    }
+    std::vector<hall_set> sets;
+    for (auto& [hall, set] : halls) {
+        sets.push_back(std::move(set));
+    }
+    std::vector<engine_list> groups;
+    for (hall_set& group : hall_grouping(profile, aim).run(sets)) {
+        groups.push_back(std::move(group.engines));
+    }
+    return groups;
+}
+
+} // namespace sailtiller
--- a/src/libs/placement/layercost.cpp
+++ b/src/libs/placement/layercost.cpp
@@ -10,6 +10,8 @@
 
 constexpr double milliseconds_per_second = 1000;
 
+} // namespace
+
 double predict_prompt_ms(const engine_profile& profile, const card_kind& card)
 {
     if (profile.prompt_tokens_per_s <= 0) {
@@ -19,8 +21,6 @@
         * card.prompt_factor;
 }
 
-} // namespace
-
 double usual_tokens(const engine_profile& profile)
 {
     return profile.usual_prompt_tokens + profile.usual_answer_tokens;
--- a/src/libs/placement/layercost.h
+++ b/src/libs/placement/layercost.h
@@ -8,6 +8,9 @@
 /// Tokens of a usual request, prompt and answer.
 double usual_tokens(const engine_profile& profile);
 
+/// Milliseconds in which such a card reads a usual prompt through the whole model.
+double predict_prompt_ms(const engine_profile& profile, const card_kind& card);
+
 /// Whole layers that a card holds beside room for that many tokens through each of them.
 double count_fitting_layers(const engine_profile& profile, const card_kind& card, double tokens);
 
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -1,24 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <placement/hallgroups.h>
 #include <placement/layercost.h>
 #include <placement/layercoverage.h>
 #include <placement/layerplan.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
-#include <map>
 #include <set>
+#include <tuple>
 
 namespace sailtiller {
 
 namespace {
 
-/// Halvings of the range of tokens; after these it is far below one token.
-constexpr int room_search_steps = 40;
-/// Tokens beyond which no more room is looked for; profiles without cache memory would have no end.
-constexpr double most_room_tokens = 1e9;
-
-using engine_list = std::vector<const placeable_engine*>;
-
 /// Plans for one group of halls.
 class group_plan
 {
@@ -60,47 +55,23 @@
     /// Layers that a card holds beside room for that many tokens through all of them.
     [[nodiscard]] unsigned layers_beside(const placeable_engine& engine, double tokens) const
     {
-        const card_kind* card = this->profile.find_card(engine.card);
-        if (card == nullptr) {
-            return 0;
-        }
-        const double fitting = count_fitting_layers(this->profile, *card, tokens);
-        return static_cast<unsigned>(std::min<double>(fitting, this->profile.layers));
-    }
-
-    [[nodiscard]] unsigned sum_beside(double tokens) const
-    {
-        unsigned sum = 0;
-        for (const placeable_engine* engine : this->engines) {
-            sum += this->layers_beside(*engine, tokens);
-        }
-        return sum;
+        return count_layers_beside(this->profile, engine, tokens);
     }
 
     /// The most tokens for which there is room everywhere beside the wanted copies, or fewer copies if the
-    /// cards don't hold them beside the least room.
+    /// cards don't hold them beside the least room. Cards that hold the model only beside less than that get
+    /// the most room that one copy leaves.
     [[nodiscard]] double choose_room() const
     {
-        double low = this->aim.least_requests * usual_tokens(this->profile);
-        double high = low;
+        const double least = this->aim.least_requests * usual_tokens(this->profile);
         const auto count = static_cast<double>(this->engines.size());
         const double copies = std::max(this->aim.copies, count / this->aim.most_parts);
-        const double wanted = copies * this->profile.layers;
-        while (this->sum_beside(high) >= wanted && high < most_room_tokens) {
-            high = high * 2 + 1;
-        }
-        if (high <= low) {
-            return low;
+        const double wanted = find_largest_room(this->profile, this->engines, copies).value_or(0);
+        if (wanted >= least) {
+            return wanted;
         }
-        for (int turn = 0; turn < room_search_steps; ++turn) {
-            const double middle = (low + high) / 2;
-            if (this->sum_beside(middle) >= wanted) {
-                low = middle;
-            } else {
-                high = middle;
-            }
-        }
-        return low;
+        const std::optional<double> single = find_largest_room(this->profile, this->engines, 1);
+        return std::min(least, single.value_or(least));
     }
 
     void place(const placeable_engine& engine, layer_span span)
@@ -281,39 +252,6 @@
     std::set<upstream_id> moved;
 };
 
-bool can_hold_all(const engine_profile& profile, const engine_list& engines, const placement_aim& aim)
-{
-    const double tokens = aim.least_requests * usual_tokens(profile);
-    double sum = 0;
-    for (const placeable_engine* engine : engines) {
-        const card_kind* card = profile.find_card(engine->card);
-        sum += card == nullptr ? 0 : count_fitting_layers(profile, *card, tokens);
-    }
-    return sum >= profile.layers;
-}
-
-std::vector<engine_list> split_into_groups(
-    const engine_profile& profile, const std::vector<placeable_engine>& engines, const placement_aim& aim)
-{
-    std::map<data_hall_id, engine_list> halls;
-    for (const placeable_engine& engine : engines) {
-        halls[engine.data_hall].push_back(&engine);
-    }
-    std::vector<engine_list> groups;
-    engine_list rest;
-    for (auto& [hall, list] : halls) {
-        if (can_hold_all(profile, list, aim)) {
-            groups.push_back(std::move(list));
-        } else {
-            rest.insert(rest.end(), list.begin(), list.end());
-        }
-    }
-    if (!rest.empty()) {
-        groups.push_back(std::move(rest));
-    }
-    return groups;
-}
-
 /// The engines with what they hold of the model: an engine's own word may name layers beyond it.
 std::vector<placeable_engine> bound_to_model(
     const engine_profile& profile, const std::vector<placeable_engine>& engines)
@@ -326,18 +264,18 @@
     return bounded;
 }
 
-/// The same order on every host: cheapest cards first, so that the first copy of the layers lies on them.
+/// The same order on every host: hall by hall, so that a copy of the layers that is laid out in this order
+/// leaves a hall once, and within a hall the cheapest cards first, so that the first copy lies on them.
 void sort_engines(const engine_profile& profile, engine_list& engines, const placement_aim& aim)
 {
-    const auto cost_of = [&profile, &aim](const placeable_engine* engine) {
+    const auto rank_of = [&profile, &aim](const placeable_engine* engine) {
         const card_kind* card = profile.find_card(engine->card);
-        return card == nullptr ? 0 : predict_layer_cost(profile, *card, aim);
+        const double cost = card == nullptr ? 0 : predict_layer_cost(profile, *card, aim);
+        return std::make_tuple(std::cref(engine->data_hall), cost, std::cref(engine->id));
     };
     std::sort(engines.begin(), engines.end(),
-        [&cost_of](const placeable_engine* left, const placeable_engine* right) {
-            const double left_cost = cost_of(left);
-            const double right_cost = cost_of(right);
-            return left_cost != right_cost ? left_cost < right_cost : left->id < right->id;
+        [&rank_of](const placeable_engine* left, const placeable_engine* right) {
+            return rank_of(left) < rank_of(right);
         });
 }
 
@@ -348,7 +286,7 @@
 {
     const std::vector<placeable_engine> bounded = bound_to_model(profile, engines);
     std::vector<placement_step> steps;
-    for (engine_list& group : split_into_groups(profile, bounded, aim)) {
+    for (engine_list& group : split_into_hall_groups(profile, bounded, aim)) {
         sort_engines(profile, group, aim);
         const std::vector<placement_step> own = group_plan(profile, aim, std::move(group)).run();
         steps.insert(steps.end(), own.begin(), own.end());
--- a/src/libs/placement/layerplan.h
+++ b/src/libs/placement/layerplan.h
@@ -35,6 +35,9 @@
     double most_parts = 14;
     /// The least room for tokens that an engine is left with, in usual requests (prompt and answer).
     double least_requests = 16;
+    /// The same for a hall that holds the model only beside less room and yet serves more by itself than
+    /// through the pipe to another one: the largest requests, three usual ones, must fit still.
+    double least_requests_in_tight_hall = 3;
     /// The same where a layer has no holder: room goes before a path that isn't there.
     double least_requests_at_hole = 24;
 };
@@ -42,7 +45,8 @@
 /// What to load next: empty engines get the layers that are covered least in their group. For a layer without
 /// any holder, the holders of the layers beside it take it as well, since an engine goes on with what it
 /// keeps while it loads a little more; what they can't take goes to an engine whose layers all have another
-/// holder. A group is a hall whose cards can hold every layer, or all those halls together that can't.
+/// holder. A group is a hall whose cards can hold every layer, or as few halls as can together; see
+/// `split_into_hall_groups`.
 std::vector<placement_step> plan_layers(
     const engine_profile& profile, const std::vector<placeable_engine>& engines, const placement_aim& aim);
 
