Placement: an engine that vanished counts as coming back for ten seconds

Cause: of a hall with little room that lost three of six engines, the first to come back was sized as if the others had gone for good (0-11 of a hole of 52), and a layer was left that no engine had room for.

--- a/src/libs/placement/layerkeeper.cpp
+++ b/src/libs/placement/layerkeeper.cpp
@@ -42,13 +42,17 @@
     return static_cast<double>(dead.size()) > most ? std::set<upstream_id>() : dead;
 }
 
-layer_keeper::engine_view layer_keeper::list_engines(const service_id& service, time_point now) const
+layer_keeper::engine_view layer_keeper::list_engines(const service_id& service, time_point now)
 {
     engine_view view;
     const std::set<upstream_id> dead = this->list_dead(service);
     for (const auto& [id, entry] : this->directory.entries()) {
         const discovered_upstream& upstream = entry.upstream;
-        if (upstream.service != service || upstream.is_leaving || entry.is_lapsed || dead.count(id) != 0) {
+        if (upstream.service != service || upstream.is_leaving) {
+            this->lately_seen.erase(upstream.address);
+            continue;
+        }
+        if (entry.is_lapsed || dead.count(id) != 0) {
             continue;
         }
         const auto alone = this->left_alone.find(id);
@@ -60,10 +64,27 @@
         view.is_fresh = view.is_fresh && upstream.held.is_empty() && !is_ordered;
         view.engines.push_back(
             {id, upstream.data_hall, upstream.card, is_ordered ? ordered->second.order.span : upstream.held});
+        this->lately_seen[upstream.address] = {view.engines.back(), now};
     }
     return view;
 }
 
+std::vector<placeable_engine> layer_keeper::list_absent(time_point now)
+{
+    std::erase_if(this->lately_seen,
+        [this, now](const auto& item) { return now - item.second.at >= this->settings.return_time; });
+    std::vector<placeable_engine> absent;
+    for (const auto& [address, seen] : this->lately_seen) {
+        if (seen.at == now) {
+            continue;
+        }
+        absent.push_back(seen.engine);
+        absent.back().held = {};
+        absent.back().is_absent = true;
+    }
+    return absent;
+}
+
 bool layer_keeper::must_wait(const engine_view& view, time_point now)
 {
     if (view.engines.size() > this->engines_seen) {
@@ -88,7 +109,10 @@
         return;
     }
     this->repeat_unanswered(*token, now);
-    for (const placement_step& step : plan_layers(profile, view.engines, this->settings.aim)) {
+    std::vector<placeable_engine> engines = view.engines;
+    const std::vector<placeable_engine> absent = this->list_absent(now);
+    engines.insert(engines.end(), absent.begin(), absent.end());
+    for (const placement_step& step : plan_layers(profile, engines, this->settings.aim)) {
         if (this->pending.count(step.id) == 0) {
             this->give(profile, step, *token);
         }
--- a/src/libs/placement/layerkeeper.h
+++ b/src/libs/placement/layerkeeper.h
@@ -25,6 +25,9 @@
     double most_dead_share = 0.34;
     /// An engine that refused an order is left alone for this long.
     duration refusal_pause = std::chrono::seconds(1);
+    /// An engine that vanished without leaving counts as coming back for so long: three silent heartbeats, a
+    /// start and its first entry.
+    duration return_time = std::chrono::seconds(10);
     /// An order without answer is repeated after this.
     duration repeat_pause = std::chrono::milliseconds(500);
 };
@@ -76,10 +79,19 @@
         bool is_fresh = true; ///< none holds anything or has an order
     };
 
+    /// An engine as it was seen last.
+    struct seen_engine
+    {
+        placeable_engine engine;
+        time_point at{};
+    };
+
     void drop_finished(time_point now);
+    /// Engines that vanished lately without leaving, by their addresses, which outlive their starts.
+    [[nodiscard]] std::vector<placeable_engine> list_absent(time_point now);
     /// The service's engines that seem dead; none if these are too many to be believed.
     [[nodiscard]] std::set<upstream_id> list_dead(const service_id& service) const;
-    [[nodiscard]] engine_view list_engines(const service_id& service, time_point now) const;
+    [[nodiscard]] engine_view list_engines(const service_id& service, time_point now);
     /// True while engines still appear for a first plan, or there are none.
     [[nodiscard]] bool must_wait(const engine_view& view, time_point now);
     void repeat_unanswered(fencing_token token, time_point now);
@@ -93,6 +105,7 @@
     const upstream_directory& directory;
     std::map<upstream_id, pending_order> pending;
     std::map<upstream_id, time_point> left_alone; ///< until when, after they refused an order
+    std::map<endpoint, seen_engine> lately_seen;
     std::size_t engines_seen = 0; ///< at the last look
     std::optional<time_point> first_seen;
     time_point last_appeared{};
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -88,7 +88,7 @@
         unsigned next = 0;
         for (const placeable_engine* engine : this->engines) {
             const unsigned size = this->layers_beside(*engine, this->token_room);
-            if (size == 0) {
+            if (size == 0 || engine->is_absent) {
                 continue;
             }
             const unsigned begin = std::min(next, this->profile.layers - size);
@@ -101,7 +101,7 @@
     {
         for (const placeable_engine* engine : this->engines) {
             const unsigned size = this->layers_beside(*engine, this->token_room);
-            if (engine->held.is_empty() && size > 0) {
+            if (engine->held.is_empty() && !engine->is_absent && size > 0) {
                 this->place(*engine, this->coverage.find_worthiest(size, this->cost_on(*engine)));
             }
         }
--- a/src/libs/placement/layerplan.h
+++ b/src/libs/placement/layerplan.h
@@ -13,6 +13,10 @@
     data_hall_id data_hall;
     std::string card;
     layer_span held; ///< what it holds, or is loading
+    /// It was there a moment ago and may come back, mostly empty: it gets nothing, but the others' shares are
+    /// chosen as if it were there. Without that, the first engine of a hall to come back took as little as if
+    /// the others had gone for good, and a layer was left that no engine had room for.
+    bool is_absent = false;
 };
 
 /// One engine shall hold these layers from now on.
--- a/tests/auto/placement/tst_layerkeeper.cpp
+++ b/tests/auto/placement/tst_layerkeeper.cpp
@@ -37,11 +37,17 @@
     }
 
     void put(const std::string& id, layer_span held = {}, bool is_leaving = false)
+    {
+        this->put_at(id, id + ":1", held, is_leaving);
+    }
+
+    void put_at(
+        const std::string& id, const std::string& address, layer_span held = {}, bool is_leaving = false)
     {
         discovered_upstream upstream;
         upstream.id = upstream_id(id);
         upstream.service = service_id("llm");
-        upstream.address = endpoint("127.0.0.1:1");
+        upstream.address = endpoint(address);
         upstream.data_hall = data_hall_id("x");
         upstream.card = "big";
         upstream.held = held;
@@ -199,6 +205,29 @@
     }
 }
 
+TEST_F(layer_keeper_test, an_engine_that_vanished_counts_as_coming_back_for_a_while)
+{
+    // Two big cards hold the model beside more room than three: the first to come back to two that are lost
+    // must not take what all would.
+    this->put_at("a", "127.0.0.1:1", {0, 6});
+    this->put_at("b", "127.0.0.1:2", {6, 11});
+    this->put_at("c", "127.0.0.1:3", {11, 16});
+    this->look();
+    this->directory.remove(upstream_id("b"), this->now);
+    this->directory.remove(upstream_id("c"), this->now);
+    this->look(1s);
+    this->sent.clear();
+    this->put_at("c2", "127.0.0.1:3");
+    this->look(1s);
+    ASSERT_EQ(this->sent.size(), 1U);
+    EXPECT_LE(this->sent[0].span.count(), 7U) << "as one of three, not of two";
+    this->answer_all(order_result::refused);
+    this->sent.clear();
+    this->look(this->settings.return_time);
+    ASSERT_EQ(this->sent.size(), 1U);
+    EXPECT_GT(this->sent[0].span.count(), 7U) << "nobody else comes back any more";
+}
+
 } // namespace
 
 } // namespace sailtiller
--- a/tests/auto/placement/tst_layerplan.cpp
+++ b/tests/auto/placement/tst_layerplan.cpp
@@ -211,6 +211,28 @@
     }
 }
 
+// A hall that holds the 16 layers with little room loses three of its four engines, which come back one after
+// the other.
+TEST_F(layer_plan_test, engines_that_come_back_one_by_one_hold_every_layer_again)
+{
+    this->aim.least_requests = 30;
+    std::vector<placeable_engine> engines{
+        make_engine("a", "x", "big"), make_engine("b", "x", "small"), make_engine("c", "x", "small")};
+    engines = this->plan(engines);
+    ASSERT_EQ(this->least_holders(engines), 1U);
+    for (std::size_t lost = 0; lost < 2; ++lost) {
+        engines[lost].held = {};
+        engines[lost].is_absent = true;
+    }
+    engines = this->plan(engines);
+    EXPECT_TRUE(this->steps.empty());
+    for (std::size_t back = 0; back < 2; ++back) {
+        engines[back].is_absent = false;
+        engines = this->plan(engines);
+    }
+    EXPECT_EQ(this->least_holders(engines), 1U);
+}
+
 } // namespace
 
 } // namespace sailtiller
