--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -32,19 +32,60 @@
 
 void gateway_service::handle(const std::shared_ptr<http_exchange>& exchange)
 {
-    delivery_order order;
-    order.arrived = this->context.timers.now();
-    order.request = this->context.codec.decode_request(exchange->request());
+    const time_point arrived = this->context.timers.now();
+    const caller_request request = this->context.codec.decode_request(exchange->request());
     // Judged here, where every request passes: closing listeners and connections at rest leaves those that
     // carry a request or its beginning, and what came over them ran into the end of the stop.
-    if (this->stop.is_grace_over(order.arrived)) {
-        this->send_elsewhere(exchange, order.request);
+    if (this->stop.is_grace_over(arrived)) {
+        this->send_elsewhere(exchange, request);
         return;
     }
     if (!this->bundle) {
-        this->refuse(exchange, order.request, http_status::unavailable, "no configuration yet");
+        this->hold_or_refuse(exchange, request);
         return;
     }
+    this->judge(exchange, request, arrived);
+}
+
+void gateway_service::hold_or_refuse(
+    const std::shared_ptr<http_exchange>& exchange, const caller_request& request)
+{
+    const auto refuse = [this, exchange, request] {
+        this->refuse(exchange, request, http_status::unavailable, "no configuration yet");
+    };
+    const auto serve = [this, exchange, request, refuse, arrived = this->context.timers.now()] {
+        if (exchange->has_caller_left()) {
+            refuse(); // nobody reads it
+            return;
+        }
+        this->judge(exchange, request, arrived);
+    };
+    if (!this->early.hold(serve, refuse)) {
+        refuse();
+    }
+}
+
+void gateway_service::set_bundle(std::shared_ptr<const site_bundle> next)
+{
+    this->bundle = std::move(next);
+    if (this->early.count() > 0) {
+        // Whoever sets the bundle confirms it right after, and nothing is sent before that.
+        this->context.timers.schedule_after(duration::zero(), [this] { this->early.release(); });
+    }
+}
+
+void gateway_service::begin_stop(duration grace)
+{
+    this->stop.begin(this->context.timers.now(), grace);
+    this->early.refuse_all();
+}
+
+void gateway_service::judge(
+    const std::shared_ptr<http_exchange>& exchange, const caller_request& request, time_point arrived)
+{
+    delivery_order order;
+    order.arrived = arrived;
+    order.request = request;
     order.bundle = this->bundle;
     order.route = this->bundle->find_route(order.request.host, exchange->request().route());
     if (order.route == nullptr || order.route->targets.empty()) {
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -3,6 +3,7 @@
 
 #include <base/plannedstop.h>
 #include <delivery/deliverycontext.h>
+#include <gateway/earlyrequests.h>
 #include <runtime/httpexchange.h>
 
 namespace sailtiller {
@@ -17,11 +18,12 @@
 public:
     explicit gateway_service(delivery_context& context)
         : context(context)
+        , early(context.timers, {})
     {
     }
 
-    /// Requests that come from now on are judged by this bundle.
-    void set_bundle(std::shared_ptr<const site_bundle> next) { this->bundle = std::move(next); }
+    /// Requests that come from now on, and those that wait for the first bundle, are judged by this one.
+    void set_bundle(std::shared_ptr<const site_bundle> next);
     [[nodiscard]] const std::shared_ptr<const site_bundle>& current_bundle() const { return this->bundle; }
 
     /// An upstream is dead; the streams over it go on without it.
@@ -30,9 +32,12 @@
     void leave_given_up_layers();
     /// Answers a caller's request, at once or by a delivery.
     void handle(const std::shared_ptr<http_exchange>& exchange);
-    [[nodiscard]] std::size_t requests_in_flight() const { return this->under_way.size(); }
+    [[nodiscard]] std::size_t requests_in_flight() const
+    {
+        return this->under_way.size() + this->early.count();
+    }
     /// The host has been told to stop: takes nothing once the grace is over.
-    void begin_stop(duration grace) { this->stop.begin(this->context.timers.now(), grace); }
+    void begin_stop(duration grace);
     /// The stop's limit has come: ends every request that is under way, with a last answer where none has
     /// begun. Returns how many answers were broken off.
     std::size_t end_for_stop();
@@ -45,6 +50,11 @@
         std::weak_ptr<plain_delivery> plain;
     };
 
+    /// The request waits for the first bundle, or is refused.
+    void hold_or_refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request);
+    /// Answers a request that was read at `arrived`; there is a bundle.
+    void judge(
+        const std::shared_ptr<http_exchange>& exchange, const caller_request& request, time_point arrived);
     /// Finds the caller's account where the route wants one; false if the key is missing or not known.
     [[nodiscard]] bool admit(delivery_order& order) const;
     void deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order);
@@ -63,6 +73,7 @@
     delivery_context& context;
     std::shared_ptr<const site_bundle> bundle;
     planned_stop stop;
+    early_requests early;
     std::map<std::uint64_t, request_under_way> under_way;
     std::uint64_t last_taken = 0;
 };
--- /dev/null
+++ b/tests/auto/gateway/tst_earlyrequests.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <gateway/earlyrequests.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class early_requests_test : public testing::Test
+{
+protected:
+    bool hold(int number)
+    {
+        return this->early.hold([this, number] { this->served.push_back(number); },
+            [this, number] { this->refused.push_back(number); });
+    }
+
+    void pass(duration time)
+    {
+        this->now += time;
+        this->timers.run_due(this->now);
+    }
+
+    time_point now{100s};
+    timer_queue timers;
+    early_requests early{make_timer_hooks(this->timers, [this] { return this->now; }), {1500ms, 3}};
+    std::vector<int> served;
+    std::vector<int> refused;
+};
+
+TEST_F(early_requests_test, what_came_before_the_configuration_is_served_in_its_order)
+{
+    EXPECT_TRUE(this->hold(1));
+    this->pass(400ms);
+    EXPECT_TRUE(this->hold(2));
+    EXPECT_EQ(this->early.count(), 2U);
+    this->early.release();
+    EXPECT_EQ(this->served, (std::vector{1, 2}));
+    EXPECT_EQ(this->early.count(), 0U);
+    this->pass(10s);
+    EXPECT_TRUE(this->refused.empty());
+}
+
+TEST_F(early_requests_test, nothing_waits_for_longer_than_a_start_takes)
+{
+    this->pass(1s);
+    EXPECT_TRUE(this->hold(1));
+    this->pass(499ms);
+    EXPECT_TRUE(this->refused.empty());
+    this->pass(1ms);
+    EXPECT_EQ(this->refused, std::vector{1});
+    EXPECT_FALSE(this->hold(2)) << "the store seems to be away";
+    this->early.release();
+    EXPECT_TRUE(this->served.empty());
+}
+
+TEST_F(early_requests_test, no_more_wait_than_there_is_memory_for)
+{
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_TRUE(this->hold(number));
+    }
+    EXPECT_FALSE(this->hold(3));
+    this->early.refuse_all();
+    EXPECT_EQ(this->refused, (std::vector{0, 1, 2}));
+}
+
+} // namespace
+
+} // namespace sailtiller
