Gateway: requests wait until the first configuration is known to be the newest

Cause: a configuration from another host is confirmed a moment after it came; 180 requests that had waited were refused in that moment.

--- a/src/libs/gateway/earlyrequests.cpp
+++ b/src/libs/gateway/earlyrequests.cpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <gateway/earlyrequests.h>
 
+#include <utility>
+
 namespace sailtiller {
 
-early_requests::early_requests(timer_hooks timers, early_request_limits limits)
+early_requests::early_requests(
+    timer_hooks timers, std::function<bool()> is_ready, early_request_limits limits)
     : timers(std::move(timers))
+    , is_ready(std::move(is_ready))
     , limits(limits)
     , started(this->timers.now())
 {
@@ -12,31 +16,35 @@
 
 bool early_requests::hold(std::function<void()> serve, std::function<void()> refuse)
 {
-    const time_point end = this->started + this->limits.longest;
-    const time_point now = this->timers.now();
-    if (now >= end || this->waiting.size() >= this->limits.most) {
+    if (this->timers.now() >= this->end() || this->waiting.size() >= this->limits.most) {
         return false;
     }
-    if (this->waiting.empty()) {
-        this->timers.schedule_after(end - now, [this] { this->refuse_all(); });
-    }
     this->waiting.push_back({std::move(serve), std::move(refuse)});
+    if (this->waiting.size() == 1) {
+        this->timers.schedule_after(this->limits.look_interval, [this] { this->look(); });
+    }
     return true;
 }
 
-void early_requests::release()
+void early_requests::look()
 {
-    const std::vector<held_request> held = std::move(this->waiting);
-    this->waiting.clear();
-    for (const held_request& item : held) {
-        item.serve();
+    if (this->is_ready()) {
+        const std::vector<held_request> held = std::exchange(this->waiting, {});
+        for (const held_request& item : held) {
+            item.serve();
+        }
+        return;
+    }
+    if (this->timers.now() >= this->end()) {
+        this->refuse_all();
+        return;
     }
+    this->timers.schedule_after(this->limits.look_interval, [this] { this->look(); });
 }
 
 void early_requests::refuse_all()
 {
-    const std::vector<held_request> held = std::move(this->waiting);
-    this->waiting.clear();
+    const std::vector<held_request> held = std::exchange(this->waiting, {});
     for (const held_request& item : held) {
         item.refuse();
     }
--- a/src/libs/gateway/earlyrequests.h
+++ b/src/libs/gateway/earlyrequests.h
@@ -8,7 +8,7 @@
 
 namespace sailtiller {
 
-/// How long requests may wait for a host's first configuration, and how many.
+/// How long requests may wait until a host can judge them, and how many.
 struct early_request_limits
 {
     /// Counted from the host's start. Reading the first configuration from the store takes 0.4 to 0.6 s on an
@@ -16,21 +16,23 @@
     duration longest = std::chrono::milliseconds(1500);
     /// A request of a few kilobytes and its connection take some 10 kB.
     std::size_t most = 512;
+    /// Between two looks at whether the host can judge them now.
+    duration look_interval = std::chrono::milliseconds(20);
 };
 
-/// Requests that came before the host had a configuration. After all hosts were down, their callers come back
-/// at once, and many of them don't try a second time: of 64 hosts that were killed together, 536 requests
-/// were refused in the 0.4 s until the configuration was read.
+/// Requests that came before the host had a configuration that it knows to be the newest. After all hosts
+/// were down, their callers come back at once, and many of them don't try a second time: of 64 hosts that
+/// were killed together, 536 requests were refused in the 0.4 s until the configuration was read.
 class early_requests
 {
 public:
-    early_requests(timer_hooks timers, early_request_limits limits);
+    /// `is_ready`: true once the host can judge requests.
+    early_requests(timer_hooks timers, std::function<bool()> is_ready, early_request_limits limits);
 
-    /// Holds a request until `release` or `refuse_all`. Returns false, and does nothing, if it must not wait.
+    /// Holds a request until the host is ready; what waits is then served in the order in which it came.
+    /// Returns false, and does nothing, if it must not wait.
     bool hold(std::function<void()> serve, std::function<void()> refuse);
-    /// The host has a configuration: serves what waits, in the order in which it came.
-    void release();
-    /// The host can't serve what waits, and has no time left for it.
+    /// Nothing that waits can be served any more.
     void refuse_all();
     [[nodiscard]] std::size_t count() const { return this->waiting.size(); }
 
@@ -41,7 +43,11 @@
         std::function<void()> refuse;
     };
 
+    void look();
+    [[nodiscard]] time_point end() const { return this->started + this->limits.longest; }
+
     timer_hooks timers;
+    std::function<bool()> is_ready;
     early_request_limits limits;
     time_point started;
     std::vector<held_request> waiting;
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -40,38 +40,40 @@
         this->send_elsewhere(exchange, request);
         return;
     }
+    if (!this->can_judge() && this->hold(exchange, request, arrived)) {
+        return;
+    }
     if (!this->bundle) {
-        this->hold_or_refuse(exchange, request);
+        this->refuse_without_bundle(exchange, request);
         return;
     }
     this->judge(exchange, request, arrived);
 }
 
-void gateway_service::hold_or_refuse(
-    const std::shared_ptr<http_exchange>& exchange, const caller_request& request)
+bool gateway_service::can_judge()
 {
-    const auto refuse = [this, exchange, request] {
-        this->refuse(exchange, request, http_status::unavailable, "no configuration yet");
-    };
-    const auto serve = [this, exchange, request, refuse, arrived = this->context.timers.now()] {
+    this->was_sure = this->was_sure || (this->bundle && this->context.may_send());
+    return this->was_sure;
+}
+
+bool gateway_service::hold(
+    const std::shared_ptr<http_exchange>& exchange, const caller_request& request, time_point arrived)
+{
+    const auto refuse = [this, exchange, request] { this->refuse_without_bundle(exchange, request); };
+    const auto serve = [this, exchange, request, arrived, refuse] {
         if (exchange->has_caller_left()) {
             refuse(); // nobody reads it
             return;
         }
         this->judge(exchange, request, arrived);
     };
-    if (!this->early.hold(serve, refuse)) {
-        refuse();
-    }
+    return this->early.hold(serve, refuse);
 }
 
-void gateway_service::set_bundle(std::shared_ptr<const site_bundle> next)
+void gateway_service::refuse_without_bundle(
+    const std::shared_ptr<http_exchange>& exchange, const caller_request& request)
 {
-    this->bundle = std::move(next);
-    if (this->early.count() > 0) {
-        // Whoever sets the bundle confirms it right after, and nothing is sent before that.
-        this->context.timers.schedule_after(duration::zero(), [this] { this->early.release(); });
-    }
+    this->refuse(exchange, request, http_status::unavailable, "no configuration yet");
 }
 
 void gateway_service::begin_stop(duration grace)
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -18,12 +18,12 @@
 public:
     explicit gateway_service(delivery_context& context)
         : context(context)
-        , early(context.timers, {})
+        , early(context.timers, [this] { return this->can_judge(); }, {})
     {
     }
 
-    /// Requests that come from now on, and those that wait for the first bundle, are judged by this one.
-    void set_bundle(std::shared_ptr<const site_bundle> next);
+    /// Requests that come from now on are judged by this bundle.
+    void set_bundle(std::shared_ptr<const site_bundle> next) { this->bundle = std::move(next); }
     [[nodiscard]] const std::shared_ptr<const site_bundle>& current_bundle() const { return this->bundle; }
 
     /// An upstream is dead; the streams over it go on without it.
@@ -50,8 +50,12 @@
         std::weak_ptr<plain_delivery> plain;
     };
 
-    /// The request waits for the first bundle, or is refused.
-    void hold_or_refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request);
+    /// True once there was a bundle that was known to be the newest.
+    [[nodiscard]] bool can_judge();
+    /// The request waits until it can be judged; false if it must not.
+    bool hold(
+        const std::shared_ptr<http_exchange>& exchange, const caller_request& request, time_point arrived);
+    void refuse_without_bundle(const std::shared_ptr<http_exchange>& exchange, const caller_request& request);
     /// Answers a request that was read at `arrived`; there is a bundle.
     void judge(
         const std::shared_ptr<http_exchange>& exchange, const caller_request& request, time_point arrived);
@@ -74,6 +78,7 @@
     std::shared_ptr<const site_bundle> bundle;
     planned_stop stop;
     early_requests early;
+    bool was_sure = false;
     std::map<std::uint64_t, request_under_way> under_way;
     std::uint64_t last_taken = 0;
 };
