--- a/src/libs/placement/hallgroups.cpp
+++ b/src/libs/placement/hallgroups.cpp
@@ -120,6 +120,7 @@
         halls[engine.data_hall].engines.push_back(&engine);
     }
     std::vector<hall_set> sets;
+    sets.reserve(halls.size());
     for (auto& [hall, set] : halls) {
         sets.push_back(std::move(set));
     }
