Bundle: what a prompt moves through a pipe, and the pipe's rate and limit, stand once

Placement had written both again beside routing and delivery. A method of the plan that only passed its arguments on is gone as well. The values are the same; of the rate that placement predicts, the last bit may be rounded otherwise.

--- a/src/libs/bundle/sitebundle.cpp
+++ b/src/libs/bundle/sitebundle.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double bytes_per_mb = 1e6;
+constexpr double bits_per_byte = 8;
+constexpr double bits_per_mbit = 1e6;
 
 } // namespace
 
@@ -16,6 +18,16 @@
     return this->layers == 0 ? 0 : this->token_bytes / this->layers / bytes_per_mb;
 }
 
+double engine_profile::crossing_bits(double tokens) const
+{
+    return tokens * this->activation_bytes * bits_per_byte;
+}
+
+double engine_profile::pipe_bits_per_s() const
+{
+    return this->hall_pipe_mbps * bits_per_mbit;
+}
+
 const card_kind* engine_profile::find_card(const std::string& card) const
 {
     const auto found = this->kinds.find(card);
--- a/src/libs/bundle/sitebundle.h
+++ b/src/libs/bundle/sitebundle.h
@@ -52,6 +52,10 @@
 /// Milliseconds from an engine to the next in its hall, for each token; measured links are of this order.
 constexpr double engine_hop_ms = 0.3;
 
+/// A pipe between halls that is used further than this takes no new requests; beyond it, waiting times grow
+/// without bound for everybody.
+constexpr double most_pipe_share = 0.7;
+
 /// An accelerator of the engines.
 struct card_kind
 {
@@ -82,6 +86,10 @@
 
     /// Cache memory in MB of one token in one layer.
     [[nodiscard]] double token_layer_mb() const;
+    /// Bits that the activations of so many tokens move through a pipe between halls.
+    [[nodiscard]] double crossing_bits(double tokens) const;
+    /// Rate of the pipe between two halls; 0 is no bound.
+    [[nodiscard]] double pipe_bits_per_s() const;
     /// The kind of card with that name; null if the profile doesn't know it.
     [[nodiscard]] const card_kind* find_card(const std::string& card) const;
 };
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -82,9 +82,8 @@
     /// A path with an upstream fuller than this isn't used for new requests: one request more would make it
     /// preempt others. Expected answers count whole, so a share of 1 is not yet quite full.
     double most_share = 1.3;
-    /// A pipe between halls that is used further than this takes no new requests; beyond it, waiting times
-    /// grow without bound for everybody.
-    double most_pipe_share = 0.7;
+    /// As `sailtiller::most_pipe_share`, by which placement predicts what halls serve together.
+    double most_pipe_share = sailtiller::most_pipe_share;
     /// How often a caller is looked at for having left.
     duration look_interval = std::chrono::milliseconds(100);
     /// Told to callers that are refused while a layer has no holder: about the time of one load.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -5,13 +5,6 @@
 
 namespace sailtiller {
 
-namespace {
-
-constexpr double bits_per_byte = 8;
-constexpr double bits_per_mbit = 1e6;
-
-} // namespace
-
 const engine_profile* path_chooser::profile() const
 {
     const upstream_pool* pool = this->order.bundle->find_pool(this->order.service);
@@ -35,7 +28,7 @@
 
 double path_chooser::pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const
 {
-    return this->context.pipes.used_share(from, to, this->profile()->hall_pipe_mbps * bits_per_mbit, now);
+    return this->context.pipes.used_share(from, to, this->profile()->pipe_bits_per_s(), now);
 }
 
 std::optional<layer_path> path_chooser::find(
@@ -94,7 +87,7 @@
 
 double path_chooser::crossing_bits() const
 {
-    return this->order.request.prompt_tokens * this->profile()->activation_bytes * bits_per_byte;
+    return this->profile()->crossing_bits(this->order.request.prompt_tokens);
 }
 
 } // namespace sailtiller
--- a/src/libs/placement/grouprate.cpp
+++ b/src/libs/placement/grouprate.cpp
@@ -13,11 +13,7 @@
 constexpr int room_search_steps = 40;
 /// Tokens beyond which no more room is looked for; profiles without cache memory would have no end.
 constexpr double most_room_tokens = 1e9;
-/// A pipe that is used further than this makes its users wait for longer than their prompts take through it.
-constexpr double most_pipe_share = 0.7;
 constexpr double milliseconds_per_second = 1000;
-constexpr double bits_per_byte = 8;
-constexpr double bits_per_mbit = 1e6;
 
 bool hold_copies(const engine_profile& profile, const engine_list& engines, double tokens, double copies)
 {
@@ -62,11 +58,11 @@
 /// Prompts a second that go through a pipe between two halls.
 double predict_pipe_rate(const engine_profile& profile)
 {
-    const double prompt_bits = profile.usual_prompt_tokens * profile.activation_bytes * bits_per_byte;
+    const double prompt_bits = profile.crossing_bits(profile.usual_prompt_tokens);
     if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
         return std::numeric_limits<double>::infinity();
     }
-    return most_pipe_share * profile.hall_pipe_mbps * bits_per_mbit / prompt_bits;
+    return most_pipe_share * profile.pipe_bits_per_s() / prompt_bits;
 }
 
 } // namespace
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -52,12 +52,6 @@
                                : predict_layer_cost(this->profile, *card, this->aim);
     }
 
-    /// Layers that a card holds beside room for that many tokens through all of them.
-    [[nodiscard]] unsigned layers_beside(const placeable_engine& engine, double tokens) const
-    {
-        return count_layers_beside(this->profile, engine, tokens);
-    }
-
     /// The most tokens for which there is room everywhere beside the wanted copies, or fewer copies if the
     /// cards don't hold them beside the least room. Cards that hold the model only beside less than that get
     /// the most room that one copy leaves.
@@ -87,7 +81,7 @@
     {
         unsigned next = 0;
         for (const placeable_engine* engine : this->engines) {
-            const unsigned size = this->layers_beside(*engine, this->token_room);
+            const unsigned size = count_layers_beside(this->profile, *engine, this->token_room);
             if (size == 0 || engine->is_absent) {
                 continue;
             }
@@ -100,7 +94,7 @@
     void fill_empty()
     {
         for (const placeable_engine* engine : this->engines) {
-            const unsigned size = this->layers_beside(*engine, this->token_room);
+            const unsigned size = count_layers_beside(this->profile, *engine, this->token_room);
             if (engine->held.is_empty() && !engine->is_absent && size > 0) {
                 this->place(*engine, this->coverage.find_worthiest(size, this->cost_on(*engine)));
             }
@@ -157,7 +151,8 @@
 
     [[nodiscard]] unsigned most_layers_at_hole(const placeable_engine& engine) const
     {
-        return this->layers_beside(engine, this->aim.least_requests_at_hole * usual_tokens(this->profile));
+        return count_layers_beside(
+            this->profile, engine, this->aim.least_requests_at_hole * usual_tokens(this->profile));
     }
 
     /// Layers at the engine's far end that another one holds too, so that it may give them up.
@@ -236,7 +231,7 @@
             if (!this->coverage.has_hole()) {
                 return;
             }
-            const unsigned size = this->layers_beside(*engine, this->token_room);
+            const unsigned size = count_layers_beside(this->profile, *engine, this->token_room);
             if (size > 0 && this->can_give_up(*engine)) {
                 this->place(*engine, this->find_span_anew(*engine, size));
             }
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -32,7 +32,6 @@
 /// Engines refuse longer paths.
 constexpr std::size_t most_path_parts = 32;
 constexpr double milliseconds_per_second = 1000;
-constexpr double bits_per_byte = 8;
 
 /// An upstream that may run some layers, with its predicted cost.
 struct candidate
@@ -244,7 +243,7 @@
         if (from == to) {
             return tokens * engine_hop_ms;
         }
-        const double bits = this->question.prompt_tokens * this->profile.activation_bytes * bits_per_byte;
+        const double bits = this->profile.crossing_bits(this->question.prompt_tokens);
         const double transfer_ms = this->profile.hall_pipe_mbps <= 0
             ? 0
             : bits / (this->profile.hall_pipe_mbps * milliseconds_per_second);
