Site: what becomes of upstreams' entries can be followed and compared

An entry that lapses, comes back, or is dropped for good says so by its upstream's name, where one line without a name told of all of them. Metrics and status tell up to where a host knows the entries and how many upstreams of a service it believes in: the age alone was the same on hosts with different lists. No decision changes.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -179,6 +179,7 @@
 {
     const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
     const std::optional<fencing_token> token = this->view.order_token();
+    const std::optional<log_offset>& upstreams_end = this->view.knowledge.upstreams_end();
     json hosts = json::array();
     for (const known_host& host : this->view.hosts.live_hosts(this->view.now())) {
         hosts.push_back(host.id.value());
@@ -189,9 +190,11 @@
             {"requests_in_flight", this->view.requests_in_flight()},
             {"bundle", bundle ? json(bundle->version.value()) : json()},
             {"bundle_age_ms", write_age(this->view.knowledge.bundle_age())},
-            {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())}, {"live_hosts", hosts},
-            {"reads_store", this->view.reads_store()}, {"gives_orders", token.has_value()},
-            {"order_token", token ? json(token->value()) : json()}, {"upstreams", this->list_upstreams()}});
+            {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())},
+            {"upstreams_offset", upstreams_end ? json(upstreams_end->value()) : json()},
+            {"live_hosts", hosts}, {"reads_store", this->view.reads_store()},
+            {"gives_orders", token.has_value()}, {"order_token", token ? json(token->value()) : json()},
+            {"upstreams", this->list_upstreams()}});
 }
 
 http_response site_admin::explain(const http_request& request) const
@@ -213,6 +216,7 @@
         seconds(this->view.knowledge.bundle_age()));
     write_gauge(out, "sailtiller_upstreams_age_seconds", "Since the upstreams' entries were read; -1: never.",
         seconds(this->view.knowledge.upstreams_age()));
+    this->write_known_upstreams(out);
     write_gauge(out, "sailtiller_live_hosts", "Hosts heard lately, this one included.",
         static_cast<double>(this->view.hosts.live_count(this->view.now())));
     write_gauge(out, "sailtiller_reads_store", "0 from a read that the store failed to the next it answers.",
@@ -231,6 +235,25 @@
     return out;
 }
 
+void site_admin::write_known_upstreams(std::string& out) const
+{
+    // Their age alone doesn't show that two hosts believe in different upstreams.
+    const std::optional<log_offset>& end = this->view.knowledge.upstreams_end();
+    write_gauge(out, "sailtiller_upstreams_offset",
+        "Up to where the entries' topic is known; hosts of the same offset should know the same; -1: never.",
+        end ? static_cast<double>(end->value()) : -1);
+    std::map<service_id, unsigned> counts;
+    for (const auto& [id, entry] : this->view.knowledge.upstreams().entries()) {
+        ++counts[entry.upstream.service];
+    }
+    write_gauge_header(
+        out, "sailtiller_upstreams_known", "Upstreams that this host believes in, by service.");
+    for (const auto& [service, count] : counts) {
+        out +=
+            "sailtiller_upstreams_known{service=\"" + service.value() + "\"} " + std::to_string(count) + "\n";
+    }
+}
+
 void site_admin::write_missing_layers(std::string& out) const
 {
     const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -52,6 +52,7 @@
     [[nodiscard]] http_response status() const;
     [[nodiscard]] http_response explain(const http_request& request) const;
     [[nodiscard]] std::string write_metrics() const;
+    void write_known_upstreams(std::string& out) const;
     void write_missing_layers(std::string& out) const;
     [[nodiscard]] std::string write_account_times(const http_request& request) const;
     [[nodiscard]] json list_upstreams() const;
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -50,8 +50,8 @@
         return "upstream_outlived";
     case event_type::upstream_still_dead:
         return "upstream_still_dead";
-    case event_type::upstreams_lapsed:
-        return "upstreams_lapsed";
+    case event_type::upstream_lapsed:
+        return "upstream_lapsed";
     case event_type::upstreams_listed:
         return "upstreams_listed";
     case event_type::engine_report_unusable:
--- a/src/libs/directory/upstreamdirectory.cpp
+++ b/src/libs/directory/upstreamdirectory.cpp
@@ -182,13 +182,13 @@
     return this->changes != before;
 }
 
-bool upstream_directory::drop_lapsed(time_point now)
+std::vector<upstream_id> upstream_directory::drop_lapsed(time_point now)
 {
     this->forget_ended(now);
+    std::vector<upstream_id> over;
     if (this->is_store_disturbed(now)) {
-        return false;
+        return over;
     }
-    std::vector<upstream_id> over;
     for (const auto& [id, entry] : this->items) {
         if (entry.is_lapsed) {
             over.push_back(id);
@@ -197,7 +197,7 @@
     for (const upstream_id& id : over) {
         this->drop(id, now);
     }
-    return !over.empty();
+    return over;
 }
 
 const directory_entry* upstream_directory::find(const upstream_id& id) const
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -89,8 +89,8 @@
     /// When the store last failed whoever reads the entries; nothing if it never has.
     void set_store_disturbed(std::optional<time_point> at) { this->last_disturbed = at; }
     [[nodiscard]] const std::optional<time_point>& store_disturbed_at() const { return this->last_disturbed; }
-    /// Drops lapsed entries whose time is over. Returns whether any was.
-    bool drop_lapsed(time_point now);
+    /// Drops lapsed entries whose time is over, and returns them.
+    std::vector<upstream_id> drop_lapsed(time_point now);
 
     /// Null if it isn't known.
     [[nodiscard]] const directory_entry* find(const upstream_id& id) const;
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -120,7 +120,13 @@
     if (!upstream) {
         return this->drop_upstream(record.key);
     }
-    if (!this->directory.put(*upstream, this->hooks.now())) {
+    const directory_entry* before = this->directory.find(upstream->id);
+    const bool was_lapsed = before != nullptr && before->is_lapsed;
+    const bool is_changed = this->directory.put(*upstream, this->hooks.now());
+    if (was_lapsed) {
+        this->hooks.on_event(event_type::upstream_back, record.key, "its entry was written anew");
+    }
+    if (!is_changed) {
         return false;
     }
     this->hooks.on_event(event_type::upstream_changed, record.key,
@@ -149,7 +155,9 @@
         return false;
     }
     take(upstream_id(known->upstream.id)); // a copy: the entry may end with it
-    this->hooks.on_event(event_type::upstream_gone, name, reason);
+    const bool is_kept = this->directory.find_named(name) != nullptr;
+    this->hooks.on_event(is_kept ? event_type::upstream_lapsed : event_type::upstream_gone, name,
+        is_kept ? "kept for a while, as the store was away" : reason);
     return true;
 }
 
@@ -245,8 +253,9 @@
     if (!this->are_entries_old()) {
         this->told_holdings.clear();
     }
-    if (this->directory.drop_lapsed(this->hooks.now())) {
-        this->hooks.on_event(event_type::upstreams_lapsed, "", "");
+    for (const upstream_id& id : this->directory.drop_lapsed(this->hooks.now())) {
+        this->hooks.on_event(event_type::upstream_gone, upstream_name(id),
+            "its entry has not come back since the store was away");
     }
 }
 
--- a/tests/auto/directory/tst_upstreamdirectory.cpp
+++ b/tests/auto/directory/tst_upstreamdirectory.cpp
@@ -65,8 +65,8 @@
     this->directory.remove(upstream_id("a"), start + 1s);
     ASSERT_NE(this->directory.find(upstream_id("a")), nullptr);
     EXPECT_TRUE(this->directory.find(upstream_id("a"))->is_lapsed);
-    EXPECT_FALSE(this->directory.drop_lapsed(start + 1900ms));
-    EXPECT_TRUE(this->directory.drop_lapsed(start + 2s));
+    EXPECT_TRUE(this->directory.drop_lapsed(start + 1900ms).empty());
+    EXPECT_EQ(this->directory.drop_lapsed(start + 2s), std::vector<upstream_id>{upstream_id("a")});
     EXPECT_EQ(this->directory.find(upstream_id("a")), nullptr);
 }
 
@@ -76,7 +76,7 @@
     this->directory.set_store_disturbed(start);
     this->directory.remove(upstream_id("a"), start + 1s);
     this->directory.put(make_upstream("a"), start + 1500ms);
-    EXPECT_FALSE(this->directory.drop_lapsed(start + 5s));
+    EXPECT_TRUE(this->directory.drop_lapsed(start + 5s).empty());
     EXPECT_NE(this->directory.find(upstream_id("a")), nullptr);
 }
 
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -343,6 +343,20 @@
     EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
 }
 
+TEST_F(site_knowledge_test, each_step_of_an_entry_that_vanishes_while_the_store_is_away_is_told)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(2));
+    this->first.events.clear();
+    this->first.knowledge.note_store_disturbed();
+    this->first.knowledge.take_upstream_record({"a", std::nullopt}, log_offset(2));
+    this->first.knowledge.take_upstream_record({"b", std::nullopt}, log_offset(3));
+    this->first.knowledge.take_upstream_record({"b", "x"}, log_offset(4));
+    this->now += 2s;
+    this->first.knowledge.tidy();
+    EXPECT_EQ(this->first.events,
+        (std::vector<std::string>{"upstream_lapsed", "upstream_lapsed", "upstream_back", "upstream_gone"}));
+}
+
 TEST_F(site_knowledge_test, entries_that_vanish_while_the_store_is_away_are_kept_for_a_while_everywhere)
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(10));
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -57,6 +57,7 @@
     EXPECT_TRUE(status.at("gives_orders").get<bool>());
     EXPECT_TRUE(status.at("reads_store").get<bool>());
     EXPECT_EQ(status.at("upstreams").size(), 8U);
+    EXPECT_TRUE(status.at("upstreams_offset").is_number());
     const json explained = json::parse(this->fetch(host, "/explain?request=r1"));
     ASSERT_GE(explained.at("decisions").size(), 2U);
     EXPECT_EQ(explained.at("decisions")[0].at("step"), "sent");
@@ -68,6 +69,8 @@
     EXPECT_NE(metrics.find("\nsailtiller_route_first_token_seconds_count{route="), std::string::npos)
         << metrics;
     EXPECT_NE(metrics.find("\nsailtiller_retries_left{service="), std::string::npos);
+    EXPECT_NE(metrics.find("\nsailtiller_upstreams_known{service="), std::string::npos);
+    EXPECT_EQ(metrics.find("sailtiller_upstreams_offset -1"), std::string::npos);
     const std::string confirmed = "\nsailtiller_bundle_confirmation_age_seconds_count{source=\"store\"} ";
     run_until(this->loop, [&] { return this->fetch(host, "/metrics").find(confirmed) != std::string::npos; });
     const std::string accounts = this->fetch(host, "/metrics/accounts");
