Site: what lapsed while the store was away is kept from the store's return on, and a host that starts ends it for nobody

Cause: hosts counted the time for which they keep lapsed upstreams from the last of their own reads that had failed, up to a second, in fleets of 30 hosts and more up to three seconds, before the store was back; entries may come back two seconds after it. In the record two of seven hosts dropped theirs 1.8 and 2.1 s after the return. Now the first answered read counts.

A host that had just started told that it never saw the store away, and the others took its word: their lapsed upstreams ended at once. It says now that it can't tell, for as long as lapsed upstreams are kept.

That hosts which start or were cut off keep no leaving upstream in use elsewhere passed before and after. One test lets its hosts run for a while first, with the same assertions.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -119,7 +119,7 @@
             : std::min(longest_fleet_retry, fleet_retry_interval * static_cast<int>(live));
     };
     hooks.on_failure = [this, topic](const error& failure) {
-        this->knowledge.note_store_disturbed();
+        this->knowledge.note_store_failed(topic);
         this->reading.note_failed(topic, this->loop.now());
         log_store_failure(failure);
     };
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -68,7 +68,7 @@
     std::optional<duration> bundle_age; ///< since the bundle was known to be the newest
     std::optional<std::uint64_t> entries_offset; ///< up to which the sender knows the upstreams' entries
     std::optional<duration> entries_age;
-    std::optional<duration> store_disturbed_age; ///< since the store last failed a call
+    std::optional<duration> store_disturbed_age; ///< since the store was last away; nothing: not known
     bool reads_store = true; ///< false if the store failed the sender's last read
     /// In a question: the answer may hold all entries, if the sender lacks too much to be told the changes.
     bool wants_list = true;
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -35,6 +35,8 @@
     : settings(settings)
     , hooks(std::move(hooks))
     , directory(settings.lapse_grace, this->hooks.on_outlived)
+    , own_disturbed(this->hooks.now())
+    , started(this->hooks.now())
 {
 }
 
@@ -160,12 +162,21 @@
         is_kept ? "kept for a while, as the store was away" : reason);
 }
 
+void site_knowledge::note_entries_answered()
+{
+    if (this->is_entries_read_failed) {
+        this->is_entries_read_failed = false;
+        this->own_disturbed = this->hooks.now();
+    }
+}
+
 void site_knowledge::take_upstream_record(const keyed_record& record, log_offset offset)
 {
-    this->directory.set_store_disturbed(this->own_disturbed);
+    this->note_entries_answered();
     if (this->mirror.end() && offset < *this->mirror.end()) {
         return; // another host has told what came of it since
     }
+    this->directory.set_store_disturbed(this->own_disturbed);
     this->put_upstream(record);
     this->mirror.note(record, offset);
     this->mirror.advance(log_offset(offset.value() + 1));
@@ -173,6 +184,7 @@
 
 void site_knowledge::take_all_upstreams(const std::vector<keyed_record>& records, log_offset end)
 {
+    this->note_entries_answered();
     this->directory.set_store_disturbed(this->own_disturbed);
     this->take_list(records, end);
 }
@@ -200,6 +212,12 @@
 }
 
 void site_knowledge::confirm_upstreams(time_point asked)
+{
+    this->note_entries_answered();
+    this->renew_upstreams(asked);
+}
+
+void site_knowledge::renew_upstreams(time_point asked)
 {
     this->upstreams_confirmed = std::max(asked, this->upstreams_confirmed.value_or(asked));
 }
@@ -241,9 +259,11 @@
             + std::to_string(held.end));
 }
 
-void site_knowledge::note_store_disturbed()
+void site_knowledge::note_store_failed(store_topic topic)
 {
     this->own_disturbed = this->hooks.now();
+    this->has_store_failed = true;
+    this->is_entries_read_failed = this->is_entries_read_failed || topic == store_topic::upstreams;
 }
 
 void site_knowledge::tidy()
@@ -266,7 +286,9 @@
     if (this->mirror.end()) {
         report.entries_offset = this->mirror.end()->value();
     }
-    report.store_disturbed_age = age_of(this->directory.store_disturbed_at(), now);
+    if (this->can_tell_disturbance()) {
+        report.store_disturbed_age = age_of(this->directory.store_disturbed_at(), now);
+    }
     for (const auto& [id, holding] : this->told_holdings) {
         report.holdings.push_back({id, holding.held.begin, holding.held.end, now - holding.told});
     }
@@ -312,8 +334,12 @@
         return;
     }
     // Whether a missing entry can be believed depends on how the store was to the host that read it.
-    this->directory.set_store_disturbed(
-        answer.store_disturbed_age ? std::optional(asked - *answer.store_disturbed_age) : std::nullopt);
+    if (answer.store_disturbed_age) {
+        this->directory.set_store_disturbed(asked - *answer.store_disturbed_age);
+    } else if (*answer.entries_offset > own_end) {
+        const time_point now = this->hooks.now();
+        this->directory.set_store_disturbed(this->is_entries_read_failed ? now : this->own_disturbed);
+    }
     std::vector<keyed_record> records;
     for (const entry_change& change : answer.changes) {
         records.push_back({change.key, change.value});
@@ -325,10 +351,15 @@
         this->take_changes(records, end);
     }
     if (answer.entries_age) {
-        this->confirm_upstreams(asked - *answer.entries_age);
+        this->renew_upstreams(asked - *answer.entries_age);
     }
 }
 
+bool site_knowledge::can_tell_disturbance() const
+{
+    return this->has_store_failed || this->hooks.now() - this->started >= this->settings.lapse_grace;
+}
+
 void site_knowledge::take_changes(const std::vector<keyed_record>& records, log_offset end)
 {
     // The changes lie somewhere before the end.
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -69,7 +69,7 @@
     void take_upstream_record(const keyed_record& record, log_offset offset);
     /// All entries of the upstreams, up to `end`; what is not there is gone.
     void take_all_upstreams(const std::vector<keyed_record>& records, log_offset end);
-    /// All that the store had of the upstreams at `asked` has been taken.
+    /// All that the store had of the upstreams at `asked`, when this host asked it, has been taken.
     void confirm_upstreams(time_point asked);
     /// An engine told at `told` what it holds. Believed while the entries are too old to say, unless a newer
     /// word is known.
@@ -78,8 +78,8 @@
     void note_ended(const upstream_id& id);
     /// True while the store tells nobody what becomes of the upstreams.
     [[nodiscard]] bool are_entries_old() const;
-    /// A call to the store failed.
-    void note_store_disturbed();
+    /// A read of that topic of the store failed.
+    void note_store_failed(store_topic topic);
     /// Drops entries whose time is over; called a few times a second.
     void tidy();
 
@@ -105,6 +105,14 @@
     [[nodiscard]] const upstream_directory& upstreams() const { return this->directory; }
 
 private:
+    /// The store answers a read of the entries. If it failed the one before, it may have been back for no
+    /// longer than this: from the last failure, some hosts counted so early that they dropped upstreams
+    /// whose entries came back 1.8 s after the store.
+    void note_entries_answered();
+    /// False for a host that has just started: whether the store was away right before, it doesn't know, and
+    /// its word must not end the time for which others keep what lapsed.
+    [[nodiscard]] bool can_tell_disturbance() const;
+    void renew_upstreams(time_point asked);
     void renew_confirmation(time_point asked, const bundle_source& source);
     /// The upstream of a record that has a value; nothing, and a line in the log, if it names none to use.
     [[nodiscard]] std::optional<discovered_upstream> read_upstream(const keyed_record& record);
@@ -141,7 +149,11 @@
     std::map<upstream_id, told_holding> told_holdings; ///< since the entries are too old
     std::map<std::string, std::size_t> unusable_entries; ///< hashes of values that were logged, by name
     std::optional<time_point> upstreams_confirmed;
-    std::optional<time_point> own_disturbed; ///< when a call of this host to the store last failed
+    /// Until when the store may have been away, by this host's own reads.
+    time_point own_disturbed;
+    time_point started;
+    bool has_store_failed = false; ///< some read since the start
+    bool is_entries_read_failed = false; ///< the last one
 };
 
 } // namespace sailtiller
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -171,7 +171,7 @@
 TEST_F(site_knowledge_test, an_entry_that_names_none_to_use_ends_its_own_key_and_no_other)
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(2));
-    this->first.knowledge.note_store_disturbed();
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
     this->first.knowledge.take_upstream_record({"a", "broken"}, log_offset(2));
     this->exchange(this->second, this->first);
     for (const test_host* host : {&this->first, &this->second}) {
@@ -335,9 +335,10 @@
 
 TEST_F(site_knowledge_test, a_host_that_the_store_turns_away_believes_what_others_read_as_gone)
 {
+    this->now += 10s; // a host that has just started can't tell how the store was before
     this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(10));
     this->exchange(this->second, this->first);
-    this->second.knowledge.note_store_disturbed();
+    this->second.knowledge.note_store_failed(store_topic::upstreams);
     this->first.knowledge.take_all_upstreams({}, log_offset(11));
     this->exchange(this->second, this->first);
     EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
@@ -349,8 +350,8 @@
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
     this->exchange(this->second, this->first);
-    this->first.knowledge.note_store_disturbed();
-    this->second.knowledge.note_store_disturbed();
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
+    this->second.knowledge.note_store_failed(store_topic::upstreams);
     for (test_host* host : {&this->first, &this->second}) {
         host->knowledge.take_upstream_record({"a", std::nullopt}, log_offset(1));
     }
@@ -374,7 +375,7 @@
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(2));
     this->first.events.clear();
-    this->first.knowledge.note_store_disturbed();
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
     this->first.knowledge.take_upstream_record({"a", std::nullopt}, log_offset(2));
     this->first.knowledge.take_upstream_record({"b", std::nullopt}, log_offset(3));
     this->first.knowledge.take_upstream_record({"b", "x"}, log_offset(4));
@@ -388,7 +389,7 @@
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(10));
     this->exchange(this->second, this->first);
-    this->first.knowledge.note_store_disturbed();
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
     this->first.knowledge.take_all_upstreams({}, log_offset(11));
     this->exchange(this->second, this->first);
     EXPECT_NE(this->first.knowledge.upstreams().find(upstream_id("a")), nullptr);
--- a/tests/auto/site/tst_upstreamentries.cpp
+++ b/tests/auto/site/tst_upstreamentries.cpp
@@ -24,15 +24,24 @@
     }
 }
 
+void write_ready(site_fleet& fleet, const std::set<std::string>& names)
+{
+    for (const std::string& name : names) {
+        fleet.upstreams().put({name, "ready"});
+    }
+}
+
 /// The store is away for all hosts, and meanwhile drops the entries of those upstreams.
-void drop_entries_while_away(site_fleet& fleet, const std::vector<std::string>& names)
+void drop_entries_while_away(
+    site_fleet& fleet, store_access kind, const std::set<std::string>& names, duration away_time)
 {
-    fleet.set_access_of_all(store_access::refuses);
-    fleet.pass(2s);
+    constexpr duration kept_time = 2s;
+    fleet.set_access_of_all(kind);
+    fleet.pass(kept_time);
     for (const std::string& name : names) {
         fleet.upstreams().put({name, std::nullopt});
     }
-    fleet.pass(6s);
+    fleet.pass(away_time - kept_time);
     fleet.set_access_of_all(store_access::answers);
 }
 
@@ -54,15 +63,14 @@
     upstream_entries_test, an_upstream_that_comes_back_and_leaves_after_the_store_was_away_is_left_everywhere)
 {
     for (duration back_after = 0ms; back_after < 2s; back_after += 100ms) {
+        const std::set<std::string> all = {"a", "b", "c"};
         site_fleet fleet(7);
-        for (const char* name : {"a", "b", "c"}) {
-            fleet.upstreams().put({name, "ready"});
-        }
+        write_ready(fleet, all);
         fleet.pass(2s);
-        drop_entries_while_away(fleet, {"a", "b", "c"});
+        drop_entries_while_away(fleet, store_access::refuses, all, 8s);
         fleet.pass(back_after);
-        for (const char* name : {"a", "b", "c"}) {
-            fleet.upstreams().put({name, "ready"});
+        for (const std::string& name : all) {
+            write_ready(fleet, {name});
             fleet.pass(130ms);
         }
         fleet.pass(5s);
@@ -74,6 +82,79 @@
     }
 }
 
+/// The store drops the entries of all upstreams while it is away; they are written anew `back_time` after its
+/// return. Until then all hosts but those that start anew at its return go on using the upstreams.
+void expect_in_use_until_back(store_access kind, duration away_time, const std::vector<std::size_t>& started)
+{
+    constexpr duration back_time = 2s; // as long as upstreams take at the most
+    const std::set<std::string> all = {"a", "b", "c"};
+    site_fleet fleet(7);
+    write_ready(fleet, all);
+    fleet.pass(2s);
+    drop_entries_while_away(fleet, kind, all, away_time);
+    for (const std::size_t number : started) {
+        fleet.restart(number);
+    }
+    for (duration back = 0ms; back < back_time; back += 10ms) {
+        fleet.pass(10ms);
+        for (std::size_t number = started.size(); number < fleet.size(); ++number) {
+            ASSERT_EQ(fleet.usable_upstreams(number), all)
+                << "host " << number << ", the store is back for " << (back / 1ms) << " ms after "
+                << (away_time / 1ms);
+        }
+    }
+    write_ready(fleet, all);
+    fleet.pass(1s);
+    expect_same_lists(fleet, "after they are back");
+}
+
+// In the same minutes two hosts dropped upstreams 1.8 and 2.1 s after the store's return, and one refused a
+// request right after, 0.1 s after it had last sent one: they counted the time for which they keep lapsed
+// upstreams from the last of their own reads that had failed, before the return.
+TEST(upstream_entries_test, upstreams_whose_entries_come_back_in_time_stay_in_use)
+{
+    for (const store_access kind : {store_access::refuses, store_access::silent}) {
+        for (duration away_time = 6s; away_time < 8s; away_time += 130ms) {
+            expect_in_use_until_back(kind, away_time, {});
+        }
+    }
+}
+
+TEST(upstream_entries_test, a_host_that_starts_at_the_stores_return_ends_no_upstream_of_others)
+{
+    for (duration away_time = 6s; away_time < 8s; away_time += 130ms) {
+        expect_in_use_until_back(store_access::refuses, away_time, {0});
+        expect_in_use_until_back(store_access::refuses, away_time, {0, 1, 2});
+    }
+}
+
+TEST(upstream_entries_test, hosts_that_start_or_were_cut_off_keep_no_leaving_upstream_in_use_elsewhere)
+{
+    const std::vector<std::size_t> disturbed = {0, 3};
+    for (const bool are_started : {false, true}) {
+        for (duration leaves_after = 0ms; leaves_after < 2s; leaves_after += 100ms) {
+            site_fleet fleet(7);
+            write_ready(fleet, {"a", "b"});
+            fleet.pass(5s);
+            fleet.set_access({0, 3}, store_access::refuses);
+            fleet.pass(5s);
+            fleet.set_access({0, 3}, store_access::answers);
+            for (const std::size_t number : disturbed) {
+                if (are_started) {
+                    fleet.restart(number);
+                }
+            }
+            fleet.pass(leaves_after);
+            fleet.upstreams().put({"a", std::nullopt});
+            fleet.pass(leave_limit);
+            for (const std::size_t number : {1U, 2U, 4U, 5U, 6U}) {
+                EXPECT_EQ(fleet.usable_upstreams(number), std::set<std::string>{"b"})
+                    << "host " << number << ", left " << (leaves_after / 1ms) << " ms after the return";
+            }
+        }
+    }
+}
+
 /// A series of faults, drawn by a seed: the store away, silent or refusing, for some hosts or for all, and
 /// dropping entries meanwhile; history forgotten; hosts started anew; messages lost; upstreams that come,
 /// write what can't be read, leave, and end.
--- a/tests/support/sitefleet.cpp
+++ b/tests/support/sitefleet.cpp
@@ -217,7 +217,7 @@
         this->store_of(read).read_after(item.access, from, wait, on_page, on_failure);
     };
     hooks.on_failure = [this, &item, topic](const error&) {
-        item.knowledge->note_store_disturbed();
+        item.knowledge->note_store_failed(topic);
         item.reading.note_failed(topic, this->now);
     };
     return hooks;
