Site: an engine's own word ends once entries hold again

Looked for beside the incident's cause: where else a host's list departs from the entries with nothing to lead it back. While the store is away an engine's own report says what it holds. If its entry stayed as it was, the report stood for ever; now the entry holds again once the store has been back for as long as entries take to be written. Test: failed before.

--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -266,11 +266,30 @@
     this->is_entries_read_failed = this->is_entries_read_failed || topic == store_topic::upstreams;
 }
 
-void site_knowledge::tidy()
+void site_knowledge::end_told_holdings()
 {
-    if (!this->are_entries_old()) {
-        this->told_holdings.clear();
+    const time_point now = this->hooks.now();
+    for (const auto& [id, holding] : this->told_holdings) {
+        this->departed_entries[upstream_name(id)] = now;
     }
+    if (this->are_entries_old()) {
+        return;
+    }
+    this->told_holdings.clear();
+    const auto is_over = [this, now](
+                             const auto& item) { return now - item.second >= this->settings.lapse_grace; };
+    for (const auto& item : this->departed_entries) {
+        const std::optional<std::string> value = this->mirror.find(item.first);
+        if (is_over(item) && value) {
+            this->put_upstream({item.first, value});
+        }
+    }
+    std::erase_if(this->departed_entries, is_over);
+}
+
+void site_knowledge::tidy()
+{
+    this->end_told_holdings();
     for (const upstream_id& id : this->directory.drop_lapsed(this->hooks.now())) {
         this->hooks.on_event(event_type::upstream_gone, upstream_name(id),
             "its entry has not come back since the store was away");
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -109,6 +109,8 @@
     /// longer than this: from the last failure, some hosts counted so early that they dropped upstreams
     /// whose entries came back 1.8 s after the store.
     void note_entries_answered();
+    /// Lets the entries hold again in place of the engines' own words, once they are not too old any more.
+    void end_told_holdings();
     /// False for a host that has just started: whether the store was away right before, it doesn't know, and
     /// its word must not end the time for which others keep what lapsed.
     [[nodiscard]] bool can_tell_disturbance() const;
@@ -147,6 +149,10 @@
         time_point told{};
     };
     std::map<upstream_id, told_holding> told_holdings; ///< since the entries are too old
+    /// Names whose upstreams are as engines' own words say, and until when. Once the store has been back for
+    /// as long as entries take to be written, what they say holds again, also of those that stayed as they
+    /// were: nothing else would lead back to them.
+    std::map<std::string, time_point> departed_entries;
     std::map<std::string, std::size_t> unusable_entries; ///< hashes of values that were logged, by name
     std::optional<time_point> upstreams_confirmed;
     /// Until when the store may have been away, by this host's own reads.
--- a/src/libs/store/recordmirror.cpp
+++ b/src/libs/store/recordmirror.cpp
@@ -53,6 +53,12 @@
     this->known_end = std::max(end, this->known_end.value_or(end));
 }
 
+std::optional<std::string> record_mirror::find(const std::string& key) const
+{
+    const auto known = this->entries.find(key);
+    return known == this->entries.end() ? std::nullopt : known->second.value;
+}
+
 record_mirror::difference record_mirror::since(const std::optional<log_offset>& offset) const
 {
     difference result;
--- a/src/libs/store/recordmirror.h
+++ b/src/libs/store/recordmirror.h
@@ -27,6 +27,9 @@
     /// Up to where the topic is known; nothing before the first reading.
     [[nodiscard]] const std::optional<log_offset>& end() const { return this->known_end; }
 
+    /// The newest value of a key; nothing if it has none.
+    [[nodiscard]] std::optional<std::string> find(const std::string& key) const;
+
     /// What one lacks who knows less.
     struct difference
     {
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -129,6 +129,31 @@
     EXPECT_TRUE(held_by(this->first).is_empty());
 }
 
+TEST_F(site_knowledge_test, an_engines_word_does_not_outlast_an_entry_that_stays_as_it_was)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(2));
+    this->first.knowledge.confirm_upstreams(this->now);
+    this->now += 2s;
+    for (const char* name : {"a", "b"}) {
+        this->first.knowledge.note_held(upstream_id(name), {0, 8}, this->now);
+    }
+    // The store is back. One engine's entry has changed and says so; the other one holds again what it held.
+    this->first.knowledge.confirm_upstreams(this->now);
+    this->first.knowledge.take_upstream_record({"b", "leaving"}, log_offset(2));
+    const auto held_by_a = [this] {
+        this->first.knowledge.tidy();
+        return this->first.knowledge.upstreams().find(upstream_id("a"))->upstream.held;
+    };
+    EXPECT_FALSE(held_by_a().is_empty()) << "its entry may be written a moment later";
+    this->now += 1s;
+    this->first.knowledge.confirm_upstreams(this->now);
+    EXPECT_FALSE(held_by_a().is_empty());
+    this->now += 1s;
+    this->first.knowledge.confirm_upstreams(this->now);
+    EXPECT_TRUE(held_by_a().is_empty()) << "the entry holds: it would have been written by now";
+    EXPECT_TRUE(this->first.knowledge.upstreams().find(upstream_id("b"))->upstream.is_leaving);
+}
+
 TEST_F(site_knowledge_test, a_whole_list_is_told_only_to_those_who_want_it)
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(5));
