--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -129,6 +129,24 @@
     return *body;
 }
 
+std::set<std::string> site_bed::known_upstreams(const site_host_process& host)
+{
+    std::set<std::string> names;
+    const json status = json::parse(this->fetch(host, "/status"));
+    for (const json& upstream : status.at("upstreams")) {
+        names.insert(upstream.at("id").get<std::string>());
+    }
+    return names;
+}
+
+void site_bed::pass(duration time)
+{
+    const time_point end = this->loop.now() + time;
+    while (this->loop.now() < end) {
+        this->loop.run_once(std::chrono::milliseconds(20));
+    }
+}
+
 void site_bed::wait_for(const std::shared_ptr<site_answer>& answer)
 {
     run_until(this->loop, [&answer] { return answer->is_done; });
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -50,7 +50,10 @@
     void wait_until_served(const site_host_process& host);
     /// A page of a host's admin address.
     std::string fetch(const site_host_process& host, const std::string& path);
+    /// Names of the upstreams that the host believes in.
+    std::set<std::string> known_upstreams(const site_host_process& host);
     void wait_for(const std::shared_ptr<site_answer>& answer);
+    void pass(duration time);
     /// All events of a stream, once each and in order.
     [[nodiscard]] std::string whole_stream() const;
     void shut_gate(site_host_process& host) { *host.is_gate_open = false; }
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -211,6 +211,42 @@
     });
 }
 
+// The story of tst_upstreamentries, with real processes.
+TEST_F(site, hosts_agree_on_the_upstreams_after_the_store_was_away_and_dropped_their_entries)
+{
+    for (const char* name : {"a", "b", "c"}) {
+        this->start_host(name);
+    }
+    const auto all_know = [this](const std::set<std::string>& names) {
+        return std::all_of(this->hosts.begin(), this->hosts.end(),
+            [&](const auto& host) { return this->known_upstreams(*host) == names; });
+    };
+    ASSERT_EQ(this->services.size(), 2U);
+    const std::string leaving = this->services.front()->name();
+    const std::string other = this->services.back()->name();
+    run_until(this->loop, [&] { return all_know({leaving, other}); });
+    for (const auto& host : this->hosts) {
+        this->shut_gate(*host);
+    }
+    this->pass(2500ms);
+    for (const auto& service : this->services) {
+        this->store.put("keyed.servers", service->name(), "");
+    }
+    this->pass(3s);
+    for (const auto& host : this->hosts) {
+        *host->is_gate_open = true;
+    }
+    this->pass(1s);
+    for (const auto& service : this->services) {
+        service->write_entry();
+    }
+    this->pass(4s);
+    EXPECT_TRUE(all_know({leaving, other})) << "what lapsed is dropped by now, if it hasn't come back";
+    this->store.put("keyed.servers", leaving, "");
+    this->pass(2s);
+    EXPECT_TRUE(all_know({other}));
+}
+
 TEST_F(site, a_host_without_any_way_to_the_store_stops_using_keys_in_time)
 {
     site_host_process& host = this->start_host("a", {"--revoke-limit-ms", "1500"});
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -215,14 +215,21 @@
 
 platform_service::platform_service(
     event_loop& loop, platform_store& store, engine_world& world, const std::string& id)
-    : world(world)
+    : store(store)
+    , world(world)
     , id(id)
     , server(make_server(
           loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); }))
+    , address(this->server->listen(endpoint("127.0.0.1:0")))
+{
+    this->write_entry();
+}
+
+void platform_service::write_entry()
 {
-    const endpoint address = this->server->listen(endpoint("127.0.0.1:0"));
-    store.put("keyed.servers", id,
-        json({{"service", "plain"}, {"address", address.value()}, {"zone", "x"}, {"state", "ready"}}).dump());
+    const json entry = {
+        {"service", "plain"}, {"address", this->address.value()}, {"zone", "x"}, {"state", "ready"}};
+    this->store.put("keyed.servers", this->id, entry.dump());
 }
 
 void platform_service::handle(const std::shared_ptr<http_exchange>& exchange)
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -99,13 +99,18 @@
     void lose_answers(unsigned count) { this->answers_to_lose = count; }
     /// From now on requests run and are never answered; their connections stay open.
     void fall_silent() { this->is_silent = true; }
+    /// Enters itself in the store, again if its entry is gone.
+    void write_entry();
+    [[nodiscard]] const std::string& name() const { return this->id; }
 
 private:
     void handle(const std::shared_ptr<http_exchange>& exchange);
 
+    platform_store& store;
     engine_world& world;
     std::string id;
     std::unique_ptr<http_server> server;
+    endpoint address;
     unsigned answers_to_lose = 0;
     bool is_silent = false;
 };
