--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -106,8 +106,8 @@
 
 private:
     /// The store answers a read of the entries. If it failed the one before, it may have been back for no
-    /// longer than this: from the last failure, some hosts counted so early that they dropped upstreams
-    /// whose entries came back 1.8 s after the store.
+    /// longer than this. Counted from the last failure, lapsed upstreams were dropped 1.8 s after the store's
+    /// return (logs of one day), and entries may take two seconds to come back.
     void note_entries_answered();
     /// Lets the entries hold again in place of the engines' own words, once they are not too old any more.
     void end_told_holdings();
