Delivery: failed sends name the request's content in the log

Each try of a request has an id of its own, so no log could tell that a request which ends its upstreams comes again at other hosts. path_failed and upstream_failed lines now carry a digest over path, client account and body. No decision changes.

--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/httpstatus.h>
+#include <bundle/digest.h>
 #include <delivery/deliverycontext.h>
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 /// third goes to finding out that one is needed, and the rest to reading what the lost part knew.
 constexpr double path_change_share = 1.0 / 3;
 
+/// 128 bits: no two of the requests that a fleet remembers are ever taken for the same.
+constexpr std::size_t content_digits = 32;
+
 std::string write_seconds(duration time)
 {
     std::array<char, 32> text{};
@@ -61,6 +65,16 @@
     return runs == 0 || (this->route->may_repeat() && runs < this->route->most_attempts);
 }
 
+request_content delivery_order::content() const
+{
+    const std::string caller = this->account ? this->account->value() : std::string();
+    std::string text;
+    for (const std::string* part : {&this->request.path, &caller, &this->request.body}) {
+        text += std::to_string(part->size()) + ":" + *part; // lengths, so that no two requests share a text
+    }
+    return request_content(digest_of(text).value().substr(0, content_digits));
+}
+
 upstream_request delivery_order::make_request(const upstream_id& target, time_point now) const
 {
     upstream_request item;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -161,6 +161,9 @@
     [[nodiscard]] duration path_change_limit() const;
     /// True if one more upstream may run the request, after `runs` that have begun it.
     [[nodiscard]] bool may_run_again(unsigned runs) const;
+    /// What tells that another try, with an id of its own, is the same request. Reads the whole body: some
+    /// microseconds.
+    [[nodiscard]] request_content content() const;
     /// The request as it goes to this upstream, without a path.
     [[nodiscard]] upstream_request make_request(const upstream_id& target, time_point now) const;
 };
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -182,7 +182,7 @@
 
 void plain_delivery::retry_or_fail(const std::string& reason)
 {
-    this->log(event_type::upstream_failed, reason);
+    this->log(event_type::upstream_failed, reason + ", content " + this->order.content().value());
     if (this->target) {
         this->avoided.insert(*this->target);
     }
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -363,7 +363,7 @@
 {
     this->log(event_type::path_failed,
         reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
-            + this->sends.describe_runs());
+            + this->sends.describe_runs() + ", content " + this->order.content().value());
     this->leave_call();
     if (!this->sends.may_send_again(this->has_started)) {
         this->give_up(reason);
