Tests: a request that ends its upstreams is sent on without end, failing

Callers saw hardly a stream served for minutes; after three upstreams had ended under one request, it was sent 16 and 18 times more. The stand-ins learn to end so and to start anew under another name.

--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -45,7 +45,8 @@
     /// Puts the configuration in force at the store; accounts are "one" with these keys.
     void write_configuration(std::uint64_t version, const std::vector<std::string>& keys);
     std::shared_ptr<site_answer> ask(const site_host_process& host, const std::string& id,
-        const std::string& path = "/chat/x", const std::string& key = "key-1");
+        const std::string& path = "/chat/x", const std::string& key = "key-1",
+        const std::string& body = "ask");
     /// Waits until every layer has a holder that the host knows, shown by a stream that it serves.
     void wait_until_served(const site_host_process& host);
     /// A page of a host's admin address.
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -29,6 +29,13 @@
     return path;
 }
 
+void note_fatal_arrival(engine_world& world, const http_request& request, time_point now)
+{
+    if (request.body == world.fatal_body) {
+        world.fatal_arrivals.push_back(now);
+    }
+}
+
 std::unique_ptr<http_server> make_server(event_loop& loop, http_server::request_handler handler)
 {
     return std::make_unique<http_server>(loop, http_server_limits{}, std::nullopt, std::move(handler));
@@ -67,6 +74,43 @@
     this->server.reset();
 }
 
+void path_engine::crash()
+{
+    if (!this->server) {
+        return; // it has ended already
+    }
+    this->kill();
+    this->loop.schedule_after(this->world.time_to_restart, [this] { this->restart(); });
+}
+
+void path_engine::restart()
+{
+    this->store.put("keyed.servers", this->id, "");
+    this->id = this->id.substr(0, this->id.find('-')) + "-" + std::to_string(++this->starts);
+    this->begin = 0;
+    this->end = 0;
+    this->orders_begun = 0;
+    this->token_seen = 0;
+    this->server = make_server(
+        this->loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); });
+    this->address = this->server->listen(endpoint("127.0.0.1:0")).value();
+    this->world.by_address[this->address] = this;
+    this->write_entry();
+}
+
+void path_engine::take_fatal(const http_request& request)
+{
+    if (request.body != this->world.fatal_body) {
+        return;
+    }
+    this->loop.schedule_after(this->world.time_to_crash, [this, start = this->starts] {
+        if (start == this->starts && this->server) {
+            this->world.crashes.push_back(this->loop.now());
+            this->crash();
+        }
+    });
+}
+
 void path_engine::leave()
 {
     this->is_leaving = true;
@@ -100,6 +144,7 @@
     } else if (route == "/api/order") {
         this->take_order(exchange);
     } else {
+        note_fatal_arrival(this->world, exchange->request(), this->loop.now());
         this->start_stream(exchange, header_of(exchange, "path"));
     }
 }
@@ -171,6 +216,7 @@
         return;
     }
     ++this->world.runs[request];
+    this->take_fatal(exchange->request());
     this->world.accounts_seen.insert(header_of(exchange, "x-tenant"));
     const std::string last = header_of(exchange, "last-event-id");
     running_stream& stream = this->running[request];
@@ -215,16 +261,35 @@
 
 platform_service::platform_service(
     event_loop& loop, platform_store& store, engine_world& world, const std::string& id)
-    : store(store)
+    : loop(loop)
+    , store(store)
     , world(world)
-    , id(id)
-    , server(make_server(
-          loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); }))
-    , address(this->server->listen(endpoint("127.0.0.1:0")))
 {
+    this->start(id);
+}
+
+void platform_service::start(const std::string& name)
+{
+    this->id = name;
+    this->server = make_server(
+        this->loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); });
+    this->address = this->server->listen(endpoint("127.0.0.1:0"));
     this->write_entry();
 }
 
+void platform_service::crash()
+{
+    if (!this->server) {
+        return; // it has ended already
+    }
+    this->world.crashes.push_back(this->loop.now());
+    this->server.reset();
+    this->loop.schedule_after(this->world.time_to_restart, [this] {
+        this->store.put("keyed.servers", this->id, "");
+        this->start(this->id + "-" + std::to_string(++this->starts));
+    });
+}
+
 void platform_service::write_entry()
 {
     const json entry = {
@@ -236,6 +301,11 @@
 {
     const std::string request = header_of(exchange, "x-attempt-id");
     ++this->world.runs[request];
+    note_fatal_arrival(this->world, exchange->request(), this->loop.now());
+    if (exchange->request().body == this->world.fatal_body) {
+        this->loop.schedule_after(this->world.time_to_crash, [this] { this->crash(); });
+        return;
+    }
     if (this->answers_to_lose > 0) {
         --this->answers_to_lose;
         exchange->start(200, {});
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -7,7 +7,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <vector>
 
 namespace sailtiller::standins {
 
@@ -26,6 +28,12 @@
     unsigned order_faults = 0; ///< tokens made by a path that did not run every layer once, in order
     unsigned orders = 0;
     std::uint64_t highest_token = 0;
+    /// A request with this body ends each engine or service that begins it; nothing if there is none.
+    std::optional<std::string> fatal_body;
+    duration time_to_crash = std::chrono::milliseconds(30);
+    duration time_to_restart = std::chrono::milliseconds(500);
+    std::vector<time_point> crashes; ///< that the fatal request brought about
+    std::vector<time_point> fatal_arrivals; ///< of the fatal request, refused ones included
 };
 
 /// One part of a path.
@@ -48,6 +56,8 @@
 
     /// The process ends without a word: connections reset, and nothing that depends on it goes on.
     void kill();
+    /// The process ends without a word and starts anew a moment later, empty, under another name.
+    void crash();
     /// It says that it leaves and goes on serving.
     void leave();
     [[nodiscard]] bool holds(unsigned begin, unsigned end) const;
@@ -73,12 +83,16 @@
     [[nodiscard]] const engine_part* find_fault(const std::vector<engine_part>& path) const;
     void make_event(const std::string& id);
     void write_entry();
+    void restart();
+    /// Ends with the request that ends every engine, if this is it.
+    void take_fatal(const http_request& request);
 
     event_loop& loop;
     platform_store& store;
     engine_world& world;
     std::string id;
     std::string hall;
+    unsigned starts = 1;
     std::unique_ptr<http_server> server;
     std::string address;
     unsigned begin = 0;
@@ -105,10 +119,16 @@
 
 private:
     void handle(const std::shared_ptr<http_exchange>& exchange);
+    /// Starts to serve, under this name.
+    void start(const std::string& name);
+    /// Ends without a word and starts anew a moment later under another name.
+    void crash();
 
+    event_loop& loop;
     platform_store& store;
     engine_world& world;
     std::string id;
+    unsigned starts = 1;
     std::unique_ptr<http_server> server;
     endpoint address;
     unsigned answers_to_lose = 0;
