Tests: a store that comes back from a copy leaves hosts with a mix of two histories, failing

Symptom under the paused clock: after the store came back from a copy some seconds old, hosts go on using upstreams that have left or miss new ones, for good. The store of the paused clock learns to come back from a copy.

--- /dev/null
+++ b/tests/auto/site/tst_storerestore.cpp
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: Apache-2.0
+// The platform's store comes back from a copy that is some seconds old: what was written since is gone, and
+// offsets are given out again.
+#include <support/sitefleet.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace sailtiller {
+
+namespace {
+
+using namespace std::chrono_literals;
+using tests::site_fleet;
+using tests::store_access;
+
+constexpr std::size_t host_count = 7;
+/// No upstream gets new work later than this after the store has taken that it leaves.
+constexpr duration leave_limit = 2s;
+/// Within this, upstreams write again what the store has lost.
+constexpr duration rewrite_time = 2s;
+/// The store drops the entry of an upstream that has been silent for so long: three heartbeats.
+constexpr duration silence_limit = 3600ms;
+
+void write(site_fleet& fleet, const std::string& name, const char* value)
+{
+    fleet.upstreams().put({name, value});
+}
+
+void expect_none_used(const site_fleet& fleet, const std::set<std::string>& names, const std::string& when)
+{
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        const std::set<std::string> used = fleet.usable_upstreams(number);
+        for (const std::string& name : names) {
+            EXPECT_EQ(used.count(name), 0U) << "host " << number << " uses " << name << ", " << when;
+        }
+    }
+}
+
+void expect_all_used(const site_fleet& fleet, const std::set<std::string>& names, const std::string& when)
+{
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        const std::set<std::string> used = fleet.usable_upstreams(number);
+        for (const std::string& name : names) {
+            EXPECT_EQ(used.count(name), 1U) << "host " << number << " lost " << name << ", " << when;
+        }
+    }
+}
+
+void expect_same_lists(const site_fleet& fleet, const std::string& when)
+{
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        EXPECT_EQ(fleet.usable_upstreams(number), fleet.usable_upstreams_in_store())
+            << "host " << number << ", " << when;
+    }
+}
+
+/// "left" and "gone" leave, "new" comes, all within the seconds that are lost. In the copy the two are ready
+/// and the third is not there. The store goes on being written to.
+void restore_after_changes(site_fleet& fleet, duration away_time, unsigned writes_after)
+{
+    for (const char* name : {"kept", "left", "gone"}) {
+        write(fleet, name, "ready");
+    }
+    fleet.pass(8s);
+    write(fleet, "left", "leaving");
+    fleet.upstreams().put({"gone", std::nullopt});
+    write(fleet, "new", "ready");
+    fleet.pass(leave_limit);
+    expect_none_used(fleet, {"left", "gone"}, "before the store was lost");
+    if (away_time > 0s) {
+        fleet.set_access_of_all(store_access::refuses);
+        fleet.pass(away_time);
+    }
+    fleet.upstreams().restore(away_time + 4s);
+    for (unsigned number = 0; number < writes_after; ++number) {
+        write(fleet, "other-" + std::to_string(number), "ready");
+    }
+    fleet.set_access_of_all(store_access::answers);
+}
+
+void expect_sound_after_restore(duration away_time, unsigned writes_after)
+{
+    const std::string when =
+        std::to_string(away_time / 1ms) + " ms away, " + std::to_string(writes_after) + " writes after";
+    site_fleet fleet(host_count);
+    restore_after_changes(fleet, away_time, writes_after);
+    for (duration passed = 0s; passed < rewrite_time; passed += 50ms) {
+        expect_none_used(fleet, {"left", "gone"}, when + ", before what was lost is written again");
+        expect_all_used(fleet, {"kept", "new"}, when + ", before what was lost is written again");
+        if (testing::Test::HasFailure()) {
+            return;
+        }
+        fleet.pass(50ms);
+    }
+    write(fleet, "left", "leaving");
+    write(fleet, "new", "ready");
+    fleet.pass(silence_limit - rewrite_time);
+    expect_none_used(fleet, {"left", "gone"}, when + ", until the store drops the old entry");
+    fleet.upstreams().put({"gone", std::nullopt});
+    fleet.pass(leave_limit);
+    expect_same_lists(fleet, when + ", at the end");
+    write(fleet, "kept", "leaving");
+    fleet.pass(leave_limit);
+    expect_same_lists(fleet, when + ", after one more has left");
+}
+
+// The dangerous case is the silent one: by the time a host reads again, the new history has grown past its
+// old offset, the read succeeds, and what it believes is a mix of two histories.
+TEST(store_restore_test, hosts_know_the_new_history_and_forget_no_leaving_of_the_old_one)
+{
+    for (const duration away_time : {0s, 1s, 4s}) {
+        for (const unsigned writes_after : {0U, 1U, 3U, 8U, 40U}) {
+            expect_sound_after_restore(away_time, writes_after);
+            if (HasFailure()) {
+                return;
+            }
+        }
+    }
+}
+
+TEST(store_restore_test, a_restore_within_a_restore_leaves_no_mix)
+{
+    for (duration between = 0s; between < 2s; between += 250ms) {
+        site_fleet fleet(host_count);
+        restore_after_changes(fleet, 0s, 8);
+        fleet.pass(between);
+        fleet.upstreams().restore(between + 1s);
+        write(fleet, "new", "ready");
+        write(fleet, "late", "ready");
+        write(fleet, "left", "leaving");
+        fleet.upstreams().put({"gone", std::nullopt});
+        fleet.pass(5s);
+        expect_same_lists(fleet, std::to_string(between / 1ms) + " ms between");
+    }
+}
+
+TEST(store_restore_test, the_bundle_in_force_never_falls_and_the_next_one_is_in_force_in_time)
+{
+    for (const unsigned lost : {1U, 3U}) {
+        site_fleet fleet(host_count);
+        fleet.pass(8s);
+        for (std::uint64_t version = 2; version < 2 + lost; ++version) {
+            fleet.measure_delay(version);
+        }
+        fleet.bundles().restore(5s);
+        fleet.pass(1s);
+        fleet.bundles().put({"config", std::to_string(1 + lost)}); // the operator writes it again
+        fleet.pass(1s);
+        EXPECT_LE(fleet.measure_delay(2 + lost), duration(2s)) << lost << " versions were lost";
+    }
+}
+
+/// Upstreams that come, leave and end, each under a name that is never used again, and write their entries
+/// again when the store has lost them.
+class upstream_starts
+{
+public:
+    explicit upstream_starts(site_fleet& fleet)
+        : fleet(fleet)
+    {
+        for (int number = 0; number < 4; ++number) {
+            this->begin();
+        }
+    }
+
+    void begin() { this->set("u" + std::to_string(++this->started), "ready"); }
+
+    void leave(std::size_t number)
+    {
+        if (const auto item = this->find(number); item != this->entries.end()) {
+            this->set(item->first, "leaving");
+        }
+    }
+
+    void end(std::size_t number)
+    {
+        if (const auto item = this->find(number); item != this->entries.end()) {
+            this->fleet.upstreams().put({item->first, std::nullopt});
+            this->entries.erase(item);
+        }
+    }
+
+    void write_again()
+    {
+        for (const auto& [name, value] : this->entries) {
+            write(this->fleet, name, value);
+        }
+    }
+
+    /// The store drops the entries of those that don't write them any more.
+    void drop_silent()
+    {
+        const std::map<std::string, std::string> stored = this->fleet.upstreams().newest();
+        for (const auto& [name, value] : stored) {
+            if (this->entries.count(name) == 0) {
+                this->fleet.upstreams().put({name, std::nullopt});
+            }
+        }
+    }
+
+private:
+    std::map<std::string, const char*>::iterator find(std::size_t number)
+    {
+        const std::size_t count = this->entries.size();
+        return count == 0 ? this->entries.end()
+                          : std::next(this->entries.begin(), static_cast<std::ptrdiff_t>(number % count));
+    }
+
+    void set(const std::string& name, const char* value)
+    {
+        this->entries[name] = value;
+        write(this->fleet, name, value);
+    }
+
+    site_fleet& fleet;
+    std::map<std::string, const char*> entries;
+    int started = 0;
+};
+
+/// Changes, restores, times away, restarts and cuts in an order drawn from the seed; then quiet.
+void run_series(unsigned seed)
+{
+    std::mt19937 draw(seed);
+    site_fleet fleet(5);
+    upstream_starts starts(fleet);
+    fleet.pass(3s);
+    for (int step = 0; step < 14; ++step) {
+        switch (draw() % 7) {
+        case 0:
+            starts.leave(draw());
+            break;
+        case 1:
+            starts.end(draw());
+            break;
+        case 2:
+            starts.begin();
+            break;
+        case 3:
+            fleet.set_access({draw() % fleet.size()}, store_access::refuses);
+            break;
+        case 4:
+            fleet.set_access_of_all(store_access::answers);
+            break;
+        case 5:
+            fleet.restart(draw() % fleet.size());
+            break;
+        default:
+            fleet.upstreams().restore(std::chrono::milliseconds(draw() % 5000));
+            fleet.pass(std::chrono::milliseconds(draw() % 1500));
+            starts.write_again();
+            break;
+        }
+        fleet.pass(std::chrono::milliseconds(draw() % 1500));
+    }
+    fleet.set_access_of_all(store_access::answers);
+    starts.write_again();
+    fleet.pass(silence_limit);
+    starts.drop_silent();
+    fleet.pass(6s);
+    expect_same_lists(fleet, "seed " + std::to_string(seed));
+}
+
+TEST(store_restore_test, after_any_series_of_faults_all_hosts_know_what_the_store_knows)
+{
+    constexpr unsigned seeds = 200; // thousands by hand, for a change of what hosts tell each other
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        run_series(seed);
+        if (HasFailure()) {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+} // namespace sailtiller
--- a/tests/support/pausedstore.cpp
+++ b/tests/support/pausedstore.cpp
@@ -1,20 +1,46 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "pausedstore.h"
 
+#include <algorithm>
+
 namespace sailtiller::tests {
 
 void paused_store::put(const keyed_record& record)
 {
     this->records.push_back(record);
+    this->written.push_back(this->now);
+    this->apply(record);
+    const std::vector<std::shared_ptr<read>> told = std::move(this->waiting);
+    this->waiting.clear();
+    for (const auto& item : told) {
+        answer(item);
+    }
+}
+
+void paused_store::apply(const keyed_record& record)
+{
     if (record.value) {
         this->values[record.key] = *record.value;
     } else {
         this->values.erase(record.key);
     }
-    const std::vector<std::shared_ptr<read>> told = std::move(this->waiting);
+}
+
+void paused_store::restore(duration age)
+{
+    while (!this->written.empty() && this->written.back() > this->now - age) {
+        this->records.pop_back();
+        this->written.pop_back();
+    }
+    this->first = std::min(this->first, this->records.size());
+    this->values.clear();
+    for (const keyed_record& record : this->records) {
+        this->apply(record);
+    }
+    const std::vector<std::shared_ptr<read>> cut = std::move(this->waiting);
     this->waiting.clear();
-    for (const auto& item : told) {
-        answer(item);
+    for (const auto& item : cut) {
+        fail(item);
     }
 }
 
@@ -56,7 +82,7 @@
     if (!item) {
         return;
     }
-    if (from.value() < this->end()) {
+    if (from.value() != this->end()) {
         this->after(round_trip, [item] { answer(item); });
         return;
     }
@@ -66,7 +92,7 @@
 record_page paused_store::make_page(log_offset from) const
 {
     record_page page;
-    page.is_forgotten = from.value() < this->first;
+    page.is_forgotten = from.value() < this->first || from.value() > this->end();
     if (page.is_forgotten) {
         return page;
     }
--- a/tests/support/pausedstore.h
+++ b/tests/support/pausedstore.h
@@ -38,6 +38,9 @@
 
     /// Writes a record; one without a value drops its key.
     void put(const keyed_record& record);
+    /// Comes back from a copy that is so old: later records are gone, and their offsets are given out again.
+    /// Reads that wait are cut off.
+    void restore(duration age);
     /// Forgets all records but the newest of each key.
     void compact() { this->first = this->records.size(); }
 
@@ -59,6 +62,7 @@
         bool is_done = false;
     };
 
+    void apply(const keyed_record& record);
     [[nodiscard]] std::size_t end() const { return this->records.size(); }
     /// Begins a read that the store may keep waiting; whether it is told of the next record is up to the
     /// caller. Nothing if the host is refused.
@@ -72,6 +76,7 @@
     timer_queue& timers;
     const time_point& now;
     std::vector<keyed_record> records;
+    std::vector<time_point> written; ///< of each record
     std::map<std::string, std::string> values;
     std::vector<std::shared_ptr<read>> waiting;
     std::size_t first = 0; ///< offset of the first record that is kept
