Store, Site, Platform: offsets and generations hold the store's era, and past upstreams are remembered over a restore

Symptom: after the store came back from a copy, hosts used upstreams that had left or missed new ones, for good. Cause: an offset was a bare number; in the new history it names another record. Starts that had ended or were leaving are remembered for 60 s over the change, as the copy may name them ready; what its list lacks counts as lapsed. Hosts write their records again, spread over 5 s.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -7,6 +7,7 @@
 #include <placement/layerplan.h>
 #include <placement/missinglayers.h>
 #include <runtime/eventlog.h>
+#include <store/historyoffset.h>
 
 #include <algorithm>
 
@@ -191,7 +192,7 @@
             {"bundle", bundle ? json(bundle->version.value()) : json()},
             {"bundle_age_ms", write_age(this->view.knowledge.bundle_age())},
             {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())},
-            {"upstreams_offset", upstreams_end ? json(upstreams_end->value()) : json()},
+            {"upstreams_offset", upstreams_end ? json(number_of(*upstreams_end)) : json()},
             {"live_hosts", hosts}, {"reads_store", this->view.reads_store()},
             {"gives_orders", token.has_value()}, {"order_token", token ? json(token->value()) : json()},
             {"upstreams", this->list_upstreams()}});
@@ -241,9 +242,13 @@
 {
     // Their age alone doesn't show that two hosts believe in different upstreams.
     const std::optional<log_offset>& end = this->view.knowledge.upstreams_end();
+    write_gauge(out, "sailtiller_store_era",
+        "How often the store has come back from a copy; -1: never heard.",
+        end ? static_cast<double>(era_of(*end).value()) : -1);
     write_gauge(out, "sailtiller_upstreams_offset",
-        "Up to where the entries' topic is known; hosts of the same offset should know the same; -1: never.",
-        end ? static_cast<double>(end->value()) : -1);
+        "Up to where the entries' topic is known; hosts of the same era and offset should know the same; -1: "
+        "never.",
+        end ? static_cast<double>(number_of(*end)) : -1);
     std::map<service_id, unsigned> counts;
     for (const auto& [id, entry] : this->view.knowledge.upstreams().entries()) {
         ++counts[entry.upstream.service];
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -26,6 +26,9 @@
 /// All hosts together retry a failed read so often, besides the readers: while the store is away, each of
 /// them would ask for both topics once a second. The readers tell of its return within half a second.
 constexpr duration fleet_retry_interval = milliseconds(100);
+/// After the store came back from a copy, hosts write their records again, spread over this time: 400 of them
+/// in one moment are what the store takes in a second.
+constexpr milliseconds record_renewal_time(5000);
 /// No host waits longer, as it may be one of the readers by then.
 constexpr duration longest_fleet_retry = std::chrono::seconds(3);
 
@@ -248,6 +251,21 @@
     this->loads.set_others(shares);
     this->loads.set_unheard_hosts(hosts.unheard_count(now));
     this->suspects.tidy(this->is_reader());
+    this->look_at_history();
+}
+
+void site_host::look_at_history()
+{
+    const std::optional<log_offset>& end = this->knowledge.upstreams_end();
+    if (!end) {
+        return;
+    }
+    const store_era era = era_of(*end);
+    if (this->seen_era && era > *this->seen_era) {
+        const auto turn = std::chrono::milliseconds(this->random() % record_renewal_time.count());
+        this->peers.renew_record(turn);
+    }
+    this->seen_era = era;
 }
 
 bool site_host::is_reader() const
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -18,6 +18,7 @@
 #include <site/bundleexchange.h>
 #include <site/siteknowledge.h>
 #include <site/storereading.h>
+#include <store/historyoffset.h>
 #include <store/keyedfollower.h>
 #include <store/storeclient.h>
 
@@ -57,6 +58,8 @@
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] std::map<service_id, double> list_retries_left();
     site_admin_view make_admin_view();
+    /// Writes again what this host keeps in the store, once that has come back from a copy.
+    void look_at_history();
     void run_turn();
     void take_signal(int number);
     /// Reads the settings again and takes over what may change while the process runs.
@@ -71,6 +74,7 @@
     site_knowledge knowledge;
     part_loads loads;
     store_reading reading;
+    std::optional<store_era> seen_era; ///< of the store's history, as of the last look
     site_suspects suspects;
     bundle_exchange bundles;
     site_peers peers;
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -81,6 +81,11 @@
         });
 }
 
+void site_peers::renew_record(duration turn)
+{
+    this->loop.schedule_after(turn, [this] { this->write_own_record(); });
+}
+
 void site_peers::read_records()
 {
     this->store.read_newest(
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -33,6 +33,8 @@
 
     /// Throws `error` if the address can't be listened on. Returns it with the port that was bound.
     endpoint start(const endpoint& address);
+    /// Writes this host's record again, in its turn of the next seconds: the store has lost some.
+    void renew_record(duration turn);
     /// Tells the peers at once that this host takes no more duties.
     void announce_leaving();
     /// Asks a peer for its bundle; gives packed text, or nothing.
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -74,6 +74,8 @@
         return "peers_welcome";
     case event_type::store_call_failed:
         return "store_call_failed";
+    case event_type::store_history_changed:
+        return "store_history_changed";
     case event_type::answered:
         return "answered";
     case event_type::broken_off:
--- a/src/libs/base/eventtype.h
+++ b/src/libs/base/eventtype.h
@@ -48,6 +48,7 @@
     peer_unreachable,
     peers_welcome,
     store_call_failed,
+    store_history_changed,
     // requests
     answered,
     broken_off,
@@ -85,12 +86,13 @@
     event_type::engine_report_unusable, event_type::order, event_type::host_list_changed,
     event_type::host_list_unreachable, event_type::host_record_unusable, event_type::peer_answer_malformed,
     event_type::peer_question_malformed, event_type::peer_unreachable, event_type::peers_welcome,
-    event_type::store_call_failed, event_type::answered, event_type::broken_off, event_type::caller_gone,
-    event_type::caller_left, event_type::finished, event_type::finished_late, event_type::held_at_entry,
-    event_type::path_change_refused, event_type::path_changed, event_type::path_failed, event_type::refused,
-    event_type::refused_at_entry, event_type::refused_by_upstream, event_type::request_cleared,
-    event_type::request_failed, event_type::request_refused, event_type::request_suspected, event_type::sent,
-    event_type::time_limit, event_type::trial_given, event_type::trial_withheld, event_type::upstream_failed};
+    event_type::store_call_failed, event_type::store_history_changed, event_type::answered,
+    event_type::broken_off, event_type::caller_gone, event_type::caller_left, event_type::finished,
+    event_type::finished_late, event_type::held_at_entry, event_type::path_change_refused,
+    event_type::path_changed, event_type::path_failed, event_type::refused, event_type::refused_at_entry,
+    event_type::refused_by_upstream, event_type::request_cleared, event_type::request_failed,
+    event_type::request_refused, event_type::request_suspected, event_type::sent, event_type::time_limit,
+    event_type::trial_given, event_type::trial_withheld, event_type::upstream_failed};
 static_assert(all_event_types.size() == static_cast<std::size_t>(event_type::upstream_failed) + 1,
     "each event type stands in the list, and the last one is the last of the enumeration");
 
--- /dev/null
+++ b/src/libs/site/pastupstreams.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/clock.h>
+#include <base/ids.h>
+
+#include <map>
+#include <set>
+
+namespace sailtiller {
+
+/// Starts of upstreams that are known to have ended or to leave, though the store may name them as ready:
+/// when it comes back from a copy, it has their entries from before, and nobody writes those of ended ones
+/// again. Without this memory, hosts sent new work to upstreams that had left 4 s before (a model of seven
+/// hosts).
+class past_upstreams
+{
+public:
+    /// A copy is some seconds old, and the store drops an entry that nobody writes after three heartbeats.
+    static constexpr duration memory = std::chrono::seconds(60);
+
+    /// The upstream's entry is gone from the store.
+    void note_ended(const upstream_id& id, time_point now) { this->ended[id] = now; }
+    /// It was leaving when the store's new history began.
+    void note_leaving(const upstream_id& id) { this->leaving.insert(id); }
+    /// It has written its entry, so what that says holds.
+    void note_written(const upstream_id& id);
+    /// The store has come back from a copy.
+    void begin_history(time_point now);
+    /// Forgets what can't come back any more.
+    void forget_old(time_point now);
+
+    [[nodiscard]] bool has_ended(const upstream_id& id) const;
+    [[nodiscard]] bool was_leaving(const upstream_id& id) const { return this->leaving.count(id) != 0; }
+
+private:
+    std::map<upstream_id, time_point> ended; ///< and when that was known
+    std::set<upstream_id> leaving;
+    time_point history_begun{}; ///< the clock's zero if the store never came back from a copy
+};
+
+} // namespace sailtiller
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
 #include <site/siteknowledge.h>
+#include <store/historyoffset.h>
 
 #include <algorithm>
 
@@ -29,6 +30,11 @@
     return giver + ", known before as of " + std::to_string(whole.count()) + " ms ago";
 }
 
+std::string describe_offset(log_offset offset)
+{
+    return "era " + std::to_string(era_of(offset).value()) + " offset " + std::to_string(number_of(offset));
+}
+
 } // namespace
 
 site_knowledge::site_knowledge(site_knowledge_settings settings, site_knowledge_hooks hooks)
@@ -124,16 +130,22 @@
         this->drop_upstream(record.key);
         return;
     }
-    const directory_entry* before = this->directory.find(upstream->id);
+    this->past.note_written(upstream->id);
+    this->put_read_upstream(record.key, *upstream);
+}
+
+void site_knowledge::put_read_upstream(const std::string& name, const discovered_upstream& upstream)
+{
+    const directory_entry* before = this->directory.find(upstream.id);
     const bool was_lapsed = before != nullptr && before->is_lapsed;
-    const bool is_changed = this->directory.put(*upstream, this->hooks.now());
+    const bool is_changed = this->directory.put(upstream, this->hooks.now());
     if (was_lapsed) {
-        this->hooks.on_event(event_type::upstream_back, record.key, "its entry was written anew");
+        this->hooks.on_event(event_type::upstream_back, name, "its entry was written anew");
     }
     if (is_changed) {
-        this->hooks.on_event(event_type::upstream_changed, record.key,
-            upstream->address.value() + (upstream->is_leaving ? " leaving " : " ")
-                + std::to_string(upstream->held.begin) + "-" + std::to_string(upstream->held.end));
+        this->hooks.on_event(event_type::upstream_changed, name,
+            upstream.address.value() + (upstream.is_leaving ? " leaving " : " ")
+                + std::to_string(upstream.held.begin) + "-" + std::to_string(upstream.held.end));
     }
 }
 
@@ -156,8 +168,12 @@
     if (known == nullptr) {
         return;
     }
-    take(upstream_id(known->upstream.id)); // a copy: the entry may end with it
+    const upstream_id id = known->upstream.id; // a copy: the entry may end with it
+    take(id);
     const bool is_kept = this->directory.find_named(name) != nullptr;
+    if (!is_kept) {
+        this->past.note_ended(id, this->hooks.now());
+    }
     this->hooks.on_event(is_kept ? event_type::upstream_lapsed : event_type::upstream_gone, name,
         is_kept ? "kept for a while, as the store was away" : reason);
 }
@@ -194,16 +210,17 @@
     if (this->mirror.end() && end < *this->mirror.end()) {
         return;
     }
+    if (this->mirror.end() && era_of(end) > era_of(*this->mirror.end())) {
+        this->begin_history(end);
+    }
     this->mirror.replace(records, end);
     std::vector<discovered_upstream> upstreams;
     for (const keyed_record& record : records) {
         if (!record.value) {
             continue;
         }
-        if (const std::optional<discovered_upstream> upstream = this->read_upstream(record)) {
+        if (const std::optional<discovered_upstream> upstream = this->read_listed(record)) {
             upstreams.push_back(*upstream);
-        } else {
-            this->drop_upstream(record.key);
         }
     }
     if (this->directory.replace(upstreams, this->hooks.now())) {
@@ -211,6 +228,36 @@
     }
 }
 
+std::optional<discovered_upstream> site_knowledge::read_listed(const keyed_record& record)
+{
+    std::optional<discovered_upstream> upstream = this->read_upstream(record);
+    if (!upstream) {
+        this->drop_upstream(record.key);
+        return std::nullopt;
+    }
+    if (this->past.has_ended(upstream->id)) {
+        return std::nullopt;
+    }
+    upstream->is_leaving = upstream->is_leaving || this->past.was_leaving(upstream->id);
+    return upstream;
+}
+
+void site_knowledge::begin_history(log_offset end)
+{
+    const time_point now = this->hooks.now();
+    this->own_disturbed = now;
+    this->has_store_failed = true;
+    this->directory.set_store_disturbed(now);
+    this->past.begin_history(now);
+    for (const auto& [id, entry] : this->directory.entries()) {
+        if (entry.upstream.is_leaving) {
+            this->past.note_leaving(id);
+        }
+    }
+    this->hooks.on_event(event_type::store_history_changed, "store",
+        "from " + describe_offset(*this->mirror.end()) + " to " + describe_offset(end));
+}
+
 void site_knowledge::confirm_upstreams(time_point asked)
 {
     this->note_entries_answered();
@@ -280,8 +327,11 @@
                              const auto& item) { return now - item.second >= this->settings.lapse_grace; };
     for (const auto& item : this->departed_entries) {
         const std::optional<std::string> value = this->mirror.find(item.first);
-        if (is_over(item) && value) {
-            this->put_upstream({item.first, value});
+        if (!is_over(item) || !value) {
+            continue;
+        }
+        if (const auto upstream = this->read_listed({item.first, value})) {
+            this->put_read_upstream(item.first, *upstream);
         }
     }
     std::erase_if(this->departed_entries, is_over);
@@ -289,6 +339,7 @@
 
 void site_knowledge::tidy()
 {
+    this->past.forget_old(this->hooks.now());
     this->end_told_holdings();
     for (const upstream_id& id : this->directory.drop_lapsed(this->hooks.now())) {
         this->hooks.on_event(event_type::upstream_gone, upstream_name(id),
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -6,6 +6,7 @@
 #include <directory/upstreamdirectory.h>
 #include <fleet/hosttable.h>
 #include <routing/partloads.h>
+#include <site/pastupstreams.h>
 #include <store/recordmirror.h>
 
 #include <memory>
@@ -121,6 +122,7 @@
     /// The same value comes with each list, and is told once.
     void log_unusable(const keyed_record& record, const std::string& reason);
     void put_upstream(const keyed_record& record);
+    void put_read_upstream(const std::string& name, const discovered_upstream& upstream);
     void remove_upstream(const std::string& name);
     /// What a record names can't be used, so its upstream is not either: the newest value of a key is what
     /// its writer says now, and an older one may name an upstream that has left since.
@@ -129,6 +131,10 @@
     void take_out(const std::string& name, const std::string& reason,
         const std::function<void(const upstream_id&)>& take);
     void take_list(const std::vector<keyed_record>& records, log_offset end);
+    /// The store has come back from a copy: what its list lacks may live, and what it names may have left.
+    void begin_history(log_offset end);
+    /// The upstream of a record of a list, as it is known to be by now; nothing if it has ended.
+    [[nodiscard]] std::optional<discovered_upstream> read_listed(const keyed_record& record);
     void take_changes(const std::vector<keyed_record>& records, log_offset end);
     void take_entries(const peer_report& answer, time_point asked);
     /// Fills in what the asker lacks of the entries; if that is the whole list and it asked others for that,
@@ -142,6 +148,7 @@
     std::optional<time_point> bundle_confirmed;
     upstream_directory directory;
     record_mirror mirror;
+    past_upstreams past;
     /// An engine's own word.
     struct told_holding
     {
--- a/src/libs/store/storeclient.cpp
+++ b/src/libs/store/storeclient.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <store/historyoffset.h>
 #include <store/storeclient.h>
 
 namespace sailtiller {
@@ -46,6 +47,11 @@
         this->settings.answer_limit,
         [this, topic, gathered, is_first, on_all, on_failure](const http_response& answer) {
             newest_page page = this->codec.decode_newest(answer);
+            if (!is_first && era_of(page.end) != era_of(gathered->end)) {
+                on_failure(error({"read newest records", this->settings.address.value()},
+                    "the store began a new history between two pages"));
+                return;
+            }
             gathered->records.insert(gathered->records.end(), page.records.begin(), page.records.end());
             // Pages are no snapshot: what changed since the first page follows from the first page's end.
             gathered->end = is_first ? page.end : gathered->end;
--- a/tests/auto/site/tst_storerestore.cpp
+++ b/tests/auto/site/tst_storerestore.cpp
@@ -1,6 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 // The platform's store comes back from a copy that is some seconds old: what was written since is gone, and
 // offsets are given out again.
+//
+// What hosts did before they told one history from the next: they read on at their old offset, and once the
+// new history had grown past it, the read succeeded; they missed the new records before it for good, and went
+// on using upstreams that had left. Those that read the list anew took the copy's word that such upstreams
+// are ready. Cause: an offset was a bare number, compared and kept as if there were one history, and nothing
+// remembered what had been known of the records that the copy lacks. Evidence: all three tests of upstreams
+// failed, the series of faults at its seed 21, and pass with offsets that hold the era.
 #include <support/sitefleet.h>
 
 #include <gtest/gtest.h>
--- a/tests/support/pausedstore.cpp
+++ b/tests/support/pausedstore.cpp
@@ -33,6 +33,7 @@
         this->written.pop_back();
     }
     this->first = std::min(this->first, this->records.size());
+    this->era = store_era(this->era.value() + 1);
     this->values.clear();
     for (const keyed_record& record : this->records) {
         this->apply(record);
@@ -68,7 +69,7 @@
         for (const auto& [key, value] : this->values) {
             page.records.push_back({key, value});
         }
-        page.end = log_offset(this->end());
+        page.end = this->offset_of_end();
         on_all(page);
     };
     this->begin(access, duration::zero(), give, std::move(on_failure));
@@ -82,7 +83,7 @@
     if (!item) {
         return;
     }
-    if (from.value() != this->end()) {
+    if (from != this->offset_of_end()) {
         this->after(round_trip, [item] { answer(item); });
         return;
     }
@@ -92,13 +93,13 @@
 record_page paused_store::make_page(log_offset from) const
 {
     record_page page;
-    page.is_forgotten = from.value() < this->first || from.value() > this->end();
+    const std::uint64_t number = number_of(from);
+    page.is_forgotten = era_of(from) != this->era || number < this->first || number > this->end();
     if (page.is_forgotten) {
         return page;
     }
-    page.records.assign(
-        this->records.begin() + static_cast<std::ptrdiff_t>(from.value()), this->records.end());
-    page.next = log_offset(this->end());
+    page.records.assign(this->records.begin() + static_cast<std::ptrdiff_t>(number), this->records.end());
+    page.next = this->offset_of_end();
     page.end = page.next;
     return page;
 }
--- a/tests/support/pausedstore.h
+++ b/tests/support/pausedstore.h
@@ -3,6 +3,7 @@
 
 #include <base/error.h>
 #include <base/timerqueue.h>
+#include <store/historyoffset.h>
 #include <store/storetypes.h>
 
 #include <map>
@@ -63,6 +64,7 @@
     };
 
     void apply(const keyed_record& record);
+    [[nodiscard]] log_offset offset_of_end() const { return make_offset(this->era, this->end()); }
     [[nodiscard]] std::size_t end() const { return this->records.size(); }
     /// Begins a read that the store may keep waiting; whether it is told of the next record is up to the
     /// caller. Nothing if the host is refused.
@@ -79,6 +81,7 @@
     std::vector<time_point> written; ///< of each record
     std::map<std::string, std::string> values;
     std::vector<std::shared_ptr<read>> waiting;
+    store_era era{1};
     std::size_t first = 0; ///< offset of the first record that is kept
     std::size_t calls = 0;
 };
