--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -247,6 +247,51 @@
     EXPECT_TRUE(all_know({other}));
 }
 
+// The story of tst_storerestore, with real processes: the copy is from before one service left, another came
+// and the orders were given out under a newer generation.
+TEST_F(site, hosts_serve_on_after_the_store_came_back_from_a_copy)
+{
+    this->start_engines(3);
+    this->start_host("a");
+    this->start_host("b");
+    const std::string leaving = this->services.front()->name();
+    this->wait_until_served(*this->hosts.front());
+    const auto copy = this->store.take_copy();
+    this->start_host("c");
+    for (const auto& host : this->hosts) {
+        this->wait_until_served(*host);
+    }
+    this->write_configuration(7, {"key-1", "key-3"});
+    this->store.put("keyed.servers", leaving, "");
+    const auto uses_leaving = [this, &leaving](const auto& host) {
+        return this->known_upstreams(*host).count(leaving) != 0;
+    };
+    run_until(this->loop, [&] { return std::none_of(this->hosts.begin(), this->hosts.end(), uses_leaving); });
+    this->store.restore(*copy);
+    const time_point restored = this->loop.now();
+    while (this->loop.now() < restored + 3s) {
+        EXPECT_TRUE(std::none_of(this->hosts.begin(), this->hosts.end(), uses_leaving));
+        this->pass(200ms);
+    }
+    for (const auto& host : this->hosts) {
+        const auto withdrawn = this->ask(*host, "w" + host->name, "/submit/x", "key-2");
+        this->wait_for(withdrawn);
+        EXPECT_EQ(withdrawn->status, 401)
+            << "the copy's older configuration is not in force on " << host->name;
+        EXPECT_NE(this->fetch(*host, "/metrics").find("\nsailtiller_store_era 2"), std::string::npos);
+        EXPECT_TRUE(has_logged(*host, "store_history_changed"));
+    }
+    // Orders go on under tokens that engines take.
+    const unsigned orders = this->world.orders;
+    const std::uint64_t token = this->world.highest_token;
+    this->engines[0]->crash();
+    run_until(this->loop, [&] { return this->world.orders > orders && this->engines[0]->held_layers() > 0; });
+    EXPECT_GT(this->world.highest_token, token);
+    this->wait_until_served(*this->hosts.front());
+    // The record of the third host was lost with the rest.
+    run_until(this->loop, [this] { return this->store.newest("keyed.sailtiller-hosts").size() == 3; });
+}
+
 TEST_F(site, a_host_without_any_way_to_the_store_stops_using_keys_in_time)
 {
     site_host_process& host = this->start_host("a", {"--revoke-limit-ms", "1500"});
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -1,5 +1,4 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <base/json.h>
 #include <bundle/digest.h>
 #include <standins/platformstore.h>
 
@@ -28,11 +27,6 @@
     return number;
 }
 
-void respond_json(const std::shared_ptr<http_exchange>& exchange, const json& body)
-{
-    exchange->respond({200, {{"content-type", "application/json"}}, body.dump()});
-}
-
 } // namespace
 
 void platform_store::put(const std::string& topic, const std::string& key, const std::string& value)
@@ -56,6 +50,42 @@
     this->waiting = std::move(still);
 }
 
+struct platform_store::copy
+{
+    std::map<std::string, topic_state> topics;
+    std::uint64_t generation = 0;
+};
+
+std::shared_ptr<const platform_store::copy> platform_store::take_copy() const
+{
+    return std::make_shared<const copy>(copy{this->topics, this->generation});
+}
+
+void platform_store::restore(const copy& from)
+{
+    ++this->era;
+    this->topics = from.topics;
+    this->generation = from.generation;
+    this->members.clear();
+    const std::vector<waiting_read> cut = std::move(this->waiting);
+    this->waiting.clear();
+    for (const waiting_read& item : cut) {
+        this->loop.cancel(item.timer);
+        this->respond(item.exchange, {503, {}, "busy"});
+    }
+}
+
+void platform_store::respond(const std::shared_ptr<http_exchange>& exchange, http_response answer) const
+{
+    answer.headers.push_back({"store-era", std::to_string(this->era)});
+    exchange->respond(answer);
+}
+
+void platform_store::respond_json(const std::shared_ptr<http_exchange>& exchange, const json& body) const
+{
+    this->respond(exchange, {200, {{"content-type", "application/json"}}, body.dump()});
+}
+
 void platform_store::compact(const std::string& topic)
 {
     topic_state& state = this->topics[topic];
@@ -68,7 +98,7 @@
     ++this->call_count;
     const std::string route(exchange->request().route());
     if (!is_open) {
-        exchange->respond({503, {}, "busy"});
+        this->respond(exchange, {503, {}, "busy"});
     } else if (route == "/api/log-read") {
         this->read(exchange);
     } else if (route == "/api/log-newest") {
@@ -80,7 +110,7 @@
     } else if (route == "/api/log-leave") {
         this->leave(exchange);
     } else {
-        exchange->respond({404, {}, ""});
+        this->respond(exchange, {404, {}, ""});
     }
 }
 
@@ -89,8 +119,8 @@
 {
     const topic_state& state = this->topics[topic];
     const std::uint64_t end = state.first + state.records.size();
-    if (from < state.first) {
-        exchange->respond({410, {}, json({{"first", state.first}}).dump()});
+    if (from < state.first || from > end) {
+        this->respond(exchange, {410, {}, json({{"first", state.first}}).dump()});
         return;
     }
     std::string body = big_endian(end, 8) + big_endian(state.first, 8);
@@ -99,7 +129,7 @@
         const std::string content = big_endian(item.key.size(), 1) + item.key + item.value;
         body += big_endian(content.size(), 4) + content;
     }
-    exchange->respond({200, {}, body});
+    this->respond(exchange, {200, {}, body});
 }
 
 void platform_store::read(const std::shared_ptr<http_exchange>& exchange)
@@ -109,7 +139,7 @@
     const std::uint64_t from = std::stoull(*request.query_value("from"));
     const topic_state& state = this->topics[topic];
     const std::uint64_t wait = std::stoull(request.query_value("wait-ms").value_or("0"));
-    if (wait == 0 || from < state.first + state.records.size()) {
+    if (wait == 0 || from != state.first + state.records.size()) {
         this->answer_read(exchange, topic, from);
         return;
     }
@@ -136,7 +166,7 @@
         }
         items.push_back({{"tls-key", item->first}, {"value", to_base64(item->second)}, {"offset", 0}});
     }
-    respond_json(
+    this->respond_json(
         exchange, {{"items", items}, {"more", has_more}, {"end", state.first + state.records.size()}});
 }
 
@@ -145,13 +175,13 @@
     const http_request& request = exchange->request();
     const std::string topic = *request.query_value("topic");
     if (topic == "keyed.servers" || topic == "keyed.op") {
-        exchange->respond({403, {}, ""});
+        this->respond(exchange, {403, {}, ""});
         return;
     }
     const topic_state& state = this->topics[topic];
     const std::uint64_t end = state.first + state.records.size();
     if (const auto at = request.query_value("at"); at && std::stoull(*at) != end) {
-        exchange->respond({412, {}, json({{"end", end}}).dump()});
+        this->respond(exchange, {412, {}, json({{"end", end}}).dump()});
         return;
     }
     const std::string_view body = request.body;
@@ -159,7 +189,7 @@
     const std::string_view content = body.substr(4, size);
     const std::size_t key_size = from_big_endian(content.substr(0, 1));
     this->put(topic, std::string(content.substr(1, key_size)), std::string(content.substr(1 + key_size)));
-    respond_json(exchange, {{"offset", end}, {"end", end + 1}});
+    this->respond_json(exchange, {{"offset", end}, {"end", end + 1}});
 }
 
 void platform_store::drop_silent_members()
@@ -185,7 +215,7 @@
             parts.push_back(json::array({body.at("topics").at(0), duty, 0}));
         }
     }
-    respond_json(
+    this->respond_json(
         exchange, {{"generation", this->generation}, {"ttl_ms", body.at("ttl_ms")}, {"parts", parts}});
 }
 
@@ -193,7 +223,7 @@
 {
     const json body = json::parse(exchange->request().body);
     this->generation += this->members.erase(body.at("member").get<std::string>());
-    respond_json(exchange, json::object());
+    this->respond_json(exchange, json::object());
 }
 
 } // namespace sailtiller::standins
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/ids.h>
+#include <base/json.h>
 #include <runtime/httpserver.h>
 
 #include <map>
@@ -23,7 +24,18 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     /// Drops the records behind the newest of each key, so that older offsets are gone.
     void compact(const std::string& topic);
+    /// Everything that the store keeps at a moment.
+    struct copy;
+    [[nodiscard]] std::shared_ptr<const copy> take_copy() const;
+    /// Comes back from a copy: what was written since is gone, a new era begins, and waiting reads are cut
+    /// off.
+    void restore(const copy& from);
     void handle(const std::shared_ptr<http_exchange>& exchange, const bool& is_open);
+    /// The newest value of each key.
+    [[nodiscard]] const std::map<std::string, std::string>& newest(const std::string& topic)
+    {
+        return this->topics[topic].newest;
+    }
     [[nodiscard]] std::uint64_t calls() const { return this->call_count; }
 
 private:
@@ -63,8 +75,12 @@
     void join(const std::shared_ptr<http_exchange>& exchange);
     void leave(const std::shared_ptr<http_exchange>& exchange);
     void drop_silent_members();
+    /// Each answer names the era.
+    void respond(const std::shared_ptr<http_exchange>& exchange, http_response answer) const;
+    void respond_json(const std::shared_ptr<http_exchange>& exchange, const json& body) const;
 
     event_loop& loop;
+    std::uint64_t era = 1;
     std::map<std::string, topic_state> topics;
     std::vector<waiting_read> waiting;
     std::map<std::string, member_state> members;
