Runtime: the loop's clock counts the time for which a host was suspended

A suspended host's steady clock stands still, so that after waking it took its configuration, its duties and what it had been told to be as young as before; a withdrawn key would have been taken for up to its whole limit. CLOCK_BOOTTIME counts that time, which makes a suspension a freeze for everything that is timed by the loop.

--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -3,7 +3,10 @@
 #include <runtime/h2oheaders.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <ctime>
+#include <system_error>
 
 namespace sailtiller {
 
@@ -12,10 +15,16 @@
 /// The longest time that the loop sleeps without looking at its stop flag.
 constexpr duration longest_sleep = std::chrono::seconds(1);
 
+/// Counts the time for which the machine was suspended, unlike the standard library's steady clock: what a
+/// host believes grows old meanwhile, its duties pass to others, and callers' time limits run out.
 time_point read_clock()
 {
-    const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point(std::chrono::duration_cast<duration>(elapsed));
+    timespec elapsed{};
+    if (clock_gettime(CLOCK_BOOTTIME, &elapsed) != 0) {
+        throw std::system_error(errno, std::generic_category(), "read clock");
+    }
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(elapsed.tv_sec) + std::chrono::nanoseconds(elapsed.tv_nsec)));
 }
 
 /// Runs, at its end, the callbacks that our actions made pending, as h2o does after each of its own timers:
