--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -267,6 +267,9 @@
 
 void soak_bed::settle()
 {
+    for (const auto& service : this->services) {
+        service->lose_answers(0); // one that is yet to be lost would take the last check's
+    }
     const auto is_back = [this] {
         this->bring_back();
         this->note_answers();
