--- a/src/libs/fleet/crashsuspects.h
+++ b/src/libs/fleet/crashsuspects.h
@@ -41,7 +41,8 @@
 /// Times and bounds of what a host remembers.
 struct crash_suspects_settings
 {
-    /// At most so many requests; 512 take about 100 kB. The oldest of those that are not suspect go first.
+    /// At most so many requests; 512 with three ends each take 270 kB. The oldest of those that are not
+    /// suspect go first.
     std::size_t most_records = 512;
     /// A request that never was suspect is forgotten after so long.
     duration memory = std::chrono::seconds(60);
@@ -49,7 +50,8 @@
     duration suspect_memory = std::chrono::minutes(10);
     /// News are told for so long: twenty rounds between hosts, as each host tells on what it hears.
     duration told_time = std::chrono::seconds(5);
-    /// Records in one report, the newest; about 2 kB. Many engines that end at once leave hundreds.
+    /// Records in one report, the newest; 3.4 kB with three ends each. Many engines that end at once leave
+    /// hundreds.
     std::size_t most_told = 32;
     /// Pauses between two trials, so that a request that does end its upstreams costs one engine at once and
     /// not three, while a sound one is served by the first.
