--- a/src/libs/delivery/suspectguard.cpp
+++ b/src/libs/delivery/suspectguard.cpp
@@ -7,7 +7,7 @@
 
 /// A request that ends its upstream does so as it begins: 45 to 77 ms after its first step in four cases, and
 /// without one event in 27 ends of 28 (logs of one play). What has been answered for longer is beside the
-/// cause; counted as well, the streams that break off with an engine would be five times as many.
+/// cause: of 813 streams that broke off with their engines in that play, 88 had no event.
 constexpr duration longest_beginning = std::chrono::milliseconds(250);
 
 } // namespace
