--- a/src/libs/site/pastupstreams.h
+++ b/src/libs/site/pastupstreams.h
@@ -11,8 +11,8 @@
 
 /// Starts of upstreams that are known to have ended or to leave, though the store may name them as ready:
 /// when it comes back from a copy, it has their entries from before, and nobody writes those of ended ones
-/// again. Without this memory, hosts sent new work to upstreams that had left 4 s before (a model of seven
-/// hosts).
+/// again. Without this memory, hosts used one that had ended seconds before (seven hosts under a paused
+/// clock).
 class past_upstreams
 {
 public:
