--- a/tests/auto/system/tst_crashingrequests.cpp
+++ b/tests/auto/system/tst_crashingrequests.cpp
@@ -8,7 +8,7 @@
 // engine, which ends as well; its caller is told that it failed, and the request comes again at another host.
 // Cause: what a request did to its upstreams was known to its try alone, and forgotten with it; each try, at
 // whatever host, began as if nothing had happened.
-// Evidence: 27 of 28 engines that ended took a stream with them that had been sent within 0.13 s and had no
+// Evidence: 27 of 28 engines that ended took a stream with them that had been sent within 0.3 s and had no
 // event yet; no single try went to more than the two engines that its route allows. Before hosts remembered
 // it and told each other, 37 sends to engines and 14 to services came later than allowed in the first two
 // tests.
