Fleet: what a report tells of suspect requests is chosen before it is copied

Each report, some dozens a second on a host, copied every record that may be told, up to 512, and kept 32 of them. Timed alone with 512 records: 132.1 -> 18.5 us a report, the same 32 records; among records of one age another may be taken.

--- a/src/libs/fleet/crashsuspects.cpp
+++ b/src/libs/fleet/crashsuspects.cpp
@@ -160,18 +160,25 @@
 
 std::vector<crash_record> crash_suspects::list_news(time_point now) const
 {
-    std::vector<crash_record> news;
-    for (const auto& [content, item] : this->records) {
+    // Chosen before they are copied: of 512 records, a report of 32 takes 19 us so, and 132 us with all
+    // copied.
+    std::vector<const std::pair<const request_content, entry>*> told;
+    for (const auto& record : this->records) {
+        const entry& item = record.second;
         // A host that has just started, or was cut off, must hear of every suspect request, however old.
         if (is_suspect(item) || now - item.renewed <= this->settings.told_time) {
-            news.push_back({content, {item.crashed.begin(), item.crashed.end()}, item.trials, item.clearances,
-                now - item.renewed});
+            told.push_back(&record);
         }
     }
-    const auto is_younger = [](const auto& left, const auto& right) { return left.age < right.age; };
-    std::sort(news.begin(), news.end(), is_younger);
-    if (news.size() > this->settings.most_told) {
-        news.resize(this->settings.most_told);
+    std::sort(told.begin(), told.end(),
+        [](const auto* left, const auto* right) { return left->second.renewed > right->second.renewed; });
+    told.resize(std::min(told.size(), this->settings.most_told));
+    std::vector<crash_record> news;
+    news.reserve(told.size());
+    for (const auto* record : told) {
+        const entry& item = record->second;
+        news.push_back({record->first, {item.crashed.begin(), item.crashed.end()}, item.trials,
+            item.clearances, now - item.renewed});
     }
     return news;
 }
