Delivery, Sailtillerd: one way to ask for leave to send a suspect request

The guard now ends the request itself, by a function that it is given; answers are the same. A constant of the host stands behind the one that its neighbour's comment speaks of.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -26,11 +26,11 @@
 /// All hosts together retry a failed read so often, besides the readers: while the store is away, each of
 /// them would ask for both topics once a second. The readers tell of its return within half a second.
 constexpr duration fleet_retry_interval = milliseconds(100);
+/// No host waits longer, as it may be one of the readers by then.
+constexpr duration longest_fleet_retry = std::chrono::seconds(3);
 /// After the store came back from a copy, hosts write their records again, spread over this time: 400 of them
 /// in one moment are what the store takes in a second.
 constexpr milliseconds record_renewal_time(5000);
-/// No host waits longer, as it may be one of the readers by then.
-constexpr duration longest_fleet_retry = std::chrono::seconds(3);
 
 } // namespace
 
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -89,11 +89,8 @@
             self->search();
         }
     };
-    const suspect_guard::leave leave = this->guard.ask(look_again);
-    if (leave == suspect_guard::leave::refused) {
-        this->refuse(this->guard.refusal().text, this->guard.refusal().retry_after);
-    }
-    return leave == suspect_guard::leave::given;
+    return this->guard.has_leave(look_again,
+        [this](const std::string& reason, duration retry_after) { this->refuse(reason, retry_after); });
 }
 
 void plain_delivery::send_to(const discovered_upstream& upstream)
--- a/src/libs/delivery/suspectguard.cpp
+++ b/src/libs/delivery/suspectguard.cpp
@@ -20,33 +20,30 @@
     return *this->known_content;
 }
 
-suspect_guard::leave suspect_guard::refuse(const char* text, duration retry_after)
-{
-    this->reason = {text, retry_after};
-    return leave::refused;
-}
-
-suspect_guard::leave suspect_guard::ask(const std::function<void()>& on_answer)
+bool suspect_guard::has_leave(const std::function<void()>& on_answer, const refusal& refuse)
 {
     if (this->trial == trial_state::given || this->context.suspects.is_empty()) {
-        return leave::given;
+        return true;
     }
     if (this->trial == trial_state::asking) {
-        return leave::awaited;
+        return false;
     }
     if (this->trial == trial_state::withheld) {
         this->trial = trial_state::none;
-        return this->refuse("upstreams ended under this request, and it can't be tried now",
+        refuse("upstreams ended under this request, and it can't be tried now",
             this->context.settings.retry_after);
+        return false;
     }
     const judged_request judged = this->context.suspects.judge(this->content(), this->context.timers.now());
     switch (judged.judgement) {
     case send_judgement::free:
-        return leave::given;
+        return true;
     case send_judgement::later:
-        return this->refuse("upstreams ended under this request; it is tried again later", judged.wait);
+        refuse("upstreams ended under this request; it is tried again later", judged.wait);
+        return false;
     case send_judgement::never:
-        return this->refuse("upstreams ended under this request in all its trials", judged.wait);
+        refuse("upstreams ended under this request in all its trials", judged.wait);
+        return false;
     case send_judgement::trial:
         break;
     }
@@ -55,7 +52,7 @@
         this->trial = is_given ? trial_state::given : trial_state::withheld;
         on_answer();
     });
-    return leave::awaited;
+    return false;
 }
 
 void suspect_guard::note_sent()
--- a/src/libs/delivery/suspectguard.h
+++ b/src/libs/delivery/suspectguard.h
@@ -10,18 +10,8 @@
 class suspect_guard
 {
 public:
-    /// Whether the request may go out now.
-    enum class leave {
-        given,
-        awaited, ///< it is asked for; `on_answer` runs
-        refused ///< `refusal` tells why, and when to come back
-    };
-
-    struct refusal_reason
-    {
-        std::string text;
-        duration retry_after{};
-    };
+    /// Ends the request, as it must not go out: why, and when it is worth coming back.
+    using refusal = std::function<void(const std::string& reason, duration retry_after)>;
 
     suspect_guard(delivery_context& context, const delivery_order& order)
         : context(context)
@@ -29,9 +19,9 @@
     {
     }
 
-    /// A leave that is given holds for one send. `on_answer` keeps the delivery alive, and asks again.
-    leave ask(const std::function<void()>& on_answer);
-    [[nodiscard]] const refusal_reason& refusal() const { return this->reason; }
+    /// True if the request may go out now; that holds for one send. If not, it is refused, or `on_answer`,
+    /// which keeps the delivery alive, runs once that is known and asks again.
+    [[nodiscard]] bool has_leave(const std::function<void()>& on_answer, const refusal& refuse);
     /// The request goes out.
     void note_sent();
     /// The last send reached no upstream; its leave holds for the next one.
@@ -46,7 +36,6 @@
 private:
     enum class trial_state { none, asking, given, withheld };
 
-    leave refuse(const char* text, duration retry_after);
     const request_content& content();
 
     delivery_context& context;
@@ -56,7 +45,6 @@
     bool sends_on_trial = false; ///< the present send
     bool is_counted = false; ///< an end of the present send
     std::optional<time_point> first_progress; ///< of the present send
-    refusal_reason reason;
 };
 
 } // namespace sailtiller
