Platform, Delivery, Sailtillerd: the log tells when an upstream names a limit, another one, or none any more

Answers may name how many requests a second their upstream takes from all hosts together. Nothing read that, so no log could tell a host that doesn't know of the limit from one that knows and goes beyond it. The head is decoded, the younger statement is kept, a change is logged (upstream_limited, upstream_limit_ended, upstream_limit_unusable) and shown on /status. No decision changes.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -166,12 +166,14 @@
     for (const auto& [id, entry] : this->view.knowledge.upstreams().entries()) {
         const discovered_upstream& upstream = entry.upstream;
         const part_load& load = this->view.loads.of(id);
+        const std::optional<double> limit = this->view.limits.limit_of(id);
         list.push_back({{"id", id.value()}, {"service", upstream.service.value()},
             {"address", upstream.address.value()}, {"data_hall", upstream.data_hall.value()},
             {"card", upstream.card}, {"layers", json::array({upstream.held.begin, upstream.held.end})},
             {"leaving", upstream.is_leaving}, {"lapsed", entry.is_lapsed},
             {"suspended", !load.takes_work(this->view.now())}, {"requests", load.requests},
-            {"requests_of_others", load.other_requests}});
+            {"requests_of_others", load.other_requests},
+            {"requests_per_second", limit ? json(*limit) : json()}});
     }
     return list;
 }
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -46,6 +46,7 @@
     , suspects(
           this->loop, this->store, [this] { return this->reading.reads_store(); },
           [this](event_type event) { this->admin.note_belief(event); })
+    , limits({}, [this](const limit_statement& statement) { this->note_limit_change(statement); })
     , bundles({}, this->make_exchange_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
     , retries(this->settings.store->retries)
@@ -90,7 +91,8 @@
         [this](const request_content& content, const std::function<void(bool)>& on_answer) {
             this->suspects.claim_trial(content, on_answer);
         },
-        this->random, this->settings.data_hall, [this] { return this->knowledge.is_bundle_fresh(); },
+        this->limits, this->random, this->settings.data_hall,
+        [this] { return this->knowledge.is_bundle_fresh(); },
         [this](const delivery_event& event) { this->admin.note(event); }, {},
         [this](const delivery_order& order, request_moment moment, duration time) {
             this->admin.measure(order, moment, time);
@@ -228,6 +230,16 @@
     return hooks;
 }
 
+void site_host::note_limit_change(const limit_statement& statement)
+{
+    const std::optional<double>& rate = statement.requests_per_second;
+    const event_type event = rate ? event_type::upstream_limited : event_type::upstream_limit_ended;
+    this->admin.note_belief(event);
+    log_event(log_level::info, event,
+        {{"peer", statement.upstream.value()},
+            {"detail", rate ? std::to_string(*rate) + " requests a second" : std::string()}});
+}
+
 void site_host::report_work(peer_report& report) const
 {
     for (const auto& [id, load] : this->loads.all()) {
@@ -348,6 +360,7 @@
     };
     this->loads.forget_idle(is_known);
     this->health.forget(is_known);
+    this->limits.forget(is_known, this->loop.now());
     this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
@@ -382,7 +395,7 @@
 site_admin_view site_host::make_admin_view()
 {
     return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
-        this->suspects.records(), [this] { return this->duties.order_token(); },
+        this->suspects.records(), this->limits, [this] { return this->duties.order_token(); },
         [this] { return this->reading.reads_store(); }, [this] { return this->is_ready(); },
         [this] { return this->stop.is_under_way(); }, [this] { return this->gateway.requests_in_flight(); },
         [this] { return this->list_retries_left(); }, [this] { return this->loop.now(); }};
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -46,6 +46,12 @@
         return "upstream_gone";
     case event_type::upstream_leaving:
         return "upstream_leaving";
+    case event_type::upstream_limit_ended:
+        return "upstream_limit_ended";
+    case event_type::upstream_limit_unusable:
+        return "upstream_limit_unusable";
+    case event_type::upstream_limited:
+        return "upstream_limited";
     case event_type::upstream_outlived:
         return "upstream_outlived";
     case event_type::upstream_still_dead:
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -53,6 +53,9 @@
     bool is_not_run = false; ///< the upstream says that it did not run the request
     bool is_signed = false; ///< carries the proof that an upstream made it
     std::optional<endpoint> at_fault; ///< the upstream of the path that refused or failed
+    /// That it takes from all hosts together, while it says so; nothing if it names no limit.
+    std::optional<double> requests_per_second;
+    bool is_limit_unusable = false; ///< it names a limit that can't be read
     http_headers passed_on; ///< headers that go to the caller as they are
 };
 
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -104,6 +104,24 @@
         id, context.timers.now(), context.settings.unwilling_pause, context.settings.longest_unwilling_pause);
 }
 
+void note_limit(
+    const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent)
+{
+    // Whoever refuses a request that is meant for another upstream is another one itself.
+    if (answer.status == http_status::misdirected) {
+        return;
+    }
+    if (answer.is_limit_unusable) {
+        context.log({event_type::upstream_limit_unusable, answer.id.value(), id.value(), ""});
+        return;
+    }
+    const time_point now = context.timers.now();
+    // An answer without a limit may have been under way for longer than one that named it: it says no more
+    // than that there was none when its request went out.
+    const duration age = answer.requests_per_second ? duration::zero() : now - sent;
+    context.limits.take({id, answer.requests_per_second, age}, now);
+}
+
 http_response make_refusal(duration retry_after, const std::string& reason)
 {
     return {http_status::unavailable,
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -9,6 +9,7 @@
 #include <bundle/sitebundle.h>
 #include <delivery/callerrequest.h>
 #include <fleet/crashsuspects.h>
+#include <fleet/upstreamlimits.h>
 #include <health/stallwatch.h>
 #include <routing/layerpath.h>
 #include <routing/pipemeter.h>
@@ -136,6 +137,8 @@
     /// Asks the fleet for one trial of a suspect request; answers later.
     std::function<void(const request_content&, const std::function<void(bool is_given)>& on_answer)>
         claim_trial;
+    /// The requests a second that upstreams say they take.
+    upstream_limits& limits;
     random_function random;
     data_hall_id data_hall;
     /// False while this host can't tell whether its bundle is still the newest.
@@ -184,6 +187,10 @@
 void avoid_after_refusal(const delivery_context& context, const upstream_id& id);
 /// The same for one that has room, as far as this host knows.
 void avoid_unwilling(const delivery_context& context, const upstream_id& id);
+/// Takes over what the answer says of the requests that its upstream takes; it came to one that was sent at
+/// `sent`.
+void note_limit(
+    const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent);
 /// A refusal that says truthfully that the request has not run, and when to come back.
 http_response make_refusal(duration retry_after, const std::string& reason);
 /// An answer of ours that promises nothing about whether the request has run.
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -7,7 +7,7 @@
 {
     ++this->present;
     this->has_gone_again = false;
-    this->sent_at = this->context.timers.now();
+    this->first_sent = this->context.timers.now();
     const http_request message = this->context.codec.encode_request(this->order.request, request);
     this->cancel =
         this->context.send(address, message, this->order.route->may_repeat(), this->make_handlers(hooks));
@@ -44,7 +44,7 @@
 bool upstream_call::take_resend()
 {
     const time_point now = this->context.timers.now();
-    const bool had_it = now - this->sent_at > this->context.settings.longest_until_resend;
+    const bool had_it = now - this->first_sent > this->context.settings.longest_until_resend;
     if (had_it || !this->context.retries.take(this->order.service, now)) {
         return false;
     }
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -32,6 +32,8 @@
     /// True if the present call, or the one that has just ended, went out a second time. Its upstream may
     /// have begun the first copy; that it refuses the second one proves nothing of that.
     [[nodiscard]] bool was_sent_again() const { return this->has_gone_again; }
+    /// When the first copy of the present call, or of the one that has just ended, went out.
+    [[nodiscard]] time_point sent_at() const { return this->first_sent; }
     /// Rises with each call that begins or is given up.
     [[nodiscard]] std::uint64_t number() const { return this->present; }
 
@@ -43,7 +45,7 @@
     delivery_context& context;
     const delivery_order& order;
     std::uint64_t present = 0;
-    time_point sent_at{}; ///< the first copy of the present call
+    time_point first_sent{};
     bool has_gone_again = false;
     cancel_call cancel;
 };
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -37,6 +37,9 @@
     if (const auto address = find_header(headers, "at")) {
         answer.at_fault = endpoint(*address);
     }
+    if (const auto limit = find_header(headers, "limit")) {
+        answer.requests_per_second = std::stod(*limit);
+    }
     answer.passed_on = headers;
     return answer;
 }
@@ -85,7 +88,7 @@
         [this](const request_content& content, std::function<void(bool)> on_answer) {
             this->claims.emplace_back(content, std::move(on_answer));
         },
-        make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
+        this->limits, make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
         [](const delivery_event&) {}, {}, {}};
 }
 
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -66,6 +66,7 @@
     retry_allowance retries{{.ratio = 1, .slack = 100, .window = std::chrono::seconds(10)}};
     pipe_meter pipes;
     crash_suspects suspects;
+    upstream_limits limits;
     /// Trials that were asked for, with the way to answer.
     std::vector<std::pair<request_content, std::function<void(bool)>>> claims;
     std::vector<std::string> probed;
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -208,6 +208,23 @@
     EXPECT_EQ(refused.at_fault->value(), "10.0.0.2:80");
 }
 
+TEST(wire_answer, tells_the_limit_that_its_upstream_names)
+{
+    const request_codec codec = make_request_codec();
+    const upstream_answer limited = codec.decode_answer(200, {{"server-limit", "4.5"}});
+    EXPECT_EQ(limited.requests_per_second, 4.5);
+    EXPECT_FALSE(limited.is_limit_unusable);
+    EXPECT_EQ(find_header(limited.passed_on, "server-limit"), "4.5") << "the answer's heads stay as they are";
+    const upstream_answer without = codec.decode_answer(200, {});
+    EXPECT_EQ(without.requests_per_second, std::nullopt);
+    EXPECT_FALSE(without.is_limit_unusable);
+    for (const char* text : {"", "many", "-1", "nan", "4.5x"}) {
+        const upstream_answer bad = codec.decode_answer(503, {{"server-limit", text}});
+        EXPECT_EQ(bad.requests_per_second, std::nullopt) << text;
+        EXPECT_TRUE(bad.is_limit_unusable) << text;
+    }
+}
+
 TEST(wire_path_change, asks_and_reads)
 {
     const request_codec codec = make_request_codec();
