Tests: an upstream that names a limit gets more than it takes, failing

Callers' requests went on as before to an upstream that named in its answers how many it takes from all hosts together.

--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -29,13 +29,24 @@
     return path;
 }
 
-void note_fatal_arrival(engine_world& world, const http_request& request, time_point now)
+void note_arrival(engine_world& world, const std::string& name, const http_request& request, time_point now)
 {
+    world.arrivals[name].push_back(now);
     if (request.body == world.fatal_body) {
         world.fatal_arrivals.push_back(now);
     }
 }
 
+/// Heads of an answer of the upstream, with the limit that it names.
+http_headers with_limit(const engine_world& world, const std::string& name, http_headers headers)
+{
+    const auto limit = world.limits.find(name);
+    if (limit != world.limits.end()) {
+        headers.push_back({"server-limit", std::to_string(limit->second)});
+    }
+    return headers;
+}
+
 std::unique_ptr<http_server> make_server(event_loop& loop, http_server::request_handler handler)
 {
     return std::make_unique<http_server>(loop, http_server_limits{}, std::nullopt, std::move(handler));
@@ -144,7 +155,7 @@
     } else if (route == "/api/order") {
         this->take_order(exchange);
     } else {
-        note_fatal_arrival(this->world, exchange->request(), this->loop.now());
+        note_arrival(this->world, this->id, exchange->request(), this->loop.now());
         this->start_stream(exchange, header_of(exchange, "path"));
     }
 }
@@ -211,8 +222,10 @@
     const std::string request = header_of(exchange, "x-attempt-id");
     const std::vector<engine_part> parts = read_path(path);
     if (const engine_part* fault = this->find_fault(parts)) {
-        exchange->respond(
-            {503, {{"x-attempt-id", request}, {"x-not-executed", "1"}, {"at-server", fault->address}}, ""});
+        exchange->respond({503,
+            with_limit(this->world, this->id,
+                {{"x-attempt-id", request}, {"x-not-executed", "1"}, {"at-server", fault->address}}),
+            ""});
         return;
     }
     ++this->world.runs[request];
@@ -224,8 +237,9 @@
     stream.path = parts;
     stream.next_event = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last)) + 1;
     exchange->start(200,
-        {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id},
-            {"content-type", "text/event-stream"}});
+        with_limit(this->world, this->id,
+            {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id},
+                {"content-type", "text/event-stream"}}));
     stream.timer =
         this->loop.schedule_after(this->world.event_interval, [this, request] { this->make_event(request); });
 }
@@ -301,7 +315,7 @@
 {
     const std::string request = header_of(exchange, "x-attempt-id");
     ++this->world.runs[request];
-    note_fatal_arrival(this->world, exchange->request(), this->loop.now());
+    note_arrival(this->world, this->id, exchange->request(), this->loop.now());
     if (exchange->request().body == this->world.fatal_body) {
         this->loop.schedule_after(this->world.time_to_crash, [this] { this->crash(); });
         return;
@@ -315,8 +329,10 @@
     if (this->is_silent) {
         return;
     }
-    exchange->respond(
-        {200, {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id}}, "answer"});
+    exchange->respond({200,
+        with_limit(this->world, this->id,
+            {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id}}),
+        "answer"});
 }
 
 } // namespace sailtiller::standins
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -34,6 +34,11 @@
     duration time_to_restart = std::chrono::milliseconds(500);
     std::vector<time_point> crashes; ///< that the fatal request brought about
     std::vector<time_point> fatal_arrivals; ///< of the fatal request, refused ones included
+    /// Requests a second that engines and services name in their answers as those that they take, by their
+    /// names.
+    std::map<std::string, double> limits;
+    std::map<std::string, std::vector<time_point>>
+        arrivals; ///< of callers' requests, by name, refused ones included
 };
 
 /// One part of a path.
