Fleet, Delivery, Site, Sailtillerd: hosts share out the requests a second that an upstream names

Callers saw an upstream in need get as much as before: 33 requests in 4 s with 32 allowed, 13 with 11, from hosts that had passed on its answers, which named how many it takes from all hosts together. Cause: no host read that, and none could have kept to it alone, as what all hosts send to one upstream was known to no one. Why the mend holds: nothing goes to an upstream that names a limit without a grant, and all grants come from one bucket, at the host that is the upstream's first by rendezvous hashing. The bucket begins empty, holds two requests and a tenth of a second's worth, and what is granted ends after half a second, so that a second home beside the first does no harm for a second; a host that has just started leaves limits to those that run for longer; a host is passed over after three questions without answer. Of two words on a limit the younger counts, and an answer without one says no more than that there was none when its request went out. A limit of less than a request in four seconds is taken for that, as only an answer can tell that it has ended. Where limits are used up the caller is sent away at once; one that has come back waits for its part as before.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -46,9 +46,11 @@
     , suspects(
           this->loop, this->store, [this] { return this->reading.reads_store(); },
           [this](event_type event) { this->admin.note_belief(event); })
-    , limits({}, [this](const limit_statement& statement) { this->note_limit_change(statement); })
     , bundles({}, this->make_exchange_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
+    , limits(
+          this->loop, this->peers, this->settings.self, [this] { return this->stop.is_under_way(); },
+          [this](event_type event) { this->admin.note_belief(event); })
     , retries(this->settings.store->retries)
     , link(this->loop)
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
@@ -91,7 +93,7 @@
         [this](const request_content& content, const std::function<void(bool)>& on_answer) {
             this->suspects.claim_trial(content, on_answer);
         },
-        this->limits, this->random, this->settings.data_hall,
+        this->limits.own_part(), this->random, this->settings.data_hall,
         [this] { return this->knowledge.is_bundle_fresh(); },
         [this](const delivery_event& event) { this->admin.note(event); }, {},
         [this](const delivery_order& order, request_moment moment, duration time) {
@@ -191,12 +193,15 @@
         this->report_work(report);
         this->health.fill_report(report);
         this->suspects.fill_report(report);
+        this->limits.fill_report(report);
     };
     hooks.take_report = [this](const peer_report& report) {
         this->bundles.note_holder(report.sender, report.bundle_version);
         this->health.take_report(report);
         this->suspects.take_report(report);
+        this->limits.take_report(report);
     };
+    hooks.answer_limit = [this](const limit_question& question) { return this->limits.answer(question); };
     hooks.give_bundle = [this] { return this->bundles.give(); };
     hooks.take_answer = [this](const peer_report& answer, time_point asked) {
         this->knowledge.take_answer(answer, asked);
@@ -230,16 +235,6 @@
     return hooks;
 }
 
-void site_host::note_limit_change(const limit_statement& statement)
-{
-    const std::optional<double>& rate = statement.requests_per_second;
-    const event_type event = rate ? event_type::upstream_limited : event_type::upstream_limit_ended;
-    this->admin.note_belief(event);
-    log_event(log_level::info, event,
-        {{"peer", statement.upstream.value()},
-            {"detail", rate ? std::to_string(*rate) + " requests a second" : std::string()}});
-}
-
 void site_host::report_work(peer_report& report) const
 {
     for (const auto& [id, load] : this->loads.all()) {
@@ -360,7 +355,7 @@
     };
     this->loads.forget_idle(is_known);
     this->health.forget(is_known);
-    this->limits.forget(is_known, this->loop.now());
+    this->limits.tidy(is_known);
     this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
@@ -395,7 +390,7 @@
 site_admin_view site_host::make_admin_view()
 {
     return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
-        this->suspects.records(), this->limits, [this] { return this->duties.order_token(); },
+        this->suspects.records(), this->limits.records(), [this] { return this->duties.order_token(); },
         [this] { return this->reading.reads_store(); }, [this] { return this->is_ready(); },
         [this] { return this->stop.is_under_way(); }, [this] { return this->gateway.requests_in_flight(); },
         [this] { return this->list_retries_left(); }, [this] { return this->loop.now(); }};
@@ -428,6 +423,7 @@
     this->bundle_follower.start();
     this->upstream_follower.start();
     this->suspects.start();
+    this->limits.start();
     this->duties.start();
     this->look_at_layers();
     this->health.start();
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -5,6 +5,7 @@
 #include "settingswatch.h"
 #include "siteadmin.h"
 #include "siteduties.h"
+#include "sitelimits.h"
 #include "sitepeers.h"
 #include "sitestop.h"
 #include "sitesuspects.h"
@@ -48,8 +49,6 @@
     keyed_follower make_upstream_follower();
     site_peers_hooks make_peers_hooks();
     bundle_exchange_hooks make_exchange_hooks();
-    /// Logs that an upstream names a limit, another one, or none any more.
-    void note_limit_change(const limit_statement& statement);
     /// Adds this host's work at the upstreams.
     void report_work(peer_report& report) const;
     /// Takes over how many hosts live and what the others' requests hold at the upstreams.
@@ -78,9 +77,9 @@
     store_reading reading;
     std::optional<store_era> seen_era; ///< of the store's history, as of the last look
     site_suspects suspects;
-    upstream_limits limits;
     bundle_exchange bundles;
     site_peers peers;
+    site_limits limits;
     retry_allowance retries;
     pipe_meter pipes;
     upstream_link link;
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -25,6 +25,8 @@
 /// The same while this host is new: after all hosts were down, their callers come back to all of them at
 /// once, and each must know what the others send where.
 constexpr duration new_round_interval = milliseconds(100);
+/// A request waits for it; a host that takes longer is passed over.
+constexpr duration limit_answer_limit = milliseconds(400);
 /// Hosts come and go rarely, so the list goes along only now and then.
 constexpr unsigned rounds_between_hosts = 4;
 /// Of the peers asked in one round, those that may answer with the list of all upstreams: with eight, a host
@@ -199,15 +201,44 @@
         });
 }
 
+void site_peers::ask_limit(const known_host& peer, const limit_question& question,
+    const std::function<void(const limit_grant&)>& on_grant, const std::function<void()>& on_failure)
+{
+    this->client.ask(
+        peer.address, limit_question_method, encode_limit_question(question), limit_answer_limit,
+        [on_grant, on_failure, name = peer.id](const std::string& body) {
+            std::optional<limit_grant> grant;
+            try {
+                grant = decode_limit_grant(body);
+            } catch (const error& malformed) {
+                log_event(log_level::warning, event_type::peer_answer_malformed,
+                    {{"step", malformed.step()}, {"peer", name.value()}, {"reason", malformed.reason()}});
+            }
+            if (grant) {
+                on_grant(*grant);
+            } else {
+                on_failure();
+            }
+        },
+        [on_failure, name = peer.id](const peer_failure& failure) {
+            log_event(log_level::debug, event_type::peer_unreachable,
+                {{"step", "ask for a part of a limit"}, {"peer", name.value()}, {"reason", failure.reason}});
+            on_failure();
+        });
+}
+
 std::optional<std::string> site_peers::answer(const std::string& method, const std::string& body)
 {
     if (method == bundle_method) {
         return this->hooks.give_bundle();
     }
-    if (method != report_method) {
-        return std::nullopt;
-    }
     try {
+        if (method == limit_question_method) {
+            return encode_limit_grant(this->hooks.answer_limit(decode_limit_question(body)));
+        }
+        if (method != report_method) {
+            return std::nullopt;
+        }
         const peer_report report = decode_peer_report(body);
         this->take(report);
         return encode_peer_report(this->make_report(&report));
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <fleet/hosttable.h>
+#include <fleet/limitmessages.h>
 #include <runtime/peerclient.h>
 #include <runtime/peerserver.h>
 #include <store/storeclient.h>
@@ -22,6 +23,8 @@
     std::function<bool()> is_leaving;
     /// Gives this host's bundle, packed; nothing if it can't be given now.
     std::function<std::optional<std::string>()> give_bundle;
+    /// Answers a host that asks for requests of an upstream's limit.
+    std::function<limit_grant(const limit_question&)> answer_limit;
 };
 
 /// The exchange of reports among the hosts of a site. Hosts find each other by their records in the store,
@@ -40,6 +43,9 @@
     /// Asks a peer for its bundle; gives packed text, or nothing.
     void ask_bundle(
         const known_host& peer, const std::function<void(const std::optional<std::string>&)>& on_answer);
+    /// Asks a peer for requests of an upstream's limit; one of the handlers runs later.
+    void ask_limit(const known_host& peer, const limit_question& question,
+        const std::function<void(const limit_grant&)>& on_grant, const std::function<void()>& on_failure);
     [[nodiscard]] const host_table& hosts() const { return this->table; }
 
 private:
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -115,11 +115,7 @@
         context.log({event_type::upstream_limit_unusable, answer.id.value(), id.value(), ""});
         return;
     }
-    const time_point now = context.timers.now();
-    // An answer without a limit may have been under way for longer than one that named it: it says no more
-    // than that there was none when its request went out.
-    const duration age = answer.requests_per_second ? duration::zero() : now - sent;
-    context.limits.take({id, answer.requests_per_second, age}, now);
+    context.limits.note_answer(id, answer.requests_per_second, sent);
 }
 
 http_response make_refusal(duration retry_after, const std::string& reason)
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -9,7 +9,7 @@
 #include <bundle/sitebundle.h>
 #include <delivery/callerrequest.h>
 #include <fleet/crashsuspects.h>
-#include <fleet/upstreamlimits.h>
+#include <fleet/limitholder.h>
 #include <health/stallwatch.h>
 #include <routing/layerpath.h>
 #include <routing/pipemeter.h>
@@ -137,8 +137,8 @@
     /// Asks the fleet for one trial of a suspect request; answers later.
     std::function<void(const request_content&, const std::function<void(bool is_given)>& on_answer)>
         claim_trial;
-    /// The requests a second that upstreams say they take.
-    upstream_limits& limits;
+    /// This host's part of the requests a second that upstreams say they take.
+    limit_holder& limits;
     random_function random;
     data_hall_id data_hall;
     /// False while this host can't tell whether its bundle is still the newest.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -31,7 +31,7 @@
     return this->context.pipes.used_share(from, to, this->profile()->pipe_bits_per_s(), now);
 }
 
-std::optional<layer_path> path_chooser::find(
+path_question path_chooser::make_question(
     const std::set<upstream_id>& avoided, const layer_path& present) const
 {
     path_question question;
@@ -46,9 +46,33 @@
     question.pipe_share = [this, now = question.now](const data_hall_id& from, const data_hall_id& to) {
         return this->pipe_share(from, to, now);
     };
+    return question;
+}
+
+std::optional<layer_path> path_chooser::answer(const path_question& question) const
+{
     return find_layer_path(*this->profile(), this->context.directory, this->context.loads, question);
 }
 
+std::optional<layer_path> path_chooser::find(
+    const std::set<upstream_id>& avoided, const layer_path& present) const
+{
+    path_question question = this->make_question(avoided, present);
+    if (!this->context.limits.is_empty()) {
+        question.may_lead = [this](const upstream_id& id) { return this->context.limits.may_send(id); };
+    }
+    return this->answer(question);
+}
+
+bool path_chooser::is_limit_used_up(const std::set<upstream_id>& avoided) const
+{
+    if (this->context.limits.is_empty()) {
+        return false;
+    }
+    const std::optional<layer_path> found = this->answer(this->make_question(avoided, {}));
+    return found && this->context.limits.is_used_up(found->front().id);
+}
+
 bool path_chooser::has_room(const layer_path& path) const
 {
     const double fullest = predict_fullest_share(
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -17,10 +17,13 @@
 
     /// The profile of the service's engines; null if the bundle has no engines for it.
     [[nodiscard]] const engine_profile* profile() const;
-    /// The cheapest path without the avoided upstreams; with a present path, another one for the running
-    /// request. There must be a profile, as for all that follows.
+    /// The cheapest path without the avoided upstreams, whose first engine takes one request more by the
+    /// limit that it names; with a present path, another one for the running request. There must be a
+    /// profile, as for all that follows.
     [[nodiscard]] std::optional<layer_path> find(
         const std::set<upstream_id>& avoided, const layer_path& present = {}) const;
+    /// True if there is a path but for the limit that its first engine names, which is used up.
+    [[nodiscard]] bool is_limit_used_up(const std::set<upstream_id>& avoided) const;
     /// True if neither an engine of the path nor a pipe between its halls is too full for the request.
     [[nodiscard]] bool has_room(const layer_path& path) const;
     /// True if the part's engine has room and slots left, by what this host knows of the work there.
@@ -33,6 +36,9 @@
     [[nodiscard]] double crossing_bits() const;
 
 private:
+    [[nodiscard]] path_question make_question(
+        const std::set<upstream_id>& avoided, const layer_path& present) const;
+    [[nodiscard]] std::optional<layer_path> answer(const path_question& question) const;
     [[nodiscard]] double expected_answer_tokens() const;
     [[nodiscard]] double pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const;
 
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -39,23 +39,43 @@
     this->search();
 }
 
+bool plain_delivery::may_go_to(const discovered_upstream& upstream) const
+{
+    return upstream.service == this->order.service && !upstream.is_leaving
+        && this->context.loads.of(upstream.id).takes_work(this->context.timers.now())
+        && this->avoided.count(upstream.id) == 0 && this->target != upstream.id;
+}
+
+bool plain_delivery::are_limits_used_up() const
+{
+    bool is_any = false;
+    for (const auto& [id, entry] : this->context.directory.entries()) {
+        if (!this->may_go_to(entry.upstream)) {
+            continue;
+        }
+        if (!this->context.limits.is_used_up(id)) {
+            return false;
+        }
+        is_any = true;
+    }
+    return is_any;
+}
+
 const discovered_upstream* plain_delivery::choose() const
 {
-    const time_point now = this->context.timers.now();
     const discovered_upstream* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (const auto& [id, entry] : this->context.directory.entries()) {
-        const part_load& load = this->context.loads.of(id);
-        if (entry.upstream.service != this->order.service || entry.upstream.is_leaving
-            || !load.takes_work(now) || this->avoided.count(id) != 0 || this->target == id) {
+        if (!this->may_go_to(entry.upstream)) {
             continue;
         }
+        const part_load& load = this->context.loads.of(id);
         // The fraction spreads equal choices of different hosts.
         constexpr double spread = 0.1;
         const double tie = spread * static_cast<double>(this->context.random() % 100) / 100;
         const bool is_here = entry.upstream.data_hall == this->context.data_hall;
         const double cost = load.requests + load.other_requests + (is_here ? 0 : other_hall_requests) + tie;
-        if (cost < least) {
+        if (cost < least && this->context.limits.may_send(id)) {
             least = cost;
             best = &entry.upstream;
         }
@@ -73,11 +93,21 @@
         this->send_to(*upstream);
         return;
     }
+    // Another try at once would find the same; a caller that has come back is held until its part comes.
+    if (!this->order.has_come_back() && this->are_limits_used_up()) {
+        this->refuse("the upstreams of the service take no more requests a second");
+        return;
+    }
     const time_point hold_end = this->order.hold_end(this->context.settings);
     if (this->context.timers.now() >= hold_end) {
         this->refuse("no upstream of the service is available");
         return;
     }
+    this->search_later();
+}
+
+void plain_delivery::search_later()
+{
     this->search_timer = this->context.timers.schedule_after(
         this->context.settings.search_pause, [self = this->shared_from_this()] { self->search(); });
 }
@@ -104,6 +134,10 @@
     if (!this->has_leave()) {
         return;
     }
+    if (!this->context.limits.take(upstream.id)) {
+        this->search_later();
+        return;
+    }
     if (this->sends > 0) {
         [[maybe_unused]] const bool is_taken = this->context.retries.take(this->order.service, now);
     }
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -23,8 +23,13 @@
 
 private:
     void search();
+    void search_later();
     /// The best upstream other than the one that has the request now; nothing if there is none.
     [[nodiscard]] const discovered_upstream* choose() const;
+    /// True if the upstream could take the request but for the limit that it names.
+    [[nodiscard]] bool may_go_to(const discovered_upstream& upstream) const;
+    /// True if there is such an upstream, and the limits of all of them are used up.
+    [[nodiscard]] bool are_limits_used_up() const;
     [[nodiscard]] bool may_run_elsewhere() const;
     void send_to(const discovered_upstream& upstream);
     /// True if a request that is suspect of ending its upstreams may go out now; if not, it is refused or
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -49,6 +49,13 @@
         this->send_on(std::move(*found));
         return;
     }
+    // Another try at once would find the same; a caller that has come back is held until its part comes.
+    const bool is_refused_at_once = !found && !this->has_started && !this->order.has_come_back()
+        && this->chooser.is_limit_used_up(this->avoided);
+    if (is_refused_at_once) {
+        this->refuse("the engines that could begin it take no more requests a second");
+        return;
+    }
     const time_point hold_end = this->order.hold_end(this->context.settings);
     if (now >= hold_end && !this->has_started) {
         this->refuse(found ? "the engines that hold some layer, or the pipes between halls, are full"
@@ -81,6 +88,10 @@
     if (!this->has_leave()) {
         return;
     }
+    if (!this->context.limits.take(found.front().id)) {
+        this->schedule_search(this->context.settings.search_pause);
+        return;
+    }
     if (!is_first) {
         [[maybe_unused]] const bool is_taken = this->context.retries.take(this->order.service, now);
     }
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -7,6 +7,7 @@
 {
     ++this->present;
     this->has_gone_again = false;
+    this->target = request.target;
     this->first_sent = this->context.timers.now();
     const http_request message = this->context.codec.encode_request(this->order.request, request);
     this->cancel =
@@ -45,7 +46,8 @@
 {
     const time_point now = this->context.timers.now();
     const bool had_it = now - this->first_sent > this->context.settings.longest_until_resend;
-    if (had_it || !this->context.retries.take(this->order.service, now)) {
+    const bool may_go = !had_it && this->context.limits.take(this->target);
+    if (!may_go || !this->context.retries.take(this->order.service, now)) {
         return false;
     }
     this->has_gone_again = true;
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -45,6 +45,7 @@
     delivery_context& context;
     const delivery_order& order;
     std::uint64_t present = 0;
+    upstream_id target; ///< of the present call
     time_point first_sent{};
     bool has_gone_again = false;
     cancel_call cancel;
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -125,12 +125,15 @@
     return live;
 }
 
-std::size_t host_table::present_count(time_point now) const
+std::vector<known_host> host_table::present_hosts(time_point now) const
 {
-    const auto count = std::count_if(this->others.begin(), this->others.end(), [this, now](const auto& item) {
-        return this->is_live(item.second, now) || this->awaits_turn(item.second, now);
-    });
-    return 1 + static_cast<std::size_t>(count);
+    std::vector<known_host> present = {this->self};
+    for (const auto& [id, item] : this->others) {
+        if (this->is_live(item, now) || this->awaits_turn(item, now)) {
+            present.push_back(item.host);
+        }
+    }
+    return present;
 }
 
 std::size_t host_table::heard_count(time_point now, duration within) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -69,8 +69,10 @@
     /// Hosts that were heard lately and are not leaving, this one included, in the order of their ids.
     [[nodiscard]] std::vector<known_host> live_hosts(time_point now) const;
     [[nodiscard]] std::size_t live_count(time_point now) const { return this->live_hosts(now).size(); }
-    /// Live hosts, this one included, and those that only have not had their turn.
-    [[nodiscard]] std::size_t present_count(time_point now) const;
+    /// Live hosts, this one included, and those that only have not had their turn; nearly the same on all
+    /// hosts, also of a large fleet.
+    [[nodiscard]] std::vector<known_host> present_hosts(time_point now) const;
+    [[nodiscard]] std::size_t present_count(time_point now) const { return this->present_hosts(now).size(); }
     /// Hosts that were heard within that time, leaving ones and this one included.
     [[nodiscard]] std::size_t heard_count(time_point now, duration within) const;
     /// This host's place among the live ones, from 0.
--- /dev/null
+++ b/src/libs/fleet/limitholder.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <fleet/limitholder.h>
+#include <fleet/ownership.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+namespace {
+
+/// What is granted and not sent by then is lost: requests that are held back and sent later would come beside
+/// those that are granted by then.
+constexpr duration grant_time = std::chrono::milliseconds(500);
+/// A host that doesn't answer, or shares nothing out now, isn't asked for so long.
+constexpr duration pass_over_time = std::chrono::seconds(1);
+/// Questions in a row without answer until then: each one that is passed over makes for two hosts that share
+/// out the same limit, and an answer may be lost.
+constexpr unsigned most_failures = 3;
+/// Questions one after another; then the upstream is left alone for a moment.
+constexpr unsigned most_questions = 5;
+constexpr duration unanswered_pause = std::chrono::milliseconds(250);
+/// A limit isn't used up for good while the next question is due so soon: a caller that is sent away comes
+/// back after a second.
+constexpr duration worth_waiting = std::chrono::milliseconds(100);
+/// In one question; a host sends no more than this in the time between two.
+constexpr unsigned most_wanted = 64;
+
+} // namespace
+
+bool limit_holder::may_send(const upstream_id& id)
+{
+    if (!this->limits.limit_of(id)) {
+        return true;
+    }
+    const time_point now = this->hooks.timers.now();
+    holding& item = this->holdings[id];
+    if (item.granted > 0 && now < item.expires) {
+        return true;
+    }
+    item.granted = 0;
+    item.wanted = std::min(item.wanted + 1, most_wanted);
+    if (!item.is_asking && now >= item.ask_again) {
+        item.questions = 0;
+        this->ask(id, item);
+    }
+    return item.granted > 0;
+}
+
+bool limit_holder::take(const upstream_id& id)
+{
+    if (!this->may_send(id)) {
+        return false;
+    }
+    const auto found = this->holdings.find(id);
+    if (found != this->holdings.end() && found->second.granted > 0) {
+        --found->second.granted;
+    }
+    return true;
+}
+
+bool limit_holder::is_used_up(const upstream_id& id) const
+{
+    const auto found = this->holdings.find(id);
+    if (found == this->holdings.end()) {
+        return false;
+    }
+    const holding& item = found->second;
+    const time_point now = this->hooks.timers.now();
+    const bool is_granted = item.granted > 0 && now < item.expires;
+    return !is_granted && !item.is_asking && item.ask_again > now + worth_waiting;
+}
+
+std::optional<host_id> limit_holder::find_home(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    std::erase_if(this->passed_over, [now](const auto& host) { return host.second <= now; });
+    std::vector<host_id> hosts = this->hooks.hosts();
+    std::erase_if(this->failures, [&hosts](const auto& host) {
+        return std::find(hosts.begin(), hosts.end(), host.first) == hosts.end();
+    });
+    std::erase_if(hosts, [this](const host_id& host) { return this->passed_over.count(host) != 0; });
+    return find_owner(id.value(), hosts);
+}
+
+void limit_holder::ask(const upstream_id& id, holding& item)
+{
+    const std::optional<host_id> home = this->find_home(id);
+    if (!home || item.questions >= most_questions) {
+        item.is_asking = false;
+        item.ask_again = this->hooks.timers.now() + unanswered_pause;
+        return;
+    }
+    ++item.questions;
+    item.is_asking = true;
+    const time_point now = this->hooks.timers.now();
+    const limit_question question{
+        this->self, this->uptime(now), this->limits.statement_of(id, now), item.wanted};
+    this->hooks.ask(
+        *home, question,
+        [this, id, home = *home, now](const limit_grant& grant) { this->take_grant(id, home, grant, now); },
+        [this, id, home = *home] { this->take_failure(id, home); });
+}
+
+void limit_holder::take_grant(
+    const upstream_id& id, const host_id& home, const limit_grant& grant, time_point asked)
+{
+    const time_point now = this->hooks.timers.now();
+    this->limits.take(grant.statement, now);
+    this->failures.erase(home);
+    if (!grant.is_home) {
+        this->pass_over(home);
+        this->ask_next(id);
+        return;
+    }
+    const auto found = this->holdings.find(id);
+    if (found == this->holdings.end()) {
+        return; // it named no limit any more in between
+    }
+    holding& item = found->second;
+    item.is_asking = false;
+    item.wanted = 0;
+    item.granted = grant.granted;
+    // Counted from the question: a grant that was long under way is no newer for it.
+    item.expires = asked + grant_time;
+    item.ask_again = now + grant.wait;
+}
+
+void limit_holder::take_failure(const upstream_id& id, const host_id& home)
+{
+    if (++this->failures[home] >= most_failures) {
+        this->pass_over(home);
+    }
+    this->ask_next(id);
+}
+
+void limit_holder::pass_over(const host_id& home)
+{
+    this->passed_over[home] = this->hooks.timers.now() + pass_over_time;
+}
+
+void limit_holder::ask_next(const upstream_id& id)
+{
+    const auto found = this->holdings.find(id);
+    if (found != this->holdings.end()) {
+        this->ask(id, found->second);
+    }
+}
+
+void limit_holder::note_answer(
+    const upstream_id& id, const std::optional<double>& requests_per_second, time_point sent)
+{
+    const time_point now = this->hooks.timers.now();
+    // An answer without a limit may have been under way for longer than one that named it: it says no more
+    // than that there was none when its request went out.
+    const duration age = requests_per_second ? duration::zero() : now - sent;
+    this->limits.take({id, requests_per_second, age}, now);
+}
+
+void limit_holder::tidy()
+{
+    std::erase_if(this->holdings, [this](const auto& item) { return !this->limits.limit_of(item.first); });
+}
+
+} // namespace sailtiller
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <fleet/cbormessage.h>
+#include <fleet/limitmessages.h>
 #include <fleet/peerreport.h>
 
 namespace sailtiller {
@@ -109,6 +110,15 @@
     return list;
 }
 
+json write_limits(const peer_report& report)
+{
+    json list = json::array();
+    for (const limit_statement& item : report.limits) {
+        list.push_back(write_limit_statement(item));
+    }
+    return list;
+}
+
 crash_record read_crash(const json& item)
 {
     crash_record record;
@@ -160,6 +170,9 @@
     for (const json& crash : item.value("crashes", json::array())) {
         report.crashes.push_back(read_crash(crash));
     }
+    for (const json& limit : item.value("limits", json::array())) {
+        report.limits.push_back(read_limit_statement(limit));
+    }
 }
 
 } // namespace
@@ -175,7 +188,7 @@
         {"suspicions", write_suspicions(report.suspicions)},
         {"unwilling", write_suspicions(report.unwilling)}, {"signs", write_signs(report)},
         {"holdings", write_holdings(report)}, {"hosts", write_hosts(report)},
-        {"crashes", write_crashes(report)}});
+        {"crashes", write_crashes(report)}, {"limits", write_limits(report)}});
 }
 
 peer_report decode_peer_report(const std::string& bytes)
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -4,6 +4,7 @@
 #include <base/clock.h>
 #include <base/ids.h>
 #include <fleet/crashsuspects.h>
+#include <fleet/upstreamlimits.h>
 
 #include <optional>
 #include <string>
@@ -82,6 +83,7 @@
     std::vector<engine_holding> holdings; ///< that differ from the entries; only while the store is away
     std::vector<known_host> hosts; ///< that the sender has heard lately
     std::vector<crash_record> crashes; ///< requests under which upstreams have ended
+    std::vector<limit_statement> limits; ///< that upstreams name, or named lately
 };
 
 /// Writes a report as CBOR.
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -258,7 +258,8 @@
     [[nodiscard]] bool may_run(const candidate& item, unsigned layer) const
     {
         if (this->question.present.empty()) {
-            return item.runs.holds(layer);
+            const bool leads = layer == 0 && this->question.may_lead;
+            return item.runs.holds(layer) && (!leads || this->question.may_lead(item.upstream->id));
         }
         // The head keeps its layers for the running request, also those that it has given up since.
         const layer_span& first = this->question.present.front().span;
--- a/src/libs/routing/layerpath.h
+++ b/src/libs/routing/layerpath.h
@@ -35,6 +35,8 @@
     /// is. Its other parts may stay, also on upstreams that are leaving: they know the prompt, and new ones
     /// must read it.
     layer_path present;
+    /// False of an upstream that may not begin a new request now; may be left out, so that each may.
+    std::function<bool(const upstream_id&)> may_lead;
     /// How far the pipe between two halls is used; may be left out.
     std::function<double(const data_hall_id& from, const data_hall_id& to)> pipe_share;
     time_point now{};
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -67,6 +67,9 @@
     pipe_meter pipes;
     crash_suspects suspects;
     upstream_limits limits;
+    std::unique_ptr<limit_holder> holder;
+    /// What this host is granted of each limit at each question.
+    unsigned grant = 0;
     /// Trials that were asked for, with the way to answer.
     std::vector<std::pair<request_content, std::function<void(bool)>>> claims;
     std::vector<std::string> probed;
