--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,8 +14,11 @@
 # The names that a line begins with, joined for a filter of GoogleTest.
 known_red_tests() { [ ! -s "$known_red" ] || cut -d: -f1 "$known_red" | paste -sd:; }
 
+# Tests with real processes wait most of the time; more at once would be load for their time limits.
+tests_at_once=3
+
 # Runs the tests of a build, all but those that are known to fail.
-run_tests() { GTEST_FILTER="-$(known_red_tests)" ctest --test-dir "$1" --output-on-failure; }
+run_tests() { GTEST_FILTER="-$(known_red_tests)" ctest --test-dir "$1" -j "$tests_at_once" --output-on-failure; }
 
 check_known_red() {
   [ -s "$known_red" ] || return 0
