--- a/src/libs/fleet/limithome.cpp
+++ b/src/libs/fleet/limithome.cpp
@@ -70,7 +70,8 @@
 
 duration limit_home::wait_of(const bucket& item, double rate) const
 {
-    const double seconds = static_cast<double>(item.askers.size()) / rate;
+    const double seconds =
+        static_cast<double>(item.askers.size()) / (rate * this->settings.questions_per_request);
     const double longest = seconds_of(this->settings.longest_wait);
     const auto wait =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, longest)));
--- a/src/libs/fleet/limithome.h
+++ b/src/libs/fleet/limithome.h
@@ -16,6 +16,9 @@
     /// What isn't used waits for the next who asks: so many requests, and so much time's worth.
     double least_burst = 2;
     duration burst_time = std::chrono::milliseconds(100);
+    /// Questions for each request that may be granted; with one, a fifth of what is there meets nobody who
+    /// asks.
+    double questions_per_request = 2;
     /// Between two questions of one host. The more hosts ask, the longer, so that questions cost the same
     /// whatever the size of the fleet.
     duration shortest_wait = std::chrono::milliseconds(50);
