--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -228,6 +228,9 @@
         this->view.order_token() ? 1 : 0);
     write_gauge(out, "sailtiller_suspect_requests", "Requests that are suspect of ending their upstreams.",
         static_cast<double>(this->view.suspects.suspect_count()));
+    write_gauge(out, "sailtiller_limited_upstreams",
+        "Upstreams that name how many requests a second they take.",
+        static_cast<double>(this->view.limits.limited_count()));
     write_gauge(out, "sailtiller_requests_in_flight", "Requests under way on this host.",
         static_cast<double>(this->view.requests_in_flight()));
     write_gauge_header(out, "sailtiller_retries_left", "Repeated sends that this host may still make.");
--- a/src/libs/fleet/upstreamlimits.h
+++ b/src/libs/fleet/upstreamlimits.h
@@ -47,6 +47,7 @@
 
     /// True if no upstream is known to name a limit.
     [[nodiscard]] bool is_empty() const { return this->limited == 0; }
+    [[nodiscard]] std::size_t limited_count() const { return this->limited; }
     [[nodiscard]] std::size_t record_count() const { return this->records.size(); }
     /// Requests a second that the upstream takes from all hosts; nothing if it names no limit.
     [[nodiscard]] std::optional<double> limit_of(const upstream_id& id) const;
