Tests: the soak names limits, and checks that no upstream gets more than it names

An engine and a service name a limit of 0.5 to 2.4 requests a second for some seconds of each series, drawn apart from the other faults, whose series stay as they were; callers ask for more. By the users' sheets: one and a half times the limit and five in 4 s, from hosts that were told half a second before and neither started, ended nor were suspended within three seconds.

--- a/tests/auto/system/tst_namedlimits.cpp
+++ b/tests/auto/system/tst_namedlimits.cpp
@@ -69,7 +69,10 @@
         if (found == this->world.arrivals.end()) {
             return 0;
         }
-        const std::vector<time_point>& arrivals = found->second;
+        std::vector<time_point> arrivals;
+        for (const standins::request_arrival& arrival : found->second) {
+            arrivals.push_back(arrival.at);
+        }
         for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
             if (*first >= begin) {
                 const auto end = std::lower_bound(first, arrivals.end(), *first + window);
--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -21,6 +21,13 @@
 /// Three heartbeats, after which the store drops the entry of an upstream that doesn't write it.
 constexpr duration silence_limit = 3600ms;
 
+/// From when on an upstream that has first named a limit gets no more than that allows, and for how long a
+/// host that was disturbed is excused, by the users' sheets.
+constexpr duration contact_time = 3s;
+/// A host that was told a limit must keep to it after this.
+constexpr duration told_margin = 500ms;
+constexpr duration limit_window = 4s;
+
 bool promises_not_run(int status)
 {
     return status == 503 || status == 429 || status == 421 || status == 408;
@@ -41,11 +48,56 @@
     for (const host_slot& slot : this->slots) {
         this->wait_until_served(*slot.host);
     }
+    this->draw_limits(seed);
+}
+
+void soak_bed::draw_limits(unsigned seed)
+{
+    // Drawn apart from the other faults, whose series stay what they were.
+    this->limit_random.seed(~seed);
+    const auto draw_time = [this](unsigned from, unsigned span) {
+        return std::chrono::milliseconds(from + this->limit_random() % span);
+    };
+    for (const std::string& name : {this->engines[this->limit_random() % this->engines.size()]->name(),
+             this->services[this->limit_random() % this->services.size()]->name()}) {
+        limited_time item;
+        item.upstream = name;
+        item.requests_per_second = 0.5 + static_cast<double>(this->limit_random() % 20) / 10;
+        item.begin = this->loop.now() + draw_time(0, 1000);
+        item.end = item.begin + draw_time(4000, 4000);
+        this->limited.push_back(item);
+    }
+}
+
+void soak_bed::name_limits()
+{
+    const time_point now = this->loop.now();
+    for (const limited_time& item : this->limited) {
+        if (now >= item.begin && now < item.end) {
+            this->world.limits[item.upstream] = item.requests_per_second;
+        } else {
+            this->world.limits.erase(item.upstream);
+        }
+    }
+}
+
+/// With the other requests alone, an upstream would hardly get more than it names.
+void soak_bed::ask_beyond_limits()
+{
+    constexpr unsigned at_once = 6;
+    for (unsigned number = 0; number < at_once; ++number) {
+        const std::size_t slot = this->limit_random() % this->slots.size();
+        if (this->is_taking(this->slots[slot])) {
+            this->ask_one(slot, number % 2 == 0 ? "/chat/x" : "/submit/x", this->keys.front());
+        }
+    }
 }
 
 void soak_bed::step()
 {
     this->bring_back();
+    this->name_limits();
+    this->ask_beyond_limits();
     this->copies.push_back(this->store.take_copy());
     if (this->copies.size() > kept_copies) {
         this->copies.erase(this->copies.begin());
@@ -120,6 +172,7 @@
         if (slot.is_stopped && now >= slot.back_at) {
             slot.is_stopped = false;
             slot.disturbed = now;
+            slot.unsettled.push_back(now);
             slot.host->process->send_signal(SIGCONT);
         }
         const bool has_ended = slot.is_ended && slot.host->process->exit_code().has_value();
@@ -129,6 +182,7 @@
                 EXPECT_EQ(slot.host->process->exit_code(), 0) << slot.name << " after" << this->series;
             }
             slot.is_ended = false;
+            slot.unsettled.push_back(now);
             slot.host = &this->start_host(slot.name);
         }
     }
@@ -182,6 +236,7 @@
     this->series += (signal == SIGKILL ? " kill-" : " stop-") + slot.name;
     slot.is_ended = true;
     slot.is_planned = signal != SIGKILL;
+    slot.unsettled.push_back(this->loop.now());
     slot.back_at = this->loop.now() + std::chrono::milliseconds(this->draw(1500));
     if (!slot.is_planned) {
         slot.disturbed = this->loop.now();
@@ -196,6 +251,7 @@
     }
     this->series += " freeze-" + slot.name;
     slot.is_stopped = true;
+    slot.unsettled.push_back(this->loop.now());
     slot.disturbed = this->loop.now();
     slot.back_at = this->loop.now() + std::chrono::milliseconds(300 + this->draw(2000));
     slot.host->process->send_signal(SIGSTOP);
@@ -272,6 +328,7 @@
     }
     const auto is_back = [this] {
         this->bring_back();
+        this->name_limits();
         this->note_answers();
         return this->write_again_at == time_point{} && this->drop_silent_at == time_point{}
         && std::none_of(this->slots.begin(), this->slots.end(), [](const host_slot& slot) {
@@ -284,6 +341,10 @@
         return std::all_of(this->requests.begin(), this->requests.end(),
             [](const asked& item) { return item.answered.has_value(); });
     });
+    for (limited_time& item : this->limited) {
+        item.end = std::min(item.end, this->loop.now());
+    }
+    this->name_limits();
 }
 
 void soak_bed::check_answers()
@@ -318,6 +379,54 @@
     }
 }
 
+bool soak_bed::is_settled(const host_slot& slot, time_point moment) const
+{
+    return std::none_of(slot.unsettled.begin(), slot.unsettled.end(),
+        [moment](time_point fault) { return fault <= moment && moment - fault < contact_time; });
+}
+
+std::vector<time_point> soak_bed::counted_arrivals(const limited_time& item) const
+{
+    std::map<std::string, std::size_t> slot_of;
+    for (const asked& request : this->requests) {
+        slot_of[request.id] = request.slot;
+    }
+    std::map<std::size_t, time_point> told;
+    std::vector<time_point> counted;
+    const auto found = this->world.arrivals.find(item.upstream);
+    if (found == this->world.arrivals.end()) {
+        return {};
+    }
+    for (const standins::request_arrival& arrival : found->second) {
+        const auto slot = slot_of.find(arrival.request);
+        if (slot == slot_of.end() || arrival.at < item.begin || arrival.at >= item.end) {
+            continue;
+        }
+        const time_point first = told.try_emplace(slot->second, arrival.at).first->second;
+        const bool counts = arrival.at >= item.begin + contact_time && arrival.at >= first + told_margin;
+        if (counts && this->is_settled(this->slots[slot->second], arrival.at)) {
+            counted.push_back(arrival.at);
+        }
+    }
+    return counted;
+}
+
+void soak_bed::check_limits() const
+{
+    constexpr double share = 1.5;
+    constexpr double slack = 5;
+    const double seconds = std::chrono::duration<double>(limit_window).count();
+    for (const limited_time& item : this->limited) {
+        const std::vector<time_point> arrivals = this->counted_arrivals(item);
+        std::ptrdiff_t most = 0;
+        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+            most = std::max(most, std::lower_bound(first, arrivals.end(), *first + limit_window) - first);
+        }
+        EXPECT_LE(static_cast<double>(most), share * seconds * item.requests_per_second + slack)
+            << item.upstream << " names " << item.requests_per_second << ", after" << this->series;
+    }
+}
+
 void soak_bed::check_hosts()
 {
     this->pass(3s);
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -18,6 +18,8 @@
     /// Ends all faults, and waits for all answers.
     void settle();
     void check_answers();
+    /// No upstream gets more than the limit that it names allows.
+    void check_limits() const;
     /// All hosts know the same, and serve.
     void check_hosts();
 
@@ -32,6 +34,16 @@
         bool is_stopped = false; ///< suspended by a signal
         bool is_ended = false; ///< or told to end
         bool is_planned = false; ///< its end
+        std::vector<time_point> unsettled; ///< starts, ends and freezes, planned ones too
+    };
+
+    /// A time in which an upstream names a limit.
+    struct limited_time
+    {
+        std::string upstream;
+        double requests_per_second = 0;
+        time_point begin{};
+        time_point end{};
     };
 
     /// One request and what came of it.
@@ -63,6 +75,13 @@
     /// The store drops the entries of upstreams that have been silent for three heartbeats.
     void drop_silent_entries();
     void check_answer(const asked& item);
+    /// An engine and a service name limits for some seconds each.
+    void draw_limits(unsigned seed);
+    void name_limits();
+    void ask_beyond_limits();
+    /// The arrivals in such a time that count: from hosts that were told, and not disturbed of late.
+    [[nodiscard]] std::vector<time_point> counted_arrivals(const limited_time& item) const;
+    [[nodiscard]] bool is_settled(const host_slot& slot, time_point moment) const;
 
     std::mt19937 random;
     std::string series; ///< the faults so far, for the message of a failure
@@ -76,6 +95,8 @@
     time_point store_disturbed{};
     time_point write_again_at{}; ///< when what the store has lost is written again
     time_point drop_silent_at{}; ///< when it drops what nobody writes again
+    std::vector<limited_time> limited;
+    std::mt19937 limit_random; ///< apart from that of the other faults
     unsigned count = 0;
 };
 
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -31,7 +31,7 @@
 
 void note_arrival(engine_world& world, const std::string& name, const http_request& request, time_point now)
 {
-    world.arrivals[name].push_back(now);
+    world.arrivals[name].push_back({find_header(request.headers, "x-attempt-id").value_or(""), now});
     if (request.body == world.fatal_body) {
         world.fatal_arrivals.push_back(now);
     }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -15,6 +15,13 @@
 
 class path_engine;
 
+/// A caller's request that came to an engine or service.
+struct request_arrival
+{
+    std::string request; ///< its id
+    time_point at{};
+};
+
 /// All engines of a site, which pass streams on among themselves, and what came of the requests.
 struct engine_world
 {
@@ -37,8 +44,8 @@
     /// Requests a second that engines and services name in their answers as those that they take, by their
     /// names.
     std::map<std::string, double> limits;
-    std::map<std::string, std::vector<time_point>>
-        arrivals; ///< of callers' requests, by name, refused ones included
+    /// By the names of engines and services, refused ones included.
+    std::map<std::string, std::vector<request_arrival>> arrivals;
 };
 
 /// One part of a path.
