--- a/src/app/sailtillerd/sitelimits.cpp
+++ b/src/app/sailtillerd/sitelimits.cpp
@@ -3,8 +3,6 @@
 
 #include <runtime/eventlog.h>
 
-#include <algorithm>
-
 namespace sailtiller {
 
 site_limits::site_limits(event_loop& loop, site_peers& peers, const host_id& self,
@@ -28,13 +26,7 @@
 {
     limit_holder_hooks hooks;
     hooks.timers = this->loop.hooks();
-    hooks.hosts = [this] {
-        std::vector<host_id> ids;
-        for (const known_host& host : this->peers.hosts().present_hosts(this->loop.now())) {
-            ids.push_back(host.id);
-        }
-        return ids;
-    };
+    hooks.hosts = [this] { return this->peers.hosts().present_ids(this->loop.now()); };
     hooks.ask = [this](const host_id& home, const limit_question& question,
                     const std::function<void(const limit_grant&)>& on_grant,
                     const std::function<void()>& on_failure) {
@@ -42,14 +34,12 @@
             on_grant(this->answer(question));
             return;
         }
-        const std::vector<known_host> present = this->peers.hosts().present_hosts(this->loop.now());
-        const auto found = std::find_if(
-            present.begin(), present.end(), [&home](const known_host& host) { return host.id == home; });
-        if (found == present.end()) {
+        const known_host* peer = this->peers.hosts().find(home);
+        if (peer == nullptr) {
             on_failure();
             return;
         }
-        this->peers.ask_limit(*found, question, on_grant, on_failure);
+        this->peers.ask_limit(*peer, question, on_grant, on_failure);
     };
     return hooks;
 }
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -125,17 +125,35 @@
     return live;
 }
 
-std::vector<known_host> host_table::present_hosts(time_point now) const
+bool host_table::is_present(const entry& item, time_point now) const
 {
-    std::vector<known_host> present = {this->self};
+    return this->is_live(item, now) || this->awaits_turn(item, now);
+}
+
+std::vector<host_id> host_table::present_ids(time_point now) const
+{
+    std::vector<host_id> present = {this->self.id};
     for (const auto& [id, item] : this->others) {
-        if (this->is_live(item, now) || this->awaits_turn(item, now)) {
-            present.push_back(item.host);
+        if (this->is_present(item, now)) {
+            present.push_back(id);
         }
     }
     return present;
 }
 
+std::size_t host_table::present_count(time_point now) const
+{
+    const auto count = std::count_if(this->others.begin(), this->others.end(),
+        [this, now](const auto& item) { return this->is_present(item.second, now); });
+    return 1 + static_cast<std::size_t>(count);
+}
+
+const known_host* host_table::find(const host_id& id) const
+{
+    const auto found = this->others.find(id);
+    return found == this->others.end() ? nullptr : &found->second.host;
+}
+
 std::size_t host_table::heard_count(time_point now, duration within) const
 {
     const auto is_heard = [now, within](const auto& item) {
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -71,8 +71,10 @@
     [[nodiscard]] std::size_t live_count(time_point now) const { return this->live_hosts(now).size(); }
     /// Live hosts, this one included, and those that only have not had their turn; nearly the same on all
     /// hosts, also of a large fleet.
-    [[nodiscard]] std::vector<known_host> present_hosts(time_point now) const;
-    [[nodiscard]] std::size_t present_count(time_point now) const { return this->present_hosts(now).size(); }
+    [[nodiscard]] std::vector<host_id> present_ids(time_point now) const;
+    [[nodiscard]] std::size_t present_count(time_point now) const;
+    /// Another host, as far as it is known; null if it isn't.
+    [[nodiscard]] const known_host* find(const host_id& id) const;
     /// Hosts that were heard within that time, leaving ones and this one included.
     [[nodiscard]] std::size_t heard_count(time_point now, duration within) const;
     /// This host's place among the live ones, from 0.
@@ -119,6 +121,7 @@
     [[nodiscard]] duration ask_interval(const entry& item, time_point now) const;
     /// True if it was heard longer ago than the silence limit only because its turn has not come.
     [[nodiscard]] bool awaits_turn(const entry& item, time_point now) const;
+    [[nodiscard]] bool is_present(const entry& item, time_point now) const;
     [[nodiscard]] std::uint64_t own_duty_order() const;
     /// True if this host is one of the standbys, among all hosts that it has ever heard.
     [[nodiscard]] bool is_duty_standby() const;
--- a/src/libs/fleet/limitholder.h
+++ b/src/libs/fleet/limitholder.h
@@ -4,8 +4,6 @@
 #include <base/timerqueue.h>
 #include <fleet/limitmessages.h>
 
-#include <set>
-
 namespace sailtiller {
 
 /// What a holder needs from outside.
