Tests: one bound for limits that upstreams name

The users' bound on what an upstream gets, and the most arrivals in one window, stood three times: in tst_limitsharing, tst_namedlimits and the soak. They stand in tests/support/limitbound.h; the assertions and their figures are as before.

--- a/tests/auto/fleet/tst_limitsharing.cpp
+++ b/tests/auto/fleet/tst_limitsharing.cpp
@@ -9,6 +9,7 @@
 #include <fleet/limithome.h>
 
 #include <base/random.h>
+#include <support/limitbound.h>
 
 #include <gtest/gtest.h>
 
@@ -21,10 +22,6 @@
 
 using namespace std::chrono_literals;
 
-/// The bounds of the users' sheets.
-constexpr duration contact_time = 3s;
-constexpr duration window = 4s;
-
 constexpr duration step = 1ms;
 constexpr duration answer_time = 30ms; ///< of the upstream
 constexpr duration answer_limit = 400ms; ///< of hosts, between them
@@ -85,16 +82,7 @@
     }
 
     /// The most arrivals in one window, of those that count.
-    [[nodiscard]] std::size_t most_arrivals() const
-    {
-        std::size_t most = 0;
-        for (auto first = this->counted.begin(); first != this->counted.end(); ++first) {
-            const auto end = std::lower_bound(first, this->counted.end(), *first + window);
-            most = std::max(most, static_cast<std::size_t>(end - first));
-        }
-        return most;
-    }
-
+    [[nodiscard]] std::size_t most_arrivals() const { return most_in_window(this->counted); }
     [[nodiscard]] std::size_t all_arrivals() const { return this->counted.size(); }
     [[nodiscard]] std::size_t questions() const { return this->asked; }
 
@@ -217,7 +205,7 @@
             break;
         case 1:
             item.frozen_until = std::max(item.frozen_until, this->now + time);
-            item.excused_until = item.frozen_until + contact_time;
+            item.excused_until = item.frozen_until + limit_contact_time;
             break;
         default:
             this->spread_word(this->add_host());
@@ -239,7 +227,7 @@
         this->timers.schedule(this->now + time, [this, &item] {
             item.is_up = true;
             this->start(item);
-            item.excused_until = this->now + contact_time;
+            item.excused_until = this->now + limit_contact_time;
             this->spread_word(item);
         });
     }
@@ -281,7 +269,7 @@
         }
         // By the users' sheets only hosts count that the upstream itself has told half a second before.
         const bool knows = item.limits.limit_of(limited).has_value();
-        const bool counts = this->named && this->now >= *this->named + contact_time && knows;
+        const bool counts = this->named && this->now >= *this->named + limit_contact_time && knows;
         if (counts && this->now >= item.excused_until) {
             this->counted.push_back(this->now);
         }
@@ -305,11 +293,6 @@
     std::size_t asked = 0;
 };
 
-std::size_t allowed(double limit)
-{
-    return static_cast<std::size_t>(1.5 * std::chrono::duration<double>(window).count() * limit + 5);
-}
-
 /// Questions between hosts, a second: some for each request that is granted, and one of each host at times.
 double most_questions(std::size_t hosts, double limit)
 {
@@ -331,7 +314,7 @@
     limited_fleet fleet(given);
     fleet.pass(12s);
     fleet.name_limit();
-    fleet.pass(contact_time);
+    fleet.pass(limit_contact_time);
     const std::size_t before = fleet.questions();
     fleet.draw_faults(time);
     fleet.pass(time);
@@ -345,7 +328,7 @@
     for (const std::size_t hosts : {1UL, 3UL, 9UL, 60UL, 400UL}) {
         for (const double limit : {0.5, 1.0, 4.5, 30.0, 200.0}) {
             const outcome result = play({.hosts = hosts, .limit = limit, .demand = 4 * limit + 20}, 20s);
-            EXPECT_LE(result.most, allowed(limit)) << hosts << " hosts, limit " << limit;
+            EXPECT_LE(result.most, most_allowed(limit)) << hosts << " hosts, limit " << limit;
             EXPECT_GE(result.rate, 0.9 * limit) << hosts << " hosts, limit " << limit;
             EXPECT_LE(result.questions, most_questions(hosts, limit)) << hosts << " hosts, limit " << limit;
         }
@@ -370,7 +353,7 @@
     given.spread = is_large ? 3s : 500ms;
     given.missed = is_large ? 8s : 1500ms;
     const outcome result = play(given, 20s);
-    EXPECT_LE(result.most, allowed(given.limit))
+    EXPECT_LE(result.most, most_allowed(given.limit))
         << given.hosts << " hosts, limit " << given.limit << ", demand " << given.demand << ", lost "
         << given.lost_percent << ", faults " << given.faults;
 }
--- a/tests/auto/system/tst_namedlimits.cpp
+++ b/tests/auto/system/tst_namedlimits.cpp
@@ -12,6 +12,8 @@
 // 1 got 42 requests in 4 s in the first test, and services with limits of 2 and 4 got 65 each in the second.
 #include "sitebed.h"
 
+#include <support/limitbound.h>
+
 #include <algorithm>
 
 namespace sailtiller::tests {
@@ -20,19 +22,6 @@
 
 using namespace std::chrono_literals;
 
-/// From when on an upstream that has first named a limit gets no more, by the users' sheets.
-constexpr duration contact_time = 3s;
-/// Any span of this length counts.
-constexpr duration window = 4s;
-
-/// The most that an upstream with this limit may get in one window, by the users' sheets.
-std::size_t most_arrivals(double limit)
-{
-    constexpr double share = 1.5;
-    constexpr double slack = 5;
-    return static_cast<std::size_t>(share * std::chrono::duration<double>(window).count() * limit + slack);
-}
-
 class named_limits : public site_bed
 {
 protected:
@@ -64,22 +53,17 @@
     /// The most arrivals in one window, from `begin` on.
     [[nodiscard]] std::size_t count_most(const std::string& name, time_point begin) const
     {
-        std::size_t most = 0;
         const auto found = this->world.arrivals.find(name);
         if (found == this->world.arrivals.end()) {
             return 0;
         }
         std::vector<time_point> arrivals;
         for (const standins::request_arrival& arrival : found->second) {
-            arrivals.push_back(arrival.at);
-        }
-        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-            if (*first >= begin) {
-                const auto end = std::lower_bound(first, arrivals.end(), *first + window);
-                most = std::max(most, static_cast<std::size_t>(end - first));
+            if (arrival.at >= begin) {
+                arrivals.push_back(arrival.at);
             }
         }
-        return most;
+        return most_in_window(arrivals);
     }
 
     [[nodiscard]] std::size_t count_answers(int status) const
@@ -106,7 +90,7 @@
     this->answers.clear();
     this->send(160, 50ms, "/chat/x");
     this->pass(1s);
-    EXPECT_LE(this->count_most(limited, named + contact_time), most_arrivals(1)) << limited;
+    EXPECT_LE(this->count_most(limited, named + limit_contact_time), most_allowed(1)) << limited;
     EXPECT_EQ(this->count_answers(200), this->answers.size());
 }
 
@@ -127,8 +111,8 @@
     this->answers.clear();
     this->send(280, 25ms, "/submit/x");
     this->pass(1s);
-    EXPECT_LE(this->count_most("service-1", named + contact_time), most_arrivals(2));
-    EXPECT_LE(this->count_most("service-2", named + contact_time), most_arrivals(4));
+    EXPECT_LE(this->count_most("service-1", named + limit_contact_time), most_allowed(2));
+    EXPECT_LE(this->count_most("service-2", named + limit_contact_time), most_allowed(4));
     // Six a second for seven seconds and more; what is granted to one host and not used there is lost.
     EXPECT_GE(this->count_answers(200), 25U);
     EXPECT_EQ(this->count_answers(200) + this->count_answers(503), this->answers.size());
--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "soakbed.h"
 
+#include <support/limitbound.h>
+
 #include <algorithm>
 #include <csignal>
 
@@ -21,12 +23,10 @@
 /// Three heartbeats, after which the store drops the entry of an upstream that doesn't write it.
 constexpr duration silence_limit = 3600ms;
 
-/// From when on an upstream that has first named a limit gets no more than that allows, and for how long a
-/// host that was disturbed is excused, by the users' sheets.
+/// For how long a host that was disturbed is excused, by the users' sheets.
 constexpr duration contact_time = 3s;
 /// A host that was told a limit must keep to it after this.
 constexpr duration told_margin = 500ms;
-constexpr duration limit_window = 4s;
 
 bool promises_not_run(int status)
 {
@@ -403,7 +403,8 @@
             continue;
         }
         const time_point first = told.try_emplace(slot->second, arrival.at).first->second;
-        const bool counts = arrival.at >= item.begin + contact_time && arrival.at >= first + told_margin;
+        const bool counts =
+            arrival.at >= item.begin + limit_contact_time && arrival.at >= first + told_margin;
         if (counts && this->is_settled(this->slots[slot->second], arrival.at)) {
             counted.push_back(arrival.at);
         }
@@ -413,16 +414,8 @@
 
 void soak_bed::check_limits() const
 {
-    constexpr double share = 1.5;
-    constexpr double slack = 5;
-    const double seconds = std::chrono::duration<double>(limit_window).count();
     for (const limited_time& item : this->limited) {
-        const std::vector<time_point> arrivals = this->counted_arrivals(item);
-        std::ptrdiff_t most = 0;
-        for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-            most = std::max(most, std::lower_bound(first, arrivals.end(), *first + limit_window) - first);
-        }
-        EXPECT_LE(static_cast<double>(most), share * seconds * item.requests_per_second + slack)
+        EXPECT_LE(most_in_window(this->counted_arrivals(item)), most_allowed(item.requests_per_second))
             << item.upstream << " names " << item.requests_per_second << ", after" << this->series;
     }
 }
