Platform, Delivery: the log tells when an upstream asks for a pause or says that it leaves

The head of each answer is decoded (Retry-After of 429 and 503, Server-Leaving) and each such answer gives a line. No decision uses them yet.

--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -54,6 +54,10 @@
         return "upstream_limited";
     case event_type::upstream_outlived:
         return "upstream_outlived";
+    case event_type::upstream_pause_asked:
+        return "upstream_pause_asked";
+    case event_type::upstream_pause_unusable:
+        return "upstream_pause_unusable";
     case event_type::upstream_still_dead:
         return "upstream_still_dead";
     case event_type::upstream_lapsed:
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -56,6 +56,10 @@
     /// That it takes from all hosts together, while it says so; nothing if it names no limit.
     std::optional<double> requests_per_second;
     bool is_limit_unusable = false; ///< it names a limit that can't be read
+    /// For how long the upstream, which refuses, wants nothing more from this host.
+    std::optional<duration> pause;
+    bool is_pause_unusable = false; ///< it asks for a pause that can't be read
+    bool is_leaving = false; ///< it says that it ends before long
     http_headers passed_on; ///< headers that go to the caller as they are
 };
 
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -104,15 +104,26 @@
         id, context.timers.now(), context.settings.unwilling_pause, context.settings.longest_unwilling_pause);
 }
 
-void note_limit(
+void note_answer(
     const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent)
 {
     // Whoever refuses a request that is meant for another upstream is another one itself.
     if (answer.status == http_status::misdirected) {
         return;
     }
+    const auto log = [&](event_type event, const std::string& detail) {
+        context.log({event, answer.id.value(), id.value(), detail});
+    };
+    if (answer.pause) {
+        log(event_type::upstream_pause_asked, write_seconds(*answer.pause) + " s");
+    } else if (answer.is_pause_unusable) {
+        log(event_type::upstream_pause_unusable, "");
+    }
+    if (answer.is_leaving) {
+        log(event_type::upstream_leaving, "by its own answer");
+    }
     if (answer.is_limit_unusable) {
-        context.log({event_type::upstream_limit_unusable, answer.id.value(), id.value(), ""});
+        log(event_type::upstream_limit_unusable, "");
         return;
     }
     context.limits.note_answer(id, answer.requests_per_second, sent);
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -187,9 +187,8 @@
 void avoid_after_refusal(const delivery_context& context, const upstream_id& id);
 /// The same for one that has room, as far as this host knows.
 void avoid_unwilling(const delivery_context& context, const upstream_id& id);
-/// Takes over what the answer says of the requests that its upstream takes; it came to one that was sent at
-/// `sent`.
-void note_limit(
+/// Takes over what an upstream says of itself in the head of its answer to a request that was sent at `sent`.
+void note_answer(
     const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent);
 /// A refusal that says truthfully that the request has not run, and when to come back.
 http_response make_refusal(duration retry_after, const std::string& reason);
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -197,7 +197,7 @@
         this->retry_or_fail("the answer belongs to another request");
         return;
     }
-    note_limit(this->context, *this->target, this->answer, this->call.sent_at());
+    note_answer(this->context, *this->target, this->answer, this->call.sent_at());
     if (this->answer.is_not_run) {
         // The refusal of a second copy leaves open whether the first one was begun.
         this->runs += this->call.was_sent_again() ? 1 : 0;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -277,7 +277,7 @@
         this->fail_over("the answer belongs to another request");
         return;
     }
-    note_limit(this->context, this->path.head().id, this->answer, this->call.sent_at());
+    note_answer(this->context, this->path.head().id, this->answer, this->call.sent_at());
     this->head_wait.end(); // it lives
     if (status != http_status::ok || !this->answer.is_signed) {
         return; // judged at its end
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -225,6 +225,29 @@
     }
 }
 
+TEST(wire_answer, tells_how_long_an_upstream_that_refuses_wants_no_requests)
+{
+    const request_codec codec = make_request_codec();
+    EXPECT_EQ(codec.decode_answer(503, {{"retry-after", "3"}}).pause, duration(3s));
+    EXPECT_EQ(codec.decode_answer(429, {{"retry-after", "0.25"}}).pause, duration(250ms));
+    EXPECT_EQ(codec.decode_answer(503, {}).pause, std::nullopt);
+    EXPECT_EQ(codec.decode_answer(421, {{"retry-after", "3"}}).pause, std::nullopt);
+    EXPECT_EQ(codec.decode_answer(200, {{"retry-after", "3"}}).pause, std::nullopt);
+    for (const char* text : {"", "soon", "-1", "nan", "inf", "3s", "Thu, 01 Jan 1970 00:00:00 GMT"}) {
+        const upstream_answer bad = codec.decode_answer(503, {{"retry-after", text}});
+        EXPECT_EQ(bad.pause, std::nullopt) << text;
+        EXPECT_TRUE(bad.is_pause_unusable) << text;
+    }
+}
+
+TEST(wire_answer, tells_that_its_upstream_leaves)
+{
+    const request_codec codec = make_request_codec();
+    EXPECT_TRUE(codec.decode_answer(200, {{"server-leaving", "1"}}).is_leaving);
+    EXPECT_FALSE(codec.decode_answer(200, {{"server-leaving", "0"}}).is_leaving);
+    EXPECT_FALSE(codec.decode_answer(200, {}).is_leaving);
+}
+
 TEST(wire_path_change, asks_and_reads)
 {
     const request_codec codec = make_request_codec();
