Tests: an upstream that asked a host for a pause gets more requests than two

Three hosts as real processes; a service refuses with 503 and Retry-After 3. On the code as it is, each host sends it 5 to 7 requests between half a second after such an answer and the end of the pause; two are allowed. The same of an engine passes: the one that refuses though it has room is passed by for seconds already.

--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -37,16 +37,37 @@
     }
 }
 
-/// Heads of an answer of the upstream, with the limit that it names.
-http_headers with_limit(const engine_world& world, const std::string& name, http_headers headers)
+/// Heads of an answer of the upstream, with what it tells of itself.
+http_headers with_notices(const engine_world& world, const std::string& name, http_headers headers)
 {
     const auto limit = world.limits.find(name);
     if (limit != world.limits.end()) {
         headers.push_back({"server-limit", std::to_string(limit->second)});
     }
+    if (world.leaving.count(name) != 0) {
+        headers.push_back({"server-leaving", "1"});
+    }
     return headers;
 }
 
+/// Refuses the request with the pause for which the upstream asks; false if it asks for none.
+bool refuse_for_pause(engine_world& world, const std::string& name,
+    const std::shared_ptr<http_exchange>& exchange, time_point now)
+{
+    const auto pause = world.pauses.find(name);
+    if (pause == world.pauses.end()) {
+        return false;
+    }
+    const std::string request = header_of(exchange, "x-attempt-id");
+    world.refused.push_back({name, request, now, pause->second});
+    const std::string seconds = std::to_string(std::chrono::duration<double>(pause->second).count());
+    exchange->respond({503,
+        with_notices(
+            world, name, {{"x-attempt-id", request}, {"x-not-executed", "1"}, {"retry-after", seconds}}),
+        ""});
+    return true;
+}
+
 std::unique_ptr<http_server> make_server(event_loop& loop, http_server::request_handler handler)
 {
     return std::make_unique<http_server>(loop, http_server_limits{}, std::nullopt, std::move(handler));
@@ -151,12 +172,14 @@
     if (!target.empty() && target != this->id) {
         exchange->respond({421, {{"x-instance-id", this->id}}, ""});
     } else if (route == "/api/report") {
-        exchange->respond({200, {}, json({{"busy", false}}).dump()});
+        exchange->respond({200, with_notices(this->world, this->id, {}), json({{"busy", false}}).dump()});
     } else if (route == "/api/order") {
         this->take_order(exchange);
     } else {
         note_arrival(this->world, this->id, exchange->request(), this->loop.now());
-        this->start_stream(exchange, header_of(exchange, "path"));
+        if (!refuse_for_pause(this->world, this->id, exchange, this->loop.now())) {
+            this->start_stream(exchange, header_of(exchange, "path"));
+        }
     }
 }
 
@@ -223,7 +246,7 @@
     const std::vector<engine_part> parts = read_path(path);
     if (const engine_part* fault = this->find_fault(parts)) {
         exchange->respond({503,
-            with_limit(this->world, this->id,
+            with_notices(this->world, this->id,
                 {{"x-attempt-id", request}, {"x-not-executed", "1"}, {"at-server", fault->address}}),
             ""});
         return;
@@ -237,7 +260,7 @@
     stream.path = parts;
     stream.next_event = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last)) + 1;
     exchange->start(200,
-        with_limit(this->world, this->id,
+        with_notices(this->world, this->id,
             {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id},
                 {"content-type", "text/event-stream"}}));
     stream.timer =
@@ -313,9 +336,12 @@
 
 void platform_service::handle(const std::shared_ptr<http_exchange>& exchange)
 {
+    note_arrival(this->world, this->id, exchange->request(), this->loop.now());
+    if (refuse_for_pause(this->world, this->id, exchange, this->loop.now())) {
+        return;
+    }
     const std::string request = header_of(exchange, "x-attempt-id");
     ++this->world.runs[request];
-    note_arrival(this->world, this->id, exchange->request(), this->loop.now());
     if (exchange->request().body == this->world.fatal_body) {
         this->loop.schedule_after(this->world.time_to_crash, [this] { this->crash(); });
         return;
@@ -330,7 +356,7 @@
         return;
     }
     exchange->respond({200,
-        with_limit(this->world, this->id,
+        with_notices(this->world, this->id,
             {{"x-attempt-id", request}, {"x-response-signature", "proof-" + this->id}}),
         "answer"});
 }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -22,6 +22,15 @@
     time_point at{};
 };
 
+/// A refusal of an engine or service that asked for a pause.
+struct refused_arrival
+{
+    std::string upstream;
+    std::string request; ///< its id
+    time_point at{};
+    duration pause{};
+};
+
 /// All engines of a site, which pass streams on among themselves, and what came of the requests.
 struct engine_world
 {
@@ -44,6 +53,11 @@
     /// Requests a second that engines and services name in their answers as those that they take, by their
     /// names.
     std::map<std::string, double> limits;
+    /// Those that refuse every request, and the pause for which they ask, by their names.
+    std::map<std::string, duration> pauses;
+    std::vector<refused_arrival> refused;
+    /// Names of those that say in all their answers that they leave.
+    std::set<std::string> leaving;
     /// By the names of engines and services, refused ones included.
     std::map<std::string, std::vector<request_arrival>> arrivals;
 };
