Tests: upstreams that said they leave are used until their entries say so

An upstream says in all its answers that it leaves, and its entry in the store says that it is ready. Three hosts as real processes go on sending there for as long as the test lasts; two seconds after a host passed such an answer on, it must send nothing.

--- a/tests/auto/system/tst_upstreamnotices.cpp
+++ b/tests/auto/system/tst_upstreamnotices.cpp
@@ -12,6 +12,9 @@
 
 using namespace std::chrono_literals;
 
+/// From a host's passing on that an upstream leaves, until it must send nothing there, by the users' sheets.
+constexpr duration leaving_margin = 2s;
+
 class upstream_notices : public site_bed
 {
 protected:
@@ -141,6 +144,43 @@
     EXPECT_TRUE(this->are_all_served());
 }
 
+TEST_F(upstream_notices, a_service_that_said_it_leaves_gets_no_requests_though_its_entry_says_ready)
+{
+    this->start_hosts();
+    this->world.leaving.insert("service-1");
+    const time_point said = this->loop.now();
+    this->send(1s, 25ms, "/submit/x");
+    this->send(4s, 25ms, "/submit/x");
+    for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+        EXPECT_TRUE(this->arrivals("service-1", host, said + 1s + leaving_margin).empty())
+            << this->hosts[host]->name;
+    }
+    EXPECT_TRUE(this->are_all_served());
+}
+
+TEST_F(upstream_notices, an_engine_that_said_it_leaves_leads_no_streams_though_its_entry_says_ready)
+{
+    this->start_engines(6);
+    this->start_hosts();
+    for (const auto& host : this->hosts) {
+        this->wait_until_served(*host);
+    }
+    this->world.arrivals.clear();
+    this->send(2s, 50ms, "/chat/x");
+    const std::string left = this->busiest();
+    this->world.leaving.insert(left);
+    const time_point said = this->loop.now();
+    this->send(5s, 50ms, "/chat/x");
+    this->pass(1s);
+    for (std::size_t host = 0; host < this->hosts.size(); ++host) {
+        const std::vector<time_point> after = this->arrivals(left, host, said);
+        const auto late = std::count_if(after.begin(), after.end(),
+            [&after](time_point arrival) { return arrival > after.front() + leaving_margin; });
+        EXPECT_EQ(late, 0) << left << " from " << this->hosts[host]->name;
+    }
+    EXPECT_TRUE(this->are_all_served());
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
