Delivery, Routing, Sailtillerd: an upstream that asked for a pause gets no requests of this host until its end

What callers saw: nothing; the upstream did. It refused with 503 and asked a host by Retry-After to send it nothing for 3 s, and got 3 to 4 requests from it in that time, each of which was refused and cost a part of the fleet's allowance of repeats.

Cause: no host read the wish. A refusal kept its host away for 250 ms, whatever the answer said. Class: what an upstream says of itself is met by a guess of ours.

Why it holds: upstream_pauses remembers the wish from the head of the answer on, and only time ends it: no good answer, no probe, no new entry. All that goes to an upstream asks it: first sends, repeats, heads of paths, the second copy over a kept connection that was closed, and a call whose connection was long in coming, right before its first byte leaves. What no upstream may be sent for as long as its caller is held is refused at once, with the end of the first pause, at most a second, as the time to come back. Two steps that the refusal must not take with it: what is held back before its first byte suspends no upstream, and a refusal counts from its head though its body is lost.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -162,18 +162,21 @@
 
 json site_admin::list_upstreams() const
 {
+    const time_point now = this->view.now();
     json list = json::array();
     for (const auto& [id, entry] : this->view.knowledge.upstreams().entries()) {
         const discovered_upstream& upstream = entry.upstream;
+        const std::optional<time_point> pause_end = this->view.pauses.end_of(id, now);
         const part_load& load = this->view.loads.of(id);
         const std::optional<double> limit = this->view.limits.limit_of(id);
         list.push_back({{"id", id.value()}, {"service", upstream.service.value()},
             {"address", upstream.address.value()}, {"data_hall", upstream.data_hall.value()},
             {"card", upstream.card}, {"layers", json::array({upstream.held.begin, upstream.held.end})},
             {"leaving", upstream.is_leaving}, {"lapsed", entry.is_lapsed},
-            {"suspended", !load.takes_work(this->view.now())}, {"requests", load.requests},
+            {"suspended", !load.takes_work(now)}, {"requests", load.requests},
             {"requests_of_others", load.other_requests},
-            {"requests_per_second", limit ? json(*limit) : json()}});
+            {"requests_per_second", limit ? json(*limit) : json()},
+            {"paused_ms", write_age(pause_end ? std::optional(*pause_end - now) : std::nullopt)}});
     }
     return list;
 }
@@ -231,6 +234,9 @@
     write_gauge(out, "sailtiller_limited_upstreams",
         "Upstreams that name how many requests a second they take.",
         static_cast<double>(this->view.limits.limited_count()));
+    write_gauge(out, "sailtiller_paused_upstreams",
+        "Upstreams that asked this host to send them nothing for a while.",
+        static_cast<double>(this->view.pauses.paused_count(this->view.now())));
     write_gauge(out, "sailtiller_requests_in_flight", "Requests under way on this host.",
         static_cast<double>(this->view.requests_in_flight()));
     write_gauge_header(out, "sailtiller_retries_left", "Repeated sends that this host may still make.");
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -23,6 +23,7 @@
     const host_table& hosts;
     const crash_suspects& suspects;
     const upstream_limits& limits;
+    const upstream_pauses& pauses;
     std::function<std::optional<fencing_token>()> order_token; ///< nothing if another host gives the orders
     std::function<bool()> reads_store; ///< false from a failed read to the next one that is answered
     std::function<bool()> is_ready;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -93,7 +93,7 @@
         [this](const request_content& content, const std::function<void(bool)>& on_answer) {
             this->suspects.claim_trial(content, on_answer);
         },
-        this->limits.own_part(), this->random, this->settings.data_hall,
+        this->limits.own_part(), this->pauses, this->random, this->settings.data_hall,
         [this] { return this->knowledge.is_bundle_fresh(); },
         [this](const delivery_event& event) { this->admin.note(event); }, {},
         [this](const delivery_order& order, request_moment moment, duration time) {
@@ -356,6 +356,7 @@
     this->loads.forget_idle(is_known);
     this->health.forget(is_known);
     this->limits.tidy(is_known);
+    this->pauses.tidy(this->loop.now());
     this->gateway.leave_given_up_layers();
     const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
     const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
@@ -390,10 +391,11 @@
 site_admin_view site_host::make_admin_view()
 {
     return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
-        this->suspects.records(), this->limits.records(), [this] { return this->duties.order_token(); },
-        [this] { return this->reading.reads_store(); }, [this] { return this->is_ready(); },
-        [this] { return this->stop.is_under_way(); }, [this] { return this->gateway.requests_in_flight(); },
-        [this] { return this->list_retries_left(); }, [this] { return this->loop.now(); }};
+        this->suspects.records(), this->limits.records(), this->pauses,
+        [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
+        [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
+        [this] { return this->gateway.requests_in_flight(); }, [this] { return this->list_retries_left(); },
+        [this] { return this->loop.now(); }};
 }
 
 void site_host::run_turn()
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -74,6 +74,7 @@
     store_client store;
     site_knowledge knowledge;
     part_loads loads;
+    upstream_pauses pauses;
     store_reading reading;
     std::optional<store_era> seen_era; ///< of the store's history, as of the last look
     site_suspects suspects;
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -115,6 +115,7 @@
         context.log({event, answer.id.value(), id.value(), detail});
     };
     if (answer.pause) {
+        context.pauses.note(id, *answer.pause, context.timers.now());
         log(event_type::upstream_pause_asked, write_seconds(*answer.pause) + " s");
     } else if (answer.is_pause_unusable) {
         log(event_type::upstream_pause_unusable, "");
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -14,6 +14,7 @@
 #include <routing/layerpath.h>
 #include <routing/pipemeter.h>
 #include <routing/retryallowance.h>
+#include <routing/upstreampauses.h>
 
 #include <memory>
 
@@ -139,6 +140,8 @@
         claim_trial;
     /// This host's part of the requests a second that upstreams say they take.
     limit_holder& limits;
+    /// Upstreams that asked this host to send them nothing for a while.
+    upstream_pauses& pauses;
     random_function random;
     data_hall_id data_hall;
     /// False while this host can't tell whether its bundle is still the newest.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -58,19 +58,18 @@
     const std::set<upstream_id>& avoided, const layer_path& present) const
 {
     path_question question = this->make_question(avoided, present);
-    if (!this->context.limits.is_empty()) {
-        question.may_lead = [this](const upstream_id& id) { return this->context.limits.may_send(id); };
+    if (!this->gate.is_open()) {
+        question.may_lead = [this](const upstream_id& id) { return this->gate.may_send(id); };
     }
     return this->answer(question);
 }
 
-bool path_chooser::is_limit_used_up(const std::set<upstream_id>& avoided) const
+std::optional<duration> path_chooser::closed_for(const std::set<upstream_id>& avoided) const
 {
-    if (this->context.limits.is_empty()) {
-        return false;
-    }
-    const std::optional<layer_path> found = this->answer(this->make_question(avoided, {}));
-    return found && this->context.limits.is_used_up(found->front().id);
+    const auto may_lead = [this](const discovered_upstream& upstream) {
+        return upstream.service == this->order.service && !upstream.is_leaving && upstream.held.holds(0);
+    };
+    return this->gate.closed_for(may_lead, avoided);
 }
 
 bool path_chooser::has_room(const layer_path& path) const
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <delivery/deliverycontext.h>
+#include <delivery/upstreamgate.h>
 
 namespace sailtiller {
 
@@ -12,18 +12,20 @@
     path_chooser(const delivery_context& context, const delivery_order& order)
         : context(context)
         , order(order)
+        , gate(context, order)
     {
     }
 
     /// The profile of the service's engines; null if the bundle has no engines for it.
     [[nodiscard]] const engine_profile* profile() const;
-    /// The cheapest path without the avoided upstreams, whose first engine takes one request more by the
-    /// limit that it names; with a present path, another one for the running request. There must be a
-    /// profile, as for all that follows.
+    /// The cheapest path without the avoided upstreams, whose first engine wants one request more by what it
+    /// told; with a present path, another one for the running request. There must be a profile, as for all
+    /// that follows.
     [[nodiscard]] std::optional<layer_path> find(
         const std::set<upstream_id>& avoided, const layer_path& present = {}) const;
-    /// True if there is a path but for the limit that its first engine names, which is used up.
-    [[nodiscard]] bool is_limit_used_up(const std::set<upstream_id>& avoided) const;
+    /// If it is certain that no engine may begin the request for as long as it is held: after what time its
+    /// caller should come back.
+    [[nodiscard]] std::optional<duration> closed_for(const std::set<upstream_id>& avoided) const;
     /// True if neither an engine of the path nor a pipe between its halls is too full for the request.
     [[nodiscard]] bool has_room(const layer_path& path) const;
     /// True if the part's engine has room and slots left, by what this host knows of the work there.
@@ -44,6 +46,7 @@
 
     const delivery_context& context;
     const delivery_order& order;
+    upstream_gate gate;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -25,6 +25,7 @@
     , on_done(std::move(on_done))
     , patience(context)
     , call(context, this->order)
+    , gate(context, this->order)
     , guard(context, this->order)
 {
 }
@@ -39,26 +40,9 @@
     this->search();
 }
 
-bool plain_delivery::may_go_to(const discovered_upstream& upstream) const
+bool plain_delivery::is_candidate(const discovered_upstream& upstream) const
 {
-    return upstream.service == this->order.service && !upstream.is_leaving
-        && this->context.loads.of(upstream.id).takes_work(this->context.timers.now())
-        && this->avoided.count(upstream.id) == 0 && this->target != upstream.id;
-}
-
-bool plain_delivery::are_limits_used_up() const
-{
-    bool is_any = false;
-    for (const auto& [id, entry] : this->context.directory.entries()) {
-        if (!this->may_go_to(entry.upstream)) {
-            continue;
-        }
-        if (!this->context.limits.is_used_up(id)) {
-            return false;
-        }
-        is_any = true;
-    }
-    return is_any;
+    return upstream.service == this->order.service && !upstream.is_leaving;
 }
 
 const discovered_upstream* plain_delivery::choose() const
@@ -66,16 +50,19 @@
     const discovered_upstream* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (const auto& [id, entry] : this->context.directory.entries()) {
-        if (!this->may_go_to(entry.upstream)) {
+        const part_load& load = this->context.loads.of(id);
+        const bool takes_it = this->is_candidate(entry.upstream)
+            && load.takes_work(this->context.timers.now()) && this->avoided.count(id) == 0
+            && this->target != id;
+        if (!takes_it) {
             continue;
         }
-        const part_load& load = this->context.loads.of(id);
         // The fraction spreads equal choices of different hosts.
         constexpr double spread = 0.1;
         const double tie = spread * static_cast<double>(this->context.random() % 100) / 100;
         const bool is_here = entry.upstream.data_hall == this->context.data_hall;
         const double cost = load.requests + load.other_requests + (is_here ? 0 : other_hall_requests) + tie;
-        if (cost < least && this->context.limits.may_send(id)) {
+        if (cost < least && this->gate.may_send(id)) {
             least = cost;
             best = &entry.upstream;
         }
@@ -93,9 +80,9 @@
         this->send_to(*upstream);
         return;
     }
-    // Another try at once would find the same; a caller that has come back is held until its part comes.
-    if (!this->order.has_come_back() && this->are_limits_used_up()) {
-        this->refuse("the upstreams of the service take no more requests a second");
+    const auto is_candidate = [this](const discovered_upstream& item) { return this->is_candidate(item); };
+    if (const auto until_return = this->gate.closed_for(is_candidate, this->avoided)) {
+        this->refuse("the upstreams of the service want no more requests now", *until_return);
         return;
     }
     const time_point hold_end = this->order.hold_end(this->context.settings);
@@ -134,7 +121,7 @@
     if (!this->has_leave()) {
         return;
     }
-    if (!this->context.limits.take(upstream.id)) {
+    if (!this->gate.take(upstream.id)) {
         this->search_later();
         return;
     }
@@ -164,19 +151,27 @@
 {
     const auto self = this->shared_from_this();
     answer_hooks hooks;
-    hooks.on_head = [self](int status, const http_headers& headers) {
-        self->answer = self->context.codec.decode_answer(status, headers);
-    };
+    hooks.on_head = [self](int status, const http_headers& headers) { self->take_head(status, headers); };
     hooks.on_body = [self](std::string_view bytes) { self->body += bytes; };
     hooks.on_end = [self](call_ending ending, const std::string& reason) { self->take_end(ending, reason); };
     return hooks;
 }
 
+void plain_delivery::take_head(int status, const http_headers& headers)
+{
+    this->answer = this->context.codec.decode_answer(status, headers);
+    if (this->answer.id == this->order.request.id) {
+        note_answer(this->context, *this->target, this->answer, this->call.sent_at());
+    }
+}
+
 void plain_delivery::take_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
-        this->context.loads.suspend(
-            *this->target, this->context.timers.now() + this->context.settings.suspension);
+        if (!this->call.was_held_back()) {
+            this->context.loads.suspend(
+                *this->target, this->context.timers.now() + this->context.settings.suspension);
+        }
         this->guard.note_not_reached();
         this->retry_or_fail("no connection: " + reason);
         return;
@@ -197,7 +192,6 @@
         this->retry_or_fail("the answer belongs to another request");
         return;
     }
-    note_answer(this->context, *this->target, this->answer, this->call.sent_at());
     if (this->answer.is_not_run) {
         // The refusal of a second copy leaves open whether the first one was begun.
         this->runs += this->call.was_sent_again() ? 1 : 0;
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -5,6 +5,7 @@
 #include <delivery/deliverycontext.h>
 #include <delivery/suspectguard.h>
 #include <delivery/upstreamcall.h>
+#include <delivery/upstreamgate.h>
 
 namespace sailtiller {
 
@@ -26,16 +27,15 @@
     void search_later();
     /// The best upstream other than the one that has the request now; nothing if there is none.
     [[nodiscard]] const discovered_upstream* choose() const;
-    /// True if the upstream could take the request but for the limit that it names.
-    [[nodiscard]] bool may_go_to(const discovered_upstream& upstream) const;
-    /// True if there is such an upstream, and the limits of all of them are used up.
-    [[nodiscard]] bool are_limits_used_up() const;
+    /// True of the upstreams that serve this request, whether or not they may take it now.
+    [[nodiscard]] bool is_candidate(const discovered_upstream& upstream) const;
     [[nodiscard]] bool may_run_elsewhere() const;
     void send_to(const discovered_upstream& upstream);
     /// True if a request that is suspect of ending its upstreams may go out now; if not, it is refused or
     /// goes on once that is known.
     [[nodiscard]] bool has_leave();
     [[nodiscard]] answer_hooks make_answer_hooks();
+    void take_head(int status, const http_headers& headers);
     void take_end(call_ending ending, const std::string& reason);
     void take_whole();
     void pass_on();
@@ -56,6 +56,7 @@
     std::function<void()> on_done;
     caller_watch patience;
     upstream_call call;
+    upstream_gate gate;
     suspect_guard guard;
     std::optional<upstream_id> target; ///< of the call that is under way
     upstream_answer answer;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -16,6 +16,7 @@
     , path(context, this->chooser)
     , events(context, this->order)
     , sends(context, this->order)
+    , gate(context, this->order)
     , guard(context, this->order)
     , changes(context)
     , head_wait(context)
@@ -49,12 +50,11 @@
         this->send_on(std::move(*found));
         return;
     }
-    // Another try at once would find the same; a caller that has come back is held until its part comes.
-    const bool is_refused_at_once = !found && !this->has_started && !this->order.has_come_back()
-        && this->chooser.is_limit_used_up(this->avoided);
-    if (is_refused_at_once) {
-        this->refuse("the engines that could begin it take no more requests a second");
-        return;
+    if (!found && !this->has_started) {
+        if (const std::optional<duration> until_return = this->chooser.closed_for(this->avoided)) {
+            this->refuse("the engines that could begin it want no more requests now", *until_return);
+            return;
+        }
     }
     const time_point hold_end = this->order.hold_end(this->context.settings);
     if (now >= hold_end && !this->has_started) {
@@ -88,7 +88,7 @@
     if (!this->has_leave()) {
         return;
     }
-    if (!this->context.limits.take(found.front().id)) {
+    if (!this->gate.take(found.front().id)) {
         this->schedule_search(this->context.settings.search_pause);
         return;
     }
@@ -310,9 +310,11 @@
 void stream_delivery::take_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
-        // A lost packet or a full engine looks the same; a probe tells whether it is dead.
-        avoid_after_refusal(this->context, this->path.head().id);
-        this->context.watch.suspect(this->path.head().id);
+        if (!this->call.was_held_back()) {
+            // A lost packet or a full engine looks the same; a probe tells whether it is dead.
+            avoid_after_refusal(this->context, this->path.head().id);
+            this->context.watch.suspect(this->path.head().id);
+        }
         this->sends.note_not_run();
         this->guard.note_not_reached();
         this->fail_over("no connection: " + reason);
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -87,6 +87,7 @@
     passed_events events;
     std::set<upstream_id> avoided; ///< dead, or they have failed this request
     stream_sends sends;
+    upstream_gate gate;
     suspect_guard guard;
     bool has_started = false; ///< the caller has the head of the answer
     path_changes changes;
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <delivery/upstreamcall.h>
+#include <delivery/upstreamgate.h>
 
 namespace sailtiller {
 
@@ -7,6 +8,7 @@
 {
     ++this->present;
     this->has_gone_again = false;
+    this->is_held_back = false;
     this->target = request.target;
     this->first_sent = this->context.timers.now();
     const http_request message = this->context.codec.encode_request(this->order.request, request);
@@ -18,7 +20,7 @@
 {
     const auto is_present = [this, number = this->present] { return this->present == number; };
     http_call_handlers handlers;
-    handlers.may_send = this->context.may_send;
+    handlers.may_send = [this, is_present] { return is_present() && this->may_leave(); };
     if (this->order.route->may_repeat()) {
         handlers.may_resend = [this, is_present] { return is_present() && this->take_resend(); };
     }
@@ -42,11 +44,18 @@
     return handlers;
 }
 
+bool upstream_call::may_leave()
+{
+    const bool is_paused = this->context.pauses.is_paused(this->target, this->context.timers.now());
+    this->is_held_back = is_paused || !this->context.may_send();
+    return !this->is_held_back;
+}
+
 bool upstream_call::take_resend()
 {
     const time_point now = this->context.timers.now();
     const bool had_it = now - this->first_sent > this->context.settings.longest_until_resend;
-    const bool may_go = !had_it && this->context.limits.take(this->target);
+    const bool may_go = !had_it && upstream_gate(this->context, this->order).take(this->target);
     if (!may_go || !this->context.retries.take(this->order.service, now)) {
         return false;
     }
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -32,6 +32,9 @@
     /// True if the present call, or the one that has just ended, went out a second time. Its upstream may
     /// have begun the first copy; that it refuses the second one proves nothing of that.
     [[nodiscard]] bool was_sent_again() const { return this->has_gone_again; }
+    /// True if the call that has just ended was held back before its first byte left, so that its end tells
+    /// nothing of its upstream.
+    [[nodiscard]] bool was_held_back() const { return this->is_held_back; }
     /// When the first copy of the present call, or of the one that has just ended, went out.
     [[nodiscard]] time_point sent_at() const { return this->first_sent; }
     /// Rises with each call that begins or is given up.
@@ -41,6 +44,8 @@
     [[nodiscard]] http_call_handlers make_handlers(const answer_hooks& hooks);
     /// Asked when a kept connection was found closed.
     [[nodiscard]] bool take_resend();
+    /// Asked right before the first byte leaves, which may be long after the call began.
+    [[nodiscard]] bool may_leave();
 
     delivery_context& context;
     const delivery_order& order;
@@ -48,6 +53,7 @@
     upstream_id target; ///< of the present call
     time_point first_sent{};
     bool has_gone_again = false;
+    bool is_held_back = false;
     cancel_call cancel;
 };
 
--- /dev/null
+++ b/src/libs/delivery/upstreamgate.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <delivery/upstreamgate.h>
+
+#include <algorithm>
+
+namespace sailtiller {
+
+bool upstream_gate::is_open() const
+{
+    return this->context.limits.is_empty() && this->context.pauses.is_empty();
+}
+
+bool upstream_gate::may_send(const upstream_id& id) const
+{
+    return !this->context.pauses.is_paused(id, this->context.timers.now())
+        && this->context.limits.may_send(id);
+}
+
+bool upstream_gate::take(const upstream_id& id) const
+{
+    return !this->context.pauses.is_paused(id, this->context.timers.now()) && this->context.limits.take(id);
+}
+
+bool upstream_gate::is_closed(const upstream_id& id) const
+{
+    const std::optional<time_point> pause_end = this->context.pauses.end_of(id, this->context.timers.now());
+    if (pause_end && *pause_end > this->order.hold_end(this->context.settings)) {
+        return true;
+    }
+    // A caller that has come back is held until its part of a limit comes.
+    return !this->order.has_come_back() && this->context.limits.is_used_up(id);
+}
+
+std::optional<duration> upstream_gate::closed_for(
+    const candidate_test& is_candidate, const std::set<upstream_id>& avoided) const
+{
+    if (this->is_open()) {
+        return std::nullopt;
+    }
+    const time_point now = this->context.timers.now();
+    bool is_any_closed = false;
+    // Other hosts may have been asked for no pause, so the caller isn't sent away for all of a long one.
+    duration until_return = this->context.settings.retry_after;
+    for (const auto& [id, entry] : this->context.directory.entries()) {
+        if (!is_candidate(entry.upstream)) {
+            continue;
+        }
+        if (!this->is_closed(id)) {
+            if (avoided.count(id) == 0 && this->context.loads.of(id).takes_work(now)) {
+                return std::nullopt;
+            }
+            continue;
+        }
+        is_any_closed = true;
+        if (const std::optional<time_point> pause_end = this->context.pauses.end_of(id, now)) {
+            until_return = std::min(until_return, *pause_end - now);
+        }
+    }
+    return is_any_closed ? std::optional(until_return) : std::nullopt;
+}
+
+} // namespace sailtiller
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -40,6 +40,9 @@
     if (const auto limit = find_header(headers, "limit")) {
         answer.requests_per_second = std::stod(*limit);
     }
+    if (const auto seconds = find_header(headers, "pause")) {
+        answer.pause = std::chrono::seconds(std::stoi(*seconds));
+    }
     answer.passed_on = headers;
     return answer;
 }
@@ -97,8 +100,8 @@
         [this](const request_content& content, std::function<void(bool)> on_answer) {
             this->claims.emplace_back(content, std::move(on_answer));
         },
-        *this->holder, make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
-        [](const delivery_event&) {}, {}, {}};
+        *this->holder, this->pauses, make_seeded_random(1), data_hall_id("x"),
+        [this] { return this->may_send; }, [](const delivery_event&) {}, {}, {}};
 }
 
 void delivery_bed::put_engine(
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -67,6 +67,7 @@
     pipe_meter pipes;
     crash_suspects suspects;
     upstream_limits limits;
+    upstream_pauses pauses;
     std::unique_ptr<limit_holder> holder;
     /// What this host is granted of each limit at each question.
     unsigned grant = 0;
