Site, Fleet, Delivery, Platform: an upstream that said it leaves gets nothing new, whatever its entry says

What callers saw: requests that reached an upstream after it had told their host, in its answers, that it leaves; what it does not end in time is cut, and a stream is moved.

Cause: the hosts took an upstream's leaving from its entry in the store alone. While the store is away, or for an upstream that never writes it, they knew of it only when the entry went. Class: as with pauses, what an upstream says of itself in an answer was not read.

Why it holds: the word comes from the head of any answer, also to a probe, and holds for that start of the upstream as long as it is listed and 60 s longer: neither an entry that is written again, nor one that lapses and is back, nor a list from a store that was restored ends it. It marks the upstream in the directory, where paths, calls and the layout look. Hosts tell each other, so that one answer is enough while the store is away (60 hosts under a paused clock, 2 s). Bounded: 4,096 upstreams, 32 in one report.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -93,7 +93,8 @@
         [this](const request_content& content, const std::function<void(bool)>& on_answer) {
             this->suspects.claim_trial(content, on_answer);
         },
-        this->limits.own_part(), this->pauses, this->random, this->settings.data_hall,
+        this->limits.own_part(), [this](const upstream_id& id) { this->knowledge.note_leaving(id); },
+        this->pauses, this->random, this->settings.data_hall,
         [this] { return this->knowledge.is_bundle_fresh(); },
         [this](const delivery_event& event) { this->admin.note(event); }, {},
         [this](const delivery_order& order, request_moment moment, duration time) {
@@ -107,6 +108,7 @@
     hooks.on_belief = [this](event_type event) { this->admin.note_belief(event); };
     hooks.on_dead = [this](const upstream_id& id) { this->gateway.leave_upstream(id); };
     hooks.on_replaced = [this](const upstream_id& id) { this->knowledge.note_ended(id); };
+    hooks.on_leaving = [this](const upstream_id& id) { this->knowledge.note_leaving(id); };
     hooks.on_held = [this](const upstream_id& id, const layer_span& held) {
         this->knowledge.note_held(id, held, this->loop.now());
     };
@@ -197,6 +199,7 @@
     };
     hooks.take_report = [this](const peer_report& report) {
         this->bundles.note_holder(report.sender, report.bundle_version);
+        this->knowledge.take_leaving(report);
         this->health.take_report(report);
         this->suspects.take_report(report);
         this->limits.take_report(report);
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -188,6 +188,9 @@
 {
     this->answers[id] = {report.pace, this->loop.now()};
     this->told.clear(id);
+    if (report.is_leaving) {
+        this->hooks.on_leaving(id);
+    }
     if (report.held) {
         this->hooks.on_held(id, *report.held);
     }
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -121,7 +121,7 @@
         log(event_type::upstream_pause_unusable, "");
     }
     if (answer.is_leaving) {
-        log(event_type::upstream_leaving, "by its own answer");
+        context.on_leaving(id);
     }
     if (answer.is_limit_unusable) {
         log(event_type::upstream_limit_unusable, "");
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -140,6 +140,8 @@
         claim_trial;
     /// This host's part of the requests a second that upstreams say they take.
     limit_holder& limits;
+    /// Told each upstream that says in an answer that it leaves.
+    std::function<void(const upstream_id&)> on_leaving;
     /// Upstreams that asked this host to send them nothing for a while.
     upstream_pauses& pauses;
     random_function random;
--- a/src/libs/directory/upstreamdirectory.cpp
+++ b/src/libs/directory/upstreamdirectory.cpp
@@ -39,6 +39,17 @@
     return true;
 }
 
+bool upstream_directory::set_leaving(const upstream_id& id)
+{
+    const auto found = this->items.find(id);
+    if (found == this->items.end() || found->second.upstream.is_leaving) {
+        return false;
+    }
+    found->second.upstream.is_leaving = true;
+    ++this->changes;
+    return true;
+}
+
 bool upstream_directory::is_outlived(const discovered_upstream& upstream) const
 {
     const directory_entry* namesake = this->find_named(upstream_name(upstream.id));
--- a/src/libs/directory/upstreamdirectory.h
+++ b/src/libs/directory/upstreamdirectory.h
@@ -80,6 +80,8 @@
     bool put(const discovered_upstream& upstream, time_point now);
     /// An entry vanished from the store.
     void remove(const upstream_id& id, time_point now);
+    /// An upstream leaves, whatever its entry says. Returns whether that is news.
+    bool set_leaving(const upstream_id& id);
     /// An upstream is not to be used any more, whatever the store's state.
     void drop(const upstream_id& id, time_point now);
     /// Another upstream answered in place of this start, so it has ended.
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -87,6 +87,15 @@
     return list;
 }
 
+json write_leaving(const peer_report& report)
+{
+    json list = json::array();
+    for (const upstream_id& id : report.leaving_upstreams) {
+        list.push_back(id.value());
+    }
+    return list;
+}
+
 json write_hosts(const peer_report& report)
 {
     json list = json::array();
@@ -170,6 +179,9 @@
     for (const json& crash : item.value("crashes", json::array())) {
         report.crashes.push_back(read_crash(crash));
     }
+    for (const json& id : item.value("leaving_upstreams", json::array())) {
+        report.leaving_upstreams.emplace_back(id.get<std::string>());
+    }
     for (const json& limit : item.value("limits", json::array())) {
         report.limits.push_back(read_limit_statement(limit));
     }
@@ -188,7 +200,8 @@
         {"suspicions", write_suspicions(report.suspicions)},
         {"unwilling", write_suspicions(report.unwilling)}, {"signs", write_signs(report)},
         {"holdings", write_holdings(report)}, {"hosts", write_hosts(report)},
-        {"crashes", write_crashes(report)}, {"limits", write_limits(report)}});
+        {"crashes", write_crashes(report)}, {"limits", write_limits(report)},
+        {"leaving_upstreams", write_leaving(report)}});
 }
 
 peer_report decode_peer_report(const std::string& bytes)
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -81,6 +81,7 @@
     std::vector<upstream_suspicion> unwilling; ///< upstreams that refused the sender though they had room
     std::vector<upstream_sign> signs; ///< of upstreams that were dead or are slow; only the latest
     std::vector<engine_holding> holdings; ///< that differ from the entries; only while the store is away
+    std::vector<upstream_id> leaving_upstreams; ///< that said so in their answers, not by their entries
     std::vector<known_host> hosts; ///< that the sender has heard lately
     std::vector<crash_record> crashes; ///< requests under which upstreams have ended
     std::vector<limit_statement> limits; ///< that upstreams name, or named lately
--- a/src/libs/site/pastupstreams.cpp
+++ b/src/libs/site/pastupstreams.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <site/pastupstreams.h>
 
+#include <algorithm>
+
 namespace sailtiller {
 
 void past_upstreams::note_written(const upstream_id& id)
@@ -9,6 +11,30 @@
     this->leaving.erase(id);
 }
 
+bool past_upstreams::note_said_leaving(const upstream_id& id, time_point now)
+{
+    if (this->said.size() >= most_said) {
+        return false;
+    }
+    return this->said.try_emplace(id, leaving_word{now, now}).second;
+}
+
+std::vector<upstream_id> past_upstreams::list_said_leaving(std::size_t most) const
+{
+    std::vector<std::pair<time_point, const upstream_id*>> latest;
+    latest.reserve(this->said.size());
+    for (const auto& [id, word] : this->said) {
+        latest.emplace_back(word.heard, &id);
+    }
+    const auto end = latest.begin() + static_cast<std::ptrdiff_t>(std::min(most, latest.size()));
+    std::partial_sort(latest.begin(), end, latest.end(),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<upstream_id> ids;
+    std::transform(
+        latest.begin(), end, std::back_inserter(ids), [](const auto& item) { return *item.second; });
+    return ids;
+}
+
 void past_upstreams::begin_history(time_point now)
 {
     this->history_begun = now;
@@ -24,8 +50,12 @@
     return found != this->ended.end() && found->second <= this->history_begun;
 }
 
-void past_upstreams::forget_old(time_point now)
+void past_upstreams::forget_old(const std::function<bool(const upstream_id&)>& is_listed, time_point now)
 {
+    for (auto& [id, word] : this->said) {
+        word.listed = is_listed(id) ? now : word.listed;
+    }
+    std::erase_if(this->said, [now](const auto& item) { return now - item.second.listed > memory; });
     std::erase_if(this->ended, [now](const auto& item) { return now - item.second > memory; });
     if (now - this->history_begun > memory) {
         this->leaving.clear();
--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view bundle_key = "config";
 /// Names whose unusable values are remembered as logged; one that writes many is logged again.
 constexpr std::size_t most_unusable_entries = 256;
+/// In one report; 0.7 kB. More leave at once only as a hall is emptied, and each host hears of its own.
+constexpr std::size_t most_leaving_told = 32;
 
 std::optional<duration> age_of(const std::optional<time_point>& moment, time_point now)
 {
@@ -98,7 +100,9 @@
 std::optional<discovered_upstream> site_knowledge::read_upstream(const keyed_record& record)
 {
     try {
-        return this->hooks.decode_upstream(record.key, *record.value);
+        discovered_upstream upstream = this->hooks.decode_upstream(record.key, *record.value);
+        upstream.is_leaving = upstream.is_leaving || this->past.has_said_leaving(upstream.id);
+        return upstream;
     } catch (const error& malformed) {
         this->log_unusable(record, malformed.reason());
         return std::nullopt;
@@ -269,6 +273,28 @@
     this->upstreams_confirmed = std::max(asked, this->upstreams_confirmed.value_or(asked));
 }
 
+void site_knowledge::note_leaving(const upstream_id& id)
+{
+    this->take_leaving_word(id, "by its own answer");
+}
+
+void site_knowledge::take_leaving(const peer_report& report)
+{
+    for (const upstream_id& id : report.leaving_upstreams) {
+        this->take_leaving_word(id, "it told " + report.sender.id.value());
+    }
+}
+
+void site_knowledge::take_leaving_word(const upstream_id& id, const std::string& source)
+{
+    if (!this->past.note_said_leaving(id, this->hooks.now())) {
+        return;
+    }
+    if (this->directory.set_leaving(id)) {
+        this->hooks.on_event(event_type::upstream_leaving, id.value(), source);
+    }
+}
+
 void site_knowledge::note_ended(const upstream_id& id)
 {
     this->directory.end(id, this->hooks.now());
@@ -339,7 +365,8 @@
 
 void site_knowledge::tidy()
 {
-    this->past.forget_old(this->hooks.now());
+    this->past.forget_old(
+        [this](const upstream_id& id) { return this->directory.find(id) != nullptr; }, this->hooks.now());
     this->end_told_holdings();
     for (const upstream_id& id : this->directory.drop_lapsed(this->hooks.now())) {
         this->hooks.on_event(event_type::upstream_gone, upstream_name(id),
@@ -362,6 +389,7 @@
     for (const auto& [id, holding] : this->told_holdings) {
         report.holdings.push_back({id, holding.held.begin, holding.held.end, now - holding.told});
     }
+    report.leaving_upstreams = this->past.list_said_leaving(most_leaving_told);
     if (asker == nullptr) {
         return;
     }
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -75,6 +75,9 @@
     /// An engine told at `told` what it holds. Believed while the entries are too old to say, unless a newer
     /// word is known.
     void note_held(const upstream_id& id, const layer_span& held, time_point told);
+    /// An upstream said in an answer to this host that it leaves. That holds until it is gone, whatever its
+    /// entry says.
+    void note_leaving(const upstream_id& id);
     /// Another upstream answered in place of this start.
     void note_ended(const upstream_id& id);
     /// True while the store tells nobody what becomes of the upstreams.
@@ -86,6 +89,8 @@
 
     /// Fills in what this host knows; to one who asks with a report of its own, also what that one lacks.
     void fill_report(peer_report& report, const peer_report* asker) const;
+    /// Takes what another host's report says of upstreams that told it that they leave.
+    void take_leaving(const peer_report& report);
     /// Takes the answer of another host to a question that was sent at `asked`.
     void take_answer(const peer_report& answer, time_point asked);
 
@@ -119,6 +124,7 @@
     void renew_confirmation(time_point asked, const bundle_source& source);
     /// The upstream of a record that has a value; nothing, and a line in the log, if it names none to use.
     [[nodiscard]] std::optional<discovered_upstream> read_upstream(const keyed_record& record);
+    void take_leaving_word(const upstream_id& id, const std::string& source);
     /// The same value comes with each list, and is told once.
     void log_unusable(const keyed_record& record, const std::string& reason);
     void put_upstream(const keyed_record& record);
--- a/tests/auto/delivery/deliverybed.cpp
+++ b/tests/auto/delivery/deliverybed.cpp
@@ -43,6 +43,7 @@
     if (const auto seconds = find_header(headers, "pause")) {
         answer.pause = std::chrono::seconds(std::stoi(*seconds));
     }
+    answer.is_leaving = find_header(headers, "leaving").has_value();
     answer.passed_on = headers;
     return answer;
 }
@@ -100,8 +101,9 @@
         [this](const request_content& content, std::function<void(bool)> on_answer) {
             this->claims.emplace_back(content, std::move(on_answer));
         },
-        *this->holder, this->pauses, make_seeded_random(1), data_hall_id("x"),
-        [this] { return this->may_send; }, [](const delivery_event&) {}, {}, {}};
+        *this->holder, [this](const upstream_id& id) { this->leaving.push_back(id.value()); }, this->pauses,
+        make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
+        [](const delivery_event&) {}, {}, {}};
 }
 
 void delivery_bed::put_engine(
--- a/tests/auto/delivery/deliverybed.h
+++ b/tests/auto/delivery/deliverybed.h
@@ -68,6 +68,7 @@
     crash_suspects suspects;
     upstream_limits limits;
     upstream_pauses pauses;
+    std::vector<std::string> leaving; ///< upstreams that said so, in order
     std::unique_ptr<limit_holder> holder;
     /// What this host is granted of each limit at each question.
     unsigned grant = 0;
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -50,6 +50,19 @@
     EXPECT_EQ(this->done, 1);
 }
 
+TEST_F(plain_delivery_test, tells_that_the_upstream_of_an_answer_leaves)
+{
+    this->start(route_kind::single_run);
+    const std::string target = target_of(this->last_send());
+    answer(this->last_send(), 200, {{"id", "r1"}, {"proof", "p"}, {"leaving", "1"}});
+    EXPECT_EQ(this->leaving, std::vector{target});
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 200, {{"id", "another"}, {"proof", "p"}, {"leaving", "1"}});
+    this->start(route_kind::single_run);
+    answer(this->last_send(), 421, {{"id", "r1"}, {"not-run", "1"}, {"leaving", "1"}});
+    EXPECT_EQ(this->leaving.size(), 1U) << "neither was an answer of the upstream that was meant";
+}
+
 TEST_F(plain_delivery_test, a_single_run_gets_a_connection_of_its_own)
 {
     this->start(route_kind::single_run);
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -211,6 +211,7 @@
     report.unwilling = {{upstream_id("w"), 900ms}};
     report.signs = {{upstream_id("p"), 2.5, 40ms}};
     report.holdings = {{upstream_id("h"), 3, 9, 250ms}};
+    report.leaving_upstreams = {upstream_id("l")};
     report.hosts = {make_host("c", "y")};
     const peer_report read = decode_peer_report(encode_peer_report(report));
     EXPECT_EQ(read.sender, report.sender);
@@ -238,6 +239,7 @@
     ASSERT_EQ(read.unwilling.size(), 1U);
     EXPECT_EQ(read.unwilling[0].id.value(), "w");
     EXPECT_EQ(read.unwilling[0].left, duration(900ms));
+    EXPECT_EQ(read.leaving_upstreams, report.leaving_upstreams);
     EXPECT_EQ(read.hosts[0], report.hosts[0]);
 }
 
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -246,6 +246,11 @@
     EXPECT_TRUE(codec.decode_answer(200, {{"server-leaving", "1"}}).is_leaving);
     EXPECT_FALSE(codec.decode_answer(200, {{"server-leaving", "0"}}).is_leaving);
     EXPECT_FALSE(codec.decode_answer(200, {}).is_leaving);
+    const order_codec orders = make_order_codec();
+    EXPECT_TRUE(orders.decode_report({200, {{"server-leaving", "1"}}, "{}"}).is_leaving);
+    EXPECT_TRUE(orders.decode_report({503, {{"server-leaving", "1"}}, ""}).is_leaving);
+    EXPECT_FALSE(orders.decode_report({421, {{"server-leaving", "1"}}, ""}).is_leaving) << "another one's";
+    EXPECT_FALSE(orders.decode_report({200, {}, "{}"}).is_leaving);
 }
 
 TEST(wire_path_change, asks_and_reads)
--- a/tests/auto/site/tst_siteknowledge.cpp
+++ b/tests/auto/site/tst_siteknowledge.cpp
@@ -396,6 +396,68 @@
     EXPECT_EQ(this->second.knowledge.upstreams().find(upstream_id("a")), nullptr);
 }
 
+TEST_F(site_knowledge_test, an_upstream_that_said_it_leaves_does_so_whatever_its_entry_says)
+{
+    const upstream_id a("a");
+    const auto is_leaving = [&a](const test_host& host) {
+        const directory_entry* entry = host.knowledge.upstreams().find(a);
+        return entry != nullptr && entry->upstream.is_leaving;
+    };
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
+    this->first.events.clear();
+    this->first.knowledge.note_leaving(a);
+    this->first.knowledge.note_leaving(a);
+    EXPECT_TRUE(is_leaving(this->first));
+    EXPECT_EQ(this->first.events, std::vector<std::string>{"upstream_leaving"}) << "once";
+    this->first.knowledge.take_upstream_record({"a", "x"}, log_offset(1));
+    EXPECT_TRUE(is_leaving(this->first)) << "its entry is written again";
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
+    this->first.knowledge.take_upstream_record({"a", std::nullopt}, log_offset(2));
+    EXPECT_TRUE(is_leaving(this->first)) << "its entry lapses";
+    this->now += 2s;
+    this->first.knowledge.tidy();
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(4));
+    EXPECT_TRUE(is_leaving(this->first)) << "its entry is back after it was gone";
+}
+
+TEST_F(site_knowledge_test, a_leaving_entry_that_lapsed_stays_lapsed_as_its_upstream_says_the_same)
+{
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
+    this->first.knowledge.note_store_failed(store_topic::upstreams);
+    this->first.knowledge.take_upstream_record({"a", std::nullopt}, log_offset(1));
+    this->first.knowledge.note_leaving(upstream_id("a"));
+    EXPECT_TRUE(this->first.knowledge.upstreams().find(upstream_id("a"))->is_lapsed);
+    this->now += 2s;
+    this->first.knowledge.tidy();
+    EXPECT_EQ(this->first.knowledge.upstreams().find(upstream_id("a")), nullptr);
+}
+
+TEST_F(
+    site_knowledge_test, who_said_that_it_leaves_is_told_to_other_hosts_and_forgotten_long_after_it_is_gone)
+{
+    const auto told_by = [](const test_host& host) {
+        peer_report report;
+        host.knowledge.fill_report(report, nullptr);
+        return report;
+    };
+    this->first.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
+    this->second.knowledge.take_all_upstreams({{"a", "x"}}, log_offset(1));
+    this->first.knowledge.note_leaving(upstream_id("a"));
+    this->second.knowledge.take_leaving(told_by(this->first));
+    EXPECT_TRUE(this->second.knowledge.upstreams().find(upstream_id("a"))->upstream.is_leaving);
+    EXPECT_EQ(told_by(this->second).leaving_upstreams, std::vector{upstream_id("a")}) << "it is told on";
+    this->now += past_upstreams::memory * 2;
+    this->first.knowledge.tidy();
+    EXPECT_EQ(told_by(this->first).leaving_upstreams.size(), 1U) << "it is listed still";
+    this->first.knowledge.take_upstream_record({"a", std::nullopt}, log_offset(1));
+    this->now += past_upstreams::memory;
+    this->first.knowledge.tidy();
+    EXPECT_EQ(told_by(this->first).leaving_upstreams.size(), 1U);
+    this->now += 1s;
+    this->first.knowledge.tidy();
+    EXPECT_TRUE(told_by(this->first).leaving_upstreams.empty());
+}
+
 TEST_F(site_knowledge_test, each_step_of_an_entry_that_vanishes_while_the_store_is_away_is_told)
 {
     this->first.knowledge.take_all_upstreams({{"a", "x"}, {"b", "x"}}, log_offset(2));
--- a/tests/auto/site/tst_upstreamentries.cpp
+++ b/tests/auto/site/tst_upstreamentries.cpp
@@ -155,6 +155,19 @@
     }
 }
 
+TEST(upstream_entries_test, while_the_store_is_away_one_host_to_which_an_upstream_said_it_leaves_tells_all)
+{
+    site_fleet fleet(60);
+    write_ready(fleet, {"a", "b"});
+    fleet.pass(5s);
+    fleet.set_access_of_all(store_access::refuses);
+    fleet.tell_leaving(17, "a");
+    fleet.pass(leave_limit);
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        EXPECT_EQ(fleet.usable_upstreams(number), std::set<std::string>{"b"}) << "host " << number;
+    }
+}
+
 /// A series of faults, drawn by a seed: the store away, silent or refusing, for some hosts or for all, and
 /// dropping entries meanwhile; history forgotten; hosts started anew; messages lost; upstreams that come,
 /// write what can't be read, leave, and end.
--- a/tests/support/sitefleet.cpp
+++ b/tests/support/sitefleet.cpp
@@ -312,9 +312,15 @@
     });
 }
 
+void site_fleet::tell_leaving(std::size_t number, const std::string& name)
+{
+    this->hosts[number]->knowledge->note_leaving(upstream_id(name));
+}
+
 void site_fleet::hear(host& item, const peer_report& report) const
 {
     item.table->note_heard(report, this->now);
+    item.knowledge->take_leaving(report);
     item.exchange->note_holder(report.sender, report.bundle_version);
 }
 
--- a/tests/support/sitefleet.h
+++ b/tests/support/sitefleet.h
@@ -28,6 +28,8 @@
     void set_access_of_all(store_access access);
     /// Of a hundred messages between hosts, so many are lost from now on.
     void set_message_loss(unsigned percent) { this->lost_percent = percent; }
+    /// An upstream says in an answer to the host that it leaves.
+    void tell_leaving(std::size_t number, const std::string& name);
     /// Ends the host and starts it anew, with nothing known.
     void restart(std::size_t number);
 
