Routing: only time ends a wait that an upstream asked for

Found while looking for the incident's cause elsewhere, in the hosts of signed bundles: an upstream that refused with Retry-After got requests before its time was over in two ways. A good answer to an earlier request closed its breaker; and where every holder of a stage, or every upstream of a plain service, had an open breaker, all breakers were ignored, also of those that had asked.

The wish has a moment of its own now, which nothing but time ends, and like leaving it is kept to where breakers are ignored; a request that has no other way is refused as not run. Before, a host that had opened all breakers by failures used them all the same; it still does.

--- a/src/libs/routing/chainpolicy.cpp
+++ b/src/libs/routing/chainpolicy.cpp
@@ -18,7 +18,7 @@
 
 bool is_usable(const stage_option& stage, const chain_request& request, breaker_rule rule)
 {
-    if (request.avoid.contains(stage.holder) || stage.load->is_leaving()) {
+    if (request.avoid.contains(stage.holder) || stage.load->wants_no_work(request.now)) {
         return false;
     }
     return rule == breaker_rule::ignore || stage.load->is_available(request.now);
@@ -152,7 +152,7 @@
     std::vector<const service_option*> usable;
     std::vector<const service_option*> paused;
     for (const service_option& option : options) {
-        if (!request.avoid.contains(option.name) && !option.load->is_leaving()) {
+        if (!request.avoid.contains(option.name) && !option.load->wants_no_work(request.now)) {
             (option.load->is_available(request.now) ? usable : paused).push_back(&option);
         }
     }
--- a/src/libs/routing/chainpolicy.h
+++ b/src/libs/routing/chainpolicy.h
@@ -19,7 +19,7 @@
 
 /// Chooses a chain; empty if every chain has a stage that is to be avoided or without holders.
 /// An upstream whose breaker is open is used only if the model has no chain without it, so that a run of
-/// failures never shuts all of them at once.
+/// failures never shuts all of them at once. One that wants no work is never used.
 using chain_policy = std::function<std::optional<chain>(const model_routes&, const chain_request&)>;
 
 /// Makes the policy of a kind; `random` draws between equals.
--- a/src/libs/routing/upstreamload.cpp
+++ b/src/libs/routing/upstreamload.cpp
@@ -61,8 +61,9 @@
 
 void upstream_load::note_asked_to_wait(time_point now, duration wait)
 {
+    this->wait_end = std::max(this->wait_end, now + std::min(wait, this->settings.longest_asked_pause));
     this->is_tripped = true;
-    this->pause_end = std::max(this->pause_end, now + std::min(wait, this->settings.longest_asked_pause));
+    this->pause_end = std::max(this->pause_end, this->wait_end);
 }
 
 void upstream_load::note_report(time_point now, std::uint32_t streams_running)
@@ -81,6 +82,9 @@
 
 bool upstream_load::is_available(time_point now) const
 {
+    if (this->wants_no_work(now)) {
+        return false;
+    }
     switch (this->state(now)) {
     case breaker_state::closed:
         return true;
--- a/src/libs/routing/upstreamload.h
+++ b/src/libs/routing/upstreamload.h
@@ -35,7 +35,7 @@
     void note_success(duration time);
     /// A failure that speaks against the upstream: no connection, no answer in time, a server error.
     void note_failure(time_point now);
-    /// The upstream asked to be left alone (429 or 503 with Retry-After).
+    /// The upstream asked to be left alone (429 or 503 with Retry-After). Only time ends that.
     void note_asked_to_wait(time_point now, duration wait);
     /// The upstream reported its own load; hints age and are dropped when old.
     void note_report(time_point now, std::uint32_t streams_running);
@@ -44,6 +44,9 @@
     [[nodiscard]] bool is_leaving() const { return this->leaving; }
 
     [[nodiscard]] breaker_state state(time_point now) const;
+    /// True if the upstream leaves or has asked to be left alone: nothing new goes there, whatever the
+    /// breakers say.
+    [[nodiscard]] bool wants_no_work(time_point now) const { return this->leaving || now < this->wait_end; }
     /// True if a new request may go there now: closed, or half open with no probe under way.
     [[nodiscard]] bool is_available(time_point now) const;
     [[nodiscard]] std::uint32_t in_flight() const { return this->own_in_flight; }
@@ -51,7 +54,6 @@
     [[nodiscard]] std::uint32_t expected_streams(time_point now) const;
     /// Smoothed time of good answers; empty before the first.
     [[nodiscard]] std::optional<duration> answer_time() const { return this->smoothed_time; }
-    [[nodiscard]] time_point paused_until() const { return this->pause_end; }
 
 private:
     breaker_settings settings;
@@ -61,6 +63,7 @@
     bool is_tripped = false;
     bool leaving = false;
     time_point pause_end{};
+    time_point wait_end{}; ///< of the wait that the upstream asked for
     std::optional<duration> smoothed_time;
     std::uint32_t reported_streams = 0;
     std::optional<time_point> reported_at;
--- a/tests/auto/delivery/tst_servicecall.cpp
+++ b/tests/auto/delivery/tst_servicecall.cpp
@@ -76,6 +76,16 @@
     EXPECT_EQ(this->status, 200);
 }
 
+TEST_F(service_call_test, a_call_goes_nowhere_while_all_upstreams_have_asked_for_a_wait)
+{
+    for (const service_option& option : this->options) {
+        option.load->note_asked_to_wait(this->now, 3s);
+    }
+    this->start(true);
+    EXPECT_TRUE(this->sent_to.empty());
+    EXPECT_EQ(this->outcome, request_outcome::not_run);
+}
+
 TEST_F(service_call_test, a_call_that_is_not_repeatable_runs_at_most_once)
 {
     this->start(false);
