Tests: the soak has upstreams that ask for pauses and one that leaves by its own word alone

An engine and a service refuse for some seconds with a pause of 1 to 2.5 s, and an engine says that it leaves while its entry stays ready; drawn apart from the other faults, whose series stay. Checked for each host: at most two requests in what counts of a pause, no new request two seconds after it passed on that the engine leaves; a start, end or freeze of the host in between excuses it.

--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -49,6 +49,16 @@
         this->wait_until_served(*slot.host);
     }
     this->draw_limits(seed);
+    this->draw_notices(seed);
+}
+
+void soak_bed::draw_notices(unsigned seed)
+{
+    this->notices = std::make_unique<notice_series>(this->world, seed);
+    const std::size_t first = seed % this->engines.size();
+    const std::size_t second = (first + 1) % this->engines.size();
+    this->notices->draw(this->engines[first]->name(), this->engines[second]->name(),
+        this->services[seed % this->services.size()]->name(), this->loop.now());
 }
 
 void soak_bed::draw_limits(unsigned seed)
@@ -97,6 +107,7 @@
 {
     this->bring_back();
     this->name_limits();
+    this->notices->apply(this->loop.now());
     this->ask_beyond_limits();
     this->copies.push_back(this->store.take_copy());
     if (this->copies.size() > kept_copies) {
@@ -326,6 +337,13 @@
     for (const auto& service : this->services) {
         service->lose_answers(0); // one that is yet to be lost would take the last check's
     }
+    const std::string leaving = this->notices->end();
+    for (const auto& engine : this->engines) {
+        if (engine->name() == leaving) {
+            this->engines_disturbed = this->loop.now();
+            engine->crash(); // it ends, and another start of it takes its place
+        }
+    }
     const auto is_back = [this] {
         this->bring_back();
         this->name_limits();
@@ -420,6 +438,20 @@
     }
 }
 
+void soak_bed::check_notices() const
+{
+    std::vector<seen_request> seen;
+    for (const asked& item : this->requests) {
+        seen.push_back({item.id, item.slot, item.sent, item.answered, item.answer->status});
+    }
+    const auto is_excused = [this](std::size_t slot, time_point begin, time_point end) {
+        const std::vector<time_point>& faults = this->slots[slot].unsettled;
+        return std::any_of(faults.begin(), faults.end(),
+            [begin, end](time_point fault) { return fault >= begin && fault <= end; });
+    };
+    this->notices->check(seen, is_excused, this->series);
+}
+
 void soak_bed::check_hosts()
 {
     this->pass(3s);
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "noticeseries.h"
+
 #include <sitebed.h>
 
 #include <random>
@@ -20,6 +22,8 @@
     void check_answers();
     /// No upstream gets more than the limit that it names allows.
     void check_limits() const;
+    /// No upstream gets more of a host than its wish for a pause, or its word that it leaves, allows.
+    void check_notices() const;
     /// All hosts know the same, and serve.
     void check_hosts();
 
@@ -75,6 +79,7 @@
     /// The store drops the entries of upstreams that have been silent for three heartbeats.
     void drop_silent_entries();
     void check_answer(const asked& item);
+    void draw_notices(unsigned seed);
     /// An engine and a service name limits for some seconds each.
     void draw_limits(unsigned seed);
     void name_limits();
@@ -96,6 +101,7 @@
     time_point write_again_at{}; ///< when what the store has lost is written again
     time_point drop_silent_at{}; ///< when it drops what nobody writes again
     std::vector<limited_time> limited;
+    std::unique_ptr<notice_series> notices;
     std::mt19937 limit_random; ///< apart from that of the other faults
     unsigned count = 0;
 };
--- a/tests/soak/tst_soak.cpp
+++ b/tests/soak/tst_soak.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-// Series of faults against hosts as real processes, beside upstreams that name limits.
-// SAILTILLER_SOAK_SEEDS=FIRST:COUNT plays other seeds than the few of CI; `--gtest_filter=*/17` plays one.
+// Series of faults against hosts as real processes, beside upstreams that name limits, ask for pauses or
+// leave. SAILTILLER_SOAK_SEEDS=FIRST:COUNT plays other seeds than the few of CI; `--gtest_filter=*/17` plays
+// one.
 #include "soakbed.h"
 
 #include <array>
@@ -14,7 +15,7 @@
 /// At 111 and 131 hosts differed in the upstreams that they knew: the store's stand-in kept the entry of an
 /// engine that had ended, which a copy had brought back; the platform's store drops it after three
 /// heartbeats. At 3 a service that named 0.5 requests a second got more than 8 in four seconds, as hosts read
-/// nothing of that.
+/// nothing of that. At 1 and 2 hosts read nothing of pauses either, at 2 nothing of an engine's leaving.
 constexpr std::array seeds_in_ci = {1U, 2U, 3U, 111U, 131U};
 
 std::vector<unsigned> seeds_to_play()
@@ -46,6 +47,7 @@
     this->settle();
     this->check_answers();
     this->check_limits();
+    this->check_notices();
     this->check_hosts();
 }
 
