--- a/tests/auto/system/tst_upstreamnotices.cpp
+++ b/tests/auto/system/tst_upstreamnotices.cpp
@@ -91,9 +91,15 @@
         }
     }
 
-    /// The engine that has led most streams so far.
-    [[nodiscard]] std::string busiest() const
+    /// The hosts stream for a while; the engine that led most of the streams.
+    std::string start_hosts_and_find_busiest()
     {
+        this->start_hosts();
+        for (const auto& host : this->hosts) {
+            this->wait_until_served(*host);
+        }
+        this->world.arrivals.clear();
+        this->send(2s, 50ms, "/chat/x");
         const auto most = std::max_element(this->world.arrivals.begin(), this->world.arrivals.end(),
             [](const auto& left, const auto& right) { return left.second.size() < right.second.size(); });
         return most->first;
@@ -130,13 +136,7 @@
 TEST_F(upstream_notices, an_engine_that_asked_for_a_pause_leads_no_streams_until_its_end)
 {
     this->start_engines(6);
-    this->start_hosts();
-    for (const auto& host : this->hosts) {
-        this->wait_until_served(*host);
-    }
-    this->world.arrivals.clear();
-    this->send(2s, 50ms, "/chat/x");
-    const std::string paused = this->busiest();
+    const std::string paused = this->start_hosts_and_find_busiest();
     this->world.pauses[paused] = 3s;
     this->send(4s, 50ms, "/chat/x");
     this->pass(1s);
@@ -161,13 +161,7 @@
 TEST_F(upstream_notices, an_engine_that_said_it_leaves_leads_no_streams_though_its_entry_says_ready)
 {
     this->start_engines(6);
-    this->start_hosts();
-    for (const auto& host : this->hosts) {
-        this->wait_until_served(*host);
-    }
-    this->world.arrivals.clear();
-    this->send(2s, 50ms, "/chat/x");
-    const std::string left = this->busiest();
+    const std::string left = this->start_hosts_and_find_busiest();
     this->world.leaving.insert(left);
     const time_point said = this->loop.now();
     this->send(5s, 50ms, "/chat/x");
