Site: hosts don't remind each other for ever of an upstream that left

Found in reading the mend of leaving: a host forgets 60 s after an upstream was last listed that it said it leaves, and each report of a host that forgets a moment later began those 60 s anew. Words of upstreams long gone would have gone round until the 4,096 that a host remembers were used up, after which no new one was taken. The word of another host is taken of listed upstreams alone; it comes again with each report while the upstream is there. tst_upstreamentries (seven hosts, 65 s after the upstream left) fails before and passes.

--- a/src/libs/site/siteknowledge.cpp
+++ b/src/libs/site/siteknowledge.cpp
@@ -281,7 +281,10 @@
 void site_knowledge::take_leaving(const peer_report& report)
 {
     for (const upstream_id& id : report.leaving_upstreams) {
-        this->take_leaving_word(id, "it told " + report.sender.id.value());
+        // Of one that is gone, hosts would remind each other for ever.
+        if (this->directory.find(id) != nullptr) {
+            this->take_leaving_word(id, "it told " + report.sender.id.value());
+        }
     }
 }
 
--- a/src/libs/site/siteknowledge.h
+++ b/src/libs/site/siteknowledge.h
@@ -89,7 +89,8 @@
 
     /// Fills in what this host knows; to one who asks with a report of its own, also what that one lacks.
     void fill_report(peer_report& report, const peer_report* asker) const;
-    /// Takes what another host's report says of upstreams that told it that they leave.
+    /// Takes what another host's report says of upstreams that told it that they leave, as far as they are
+    /// listed.
     void take_leaving(const peer_report& report);
     /// Takes the answer of another host to a question that was sent at `asked`.
     void take_answer(const peer_report& answer, time_point asked);
--- a/tests/auto/site/tst_upstreamentries.cpp
+++ b/tests/auto/site/tst_upstreamentries.cpp
@@ -168,6 +168,20 @@
     }
 }
 
+TEST(upstream_entries_test, hosts_do_not_remind_each_other_for_ever_of_one_that_left)
+{
+    site_fleet fleet(7);
+    write_ready(fleet, {"a", "b"});
+    fleet.pass(5s);
+    fleet.tell_leaving(3, "a");
+    fleet.pass(leave_limit);
+    fleet.upstreams().put({"a", std::nullopt});
+    fleet.pass(past_upstreams::memory + 5s);
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        EXPECT_TRUE(fleet.told_leaving(number).empty()) << "host " << number;
+    }
+}
+
 /// A series of faults, drawn by a seed: the store away, silent or refusing, for some hosts or for all, and
 /// dropping entries meanwhile; history forgotten; hosts started anew; messages lost; upstreams that come,
 /// write what can't be read, leave, and end.
--- a/tests/support/sitefleet.cpp
+++ b/tests/support/sitefleet.cpp
@@ -317,6 +317,13 @@
     this->hosts[number]->knowledge->note_leaving(upstream_id(name));
 }
 
+std::vector<upstream_id> site_fleet::told_leaving(std::size_t number) const
+{
+    peer_report report;
+    this->hosts[number]->knowledge->fill_report(report, nullptr);
+    return report.leaving_upstreams;
+}
+
 void site_fleet::hear(host& item, const peer_report& report) const
 {
     item.table->note_heard(report, this->now);
--- a/tests/support/sitefleet.h
+++ b/tests/support/sitefleet.h
@@ -30,6 +30,8 @@
     void set_message_loss(unsigned percent) { this->lost_percent = percent; }
     /// An upstream says in an answer to the host that it leaves.
     void tell_leaving(std::size_t number, const std::string& name);
+    /// The upstreams of which the host tells others that they leave.
+    [[nodiscard]] std::vector<upstream_id> told_leaving(std::size_t number) const;
     /// Ends the host and starts it anew, with nothing known.
     void restart(std::size_t number);
 
