--- a/tests/soak/noticeseries.h
+++ b/tests/soak/noticeseries.h
@@ -29,7 +29,7 @@
 
     notice_series(standins::engine_world& world, unsigned seed)
         : world(world)
-        , random(seed * 7919) // apart from the series of other faults, which begin with the seed
+        , random(std::mt19937::result_type{seed} * 7919) // apart from the series of other faults
     {
     }
 
