Delivery: paths are asked for in one place again, and calls look at loads of their own service alone

Read over once more: make_question and answer of path_chooser stood apart for a second caller that the pauses had made go; find holds them again. plain_delivery's choice looked up the load of every upstream of the site and read the clock for each candidate; it does so for upstreams of its service, and once.

--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -31,7 +31,7 @@
     return this->context.pipes.used_share(from, to, this->profile()->pipe_bits_per_s(), now);
 }
 
-path_question path_chooser::make_question(
+std::optional<layer_path> path_chooser::find(
     const std::set<upstream_id>& avoided, const layer_path& present) const
 {
     path_question question;
@@ -46,22 +46,10 @@
     question.pipe_share = [this, now = question.now](const data_hall_id& from, const data_hall_id& to) {
         return this->pipe_share(from, to, now);
     };
-    return question;
-}
-
-std::optional<layer_path> path_chooser::answer(const path_question& question) const
-{
-    return find_layer_path(*this->profile(), this->context.directory, this->context.loads, question);
-}
-
-std::optional<layer_path> path_chooser::find(
-    const std::set<upstream_id>& avoided, const layer_path& present) const
-{
-    path_question question = this->make_question(avoided, present);
     if (!this->gate.is_open()) {
         question.may_lead = [this](const upstream_id& id) { return this->gate.may_send(id); };
     }
-    return this->answer(question);
+    return find_layer_path(*this->profile(), this->context.directory, this->context.loads, question);
 }
 
 std::optional<duration> path_chooser::closed_for(const std::set<upstream_id>& avoided) const
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -38,9 +38,6 @@
     [[nodiscard]] double crossing_bits() const;
 
 private:
-    [[nodiscard]] path_question make_question(
-        const std::set<upstream_id>& avoided, const layer_path& present) const;
-    [[nodiscard]] std::optional<layer_path> answer(const path_question& question) const;
     [[nodiscard]] double expected_answer_tokens() const;
     [[nodiscard]] double pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const;
 
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -47,14 +47,15 @@
 
 const discovered_upstream* plain_delivery::choose() const
 {
+    const time_point now = this->context.timers.now();
     const discovered_upstream* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (const auto& [id, entry] : this->context.directory.entries()) {
+        if (!this->is_candidate(entry.upstream)) {
+            continue;
+        }
         const part_load& load = this->context.loads.of(id);
-        const bool takes_it = this->is_candidate(entry.upstream)
-            && load.takes_work(this->context.timers.now()) && this->avoided.count(id) == 0
-            && this->target != id;
-        if (!takes_it) {
+        if (!load.takes_work(now) || this->avoided.count(id) != 0 || this->target == id) {
             continue;
         }
         // The fraction spreads equal choices of different hosts.
