--- a/src/libs/fleet/crashsuspects.cpp
+++ b/src/libs/fleet/crashsuspects.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/latest.h>
 #include <fleet/crashsuspects.h>
 
 #include <algorithm>
@@ -170,9 +171,7 @@
             told.push_back(&record);
         }
     }
-    std::sort(told.begin(), told.end(),
-        [](const auto* left, const auto* right) { return left->second.renewed > right->second.renewed; });
-    told.resize(std::min(told.size(), this->settings.most_told));
+    keep_latest(told, this->settings.most_told, [](const auto& record) { return record.second.renewed; });
     std::vector<crash_record> news;
     news.reserve(told.size());
     for (const auto* record : told) {
--- a/src/libs/fleet/upstreamlimits.cpp
+++ b/src/libs/fleet/upstreamlimits.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/latest.h>
 #include <fleet/upstreamlimits.h>
 
 #include <algorithm>
@@ -48,18 +49,16 @@
 
 std::vector<limit_statement> upstream_limits::list_news(time_point now) const
 {
-    std::vector<std::pair<time_point, limit_statement>> latest;
+    std::vector<const std::pair<const upstream_id, record>*> latest;
     latest.reserve(this->records.size());
-    for (const auto& [id, item] : this->records) {
-        latest.push_back({item.changed, {id, item.requests_per_second, now - item.stated}});
+    for (const auto& item : this->records) {
+        latest.push_back(&item);
     }
-    const auto count = static_cast<std::ptrdiff_t>(std::min(latest.size(), this->settings.most_told));
-    std::partial_sort(latest.begin(), latest.begin() + count, latest.end(),
-        [](const auto& left, const auto& right) { return left.first > right.first; });
+    keep_latest(latest, this->settings.most_told, [](const auto& item) { return item.second.changed; });
     std::vector<limit_statement> news;
-    news.reserve(static_cast<std::size_t>(count));
-    for (auto item = latest.begin(); item != latest.begin() + count; ++item) {
-        news.push_back(std::move(item->second));
+    news.reserve(latest.size());
+    for (const auto* item : latest) {
+        news.push_back({item->first, item->second.requests_per_second, now - item->second.stated});
     }
     return news;
 }
--- a/src/libs/site/pastupstreams.cpp
+++ b/src/libs/site/pastupstreams.cpp
@@ -1,8 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/latest.h>
 #include <site/pastupstreams.h>
 
-#include <algorithm>
-
 namespace sailtiller {
 
 void past_upstreams::note_written(const upstream_id& id)
@@ -21,17 +20,17 @@
 
 std::vector<upstream_id> past_upstreams::list_said_leaving(std::size_t most) const
 {
-    std::vector<std::pair<time_point, const upstream_id*>> latest;
+    std::vector<const std::pair<const upstream_id, leaving_word>*> latest;
     latest.reserve(this->said.size());
-    for (const auto& [id, word] : this->said) {
-        latest.emplace_back(word.heard, &id);
+    for (const auto& item : this->said) {
+        latest.push_back(&item);
     }
-    const auto end = latest.begin() + static_cast<std::ptrdiff_t>(std::min(most, latest.size()));
-    std::partial_sort(latest.begin(), end, latest.end(),
-        [](const auto& left, const auto& right) { return left.first > right.first; });
+    keep_latest(latest, most, [](const auto& item) { return item.second.heard; });
     std::vector<upstream_id> ids;
-    std::transform(
-        latest.begin(), end, std::back_inserter(ids), [](const auto& item) { return *item.second; });
+    ids.reserve(latest.size());
+    for (const auto* item : latest) {
+        ids.push_back(item->first);
+    }
     return ids;
 }
 
