--- a/tests/auto/delivery/tst_streamendings.cpp
+++ b/tests/auto/delivery/tst_streamendings.cpp
@@ -70,6 +70,50 @@
         std::make_pair(event_type::path_change_refused, std::string("failed: no answer within 86 ms")));
 }
 
+// Evidence: the engine answered probes 286 ms before the host broke its stream off.
+TEST_F(stream_endings_test, the_last_run_allowed_is_not_ended_for_its_silence)
+{
+    this->put_engine("second", 3, {0, 8});
+    this->put_engine("third", 4, {0, 8});
+    const auto delivery = this->start_streaming(1);
+    delivery->leave_upstream(this->last_target());
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(1, 2));
+    delivery->leave_upstream(this->last_target());
+    this->pass(2500ms);
+    EXPECT_FALSE(this->caller.is_aborted);
+    EXPECT_FALSE(this->last_send().is_cancelled);
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->sends.size(), 2U);
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
+// The time that was waited for retries counted as time waited for the configuration.
+TEST_F(
+    stream_endings_test, a_search_that_waited_for_retries_is_not_ended_by_an_instant_of_unknown_configuration)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->retries.set_settings({.ratio = 0, .slack = 0, .window = 10s});
+    const auto delivery = this->start_streaming(2);
+    end(this->last_send(), call_ending::broken);
+    this->pass(1500ms);
+    this->may_send = false;
+    this->pass(100ms);
+    EXPECT_FALSE(this->caller.is_aborted);
+    this->may_send = true;
+    this->retries.set_settings({.ratio = 0, .slack = 10, .window = 10s});
+    this->pass(500ms);
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST(search_obstacles_test, sums_the_time_of_each_obstacle)
 {
     const time_point start{1s};
--- a/tests/auto/health/tst_upstreamprobes.cpp
+++ b/tests/auto/health/tst_upstreamprobes.cpp
@@ -10,6 +10,9 @@
 
 using namespace std::chrono_literals;
 
+const upstream_id a("a");
+const upstream_id b("b");
+
 class upstream_probes_test : public testing::Test
 {
 protected:
@@ -25,7 +28,10 @@
         hooks.has_moved = [this](const upstream_id& id, time_point) { return this->moved == id.value(); };
         hooks.has_other_moved = [this](const upstream_id&, time_point) { return this->has_other_moved; };
         hooks.is_watcher = [this](const upstream_id&) { return this->is_watcher; };
-        hooks.on_dead = [this](const upstream_id& id) { this->dead.push_back(id.value()); };
+        hooks.on_dead = [this](const upstream_id& id) {
+            this->dead.push_back(id.value());
+            this->known_when_told.push_back(this->probes->is_dead(a) && this->probes->is_dead(b));
+        };
         hooks.on_alive = [this](const upstream_id& id, double pace) { this->paces[id.value()] = pace; };
         this->probes = std::make_unique<upstream_probes>(upstream_probe_settings{}, hooks);
     }
@@ -65,10 +71,9 @@
     bool is_watcher = true;
     std::optional<upstream_id> other{"elsewhere"};
     std::unique_ptr<upstream_probes> probes;
+    std::vector<bool> known_when_told; ///< whether both upstreams were known to be dead at each verdict
 };
 
-const upstream_id a("a");
-
 TEST_F(upstream_probes_test, one_without_an_answer_is_dead_in_some_tens_of_milliseconds)
 {
     EXPECT_TRUE(this->probes->ask(a));
@@ -79,6 +84,16 @@
     EXPECT_TRUE(this->probes->is_dead(a));
 }
 
+// Evidence: streams moved from one upstream to another that was condemned 0.3 ms later, in the same look.
+TEST_F(upstream_probes_test, verdicts_of_one_look_are_all_known_before_the_first_is_told)
+{
+    this->probes->ask(a);
+    this->probes->ask(b);
+    this->pass(60ms);
+    EXPECT_EQ(this->dead, (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(this->known_when_told, (std::vector{true, true}));
+}
+
 TEST_F(upstream_probes_test, the_time_for_an_answer_follows_those_that_came)
 {
     this->see_answers_after(2ms);
