Delivery, Gateway, Sailtillerd: the last run that a stream is allowed isn't ended for its silence

Cause: a head that seems dead while nothing else may or can run the request was waited for, but only for a second; then the stream was failed over with no run left, which cuts it. A sign of life of that engine didn't end the wait. Class: a stream that could still be served is ended by a bound that its host chose.

Mend: the wait has no bound. The stream ends with its engine's connection, its caller, its time limit or a stop; it fails over as soon as a run, a retry and a path are there. An upstream that is back ends the wait (keep_upstream), so retries that grow meanwhile don't take the stream from an engine that lives.

--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -212,6 +212,7 @@
         {{"peer", id.value()}, {"pace", std::to_string(pace)}});
     if (was_dead) {
         this->loads.resume(id);
+        this->hooks.on_back(id);
     }
     this->loads.set_pace(id, pace);
 }
--- a/src/app/sailtillerd/upstreamhealth.h
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -19,6 +19,8 @@
     std::function<void(event_type)> on_belief;
     /// An upstream is dead: the streams over it must leave it.
     std::function<void(const upstream_id&)> on_dead;
+    /// A dead upstream has given a sign of life, to this host or to another one.
+    std::function<void(const upstream_id&)> on_back;
     /// An upstream said in a report that it leaves.
     std::function<void(const upstream_id&)> on_leaving;
     /// An engine told in a report which layers it holds.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -173,13 +173,13 @@
 
 void stream_delivery::leave_head()
 {
-    // An engine that answers no probe may be alive behind a full link, and its answer on the way. Where
-    // nothing else may or can run the request, leaving it could only lose that answer. A caller that has
-    // nothing yet and may try again is better told so at once.
+    // An engine that answers no probe may be alive behind a full link, and its answer on the way. While
+    // nothing else may or can run the request, leaving it could only lose that answer: the caller decides how
+    // long to wait. One that has nothing yet and may try again is better told so at once.
     const bool is_told_soon = !this->has_started && this->order.route->may_repeat();
     const bool may_follow =
         this->sends.may_send_now(this->has_started) && this->chooser.find(this->avoided).has_value();
-    if (is_told_soon || may_follow || this->head_wait.is_over()) {
+    if (is_told_soon || may_follow) {
         this->fail_over("the first engine of its path is dead");
         return;
     }
@@ -187,6 +187,13 @@
         this->context.settings.search_pause, [self = this->shared_from_this()] { self->leave_head(); });
 }
 
+void stream_delivery::keep_upstream(const upstream_id& id)
+{
+    if (this->is_under_way() && this->path.head().id == id) {
+        this->head_wait.end();
+    }
+}
+
 /// Leads the running request around the upstreams that it avoids.
 void stream_delivery::change_path()
 {
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -31,6 +31,9 @@
     bool end_for_stop(const std::string& cut);
     /// An upstream is dead: if the stream passes through it, the stream goes on without it.
     void leave_upstream(const upstream_id& id);
+    /// An upstream that was dead has given a sign of life: a stream that it leads and that found no other way
+    /// yet stays with it.
+    void keep_upstream(const upstream_id& id);
     /// Leads the stream around engines that have given up layers of its path: they load new ones only once no
     /// stream passes through the old ones. If there is no good other path, the stream stays where it is.
     void leave_given_up_layers();
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -170,6 +170,11 @@
     this->visit_streams([&id](stream_delivery& stream) { stream.leave_upstream(id); });
 }
 
+void gateway_service::keep_upstream(const upstream_id& id)
+{
+    this->visit_streams([&id](stream_delivery& stream) { stream.keep_upstream(id); });
+}
+
 void gateway_service::leave_given_up_layers()
 {
     this->visit_streams([](stream_delivery& stream) { stream.leave_given_up_layers(); });
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -28,6 +28,8 @@
 
     /// An upstream is dead; the streams over it go on without it.
     void leave_upstream(const upstream_id& id);
+    /// A dead upstream has given a sign of life.
+    void keep_upstream(const upstream_id& id);
     /// Leads streams around engines that have given up layers of their paths.
     void leave_given_up_layers();
     /// Answers a caller's request, at once or by a delivery.
