Delivery: a stream that has begun isn't ended because its host doesn't know its configuration for a moment

What callers would see: a stream cut at the first look at which the bundle's age is over its limit, without any wait for it, if it had looked for a path for a second for any other reason, and after a second of waiting for the configuration otherwise. Ages are largest while changes, the store or neighbours are slow, so this falls around changes of the configuration.

Cause: one bound for all waits of a search, counted from the first of them, and used by one check alone. Class: as before, a stream that could still be served is ended by a bound that its host chose.

Mend: the search of a stream that has begun has no bound; its caller, its time limit or a stop end it. It is still sent nowhere while the configuration isn't known. limited_wait becomes pending_look, which is a timer and no more.

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -110,10 +110,6 @@
     /// more send of a lost packet. One that closes later had the request; sent again as it stands, that would
     /// carry the time that was left then.
     duration longest_until_resend = std::chrono::milliseconds(250);
-    /// How long a stream that has begun waits for this host to learn whether its bundle is the newest. Half
-    /// of the two seconds without an event after which a caller leaves: it still has time to resume by
-    /// itself.
-    duration longest_wait_under_way = std::chrono::milliseconds(1000);
 };
 
 struct delivery_order;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -21,8 +21,8 @@
     , gate(context, this->order)
     , guard(context, this->order)
     , changes(context)
-    , head_wait(context)
-    , search_wait(context)
+    , head_look(context.timers)
+    , search_look(context.timers)
 {
 }
 
@@ -107,7 +107,7 @@
     this->path.begin(std::move(found));
     this->sends.note_sent();
     this->guard.note_sent();
-    this->search_wait.end();
+    this->search_look.cancel();
     this->obstacles.end(now);
     this->changes.end_ask();
     this->state = phase::waiting;
@@ -131,7 +131,7 @@
 void stream_delivery::search_later(search_obstacle obstacle, duration pause)
 {
     this->obstacles.note(obstacle, this->context.timers.now());
-    this->search_wait.look_again(pause, [self = this->shared_from_this()] { self->search(); });
+    this->search_look.schedule(pause, [self = this->shared_from_this()] { self->search(); });
 }
 
 upstream_request stream_delivery::make_upstream_request() const
@@ -195,14 +195,14 @@
         this->fail_over("the first engine of its path is dead");
         return;
     }
-    this->head_wait.look_again(
+    this->head_look.schedule(
         this->context.settings.search_pause, [self = this->shared_from_this()] { self->leave_head(); });
 }
 
 void stream_delivery::keep_upstream(const upstream_id& id)
 {
     if (this->is_under_way() && this->path.head().id == id) {
-        this->head_wait.end();
+        this->head_look.cancel();
     }
 }
 
@@ -309,7 +309,7 @@
         return;
     }
     note_answer(this->context, this->path.head().id, this->answer, this->call.sent_at());
-    this->head_wait.end(); // it lives
+    this->head_look.cancel(); // it lives
     if (status != http_status::ok || !this->answer.is_signed) {
         return; // judged at its end
     }
@@ -324,7 +324,7 @@
 
 void stream_delivery::take_body(std::string_view bytes)
 {
-    this->head_wait.end(); // it lives
+    this->head_look.cancel(); // it lives
     if (this->state != phase::streaming) {
         this->other_body += bytes;
         return;
@@ -462,9 +462,9 @@
 /// A stream that has begun can't be told to come back, and what is missing may be there in a moment.
 void stream_delivery::wait_for_configuration()
 {
-    if (!this->has_started || this->search_wait.is_over()) {
-        this->refuse(stream_end::configuration_unknown,
-            "this host can't tell whether its configuration is the newest");
+    if (!this->has_started) {
+        this->send_away("this host can't tell whether its configuration is the newest",
+            this->context.settings.retry_after);
         return;
     }
     this->search_later(search_obstacle::configuration, this->context.settings.search_pause);
@@ -582,7 +582,7 @@
     this->call.end();
     this->path.release();
     this->changes.cancel();
-    this->head_wait.end();
+    this->head_look.cancel();
 }
 
 void stream_delivery::end()
@@ -594,7 +594,7 @@
     measure_since_arrival(this->context, this->order, request_moment::ended);
     this->leave_call();
     this->patience.stop();
-    this->search_wait.end();
+    this->search_look.cancel();
     if (this->on_done) {
         const std::function<void()> action = std::move(this->on_done);
         action();
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -3,10 +3,10 @@
 
 #include <delivery/callerwatch.h>
 #include <delivery/deliverycontext.h>
-#include <delivery/limitedwait.h>
 #include <delivery/passedevents.h>
 #include <delivery/pathchanges.h>
 #include <delivery/pathuse.h>
+#include <delivery/pendinglook.h>
 #include <delivery/searchobstacles.h>
 #include <delivery/streamsends.h>
 #include <delivery/suspectguard.h>
@@ -101,8 +101,8 @@
     suspect_guard guard;
     bool has_started = false; ///< the caller has the head of the answer
     path_changes changes;
-    limited_wait head_wait; ///< for a first engine that seems dead
-    limited_wait search_wait; ///< for a path, or leave to send
+    pending_look head_look; ///< at a first engine that seems dead
+    pending_look search_look; ///< for a path, or leave to send
     search_obstacles obstacles;
 };
 
--- a/src/libs/delivery/streamend.cpp
+++ b/src/libs/delivery/streamend.cpp
@@ -10,8 +10,6 @@
         return "runs_used_up";
     case stream_end::sends_used_up:
         return "sends_used_up";
-    case stream_end::configuration_unknown:
-        return "configuration_unknown";
     case stream_end::suspected_request:
         return "suspected_request";
     case stream_end::no_engines:
--- a/src/libs/delivery/streamend.h
+++ b/src/libs/delivery/streamend.h
@@ -9,7 +9,6 @@
 enum class stream_end {
     runs_used_up, ///< the last run that the route allows has failed
     sends_used_up, ///< engines refuse it, or can't be reached, as often as one request may be sent
-    configuration_unknown, ///< this host couldn't tell for too long whether its bundle is the newest
     suspected_request, ///< upstreams have ended under this request
     no_engines, ///< its bundle names no engines for its service
     time_limit,
