Delivery: a stream that has begun isn't ended by refusals while a run is left

What callers would see: a stream whose answer had begun cut after nine sends, some 1.2 s, because engines were full or turned it away, though none had run it a second time and the next might take it.

Cause: sends of one request are bounded so that its caller is told to come back. A caller whose answer has begun can't be told so; it had a larger bound of its own.

Mend: the bound holds until the answer begins. After that the pauses between sends (up to 400 ms), the fleet's allowance of retries and the request's time bound them.

Evidence: stream_endings_test.a_begun_stream_is_not_ended_by_refusals_while_it_may_still_run: the code before aborts "after 9 sends".

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -98,11 +98,8 @@
     unsigned most_changes = 4;
     /// Sends of one request, refused ones included; beyond it the caller is told to come back.
     unsigned most_sends = 5;
-    /// The same for a stream whose answer has begun, which can't be told to come back.
-    unsigned most_sends_under_way = 9;
     /// Sends that go out at once. Each later one waits for the first pause, and each for twice the one
-    /// before, up to the longest: all together a little over a second. A caller leaves after two seconds
-    /// without an event.
+    /// before, up to the longest.
     unsigned immediate_sends = 4;
     duration first_resend_pause = std::chrono::milliseconds(60);
     duration longest_resend_pause = std::chrono::milliseconds(400);
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -393,7 +393,7 @@
             + (is_unwilling ? ", though it has room" : ""));
     this->leave_call();
     if (!this->sends.may_send_again(this->has_started)) {
-        this->refuse(this->spent(), "the engines refuse new work");
+        this->refuse(stream_end::runs_used_up, "the engines refuse new work");
         return;
     }
     const duration pause = this->sends.pause_after_refusal();
@@ -439,18 +439,12 @@
             + this->sends.describe_runs() + ", content " + this->order.content().value());
     this->leave_call();
     if (!this->sends.may_send_again(this->has_started)) {
-        this->give_up(this->spent(), reason);
+        this->give_up(stream_end::runs_used_up, reason);
         return;
     }
     this->search();
 }
 
-stream_end stream_delivery::spent() const
-{
-    return this->order.may_run_again(this->sends.runs()) ? stream_end::sends_used_up
-                                                         : stream_end::runs_used_up;
-}
-
 void stream_delivery::give_up(stream_end cause, const std::string& reason)
 {
     if (this->has_started) {
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -66,8 +66,6 @@
     void fail_over(const std::string& reason);
     void go_on(const std::string& reason);
     void finish_other_answer();
-    /// Why no send may follow the last one.
-    [[nodiscard]] stream_end spent() const;
     void give_up(stream_end cause, const std::string& reason);
     void wait_for_configuration();
     void refuse(stream_end cause, const std::string& reason);
--- a/src/libs/delivery/streamend.h
+++ b/src/libs/delivery/streamend.h
@@ -8,7 +8,6 @@
 /// What ended a stream whose answer had begun and isn't whole.
 enum class stream_end {
     runs_used_up, ///< the last run that the route allows has failed
-    sends_used_up, ///< engines refuse it, or can't be reached, as often as one request may be sent
     suspected_request, ///< upstreams have ended under this request
     no_engines, ///< its bundle names no engines for its service
     time_limit,
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -7,9 +7,8 @@
 
 bool stream_sends::may_send_again(bool has_started) const
 {
-    const unsigned most =
-        has_started ? this->context.settings.most_sends_under_way : this->context.settings.most_sends;
-    return this->sent < most && this->order.may_run_again(this->runs());
+    const bool is_spent = !has_started && this->sent >= this->context.settings.most_sends;
+    return !is_spent && this->order.may_run_again(this->runs());
 }
 
 bool stream_sends::may_send_now(bool has_started) const
--- a/src/libs/delivery/streamsends.h
+++ b/src/libs/delivery/streamsends.h
@@ -26,8 +26,8 @@
     /// that no way of leaving a call can forget to count it: an upstream may have begun or even ended what it
     /// was sent long before a full link lets its answer through.
     [[nodiscard]] unsigned runs() const { return this->sent - this->not_run; }
-    /// True while the route allows one more run, and fewer sends went out than one request may take; more
-    /// once its answer has begun.
+    /// True while the route allows one more run and, before the answer has begun, fewer sends went out than
+    /// one request may take. A caller whose answer has begun can't be told to come back.
     [[nodiscard]] bool may_send_again(bool has_started) const;
     /// True if the request could go out again at once.
     [[nodiscard]] bool may_send_now(bool has_started) const;
--- a/tests/auto/delivery/tst_streamendings.cpp
+++ b/tests/auto/delivery/tst_streamendings.cpp
@@ -114,6 +114,35 @@
     EXPECT_TRUE(this->caller.is_finished);
 }
 
+// One request may be sent so often, but a caller whose answer has begun can't be told to come back.
+TEST_F(stream_endings_test, a_begun_stream_is_not_ended_by_refusals_while_it_may_still_run)
+{
+    for (int number = 3; number < 8; ++number) {
+        this->put_engine("other" + std::to_string(number), number, {0, 8});
+    }
+    const auto delivery = this->start_streaming(2);
+    end(this->last_send(), call_ending::broken);
+    const time_point broken = this->now;
+    std::size_t refused = 1;
+    while (this->now - broken < 2s) {
+        if (this->sends.size() > refused) {
+            ++refused;
+            give_head(this->last_send(), 429, {{"id", "r1"}, {"not-run", "1"}});
+            end(this->last_send());
+        }
+        this->pass(5ms);
+        ASSERT_FALSE(this->caller.is_aborted) << "after " << refused << " sends";
+    }
+    EXPECT_LE(refused, 12U) << "the pauses grow to 400 ms";
+    this->pass(500ms);
+    ASSERT_GT(this->sends.size(), refused);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(2, 4));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 4));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST(search_obstacles_test, sums_the_time_of_each_obstacle)
 {
     const time_point start{1s};
