Delivery, Entry: streams of signed bundles wait for a chain or a retry once they have begun

What callers would see: a stream of a host of signed bundles that ends in an error event the moment a stage fails while no other chain is live or the host's retry budget is used up, though both may be there in a moment; and one whose last attempt is given up after 100 ms of silence, eight times its upstream's usual time, where the bundle grants a step more.

The suspicion that moves a stream to another chain early was applied where nothing could follow.

Mend: a stream whose caller has tokens looks for a chain and a retry every 25 ms until its time limit. An answer that is given whole is told at once, as before. The last attempt has the whole time of a step.

--- a/src/libs/delivery/streamrelay.cpp
+++ b/src/libs/delivery/streamrelay.cpp
@@ -12,6 +12,8 @@
 /// waits for another stream's prefill (docs/design/routing.md has the measurement).
 constexpr std::int64_t suspicion_factor = 8;
 constexpr duration least_suspicion = std::chrono::milliseconds(100);
+/// Between two looks of a stream that has begun for another chain, or for a retry.
+constexpr duration search_pause = std::chrono::milliseconds(25);
 
 } // namespace
 
@@ -141,7 +143,10 @@
         return this->request.times.first_answer;
     }
     const std::optional<duration> usual = this->stage().load->answer_time();
-    if (!this->request.is_repeatable || !usual) {
+    // Leaving an upstream on suspicion pays only if another one may follow.
+    const bool may_follow =
+        this->request.is_repeatable && this->attempt.value() < this->request.most_attempts;
+    if (!may_follow || !usual) {
         return this->request.times.step;
     }
     return std::min(this->request.times.step, std::max(least_suspicion, *usual * suspicion_factor));
@@ -272,6 +277,13 @@
         this->fail(outcome, failure);
         return;
     }
+    if (this->request.is_streamed && !this->tokens.empty()) {
+        this->look_for_chain();
+        if (this->stages.empty()) {
+            this->hooks.note("retry", "", "waits for a chain and the host's retry budget");
+        }
+        return;
+    }
     if (!this->hooks.take_retry()) {
         this->hooks.note("retry", "", "not repeated: the host's retry budget is used up");
         this->fail(outcome, failure);
@@ -280,6 +292,20 @@
     this->begin_attempt();
 }
 
+/// The caller of a stream that has begun can't be told to come back, so only the request's time limit ends
+/// it.
+void stream_relay::look_for_chain()
+{
+    if (this->hooks.choose_chain(this->failed_upstreams) && this->hooks.take_retry()) {
+        this->begin_attempt();
+        return;
+    }
+    this->step_timer = this->hooks.timers.schedule_after(search_pause, [this] {
+        this->step_timer = 0;
+        this->look_for_chain();
+    });
+}
+
 void stream_relay::fail(request_outcome outcome, const send_failure& failure)
 {
     this->finish();
--- a/src/libs/delivery/streamrelay.h
+++ b/src/libs/delivery/streamrelay.h
@@ -50,6 +50,7 @@
     std::uint32_t most_tokens = 0;
     std::int32_t priority = 0;
     bool is_repeatable = true; ///< false: never sent again once it may have run
+    bool is_streamed = false; ///< the caller has each token as it comes, and can't be told to come back
     time_limits times;
     std::uint32_t most_attempts = 1;
 };
@@ -91,6 +92,7 @@
     void handle_token(const generated_token& made);
     void move_from_leaving();
     void handle_failure(const send_failure& failure);
+    void look_for_chain();
     void handle_timeout();
     void fail(request_outcome outcome, const send_failure& failure);
     void finish();
--- a/src/libs/entry/completionexchange.cpp
+++ b/src/libs/entry/completionexchange.cpp
@@ -38,6 +38,7 @@
     item.most_tokens = this->wanted.most_tokens == 0 ? longest : this->wanted.most_tokens;
     item.priority = this->request.account.priority;
     item.is_repeatable = this->request.is_repeatable;
+    item.is_streamed = this->wanted.is_streamed;
     item.times = content.times;
     item.most_attempts = content.retries.attempts;
     return item;
--- a/tests/auto/delivery/tst_streamrelay.cpp
+++ b/tests/auto/delivery/tst_streamrelay.cpp
@@ -36,6 +36,7 @@
         request.prompt = "prompt";
         request.most_tokens = most_tokens;
         request.is_repeatable = is_repeatable;
+        request.is_streamed = this->is_streamed;
         request.times = this->content.times;
         request.most_attempts = 3;
         relay_listener listener;
@@ -61,7 +62,10 @@
         hooks.release = [this](const stage_option& stage, const stream_id&, attempt_number attempt) {
             this->released.insert(stage.holder.value() + "#" + std::to_string(attempt.value()));
         };
-        hooks.choose_chain = [this](const std::set<upstream_id>& avoid) {
+        hooks.choose_chain = [this](const std::set<upstream_id>& avoid) -> std::optional<chain> {
+            if (!this->has_chain) {
+                return std::nullopt;
+            }
             return this->policy(*this->table.routes_of(model_id("model-0")), {this->now, avoid});
         };
         hooks.take_retry = [this] { return this->has_retries; };
@@ -130,6 +134,8 @@
     std::vector<waiting_step> steps;
     std::set<std::string> released;
     bool has_retries = true;
+    bool has_chain = true;
+    bool is_streamed = true;
     std::vector<std::string> tokens;
     std::uint32_t token_count = 0;
     std::string text;
@@ -290,6 +296,76 @@
     EXPECT_EQ(this->relay->counters().attempts, 1U);
 }
 
+TEST_F(stream_relay_test, a_begun_stream_is_not_ended_for_want_of_retries)
+{
+    this->start();
+    this->answer_steps(4);
+    this->has_retries = false;
+    this->fail_step(send_certainty::may_have_run);
+    this->pass(100ms);
+    this->pass(100ms);
+    EXPECT_FALSE(this->failure);
+    this->has_retries = true;
+    this->pass(100ms);
+    EXPECT_EQ(this->relay->counters().attempts, 2U);
+    this->run_to_end();
+    EXPECT_EQ(this->text, standins::expected_text("prompt", layers, most_tokens));
+    EXPECT_EQ(this->timers.size(), 0U);
+}
+
+TEST_F(stream_relay_test, a_begun_stream_is_not_ended_for_want_of_a_chain)
+{
+    this->start();
+    this->answer_steps(4);
+    this->has_chain = false;
+    this->fail_step(send_certainty::may_have_run);
+    this->pass(100ms);
+    EXPECT_FALSE(this->failure);
+    this->has_chain = true;
+    this->pass(100ms);
+    this->run_to_end();
+    EXPECT_EQ(this->text, standins::expected_text("prompt", layers, most_tokens));
+}
+
+TEST_F(stream_relay_test, a_begun_stream_that_finds_no_chain_ends_at_its_time_limit)
+{
+    this->content.times.request = 300ms;
+    this->start();
+    this->answer_steps(4);
+    this->has_chain = false;
+    this->fail_step(send_certainty::may_have_run);
+    this->pass(299ms);
+    EXPECT_FALSE(this->failure);
+    this->pass(1ms);
+    ASSERT_TRUE(this->failure);
+    EXPECT_EQ(this->failure->outcome, request_outcome::unknown);
+    EXPECT_EQ(this->timers.size(), 0U);
+}
+
+TEST_F(stream_relay_test, an_answer_that_is_given_whole_is_not_held_for_want_of_retries)
+{
+    this->is_streamed = false;
+    this->start();
+    this->answer_steps(4);
+    this->has_retries = false;
+    this->fail_step(send_certainty::may_have_run);
+    EXPECT_TRUE(this->failure);
+}
+
+TEST_F(stream_relay_test, the_last_attempt_is_not_given_up_on_suspicion)
+{
+    this->start();
+    this->fail_step(send_certainty::not_sent);
+    this->answer_step();
+    this->fail_step(send_certainty::not_sent);
+    this->answer_steps(4);
+    ASSERT_EQ(this->relay->counters().attempts, 3U);
+    this->pass(this->content.times.step - 1ms);
+    EXPECT_FALSE(this->failure);
+    this->pass(1ms);
+    EXPECT_TRUE(this->failure);
+}
+
 TEST_F(stream_relay_test, the_time_limit_of_the_whole_request_holds_over_all_attempts)
 {
     this->content.times.request = 300ms;
