Delivery: an engine whose call this host held back itself isn't avoided by the stream

What callers would see: a stream that has begun waits until its time is over, though engines could take it: its host held a call back right before its first byte, as its configuration wasn't known for an instant, and passed the engine by for the rest of the request, as one that had failed it. Found by reading.

Mend: a call that was held back says nothing about its engine. stream_endings_test.an_engine_whose_call_was_held_back_is_not_avoided failed before (no third send).

--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -342,14 +342,7 @@
 void stream_delivery::take_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
-        if (!this->call.was_held_back()) {
-            // A lost packet or a full engine looks the same; a probe tells whether it is dead.
-            avoid_after_refusal(this->context, this->path.head().id);
-            this->context.watch.suspect(this->path.head().id);
-        }
-        this->sends.note_not_run();
-        this->guard.note_not_reached();
-        this->fail_over("no connection: " + reason);
+        this->take_missing_connection("no connection: " + reason);
         return;
     }
     if (ending == call_ending::broken) {
@@ -373,6 +366,20 @@
     this->finish_other_answer();
 }
 
+void stream_delivery::take_missing_connection(const std::string& reason)
+{
+    this->sends.note_not_run();
+    this->guard.note_not_reached();
+    if (this->call.was_held_back()) {
+        this->go_on(reason); // by this host itself; it says nothing about the engine
+        return;
+    }
+    // A lost packet or a full engine looks the same; a probe tells whether it is dead.
+    avoid_after_refusal(this->context, this->path.head().id);
+    this->context.watch.suspect(this->path.head().id);
+    this->fail_over(reason);
+}
+
 void stream_delivery::take_refusal()
 {
     // The refusal of a second copy leaves open whether the first one was begun.
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -62,6 +62,7 @@
     void take_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
     void take_end(call_ending ending, const std::string& reason);
+    void take_missing_connection(const std::string& reason);
     void take_refusal();
     void fail_over(const std::string& reason);
     void go_on(const std::string& reason);
--- a/tests/auto/delivery/tst_streamendings.cpp
+++ b/tests/auto/delivery/tst_streamendings.cpp
@@ -143,6 +143,21 @@
     EXPECT_TRUE(this->caller.is_finished);
 }
 
+TEST_F(stream_endings_test, an_engine_whose_call_was_held_back_is_not_avoided)
+{
+    this->put_engine("other", 3, {0, 8});
+    const auto delivery = this->start_streaming(2);
+    end(this->last_send(), call_ending::broken);
+    ASSERT_EQ(this->sends.size(), 2U);
+    this->may_send = false;
+    EXPECT_FALSE(this->last_send().handlers.may_send());
+    end(this->last_send(), call_ending::not_connected);
+    this->may_send = true;
+    this->pass(100ms);
+    ASSERT_EQ(this->sends.size(), 3U);
+    EXPECT_EQ(this->sends[2]->target, this->sends[1]->target);
+}
+
 TEST(search_obstacles_test, sums_the_time_of_each_obstacle)
 {
     const time_point start{1s};
