--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -167,6 +167,11 @@
 
 void path_engine::handle(const std::shared_ptr<http_exchange>& exchange)
 {
+    if (this->stands_still()) {
+        this->loop.schedule_after(
+            this->still_until - this->loop.now(), [this, exchange] { this->handle(exchange); });
+        return;
+    }
     const std::string route(exchange->request().route());
     const std::string target = header_of(exchange, "x-target-instance");
     if (!target.empty() && target != this->id) {
@@ -267,6 +272,14 @@
         this->loop.schedule_after(this->world.event_interval, [this, request] { this->make_event(request); });
 }
 
+bool path_engine::is_held_up(const std::vector<engine_part>& path) const
+{
+    return this->find_fault(path) != nullptr
+        || std::any_of(path.begin(), path.end(), [this](const engine_part& part) {
+               return this->world.by_address.at(part.address)->stands_still();
+           });
+}
+
 void path_engine::make_event(const std::string& request)
 {
     running_stream& stream = this->running[request];
@@ -275,8 +288,8 @@
         return;
     }
     const auto again = [this, request] { this->make_event(request); };
-    if (this->find_fault(stream.path) != nullptr) {
-        stream.timer = this->loop.schedule_after(this->world.event_interval, again); // it stands still
+    if (this->is_held_up(stream.path)) {
+        stream.timer = this->loop.schedule_after(this->world.event_interval, again);
         return;
     }
     unsigned layer = 0;
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -84,6 +84,9 @@
     void kill();
     /// The process ends without a word and starts anew a moment later, empty, under another name.
     void crash();
+    /// Does and answers nothing for so long, as a process without a processor; then it goes on.
+    void stand_still(duration time) { this->still_until = this->loop.now() + time; }
+    [[nodiscard]] bool stands_still() const { return this->loop.now() < this->still_until; }
     /// Enters itself in the store, again if its entry is gone.
     void write_entry();
     /// It says that it leaves and goes on serving.
@@ -111,6 +114,8 @@
     void start_stream(const std::shared_ptr<http_exchange>& exchange, const std::string& path);
     /// The first part that can't run; nothing if all can.
     [[nodiscard]] const engine_part* find_fault(const std::vector<engine_part>& path) const;
+    /// True if the stream can make no event now, though it may later.
+    [[nodiscard]] bool is_held_up(const std::vector<engine_part>& path) const;
     void make_event(const std::string& id);
     void restart();
     /// Ends with the request that ends every engine, if this is it.
@@ -127,6 +132,7 @@
     unsigned begin = 0;
     unsigned end = 0;
     bool is_leaving = false;
+    time_point still_until{};
     unsigned orders_begun = 0;
     std::uint64_t token_seen = 0;
     std::map<std::string, running_stream> running;
