Tests: a failing test for streams that ask for no other path after four changes without an answer; the soak has engines that stand still

The fourth ask without an answer is the last until an event comes, which the lost part prevents; the stream stands until its caller leaves.

--- a/tests/auto/delivery/tst_streamendings.cpp
+++ b/tests/auto/delivery/tst_streamendings.cpp
@@ -135,6 +135,30 @@
     EXPECT_TRUE(this->caller.is_finished);
 }
 
+// After four asks without an answer, no path is asked for until an event comes, which the lost part prevents.
+TEST_F(stream_endings_test, a_stream_whose_head_answered_no_change_of_path_for_a_second_is_led_on)
+{
+    this->put_engine("other", 4, {8, 16}, "x", "small");
+    const auto delivery = this->start_streaming(1);
+    delivery->leave_upstreams({upstream_id("tail")});
+    const time_point begin = this->now;
+    std::size_t asked = 0;
+    while (this->now - begin < 1s) {
+        if (this->change_answers.size() > asked) {
+            this->pass(85ms);
+            this->change_answers[asked++]({path_change_result::failed, std::nullopt, "no answer"});
+        }
+        this->pass(5ms);
+    }
+    this->pass(500ms);
+    ASSERT_GT(this->change_answers.size(), asked);
+    this->change_answers.back()({path_change_result::changed, std::nullopt});
+    this->last_send().handlers.on_body(events(1, 3));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 3));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST_F(stream_endings_test, an_engine_whose_call_was_held_back_is_not_avoided)
 {
     this->put_engine("other", 3, {0, 8});
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Routes on which hosts speak to the engine itself; any other carries a caller's request.
+constexpr std::string_view own_routes = "/api/";
+
 std::string header_of(const std::shared_ptr<http_exchange>& exchange, std::string_view name)
 {
     return find_header(exchange->request().headers, name).value_or("");
@@ -82,8 +85,8 @@
     , world(world)
     , id(id)
     , hall(hall)
-    , server(make_server(
-          loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); }))
+    , server(
+          make_server(loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->take(exchange); }))
     , address(this->server->listen(endpoint("127.0.0.1:0")).value())
 {
     world.by_address[this->address] = this;
@@ -124,7 +127,7 @@
     this->orders_begun = 0;
     this->token_seen = 0;
     this->server = make_server(
-        this->loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->handle(exchange); });
+        this->loop, [this](const std::shared_ptr<http_exchange>& exchange) { this->take(exchange); });
     this->address = this->server->listen(endpoint("127.0.0.1:0")).value();
     this->world.by_address[this->address] = this;
     this->write_entry();
@@ -165,23 +168,35 @@
     this->store.put("keyed.servers", this->id, entry.dump());
 }
 
-void path_engine::handle(const std::shared_ptr<http_exchange>& exchange)
+bool path_engine::is_meant(const std::shared_ptr<http_exchange>& exchange) const
+{
+    const std::string target = header_of(exchange, "x-target-instance");
+    return target.empty() || target == this->id;
+}
+
+void path_engine::take(const std::shared_ptr<http_exchange>& exchange)
 {
+    if (this->is_meant(exchange) && !exchange->request().route().starts_with(own_routes)) {
+        note_arrival(this->world, this->id, exchange->request(), this->loop.now());
+    }
     if (this->stands_still()) {
         this->loop.schedule_after(
             this->still_until - this->loop.now(), [this, exchange] { this->handle(exchange); });
         return;
     }
-    const std::string route(exchange->request().route());
-    const std::string target = header_of(exchange, "x-target-instance");
-    if (!target.empty() && target != this->id) {
+    this->handle(exchange);
+}
+
+void path_engine::handle(const std::shared_ptr<http_exchange>& exchange)
+{
+    const std::string_view route = exchange->request().route();
+    if (!this->is_meant(exchange)) {
         exchange->respond({421, {{"x-instance-id", this->id}}, ""});
     } else if (route == "/api/report") {
         exchange->respond({200, with_notices(this->world, this->id, {}), json({{"busy", false}}).dump()});
     } else if (route == "/api/order") {
         this->take_order(exchange);
     } else {
-        note_arrival(this->world, this->id, exchange->request(), this->loop.now());
         if (!refuse_for_pause(this->world, this->id, exchange, this->loop.now())) {
             this->start_stream(exchange, header_of(exchange, "path"));
         }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -107,6 +107,9 @@
         timer_id timer = 0;
     };
 
+    [[nodiscard]] bool is_meant(const std::shared_ptr<http_exchange>& exchange) const;
+    /// Handles a request, once the engine goes on if it stands still.
+    void take(const std::shared_ptr<http_exchange>& exchange);
     void handle(const std::shared_ptr<http_exchange>& exchange);
     void take_order(const std::shared_ptr<http_exchange>& exchange);
     void change_path(
