Delivery: a stream goes on asking for another path after four changes without an answer

What callers saw: streams that stand still until their callers leave. In the users' record four streams of one host ask for another path every 126 ms; as the code was, the fourth ask without an answer was the last: the count began anew with an event alone, which the lost part prevents. A head that was silent for half a second and went on was never asked again.

Cause: a bound on the changes that one failure may take.

Mend: after four changes each later one waits twice as long as the one before, up to 400 ms.

--- a/src/libs/delivery/pathchanges.cpp
+++ b/src/libs/delivery/pathchanges.cpp
@@ -8,7 +8,18 @@
 
 bool path_changes::may_take_one_more() const
 {
-    return this->taken < this->context.settings.most_changes;
+    return this->context.timers.now() >= this->next_at;
+}
+
+void path_changes::take_one()
+{
+    ++this->taken;
+    const delivery_settings& settings = this->context.settings;
+    duration pause = duration::zero();
+    for (unsigned change = settings.immediate_changes; change <= this->taken; ++change) {
+        pause = std::min(std::max(2 * pause, settings.change_pause), settings.longest_resend_pause);
+    }
+    this->next_at = this->context.timers.now() + pause;
 }
 
 duration path_changes::give_back_one()
@@ -26,6 +37,7 @@
 {
     this->taken = 0;
     this->unknown = 0;
+    this->next_at = {};
 }
 
 void path_changes::ask(const delivery_order& order, const layer_path& next,
--- a/src/libs/delivery/pathchanges.h
+++ b/src/libs/delivery/pathchanges.h
@@ -7,8 +7,8 @@
 
 namespace sailtiller {
 
-/// The changes of path that one running stream asks its engines for: one at a time, and only so many for one
-/// failure.
+/// The changes of path that one running stream asks its engines for: one at a time, and after the first few
+/// for one failure, less and less often.
 class path_changes
 {
 public:
@@ -19,10 +19,10 @@
 
     /// True from an ask until its answer.
     [[nodiscard]] bool is_asking() const { return this->is_unanswered; }
-    /// True while the present failure may take one change more.
+    /// True if the present failure may take one change more now.
     [[nodiscard]] bool may_take_one_more() const;
     /// The present failure takes one change more.
-    void take_one() { ++this->taken; }
+    void take_one();
     /// The engine didn't know the request, so the change that was taken last is still to be had. Returns the
     /// pause until it is asked for again, which doubles: at 40 ms each, one stream asked 75 times in 3 s.
     duration give_back_one();
@@ -41,6 +41,7 @@
     delivery_context& context;
     bool is_unanswered = false;
     unsigned taken = 0; ///< since the last event
+    time_point next_at{}; ///< the next one is not taken before this
     unsigned unknown = 0; ///< answers, since the last event, that the engine doesn't know the request
     timer_id timer = 0;
 };
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -735,7 +735,7 @@
     delivery->leave_upstreams({upstream_id("tail")});
     const std::vector<duration> pauses = {40ms, 80ms, 160ms, 320ms, 400ms, 400ms, 400ms, 400ms};
     const auto tries = static_cast<unsigned>(pauses.size());
-    ASSERT_EQ(tries, 2 * this->context->settings.most_changes);
+    ASSERT_EQ(tries, 2 * this->context->settings.immediate_changes);
     for (unsigned tried = 1; tried <= tries; ++tried) {
         ASSERT_EQ(this->changes.size(), tried);
         this->change_answers.back()({path_change_result::unknown_request, std::nullopt});
