--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -94,8 +94,8 @@
     duration retry_after = std::chrono::milliseconds(1000);
     /// Pause before another path is looked for, when none avoids what is dead.
     duration change_pause = std::chrono::milliseconds(40);
-    /// Changes of path that one failure takes without a further pause. Each later one waits for twice as long as
-    /// the one before, up to `longest_resend_pause`.
+    /// Changes of path that one failure takes without a further pause. Each later one waits for twice as long
+    /// as the one before, up to `longest_resend_pause`.
     unsigned immediate_changes = 4;
     /// Sends of one request, refused ones included; beyond it the caller is told to come back.
     unsigned most_sends = 5;
