Tests: a stand-in of an engine that ended while it stood still handles nothing more of that start

Read: a request that was held back went on to the engine's server of that start, which was gone. This closes that way; whether it was the cause isn't shown.

--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -189,11 +189,13 @@
         note_arrival(this->world, this->id, exchange->request(), this->loop.now());
     }
     if (this->stands_still()) {
-        this->loop.schedule_after(this->still_until - this->loop.now(), [this, exchange] {
-            if (!exchange->has_caller_left()) {
-                this->handle(exchange);
-            }
-        });
+        this->loop.schedule_after(
+            this->still_until - this->loop.now(), [this, exchange, start = this->starts] {
+                const bool is_same_start = start == this->starts && this->server;
+                if (is_same_start && !exchange->has_caller_left()) {
+                    this->handle(exchange);
+                }
+            });
         return;
     }
     this->handle(exchange);
