Runtime, Daemon: connections to upstreams are counted, refusals tell how many sends arrived

Logs and metrics could not tell a host without a way to the upstreams from upstreams that are dead: a line is about one upstream, and 'sent' counts sends that never left. sailtiller_upstream_connections_total counts new connections made and failed, and a stream's refusal says how many of its sends arrived. upstream-source sets the address from which upstreams are connected, also at a reload, so that a host with several networks uses the right one; tests take the way to the upstreams from one host by it. No logic of delivery changes.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -34,6 +34,8 @@
     flags.declare_list("trusted-key", "file with an operator's public key in PEM form");
     flags.declare_optional(
         "store-address", "the platform's store; bundle, upstreams and duties come from there");
+    flags.declare_optional(
+        "upstream-source", "local address and port (0: any) from which upstreams are connected");
     flags.declare("apply-limit-ms", "an accepted bundle is in force within this", "2000");
     flags.declare("revoke-limit-ms", "a withdrawn key is not used for longer than this", "5000");
     flags.declare("retry-ratio", "repeated sends of the fleet for each request", "0.2");
@@ -100,6 +102,7 @@
     store.address = *address;
     store.reading.apply_limit = flags.milliseconds("apply-limit-ms", least_limit, most_stop_time);
     store.reading.revoke_limit = flags.milliseconds("revoke-limit-ms", least_limit, most_stop_time);
+    store.upstream_source = flags.optional_address("upstream-source");
     store.retries.ratio = flags.number("retry-ratio", 0, most_ratio);
     store.retries.slack = flags.number("retry-slack", 0, most_slack);
     store.retries.window = flags.milliseconds("retry-window-ms", least_limit, most_stop_time);
--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -15,6 +15,8 @@
     endpoint address;
     store_read_settings reading;
     retry_allowance_settings retries;
+    /// Address from which upstreams are connected; the system chooses without it.
+    std::optional<endpoint> upstream_source;
 };
 
 /// Everything that a host process is told from outside. docs/operators/running.md lists the flags.
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -88,6 +88,8 @@
           "Streams that had begun and ended without their last event, by what ended them.", "cause")
     , rejections("sailtiller_rejected_requests_total",
           "Requests that were answered, or lost with their connection, while they were read.", "code")
+    , connections("sailtiller_upstream_connections_total",
+          "New connections to upstreams that were made, or could not be made.", "outcome")
     , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
           "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
           "source", source_labels)
@@ -220,6 +222,7 @@
     this->beliefs.write(out);
     this->ends.write(out);
     this->rejections.write(out);
+    this->connections.write(out);
     const auto seconds = [](const std::optional<duration>& age) {
         return age ? std::chrono::duration<double>(*age).count() : -1;
     };
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -45,6 +45,8 @@
     void count_rejection(const std::string& code) { this->rejections.add(code); }
     /// A stream that had begun ended without its last event.
     void count_end(stream_end cause) { this->ends.add(std::string(name_of(cause))); }
+    /// A new connection to an upstream was made, or could not be made.
+    void count_connection(bool is_made) { this->connections.add(is_made ? "made" : "failed"); }
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
     /// Takes the age that the word on the bundle had reached when this source confirmed it anew.
@@ -70,6 +72,7 @@
     counter_family beliefs;
     counter_family ends;
     counter_family rejections;
+    counter_family connections;
     time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -62,7 +62,8 @@
           this->loop, this->peers, this->settings.self, [this] { return this->stop.is_under_way(); },
           [this](event_type event) { this->admin.note_belief(event); })
     , retries(this->settings.store->retries)
-    , link(this->loop)
+    , link(this->loop, this->settings.store->upstream_source,
+          {[this](const upstream_id&, bool is_made) { this->admin.count_connection(is_made); }})
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
           delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
@@ -93,7 +94,7 @@
 delivery_context site_host::make_delivery_context()
 {
     return {this->loop.hooks(), platform::make_request_codec(),
-        [this](const endpoint& target, const http_request& request, bool may_repeat,
+        [this](const upstream_target& target, const http_request& request, bool may_repeat,
             http_call_handlers handlers) {
             return this->link.send(target, request, may_repeat, std::move(handlers));
         },
@@ -517,6 +518,7 @@
         this->reading.set_settings(next.store->reading);
         this->bundle_follower.set_wait(this->reading.bundle_wait());
         this->retries.set_settings(next.store->retries);
+        this->link.set_source(next.store->upstream_source);
         this->settings.stop_grace = next.stop_grace;
         this->settings.longest_stop = next.longest_stop;
         const bool needs_restart = next.listen != this->settings.listen
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -157,7 +157,7 @@
         this->loop.post([on_answer] { on_answer(std::nullopt); });
         return;
     }
-    this->link.probe({id, entry->upstream.address}, this->watch.prober().answer_limit() / 2,
+    this->link.probe({id, entry->upstream.address, {}}, this->watch.prober().answer_limit() / 2,
         [this, id, born = entry->upstream.born, on_answer](const std::optional<engine_report>& report) {
             if (report && (report->is_other_upstream || is_older_start(born, report->born))) {
                 // Whoever answers there knows nothing of what the one that was asked for held.
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -5,7 +5,6 @@
 #include <platform/wireorder.h>
 #include <platform/wirerequest.h>
 #include <runtime/eventlog.h>
-#include <runtime/wholecall.h>
 
 namespace sailtiller {
 
@@ -26,8 +25,10 @@
 
 } // namespace
 
-upstream_link::upstream_link(event_loop& loop)
+upstream_link::upstream_link(event_loop& loop, std::optional<endpoint> source, upstream_link_hooks hooks)
     : loop(loop)
+    , source(std::move(source))
+    , hooks(std::move(hooks))
     , requests(platform::make_request_codec())
     , orders(platform::make_order_codec())
     , connections(loop, {.idle_time = idle_time})
@@ -35,21 +36,31 @@
 }
 
 cancel_call upstream_link::send(
-    const endpoint& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
+    const upstream_target& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
 {
     http_call_options options;
     options.connect_limit = connect_limit;
     options.pool = may_repeat ? &this->connections : nullptr;
+    options.source = this->source;
+    options.on_connection = [this, id = target.id](bool is_made) { this->hooks.on_connection(id, is_made); };
     const std::shared_ptr<http_call> call =
-        http_call::start(this->loop, target, request, options, std::move(handlers));
+        http_call::start(this->loop, target.address, request, options, std::move(handlers));
     return [call] { call->cancel(); };
 }
 
+whole_call upstream_link::make_call(
+    const upstream_target& target, http_request request, duration limit, connection_pool* pool) const
+{
+    return {target.address, std::move(request), limit, pool, this->source,
+        [this, id = target.id](bool is_made) { this->hooks.on_connection(id, is_made); }};
+}
+
 void upstream_link::send_path_change(
     const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
 {
     const http_request request = this->requests.encode_path_change(change);
-    send_whole(this->loop, {change.address, request, change.limit, &this->connections},
+    send_whole(this->loop,
+        this->make_call({change.head, change.address}, request, change.limit, &this->connections),
         [this, on_answer](const whole_call_result& result) {
             on_answer(result.response
                     ? this->requests.decode_path_change(*result.response)
@@ -68,7 +79,7 @@
     }
 }
 
-void upstream_link::probe(const probe_target& target, duration second_after,
+void upstream_link::probe(const upstream_target& target, duration second_after,
     const std::function<void(const std::optional<engine_report>&)>& on_answer)
 {
     const auto race = std::make_shared<probe_race>();
@@ -82,11 +93,11 @@
     });
 }
 
-void upstream_link::send_probe(const probe_target& target, duration limit, connection_pool* pool,
+void upstream_link::send_probe(const upstream_target& target, duration limit, connection_pool* pool,
     const std::shared_ptr<probe_race>& race)
 {
     send_whole(this->loop,
-        {target.address, this->orders.encode_probe(target.address, target.id), limit, pool},
+        this->make_call(target, this->orders.encode_probe(target.address, target.id), limit, pool),
         [this, target, race](const whole_call_result& result) {
             const std::optional<http_response>& answer = result.response;
             --race->left;
@@ -102,7 +113,9 @@
 
 void upstream_link::send_order(const layer_order& order, const std::function<void(order_result)>& on_result)
 {
-    send_whole(this->loop, {order.address, this->orders.encode_order(order), order_answer_limit, nullptr},
+    send_whole(this->loop,
+        this->make_call(
+            {order.id, order.address}, this->orders.encode_order(order), order_answer_limit, nullptr),
         [this, on_result](const whole_call_result& result) {
             on_result(result.response ? this->orders.decode_result(result.response->status)
                                       : order_result::unanswered);
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -34,6 +34,14 @@
     http_headers passed_on; ///< headers forwarded to the upstream unchanged
 };
 
+/// Upstream to which a call goes.
+struct upstream_target
+{
+    upstream_id id;
+    endpoint address;
+    request_id request{}; ///< caller's request behind the call, for the log; empty if there is none
+};
+
 /// Parameters of one send of a request to an upstream.
 struct upstream_request
 {
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -121,7 +121,8 @@
     request_codec codec;
     /// Sends a request. A repeatable one may use a kept connection and is resent if that proves to be closed;
     /// any other gets a connection of its own.
-    std::function<cancel_call(const endpoint&, const http_request&, bool may_repeat, http_call_handlers)>
+    std::function<cancel_call(
+        const upstream_target&, const http_request&, bool may_repeat, http_call_handlers)>
         send;
     /// Asks an engine to move a running request to another path.
     std::function<void(const path_change&, std::function<void(const path_change_answer&)>)> change_path;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -376,7 +376,7 @@
 
 void stream_delivery::handle_connect_failure(const std::string& reason)
 {
-    this->sends.note_not_run();
+    this->sends.note_not_arrived();
     this->guard.note_not_reached();
     if (this->call.was_held_back()) {
         this->retry_or_give_up(reason); // withheld by this host; not the engine's fault
@@ -496,7 +496,7 @@
 /// Sends a final refusal to a caller without an answer.
 void stream_delivery::refuse_with_retry_after(const std::string& reason, duration retry_after)
 {
-    this->log(event_type::refused, reason);
+    this->log(event_type::refused, reason + ", " + this->sends.describe_arrivals());
     this->end_with_error(make_last_answer(this->order, this->sends.runs(), retry_after, reason));
 }
 
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -36,4 +36,9 @@
     return "runs " + std::to_string(this->runs()) + " of " + std::to_string(most);
 }
 
+std::string stream_sends::describe_arrivals() const
+{
+    return std::to_string(this->arrivals()) + " of " + std::to_string(this->sent) + " sends arrived";
+}
+
 } // namespace sailtiller
--- a/src/libs/delivery/streamsends.h
+++ b/src/libs/delivery/streamsends.h
@@ -18,8 +18,16 @@
     }
 
     void note_sent() { ++this->sent; }
-    /// Records that the last send reached no upstream, or one that reports that it did not run the request.
+    /// Records that the last send reached no upstream.
+    void note_not_arrived()
+    {
+        ++this->not_arrived;
+        this->note_not_run();
+    }
+    /// Records that the upstream reports that it did not run the request, or that none was reached.
     void note_not_run() { ++this->not_run; }
+    /// Returns the number of sends that reached an upstream or may have.
+    [[nodiscard]] unsigned arrivals() const { return this->sent - this->not_arrived; }
     [[nodiscard]] unsigned count() const { return this->sent; }
     /// Returns the number of sends that an upstream has or may have started. A send counts unless it is known
     /// not to have run, so that no code path can omit one: an upstream may start and even finish a request
@@ -35,12 +43,15 @@
     [[nodiscard]] duration pause_after_refusal() const;
     /// Returns the number of runs and the route's maximum for the log.
     [[nodiscard]] std::string describe_runs() const;
+    /// Returns the number of sends and of those that arrived, for the log.
+    [[nodiscard]] std::string describe_arrivals() const;
 
 private:
     const delivery_context& context;
     const delivery_order& order;
     unsigned sent = 0;
     unsigned not_run = 0;
+    unsigned not_arrived = 0;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -12,8 +12,8 @@
     this->target = request.target;
     this->first_sent = this->context.timers.now();
     const http_request message = this->context.codec.encode_request(this->order.request, request);
-    this->cancel =
-        this->context.send(address, message, this->order.route->may_repeat(), this->make_handlers(hooks));
+    this->cancel = this->context.send({request.target, address, this->order.request.id}, message,
+        this->order.route->may_repeat(), this->make_handlers(hooks));
 }
 
 http_call_handlers upstream_call::make_handlers(const answer_hooks& hooks)
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -8,8 +8,11 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace sailtiller {
 
@@ -43,6 +46,36 @@
         sizeof(unacknowledged_limit_milliseconds));
 }
 
+/// Connects from an address of this host's own. The callback runs without a failure also when the connection
+/// wasn't made; `find_connect_fault` tells. Null if the system refuses.
+h2o_socket_t* connect_from(
+    event_loop& loop, const endpoint& source, socket_address& target, h2o_socket_cb on_connected)
+{
+    const socket_address own = to_socket_address(source);
+    const int descriptor = socket(target.pointer()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return nullptr;
+    }
+    const bool is_begun = bind(descriptor, own.pointer(), own.length) == 0
+        && (connect(descriptor, target.pointer(), target.length) == 0 || errno == EINPROGRESS);
+    if (!is_begun) {
+        close(descriptor);
+        return nullptr;
+    }
+    h2o_socket_t* made = h2o_evloop_socket_create(loop.native(), descriptor, 0);
+    h2o_socket_notify_write(made, on_connected);
+    return made;
+}
+
+/// The reason why a connection from an address of this host's own was not made; null if it was.
+const char* find_connect_fault(h2o_socket_t* socket)
+{
+    int fault = 0;
+    socklen_t size = sizeof(fault);
+    const bool is_known = getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &fault, &size) == 0;
+    return is_known && fault == 0 ? nullptr : h2o_socket_error_conn_fail;
+}
+
 std::string lower_case(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -176,14 +209,16 @@
 {
     socket_address address = to_socket_address(this->target);
     this->connect_timer = this->loop.schedule_after(this->options.connect_limit,
-        [this] { this->end_without_connection("no connection within the time limit"); });
-    this->socket = h2o_socket_connect(this->loop.native(), address.pointer(), address.length,
-        [](h2o_socket_t* native, const char* failure) {
-            static_cast<http_call*>(native->data)->guard(&http_call::take_connection, failure);
-        });
+        [this] { this->fail_connection("no connection within the time limit"); });
+    const auto on_connected = [](h2o_socket_t* native, const char* failure) {
+        static_cast<http_call*>(native->data)->guard(&http_call::take_connection, failure);
+    };
+    this->socket = this->options.source
+        ? connect_from(this->loop, *this->options.source, address, on_connected)
+        : h2o_socket_connect(this->loop.native(), address.pointer(), address.length, on_connected);
     if (this->socket == nullptr) {
         this->loop.post(
-            [keep = this->shared_from_this()] { keep->end_without_connection("the system gave no socket"); });
+            [keep = this->shared_from_this()] { keep->fail_connection("the system gave no socket"); });
         return;
     }
     this->socket->data = this;
@@ -206,10 +241,15 @@
 void http_call::take_connection(const char* failure)
 {
     this->loop.cancel(this->connect_timer);
-    if (failure != nullptr) {
-        this->end_without_connection(failure);
+    const char* fault =
+        failure == nullptr && this->options.source ? find_connect_fault(this->socket) : failure;
+    if (fault != nullptr) {
+        this->fail_connection(fault);
         return;
     }
+    if (this->options.on_connection) {
+        this->options.on_connection(true);
+    }
     if (this->handlers.may_send && !this->handlers.may_send()) {
         this->end_without_connection("it may no longer be sent");
         return;
@@ -217,6 +257,17 @@
     this->begin_exchange();
 }
 
+void http_call::fail_connection(const std::string& reason)
+{
+    if (this->has_ended) {
+        return;
+    }
+    if (this->options.on_connection) {
+        this->options.on_connection(false);
+    }
+    this->end_without_connection(reason);
+}
+
 /// "Not connected" is taken as proof that no upstream has the request. One that went out over a kept
 /// connection may have been begun before that closed, whatever becomes of its second connection.
 void http_call::end_without_connection(const std::string& reason)
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -5,6 +5,7 @@
 #include <runtime/connectionpool.h>
 
 #include <memory>
+#include <optional>
 
 namespace sailtiller {
 
@@ -15,6 +16,10 @@
     duration connect_limit = std::chrono::seconds(2);
     /// Kept connections are taken from here and given back; without it, the call has one of its own.
     connection_pool* pool = nullptr;
+    /// Address and port (0: any) from which a new connection is made; the system chooses without it.
+    std::optional<endpoint> source{};
+    /// Told once a new connection was made, or could not be made; optional.
+    std::function<void(bool is_made)> on_connection{};
 };
 
 /// One request over HTTP/1.1, its answer passed on as it comes. Unlike h2o's client it tells
@@ -43,6 +48,7 @@
     void connect();
     void guard(void (http_call::*action)(const char*), const char* failure);
     void take_connection(const char* failure);
+    void fail_connection(const std::string& reason);
     void end_without_connection(const std::string& reason);
     void begin_exchange();
     [[nodiscard]] bool may_start_again() const;
--- a/src/libs/runtime/wholecall.cpp
+++ b/src/libs/runtime/wholecall.cpp
@@ -43,7 +43,10 @@
         on_end(make_result(ending, pending->response, reason));
     };
     handlers.may_resend = [] { return true; };
-    const http_call_options options{.connect_limit = call.limit, .pool = call.pool};
+    const http_call_options options{.connect_limit = call.limit,
+        .pool = call.pool,
+        .source = call.source,
+        .on_connection = call.on_connection};
     const std::shared_ptr<http_call> exchange =
         http_call::start(loop, call.target, call.request, options, std::move(handlers));
     pending->timer = loop.schedule_after(call.limit, [exchange, on_end, limit = call.limit] {
--- a/src/libs/runtime/wholecall.h
+++ b/src/libs/runtime/wholecall.h
@@ -15,6 +15,8 @@
     duration limit{}; ///< to the whole answer, the connection included
     /// Kept connections; without it, the call has one of its own.
     connection_pool* pool = nullptr;
+    std::optional<endpoint> source{}; ///< as in `http_call_options`
+    std::function<void(bool is_made)> on_connection{}; ///< as in `http_call_options`
 };
 
 /// What came of a call.
--- a/tests/auto/delivery/deliveryfixture.cpp
+++ b/tests/auto/delivery/deliveryfixture.cpp
@@ -86,10 +86,10 @@
 {
     return {make_timer_hooks(this->timers, [this] { return this->now; }),
         {nullptr, &encode_request, &decode_answer, nullptr, nullptr},
-        [this](const endpoint& target, const http_request& message, bool may_repeat,
+        [this](const upstream_target& target, const http_request& message, bool may_repeat,
             http_call_handlers handlers) {
             const auto send = std::make_shared<fake_send>();
-            *send = {target, message, may_repeat, std::move(handlers), false};
+            *send = {target.address, message, may_repeat, std::move(handlers), false};
             this->sends.push_back(send);
             return cancel_call([send] { send->is_cancelled = true; });
         },
