Relay: requests to upstreams by way of another host

There was no way to an upstream but a host's own connection. A relaying host sends one request of another host over its own connection and passes the answer back as it comes; the asking host keeps everything that was decided there: path, retries, limits, the stream's place. A failure says whether anything can have reached the upstream, so that a request that may run once goes to a second host only if it has not left the first.

--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -64,6 +64,10 @@
         return "upstream_lapsed";
     case event_type::upstreams_listed:
         return "upstreams_listed";
+    case event_type::upstreams_reachable:
+        return "upstreams_reachable";
+    case event_type::upstreams_unreachable:
+        return "upstreams_unreachable";
     case event_type::engine_report_unusable:
         return "engine_report_unusable";
     case event_type::order:
@@ -112,6 +116,12 @@
         return "refused_at_entry";
     case event_type::refused_by_upstream:
         return "refused_by_upstream";
+    case event_type::relay_refused:
+        return "relay_refused";
+    case event_type::relayed:
+        return "relayed";
+    case event_type::relayed_for_peer:
+        return "relayed_for_peer";
     case event_type::request_cleared:
         return "request_cleared";
     case event_type::request_failed:
--- /dev/null
+++ b/src/libs/relay/relayclient.cpp
@@ -0,0 +1,306 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <base/httpstatus.h>
+#include <relay/relayclient.h>
+#include <runtime/eventlog.h>
+#include <runtime/httpcall.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace sailtiller {
+
+/// One request on its way, over one host after the other until one accepts it.
+class relay_client::relayed_call : public std::enable_shared_from_this<relayed_call>
+{
+public:
+    relayed_call(relay_client& owner, std::uint64_t key, upstream_group group, relayed_request request,
+        http_call_handlers handlers)
+        : owner(owner)
+        , key(key)
+        , group(std::move(group))
+        , request(std::move(request))
+        , handlers(std::move(handlers))
+    {
+    }
+
+    void start()
+    {
+        const std::optional<relay_candidate> next = this->owner.choose(this->group, this->tried);
+        const relay_client_settings& limits = this->owner.settings;
+        const bool is_spent = this->tried.size() >= limits.max_hosts
+            || this->failed_upstream_connections >= limits.max_upstream_connections;
+        if (!next || is_spent) {
+            this->owner.loop.post([self = this->shared_from_this()] {
+                self->end(call_ending::not_connected,
+                    self->last_failure.empty() ? "no host reaches the upstream" : self->last_failure);
+            });
+            return;
+        }
+        this->host = next->id;
+        this->tried.insert(next->id);
+        this->refusal.reset();
+        this->is_accepted = false;
+        this->is_held_back = false;
+        this->reader = {};
+        this->accept_timer = this->owner.loop.schedule_after(this->owner.settings.accept_limit,
+            [self = this->shared_from_this()] { self->miss_acceptance(); });
+        http_call_options options;
+        options.connect_limit = this->owner.settings.connect_limit;
+        options.pool = this->request.may_repeat ? &this->owner.connections : nullptr;
+        this->call = http_call::start(this->owner.loop, next->address, encode_relay_request(this->request),
+            options, this->make_handlers());
+        this->log(event_type::relayed,
+            "to " + this->request.target.address.value() + " by way of " + next->id.value());
+    }
+
+    void cancel()
+    {
+        this->is_done = true;
+        this->release();
+    }
+
+    /// Ends the call, which its host may have passed on.
+    void break_off(const std::string& reason)
+    {
+        if (!this->is_done) {
+            this->cancel_call_to_host();
+            this->end(call_ending::broken, reason);
+        }
+    }
+
+    [[nodiscard]] const host_id& current_host() const { return this->host; }
+
+private:
+    http_call_handlers make_handlers()
+    {
+        const auto self = this->shared_from_this();
+        http_call_handlers to_host;
+        to_host.may_send = [self] {
+            self->is_held_back = self->handlers.may_send && !self->handlers.may_send();
+            return !self->is_held_back;
+        };
+        if (this->handlers.may_resend) {
+            to_host.may_resend = this->handlers.may_resend;
+        }
+        to_host.on_head = [self](int status, const http_headers&) { self->take_status(status); };
+        to_host.on_body = [self](std::string_view bytes) { self->take_body(bytes); };
+        to_host.on_end = [self](call_ending ending, const std::string& reason) {
+            self->take_end(ending, reason);
+        };
+        return to_host;
+    }
+
+    void take_status(int status)
+    {
+        this->owner.loop.cancel(this->accept_timer);
+        this->is_accepted = status == http_status::ok;
+        if (!this->is_accepted) {
+            this->refusal = "status " + std::to_string(status) + " ";
+        }
+    }
+
+    void take_body(std::string_view bytes)
+    {
+        if (this->is_done) {
+            return;
+        }
+        if (this->refusal) {
+            *this->refusal += bytes;
+            return;
+        }
+        try {
+            std::string body;
+            if (const std::optional<relay_head> head = this->reader.take(bytes, body)) {
+                this->take_head(*head);
+            }
+            if (!body.empty() && !this->is_done && this->handlers.on_body) {
+                this->handlers.on_body(body);
+            }
+        } catch (const error& malformed) {
+            log_event(log_level::warning, event_type::peer_answer_malformed,
+                {{"step", malformed.step()}, {"peer", this->host.value()}, {"reason", malformed.reason()}});
+            this->break_off("malformed answer of " + this->host.value());
+        }
+    }
+
+    void take_head(const relay_head& head)
+    {
+        if (head.failure) {
+            this->refusal = *head.failure;
+        } else if (this->handlers.on_head) {
+            this->handlers.on_head(head.status, head.headers);
+        }
+    }
+
+    void take_end(call_ending ending, const std::string& reason)
+    {
+        if (this->is_done) {
+            return;
+        }
+        this->owner.loop.cancel(this->accept_timer);
+        const std::string from = this->host.value() + ": ";
+        if (this->is_held_back) {
+            this->end(call_ending::not_connected, reason);
+        } else if (ending == call_ending::not_connected) {
+            this->owner.avoid(this->host);
+            this->try_next(from + reason);
+        } else if (ending == call_ending::whole && this->refusal) {
+            this->failed_upstream_connections += this->is_accepted ? 1 : 0;
+            this->try_next(from + *this->refusal);
+        } else if (ending == call_ending::whole && this->reader.has_head()) {
+            this->end(call_ending::whole, {});
+        } else {
+            if (!this->reader.has_head()) {
+                this->owner.avoid(this->host);
+            }
+            this->end(call_ending::broken, from + (reason.empty() ? "no answer" : reason));
+        }
+    }
+
+    /// Nothing has reached the upstream, so another host may be asked.
+    void try_next(const std::string& failure)
+    {
+        this->log(event_type::path_failed, "by way of " + failure);
+        this->last_failure = failure;
+        this->call.reset();
+        this->start();
+    }
+
+    void miss_acceptance()
+    {
+        this->owner.avoid(this->host);
+        this->break_off(this->host.value() + " did not accept the request in time");
+    }
+
+    void cancel_call_to_host()
+    {
+        this->owner.loop.cancel(this->accept_timer);
+        if (this->call) {
+            this->call->cancel();
+            this->call.reset();
+        }
+    }
+
+    void release()
+    {
+        this->cancel_call_to_host();
+        this->owner.loop.post([keep = this->shared_from_this()] {}); // may be on the stack
+        this->owner.calls.erase(this->key);
+    }
+
+    void end(call_ending ending, const std::string& reason)
+    {
+        if (this->is_done) {
+            return;
+        }
+        this->is_done = true;
+        const auto on_end = this->handlers.on_end;
+        this->release();
+        if (on_end) {
+            on_end(ending, reason);
+        }
+    }
+
+    void log(event_type what, const std::string& detail) const
+    {
+        this->owner.hooks.log(
+            {what, this->request.target.request.value(), this->request.target.id.value(), detail});
+    }
+
+    relay_client& owner;
+    std::uint64_t key;
+    upstream_group group;
+    relayed_request request;
+    http_call_handlers handlers;
+    host_id host; ///< that has the request now
+    std::set<host_id> tried;
+    std::string last_failure;
+    std::optional<std::string> refusal; ///< why nothing reached the upstream, by the present host
+    relay_answer_reader reader;
+    std::shared_ptr<http_call> call;
+    timer_id accept_timer = 0;
+    std::size_t failed_upstream_connections = 0; ///< of the hosts that accepted the request
+    bool is_accepted = false;
+    bool is_held_back = false;
+    bool is_done = false;
+};
+
+relay_client::relay_client(event_loop& loop, relay_client_settings settings, relay_client_hooks hooks)
+    : loop(loop)
+    , settings(settings)
+    , hooks(std::move(hooks))
+    , connections(loop, {})
+{
+}
+
+cancel_call relay_client::send(const upstream_target& target, const upstream_group& group,
+    const http_request& request, bool may_repeat, http_call_handlers handlers)
+{
+    const std::uint64_t key = ++this->last_key;
+    const auto call = std::make_shared<relayed_call>(
+        *this, key, group, relayed_request{target, may_repeat, request}, std::move(handlers));
+    this->calls.emplace(key, call);
+    call->start();
+    return [held = std::weak_ptr<relayed_call>(call)] {
+        if (const std::shared_ptr<relayed_call> present = held.lock()) {
+            present->cancel();
+        }
+    };
+}
+
+bool relay_client::has_candidate(const upstream_group& group) const
+{
+    return this->choose(group, {}).has_value();
+}
+
+std::optional<relay_candidate> relay_client::choose(
+    const upstream_group& group, const std::set<host_id>& tried) const
+{
+    const time_point now = this->loop.now();
+    std::optional<relay_candidate> best;
+    std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
+    for (relay_candidate& candidate : this->hooks.list_candidates(group)) {
+        const auto avoided = this->avoided_until.find(candidate.id);
+        const bool is_avoided = avoided != this->avoided_until.end() && avoided->second > now;
+        if (is_avoided || tried.contains(candidate.id)) {
+            continue;
+        }
+        constexpr std::uint64_t tie_values = 1000; // spreads hosts of equal cost
+        const std::uint64_t calls = std::max(candidate.relayed_calls, this->count_calls(candidate.id))
+            + (candidate.is_same_hall ? 0 : this->settings.other_hall_calls);
+        const std::uint64_t cost = calls * tie_values + this->hooks.random() % tie_values;
+        if (cost < least) {
+            least = cost;
+            best = std::move(candidate);
+        }
+    }
+    return best;
+}
+
+void relay_client::avoid(const host_id& host)
+{
+    this->avoided_until[host] = this->loop.now() + this->settings.avoid_time;
+}
+
+unsigned relay_client::count_calls(const host_id& host) const
+{
+    return static_cast<unsigned>(std::count_if(this->calls.begin(), this->calls.end(),
+        [&host](const auto& item) { return item.second->current_host() == host; }));
+}
+
+void relay_client::end_calls_of_silent_hosts()
+{
+    std::vector<std::shared_ptr<relayed_call>> silent;
+    for (const auto& [key, call] : this->calls) {
+        if (!call->current_host().value().empty() && !this->hooks.is_live(call->current_host())) {
+            silent.push_back(call);
+        }
+    }
+    for (const std::shared_ptr<relayed_call>& call : silent) {
+        this->avoid(call->current_host());
+        call->break_off(call->current_host().value() + " has fallen silent");
+    }
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/relay/relayclient.h
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/random.h>
+#include <base/upstreamgroup.h>
+#include <delivery/deliverycontext.h>
+#include <relay/relaymessages.h>
+#include <runtime/connectionpool.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace sailtiller {
+
+/// Another host that reaches a group of upstreams, as it reports.
+struct relay_candidate
+{
+    host_id id;
+    endpoint address; ///< for relay requests
+    bool is_same_hall = false;
+    unsigned relayed_calls = 0; ///< that it relays for all hosts, by its last report
+};
+
+/// Times and bounds of relayed calls.
+struct relay_client_settings
+{
+    /// Time limit of a connection to another host, as of one to an upstream.
+    duration connect_limit = std::chrono::milliseconds(200);
+    /// Time until the other host has accepted the request, the connection included. A host that was suspended
+    /// in between finds the connection closed and sends nothing.
+    duration accept_limit = std::chrono::milliseconds(400);
+    /// Time without new requests for a host that failed one.
+    duration avoid_time = std::chrono::milliseconds(1000);
+    /// Hosts that are tried for one call while nothing of it has reached an upstream.
+    std::size_t max_hosts = 3;
+    /// Of these, hosts that may fail to connect to the upstream; a second one may tell a dead upstream from a
+    /// host that has just lost its own way.
+    std::size_t max_upstream_connections = 2;
+    /// Calls that a host of another hall must have fewer than one of this host's hall to be chosen.
+    unsigned other_hall_calls = 8;
+};
+
+/// Callbacks of the relay client.
+struct relay_client_hooks
+{
+    random_function random;
+    std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
+    /// Returns true while the host sends reports.
+    std::function<bool(const host_id&)> is_live;
+    std::function<void(const delivery_event&)> log;
+};
+
+/// Sends requests to upstreams by way of other hosts. A call ends as one over a connection of this host's
+/// own: as not connected only if the other host says that no byte reached the upstream, or got none itself.
+class relay_client
+{
+public:
+    relay_client(event_loop& loop, relay_client_settings settings, relay_client_hooks hooks);
+
+    /// Sends a request by way of the host with the fewest relayed calls. The handlers run from the loop. The
+    /// result cancels the call.
+    cancel_call send(const upstream_target& target, const upstream_group& group, const http_request& request,
+        bool may_repeat, http_call_handlers handlers);
+    /// Returns true if some host that may be asked reaches the group.
+    [[nodiscard]] bool has_candidate(const upstream_group& group) const;
+    /// Ends the calls by way of hosts that have fallen silent, as broken off.
+    void end_calls_of_silent_hosts();
+    [[nodiscard]] std::size_t calls_in_progress() const { return this->calls.size(); }
+
+private:
+    class relayed_call;
+
+    [[nodiscard]] std::optional<relay_candidate> choose(
+        const upstream_group& group, const std::set<host_id>& tried) const;
+    void avoid(const host_id& host);
+    [[nodiscard]] unsigned count_calls(const host_id& host) const;
+
+    event_loop& loop;
+    relay_client_settings settings;
+    relay_client_hooks hooks;
+    connection_pool connections;
+    std::map<host_id, time_point> avoided_until;
+    std::map<std::uint64_t, std::shared_ptr<relayed_call>> calls;
+    std::uint64_t last_key = 0;
+};
+
+} // namespace sailtiller
--- /dev/null
+++ b/src/libs/relay/relayservice.cpp
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <base/httpstatus.h>
+#include <relay/relayservice.h>
+
+namespace sailtiller {
+
+relay_service::relay_service(relay_service_settings settings, relay_service_hooks hooks)
+    : settings(settings)
+    , hooks(std::move(hooks))
+{
+}
+
+void relay_service::handle(const std::shared_ptr<http_exchange>& exchange)
+{
+    const endpoint& peer = exchange->request().peer;
+    if (!this->hooks.is_host(peer)) {
+        this->refuse(exchange, {}, "the request doesn't come from a host of the site");
+        return;
+    }
+    try {
+        relayed_request request = decode_relay_request(exchange->request());
+        if (const std::optional<std::string> obstacle = this->find_obstacle(request)) {
+            this->refuse(exchange, request.target, *obstacle);
+            return;
+        }
+        this->start(exchange, std::move(request));
+    } catch (const error& malformed) {
+        this->log(event_type::peer_question_malformed, {}, malformed.reason());
+        exchange->respond({http_status::bad_request, {}, malformed.reason() + "\n"});
+    }
+}
+
+std::optional<std::string> relay_service::find_obstacle(const relayed_request& request) const
+{
+    if (this->is_stopping) {
+        return "the host is stopping";
+    }
+    if (this->calls.size() >= this->settings.max_calls) {
+        return "the host relays as many requests as it may";
+    }
+    return this->hooks.find_obstacle(request.target);
+}
+
+void relay_service::refuse(const std::shared_ptr<http_exchange>& exchange, const upstream_target& target,
+    const std::string& reason) const
+{
+    this->log(event_type::relay_refused, target, reason + ", asked by " + exchange->request().peer.value());
+    exchange->respond({http_status::unavailable, {{"content-type", "text/plain"}}, reason});
+}
+
+void relay_service::start(const std::shared_ptr<http_exchange>& exchange, relayed_request request)
+{
+    // A host that was suspended reads requests that their senders have given up long ago.
+    if (exchange->has_caller_left()) {
+        this->log(event_type::caller_left, request.target, "before its request was relayed");
+        return;
+    }
+    const std::uint64_t key = ++this->last_key;
+    this->log(event_type::relayed_for_peer, request.target,
+        "for " + exchange->request().peer.value() + " to " + request.target.address.value());
+    exchange->start(http_status::ok, {{"content-type", "application/octet-stream"}});
+    exchange->send(relay_accepted_line);
+    relayed_call& call = this->calls[key];
+    call.exchange = exchange;
+    call.request = std::move(request);
+    call.sent = this->hooks.timers.now();
+    exchange->when_abandoned([this, key] { this->drop(key, "the asking host closed the connection"); });
+    this->schedule_look(key);
+    const relayed_request& sent = call.request;
+    call.cancel = this->hooks.send(sent.target, sent.message, sent.may_repeat, this->make_handlers(key));
+}
+
+http_call_handlers relay_service::make_handlers(std::uint64_t key)
+{
+    http_call_handlers handlers;
+    handlers.may_send = [this, key] {
+        const auto found = this->calls.find(key);
+        return found != this->calls.end() && !found->second.exchange->has_caller_left()
+            && !this->hooks.find_obstacle(found->second.request.target);
+    };
+    // A resent request counts as a retry, for which only the asking host has an allowance.
+    handlers.may_resend = [] { return false; };
+    handlers.on_head = [this, key](int status, const http_headers& headers) {
+        if (const auto found = this->calls.find(key); found != this->calls.end()) {
+            this->take_head(found->second, status, headers);
+        }
+    };
+    handlers.on_body = [this, key](std::string_view bytes) { this->take_body(key, bytes); };
+    handlers.on_end = [this, key](call_ending ending, const std::string& reason) {
+        this->take_end(key, ending, reason);
+    };
+    return handlers;
+}
+
+void relay_service::take_head(relayed_call& call, int status, const http_headers& headers)
+{
+    call.has_head = true;
+    this->hooks.on_head(call.request.target, status, headers, call.sent);
+    call.exchange->send(encode_relay_head({std::nullopt, status, headers}));
+}
+
+void relay_service::take_body(std::uint64_t key, std::string_view bytes)
+{
+    const auto found = this->calls.find(key);
+    if (found == this->calls.end()) {
+        return;
+    }
+    found->second.exchange->send(bytes);
+    if (found->second.exchange->queued() > this->settings.max_queued_bytes) {
+        this->drop(key, "the asking host reads too slowly");
+    }
+}
+
+void relay_service::take_end(std::uint64_t key, call_ending ending, const std::string& reason)
+{
+    const auto found = this->calls.find(key);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const relayed_call call = std::move(found->second);
+    this->calls.erase(found);
+    if (ending == call_ending::not_connected) {
+        this->log(event_type::path_failed, call.request.target, "no connection: " + reason);
+        call.exchange->send(encode_relay_head({reason, 0, {}}));
+        call.exchange->finish();
+    } else if (ending == call_ending::whole && call.has_head) {
+        call.exchange->finish();
+    } else {
+        this->log(event_type::path_failed, call.request.target, "broken off: " + reason);
+        call.exchange->abort();
+    }
+}
+
+void relay_service::drop(std::uint64_t key, const std::string& reason)
+{
+    const auto found = this->calls.find(key);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const relayed_call call = std::move(found->second);
+    this->calls.erase(found);
+    this->log(event_type::caller_left, call.request.target, reason);
+    if (call.cancel) {
+        call.cancel();
+    }
+    call.exchange->abort();
+}
+
+void relay_service::schedule_look(std::uint64_t key)
+{
+    this->hooks.timers.schedule_after(this->settings.look_interval, [this, key] {
+        const auto found = this->calls.find(key);
+        if (found == this->calls.end()) {
+            return;
+        }
+        if (found->second.exchange->has_caller_left()) {
+            this->drop(key, "the asking host closed the connection");
+            return;
+        }
+        this->schedule_look(key);
+    });
+}
+
+void relay_service::end_for_stop()
+{
+    while (!this->calls.empty()) {
+        this->drop(this->calls.begin()->first, "the host stops");
+    }
+}
+
+void relay_service::log(event_type what, const upstream_target& target, const std::string& detail) const
+{
+    this->hooks.log({what, target.request.value(), target.id.value(), detail});
+}
+
+} // namespace sailtiller
--- /dev/null
+++ b/tests/auto/relay/tst_relaymessages.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <base/error.h>
+#include <relay/relaymessages.h>
+
+#include <gtest/gtest.h>
+
+namespace sailtiller {
+
+namespace {
+
+relayed_request make_request()
+{
+    relayed_request request;
+    request.target = {upstream_id("u"), endpoint("127.0.0.1:1"), request_id("r")};
+    request.may_repeat = true;
+    request.message.method = "POST";
+    request.message.path = "/a?b=c";
+    request.message.headers = {{"host", "h.example"}, {"x-any", "1"}};
+    request.message.body = "body";
+    return request;
+}
+
+/// As the other host's server reads it.
+http_request receive(const relayed_request& request)
+{
+    http_request message = encode_relay_request(request);
+    message.authority = message.headers.front().value;
+    message.headers.erase(message.headers.begin());
+    message.headers.push_back({"content-length", "4"});
+    return message;
+}
+
+TEST(relay_messages, a_request_arrives_as_it_was_sent)
+{
+    const relayed_request sent = make_request();
+    const relayed_request read = decode_relay_request(receive(sent));
+    EXPECT_EQ(read.target.id, sent.target.id);
+    EXPECT_EQ(read.target.address, sent.target.address);
+    EXPECT_EQ(read.target.request, sent.target.request);
+    EXPECT_TRUE(read.may_repeat);
+    EXPECT_EQ(read.message.method, "POST");
+    EXPECT_EQ(read.message.path, "/a?b=c");
+    EXPECT_EQ(read.message.body, "body");
+    ASSERT_EQ(read.message.headers.size(), 2U);
+    EXPECT_EQ(find_header(read.message.headers, "host"), "h.example");
+    EXPECT_EQ(find_header(read.message.headers, "x-any"), "1");
+}
+
+TEST(relay_messages, a_request_without_a_target_is_malformed)
+{
+    EXPECT_THROW(decode_relay_request(make_request().message), error);
+}
+
+TEST(relay_messages, a_head_is_read_from_any_cut_of_the_bytes)
+{
+    const std::string text = std::string(relay_accepted_line)
+        + encode_relay_head({std::nullopt, 200, {{"a", "b\xc3\xa4"}}}) + "data: 1\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        relay_answer_reader reader;
+        std::string all;
+        std::optional<relay_head> head;
+        for (const std::string& part : {text.substr(0, cut), text.substr(cut)}) {
+            std::string body;
+            if (const auto found = reader.take(part, body)) {
+                head = found;
+            }
+            all += body;
+        }
+        ASSERT_TRUE(head) << cut;
+        EXPECT_EQ(head->status, 200);
+        EXPECT_EQ(find_header(head->headers, "a"), "b\xc3\xa4");
+        EXPECT_EQ(all, "data: 1\n\n") << cut;
+    }
+}
+
+TEST(relay_messages, malformed_answers_are_errors)
+{
+    for (const char* text : {"x", "\nnot json\n", "\n{}\n", "\n{\"status\":\"a\",\"headers\":[]}\n",
+             "\n{\"status\":200,\"headers\":[[1]]}\n", "\n[]\n"}) {
+        relay_answer_reader reader;
+        std::string body;
+        EXPECT_THROW(reader.take(text, body), error) << text;
+    }
+    relay_answer_reader reader;
+    std::string body;
+    EXPECT_THROW(reader.take("\n" + std::string(1U << 20U, 'a'), body), error);
+}
+
+} // namespace
+
+} // namespace sailtiller
