Delivery: sends that reach no upstream don't use up the retry allowance

A second send took from the allowance whatever had become of the first; the rule that it serves counts arrivals. Now the allowance is asked from the first arrival on. Streams that have begun pause between failed connections, which the allowance did by chance.

Also what deliveries need of a host that can be cut off: a request to a service without any way is refused at once, a stream waits for one, and leaves a silent connection once no new one can be made.

--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -148,6 +148,13 @@
     context.limits.note_answer(id, answer.requests_per_second, sent);
 }
 
+std::optional<duration> retry_after_if_unreachable(
+    const delivery_context& context, const delivery_order& order)
+{
+    return context.retry_after_if_unreachable ? context.retry_after_if_unreachable(order.service)
+                                              : std::nullopt;
+}
+
 http_response make_refusal(duration retry_after, const std::string& reason)
 {
     return {http_status::unavailable,
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -152,6 +152,9 @@
     std::function<void(const delivery_order&, request_moment, duration)> measure;
     /// Counts started streams that ended without their last event; optional.
     std::function<void(stream_end)> count_end;
+    /// Returns the retry-after time if neither this host nor another one that it hears can connect to the
+    /// service; empty if one can. Optional.
+    std::function<std::optional<duration>(const service_id&)> retry_after_if_unreachable;
 };
 
 /// Request with its settings from the bundle.
@@ -201,6 +204,15 @@
 /// Applies the upstream state in the head of an answer to a request sent at `sent`.
 void note_answer(
     const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent);
+/// Reason for refusing a request to a service to which neither this host nor another one can connect.
+inline constexpr const char* unreachable_service_reason =
+    "neither this host nor another one that it hears can connect to the service";
+
+/// Returns the retry-after time if neither this host nor another one that it hears can connect to the service
+/// of the order; empty if one can.
+[[nodiscard]] std::optional<duration> retry_after_if_unreachable(
+    const delivery_context& context, const delivery_order& order);
+
 /// Returns a refusal that reports that the request has not run, with a retry-after time.
 http_response make_refusal(duration retry_after, const std::string& reason);
 /// Returns an error answer of this host that leaves open whether the request has run.
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -32,6 +32,11 @@
     this->context.watch.note_progress(*this->watch_key);
 }
 
+bool path_use::is_silent() const
+{
+    return this->watch_key && this->context.watch.is_silent(*this->watch_key);
+}
+
 void path_use::release()
 {
     this->subtract_work();
--- a/src/libs/delivery/pathuse.h
+++ b/src/libs/delivery/pathuse.h
@@ -24,6 +24,8 @@
     void note_begun();
     /// Records an event.
     void note_progress();
+    /// Returns true if the stream's next event is overdue.
+    [[nodiscard]] bool is_silent() const;
     /// Clears the path.
     void release();
 
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -40,6 +40,12 @@
     this->search();
 }
 
+bool plain_delivery::has_allowance() const
+{
+    return this->arrivals == 0
+        || this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
+}
+
 bool plain_delivery::is_candidate(const discovered_upstream& upstream) const
 {
     return upstream.service == this->order.service && !upstream.is_leaving;
@@ -77,6 +83,10 @@
         this->refuse("this host can't confirm that its configuration is the newest");
         return;
     }
+    if (const auto until_return = retry_after_if_unreachable(this->context, this->order)) {
+        this->refuse(unreachable_service_reason, *until_return);
+        return;
+    }
     if (const discovered_upstream* upstream = this->choose()) {
         this->send_to(*upstream);
         return;
@@ -114,7 +124,7 @@
 void plain_delivery::send_to(const discovered_upstream& upstream)
 {
     const time_point now = this->context.timers.now();
-    if (this->sends > 0 && this->context.retries.left(this->order.service, now) < 1) {
+    if (!this->has_allowance()) {
         this->refuse("the fleet's retry allowance is used up");
         return;
     }
@@ -126,7 +136,7 @@
         this->schedule_search();
         return;
     }
-    if (this->sends > 0) {
+    if (this->arrivals > 0) {
         [[maybe_unused]] const bool is_taken = this->context.retries.take(this->order.service, now);
     }
     if (this->sends == 0) {
@@ -135,6 +145,7 @@
     this->target = upstream.id;
     this->context.loads.add(upstream.id, 0);
     ++this->sends;
+    ++this->arrivals;
     this->guard.note_sent();
     this->answer = {};
     this->body.clear();
@@ -171,6 +182,7 @@
 void plain_delivery::handle_call_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
+        --this->arrivals;
         if (!this->call.was_held_back()) {
             this->context.loads.suspend(
                 *this->target, this->context.timers.now() + this->context.settings.suspension);
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -32,6 +32,9 @@
     /// Returns true if the upstream serves this request, regardless of its current availability.
     [[nodiscard]] bool is_candidate(const discovered_upstream& upstream) const;
     [[nodiscard]] bool may_run_elsewhere() const;
+    /// Returns true if the fleet's retry allowance permits the next send. The allowance is for arrivals at
+    /// upstreams, so the first one and what precedes it need none.
+    [[nodiscard]] bool has_allowance() const;
     void send_to(const discovered_upstream& upstream);
     /// Returns true if the request may be sent now. A request suspected of crashing its upstreams otherwise
     /// is refused, or continues once its trial is decided.
@@ -65,6 +68,7 @@
     std::string body;
     std::set<upstream_id> avoided; ///< upstreams that failed this request
     unsigned sends = 0;
+    unsigned arrivals = 0; ///< sends that reached an upstream or may have
     unsigned runs = 0; ///< sends that an upstream may have run
     bool is_done = false;
     timer_id search_timer = 0;
--- a/src/libs/delivery/searchobstacles.cpp
+++ b/src/libs/delivery/searchobstacles.cpp
@@ -23,6 +23,8 @@
         return "retry allowance";
     case search_obstacle::refusal:
         return "refusal";
+    case search_obstacle::connection:
+        return "connection";
     case search_obstacle::trial:
         return "trial";
     }
--- a/src/libs/delivery/searchobstacles.h
+++ b/src/libs/delivery/searchobstacles.h
@@ -17,6 +17,7 @@
     upstream_limit, ///< the upstreams' limits on requests per second are used up
     retry_allowance, ///< the fleet's retry allowance is used up
     refusal, ///< pause after a refusal
+    connection, ///< no connection to an upstream, or pause after one that failed
     trial ///< a trial of a request suspected of crashing its upstreams is requested
 };
 
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -46,6 +46,10 @@
         this->refuse(stream_end::no_engines, "no engines for this route");
         return;
     }
+    if (const std::optional<duration> until_return = retry_after_if_unreachable(this->context, this->order)) {
+        this->wait_for_connection(*until_return);
+        return;
+    }
     const time_point now = this->context.timers.now();
     std::optional<layer_path> found = this->chooser.find(this->avoided);
     if (found && (this->has_started || this->chooser.has_room(*found))) {
@@ -86,9 +90,8 @@
 
 void stream_delivery::send_over(layer_path found)
 {
-    const bool is_first = this->sends.count() == 0;
     const time_point now = this->context.timers.now();
-    if (!is_first && this->context.retries.left(this->order.service, now) < 1) {
+    if (!this->sends.has_allowance()) {
         this->wait_for_allowance();
         return;
     }
@@ -101,10 +104,10 @@
         this->schedule_search(search_obstacle::upstream_limit, this->context.settings.search_pause);
         return;
     }
-    if (!is_first) {
+    if (this->sends.arrivals() > 0) {
         [[maybe_unused]] const bool is_taken = this->context.retries.take(this->order.service, now);
     }
-    if (is_first) {
+    if (this->sends.count() == 0) {
         measure_since_arrival(this->context, this->order, request_moment::sent);
     }
     this->path.begin(std::move(found));
@@ -133,6 +136,15 @@
     this->schedule_search(search_obstacle::retry_allowance, this->context.settings.first_resend_pause);
 }
 
+void stream_delivery::wait_for_connection(duration retry_after)
+{
+    if (!this->has_started) {
+        this->refuse_with_retry_after(unreachable_service_reason, retry_after);
+        return;
+    }
+    this->schedule_search(search_obstacle::connection, this->context.settings.search_pause);
+}
+
 void stream_delivery::schedule_search(search_obstacle obstacle, duration pause)
 {
     this->obstacles.note(obstacle, this->context.timers.now());
@@ -176,6 +188,20 @@
     }
 }
 
+void stream_delivery::leave_lost_connection(
+    const std::function<std::optional<time_point>(const upstream_id&)>& unreachable_since)
+{
+    if (!this->is_under_way() || !this->path.is_silent()) {
+        return;
+    }
+    const std::optional<time_point> since = unreachable_since(this->path.head().id);
+    const bool is_direct = since && this->call.sent_at() < *since;
+    if (is_direct && this->sends.may_send_now(this->has_started)) {
+        // The head is not at fault, so that it may be used again by way of another host.
+        this->retry_or_give_up("its connection is silent, and no new one can be made");
+    }
+}
+
 void stream_delivery::leave_given_up_layers()
 {
     const bool may_change = this->state == phase::streaming && !this->changes.is_asking();
@@ -385,7 +411,16 @@
     // A lost packet and an overloaded engine look the same; a probe shows whether the engine is dead.
     avoid_after_refusal(this->context, this->path.head().id);
     this->context.watch.suspect(this->path.head().id);
-    this->fail_over(reason);
+    if (this->sends.runs() > 0) {
+        this->avoided.insert(this->path.head().id);
+    }
+    this->log_path_failure(reason);
+    this->release_call();
+    if (!this->sends.may_send_again(this->has_started)) {
+        this->give_up(stream_end::runs_used_up, reason);
+        return;
+    }
+    this->search_after_pause(search_obstacle::connection);
 }
 
 void stream_delivery::handle_refusal()
@@ -410,13 +445,18 @@
         this->refuse(stream_end::runs_used_up, "the engines refuse new work");
         return;
     }
-    const duration pause = this->sends.pause_after_refusal();
+    this->search_after_pause(search_obstacle::refusal);
+}
+
+void stream_delivery::search_after_pause(search_obstacle obstacle)
+{
+    const duration pause = this->sends.pause_before_next();
     if (pause == duration::zero()) {
         this->search();
         return;
     }
     this->state = phase::searching;
-    this->schedule_search(search_obstacle::refusal, pause);
+    this->schedule_search(obstacle, pause);
 }
 
 /// Handles a status other than 200 of an upstream that has started the request.
@@ -448,9 +488,7 @@
 /// Continues on another path, or gives up if no run is left.
 void stream_delivery::retry_or_give_up(const std::string& reason)
 {
-    this->log(event_type::path_failed,
-        reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
-            + this->sends.describe_runs() + ", content " + this->order.content().value());
+    this->log_path_failure(reason);
     this->release_call();
     if (!this->sends.may_send_again(this->has_started)) {
         this->give_up(stream_end::runs_used_up, reason);
@@ -459,6 +497,13 @@
     this->search();
 }
 
+void stream_delivery::log_path_failure(const std::string& reason) const
+{
+    this->log(event_type::path_failed,
+        reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
+            + this->sends.describe_runs() + ", content " + this->order.content().value());
+}
+
 void stream_delivery::give_up(stream_end cause, const std::string& reason)
 {
     if (this->has_started) {
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -36,6 +36,10 @@
     /// Handles a dead upstream that is alive again: a stream with this head that has found no other path yet
     /// stays with it.
     void keep_upstream(const upstream_id& id);
+    /// Moves the stream off a silent connection to a head to which no new one can be made.
+    /// `unreachable_since` returns since when that is so; empty if connections can be made.
+    void leave_lost_connection(
+        const std::function<std::optional<time_point>(const upstream_id&)>& unreachable_since);
     /// Moves the stream off engines that have released layers of its path: they load new layers only once no
     /// stream uses the old ones. Without a good alternative, the stream keeps its path.
     void leave_given_up_layers();
@@ -54,6 +58,8 @@
     void avoid_refusing_stage(const layer_path& refused, const endpoint& at_fault);
     void send_over(layer_path found);
     void wait_for_allowance();
+    /// Keeps a started stream waiting for a way to the service; refuses another one.
+    void wait_for_connection(duration retry_after);
     /// Repeats the search after the pause and records the obstacle.
     void schedule_search(search_obstacle obstacle, duration pause);
     /// Returns true if the request may be sent now. A request suspected of crashing its upstreams otherwise
@@ -66,8 +72,11 @@
     void handle_call_end(call_ending ending, const std::string& reason);
     void handle_connect_failure(const std::string& reason);
     void handle_refusal();
+    /// Searches again, after a pause if the request was sent often.
+    void search_after_pause(search_obstacle obstacle);
     void fail_over(const std::string& reason);
     void retry_or_give_up(const std::string& reason);
+    void log_path_failure(const std::string& reason) const;
     void finish_other_answer();
     void give_up(stream_end cause, const std::string& reason);
     void wait_for_configuration();
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -13,11 +13,16 @@
 
 bool stream_sends::may_send_now(bool has_started) const
 {
-    return this->may_send_again(has_started) && this->context.may_send()
-        && this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
+    return this->may_send_again(has_started) && this->context.may_send() && this->has_allowance();
 }
 
-duration stream_sends::pause_after_refusal() const
+bool stream_sends::has_allowance() const
+{
+    return this->arrivals() == 0
+        || this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
+}
+
+duration stream_sends::pause_before_next() const
 {
     const delivery_settings& settings = this->context.settings;
     if (this->sent < settings.immediate_sends) {
--- a/src/libs/delivery/streamsends.h
+++ b/src/libs/delivery/streamsends.h
@@ -39,8 +39,11 @@
     [[nodiscard]] bool may_send_again(bool has_started) const;
     /// Returns true if the request could be sent again at once.
     [[nodiscard]] bool may_send_now(bool has_started) const;
-    /// Returns the pause before the next send after a refusal.
-    [[nodiscard]] duration pause_after_refusal() const;
+    /// Returns true if the fleet's retry allowance permits the next send. The allowance is for arrivals at
+    /// upstreams, so the first one and what precedes it need none.
+    [[nodiscard]] bool has_allowance() const;
+    /// Returns the pause before the next send after a refusal or a failed connection.
+    [[nodiscard]] duration pause_before_next() const;
     /// Returns the number of runs and the route's maximum for the log.
     [[nodiscard]] std::string describe_runs() const;
     /// Returns the number of sends and of those that arrived, for the log.
--- a/src/libs/health/stalldetector.cpp
+++ b/src/libs/health/stalldetector.cpp
@@ -241,6 +241,12 @@
     });
 }
 
+bool stall_detector::is_silent(stream_key key) const
+{
+    const auto found = this->streams.find(key);
+    return found != this->streams.end() && found->second.due <= this->hooks.timers.now();
+}
+
 bool stall_detector::is_progressing(const upstream_id& id) const
 {
     const time_point now = this->hooks.timers.now();
--- a/tests/auto/delivery/deliveryfixture.cpp
+++ b/tests/auto/delivery/deliveryfixture.cpp
@@ -103,7 +103,7 @@
         },
         *this->holder, [this](const upstream_id& id) { this->leaving.push_back(id.value()); }, this->pauses,
         make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
-        [](const delivery_event&) {}, {}, {}, {}};
+        [](const delivery_event&) {}, {}, {}, {}, {}};
 }
 
 void delivery_fixture::put_engine(
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -72,6 +72,27 @@
     EXPECT_TRUE(this->last_send().may_repeat);
 }
 
+TEST_F(plain_delivery_test, sends_that_reach_no_upstream_do_not_use_up_the_retry_allowance)
+{
+    this->retries.set_settings({.ratio = 0, .slack = 0, .window = 10s});
+    this->start(route_kind::single_run);
+    end(this->last_send(), call_ending::not_connected);
+    end(this->last_send(), call_ending::not_connected);
+    ASSERT_EQ(this->sends.size(), 3U);
+    answer(this->last_send(), 200);
+    EXPECT_EQ(this->caller.answer->status, 200);
+}
+
+TEST_F(plain_delivery_test, a_request_without_a_way_to_its_service_is_refused_at_once)
+{
+    this->context->retry_after_if_unreachable = [](const service_id&) { return std::optional(duration(1s)); };
+    this->start(route_kind::single_run);
+    EXPECT_TRUE(this->sends.empty());
+    ASSERT_TRUE(this->caller.answer);
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "1.000");
+}
+
 TEST_F(plain_delivery_test, a_non_repeatable_request_that_may_have_run_is_not_resent)
 {
     this->start(route_kind::single_run);
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -899,6 +899,69 @@
     EXPECT_FALSE(delivery->end_for_stop("cut")) << "it has ended";
 }
 
+TEST_F(stream_delivery_test, sends_that_reach_no_engine_do_not_use_up_the_retry_allowance)
+{
+    this->retries.set_settings({.ratio = 0, .slack = 0, .window = 10s});
+    this->put_engine("other", 3, {0, 8});
+    this->start();
+    end(this->last_send(), call_ending::not_connected);
+    ASSERT_EQ(this->sends.size(), 2U);
+    give_head(this->last_send(), 200, signed_head());
+    EXPECT_EQ(this->caller.status, 200);
+}
+
+TEST_F(stream_delivery_test, failed_connections_in_a_row_are_followed_by_pauses)
+{
+    this->put_engine("other", 3, {0, 8});
+    this->start_streaming(2);
+    end(this->last_send(), call_ending::broken);
+    const std::size_t before = this->sends.size();
+    const time_point end_of_failures = this->now + 1s;
+    while (this->now < end_of_failures) {
+        if (!this->last_send().is_cancelled && this->sends.size() > before) {
+            end(this->last_send(), call_ending::not_connected);
+        }
+        this->pass(5ms);
+    }
+    EXPECT_LE(this->sends.size() - before, 12U) << "one after the other without a pause would be hundreds";
+    EXPECT_FALSE(this->caller.is_aborted);
+}
+
+TEST_F(stream_delivery_test, a_silent_connection_is_left_once_no_new_one_can_be_made)
+{
+    const auto delivery = this->start_streaming(2);
+    this->pass(2s);
+    const std::size_t before = this->sends.size();
+    delivery->leave_lost_connection([](const upstream_id&) { return std::nullopt; });
+    EXPECT_EQ(this->sends.size(), before) << "new connections can be made, so the engine is silent";
+    const time_point lost = this->now;
+    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    ASSERT_EQ(this->sends.size(), before + 1);
+    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "1");
+    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    EXPECT_EQ(this->sends.size(), before + 1) << "the new send went another way";
+}
+
+TEST_F(stream_delivery_test, a_stream_without_a_way_to_its_engines_waits_and_a_new_one_is_refused_at_once)
+{
+    this->put_engine("other", 3, {0, 8});
+    const auto delivery = this->start_streaming(2);
+    std::optional<duration> retry_after = 1s;
+    this->context->retry_after_if_unreachable = [&retry_after](const service_id&) { return retry_after; };
+    end(this->last_send(), call_ending::broken);
+    this->pass(200ms);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_FALSE(this->caller.is_aborted);
+    retry_after.reset();
+    this->pass(50ms);
+    EXPECT_EQ(this->sends.size(), 2U);
+    retry_after = 1s;
+    this->caller = {};
+    this->start();
+    ASSERT_TRUE(this->caller.answer);
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
