Daemon: a host that can't connect to upstreams sends by way of another host

Cause: a host had no other way than its own connections, tried engine after engine at 200 ms each, and kept the duties that need the engines. A cut host calls no upstream dead by its own probes, tells no suspicion, gives up reading for others and the orders, and is not ready while nothing can be sent. Why it holds: what is relayed ends like a call of the host's own, so all rules of repeats, order and limits apply unchanged.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -25,6 +25,8 @@
         "a further address for the pages of admin-listen, for whoever "
         "collects metrics");
     flags.declare_optional("peer-listen", "address for the other hosts; without it this host works alone");
+    flags.declare_optional("relay-listen",
+        "address at which other hosts ask this one to send requests to upstreams that they can't reach");
     flags.declare_optional("tls-certificate", "certificate chain in PEM form; callers then use TLS");
     flags.declare_optional("tls-key", "key of the certificate in PEM form");
     flags.declare_optional("log-address", "the log service that holds signed bundles");
@@ -146,6 +148,7 @@
     settings.admin_listen = flags.address("admin-listen");
     settings.metrics_listen = flags.optional_address("metrics-listen");
     settings.peer_listen = flags.optional_address("peer-listen");
+    settings.relay_listen = flags.optional_address("relay-listen");
     settings.tls = read_tls(flags);
     settings.log_stream = flags.text("log-stream");
     settings.log_retention = flags.milliseconds("log-retention-ms", 1000, most_retention);
--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -31,6 +31,7 @@
     endpoint admin_listen;
     std::optional<endpoint> metrics_listen;
     std::optional<endpoint> peer_listen;
+    std::optional<endpoint> relay_listen; ///< without it, this host relays nothing for others
     std::optional<tls_files> tls;
     endpoint log_address;
     std::string log_stream;
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -163,7 +163,11 @@
     if (this->view.is_ready()) {
         return make_page(http_status::ok, "ready\n");
     }
-    return make_page(http_status::unavailable, this->view.is_stopping() ? "stopping\n" : "no bundle yet\n");
+    const bool has_bundle = this->view.knowledge.bundle() != nullptr;
+    return make_page(http_status::unavailable,
+        this->view.is_stopping() ? "stopping\n"
+            : has_bundle         ? "no way to any upstream\n"
+                                 : "no bundle yet\n");
 }
 
 json site_admin::list_upstreams() const
@@ -200,6 +204,9 @@
         {{"host", this->view.self.value()}, {"data_hall", this->view.data_hall.value()},
             {"ready", this->view.is_ready()}, {"stopping", this->view.is_stopping()},
             {"requests_in_flight", this->view.requests_in_flight()},
+            {"unreachable", this->list_unreachable()},
+            {"calls_by_other_hosts", this->view.calls_by_other_hosts()},
+            {"relayed_calls", this->view.relayed_calls()},
             {"bundle", bundle ? json(bundle->version.value()) : json()},
             {"bundle_age_ms", write_age(this->view.knowledge.bundle_age())},
             {"upstreams_age_ms", write_age(this->view.knowledge.upstreams_age())},
@@ -256,6 +263,7 @@
         out += "sailtiller_retries_left{service=\"" + service.value() + "\"} " + std::to_string(left) + "\n";
     }
     this->write_missing_layers(out);
+    this->write_reachability(out);
     this->confirmation_ages.write(out, std::nullopt);
     this->by_route.write(out, std::nullopt);
     return out;
@@ -299,6 +307,33 @@
     }
 }
 
+void site_admin::write_reachability(std::string& out) const
+{
+    write_gauge_header(out, "sailtiller_unreachable_upstream_groups",
+        "1 for each service and data hall to which this host can make no connections.");
+    for (const upstream_group& group : this->view.unreachable_groups()) {
+        out += "sailtiller_unreachable_upstream_groups{service=\"" + group.service.value() + "\",data_hall=\""
+            + group.data_hall.value() + "\"} 1\n";
+    }
+    write_gauge(out, "sailtiller_calls_by_other_hosts",
+        "Calls of this host to upstreams that are under way by way of other hosts.",
+        static_cast<double>(this->view.calls_by_other_hosts()));
+    write_gauge(out, "sailtiller_relayed_calls", "Calls to upstreams that this host relays for other hosts.",
+        static_cast<double>(this->view.relayed_calls()));
+    write_gauge(out, "sailtiller_hosts_with_unreachable_upstreams",
+        "Live hosts that report that they can't connect to some upstreams; in a large fleet a part.",
+        static_cast<double>(this->view.hosts.count_hosts_with_unreachable(this->view.now())));
+}
+
+json site_admin::list_unreachable() const
+{
+    json list = json::array();
+    for (const upstream_group& group : this->view.unreachable_groups()) {
+        list.push_back({{"service", group.service.value()}, {"data_hall", group.data_hall.value()}});
+    }
+    return list;
+}
+
 std::string site_admin::write_account_times(const http_request& request) const
 {
     std::string out;
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -28,6 +28,9 @@
     std::function<bool()> reads_store; ///< false from a failed read to the next one that is answered
     std::function<bool()> is_ready;
     std::function<bool()> is_stopping;
+    std::function<std::vector<upstream_group>()> unreachable_groups;
+    std::function<std::size_t()> calls_by_other_hosts; ///< of this host's, on their way by way of others
+    std::function<std::size_t()> relayed_calls; ///< of other hosts
     std::function<std::size_t()> requests_in_flight;
     std::function<std::map<service_id, double>()> retries_left; ///< of each service of the bundle
     clock_function now;
@@ -63,6 +66,8 @@
     [[nodiscard]] std::string write_metrics() const;
     void write_known_upstreams(std::string& out) const;
     void write_missing_layers(std::string& out) const;
+    void write_reachability(std::string& out) const;
+    [[nodiscard]] json list_unreachable() const;
     [[nodiscard]] std::string write_account_times(const http_request& request) const;
     [[nodiscard]] json list_upstreams() const;
 
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -13,6 +13,7 @@
 #include <platform/wireupstream.h>
 #include <runtime/programsettings.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace sailtiller {
@@ -62,15 +63,14 @@
           this->loop, this->peers, this->settings.self, [this] { return this->stop.is_under_way(); },
           [this](event_type event) { this->admin.note_belief(event); })
     , retries(this->settings.store->retries)
-    , link(this->loop, this->settings.store->upstream_source,
-          {[this](const upstream_id&, bool is_made) { this->admin.count_connection(is_made); }})
+    , link(this->loop, this->settings.store->upstream_source, this->make_link_hooks())
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
           delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
     , duties(this->loop, this->store, this->settings.self,
           [this] {
-              return this->peers.hosts().is_duty_candidate(this->reading.reads_store(), this->loop.now());
+              return this->peers.hosts().is_duty_candidate(this->is_fit_for_duties(), this->loop.now());
           })
     , keeper({}, this->make_keeper_hooks(), this->knowledge.upstreams())
     , bundle_follower(this->make_bundle_follower())
@@ -80,7 +80,8 @@
           [this](const std::shared_ptr<http_exchange>& exchange) { this->gateway.handle(exchange); })
     , admin_server(this->loop, this->settings.limits, std::nullopt,
           [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
-    , stop(this->loop, this->callers, this->gateway,
+    , relay(this->loop, this->settings.limits, this->make_relay_hooks())
+    , stop(this->loop, this->callers, this->gateway, this->relay,
           [this] {
               this->peers.announce_leaving();
               this->duties.leave();
@@ -113,7 +114,131 @@
         [this](const delivery_order& order, request_moment moment, duration time) {
             this->admin.measure(order, moment, time);
         },
-        [this](stream_end cause) { this->admin.count_end(cause); }};
+        [this](stream_end cause) { this->admin.count_end(cause); },
+        [this](const service_id& service) { return this->retry_after_if_unreachable(service); }};
+}
+
+upstream_link_hooks site_host::make_link_hooks()
+{
+    const auto log = [this](const delivery_event& event) {
+        if (!event.request.empty()) { // probes are logged by their results
+            this->admin.note(event);
+        }
+    };
+    return {this->random, this->knowledge.upstreams(),
+        [this](bool is_made) { this->admin.count_connection(is_made); },
+        [this](
+            const upstream_group& group, bool is_reachable) { this->note_reachability(group, is_reachable); },
+        [this](const upstream_group& group) { return this->list_relay_candidates(group); },
+        [this](const host_id& id) { return this->peers.hosts().is_heard(id, this->loop.now()); }, log};
+}
+
+std::vector<relay_candidate> site_host::list_relay_candidates(const upstream_group& group) const
+{
+    std::vector<relay_candidate> list;
+    for (const relaying_host& item : this->peers.hosts().list_relaying_hosts(group, this->loop.now())) {
+        list.push_back({item.host.id, item.relay_address, item.host.data_hall == this->settings.data_hall,
+            item.relayed_calls});
+    }
+    return list;
+}
+
+std::optional<duration> site_host::retry_after_if_unreachable(const service_id& service) const
+{
+    if (this->link.has_way_to(service)) {
+        return std::nullopt;
+    }
+    // A host that hears no other one is the exception; callers find a way at the next host.
+    const bool is_alone = this->peers.hosts().live_count(this->loop.now()) <= 1;
+    return is_alone ? retry_elsewhere_after : delivery_settings().retry_after;
+}
+
+void site_host::note_reachability(const upstream_group& group, bool is_reachable)
+{
+    const event_type what =
+        is_reachable ? event_type::upstreams_reachable : event_type::upstreams_unreachable;
+    this->admin.note_belief(what);
+    log_event(is_reachable ? log_level::info : log_level::warning, what,
+        {{"service", group.service.value()}, {"data_hall", group.data_hall.value()},
+            {"relaying_hosts", std::to_string(this->list_relay_candidates(group).size())}});
+    if (!is_reachable && !this->is_looking_at_lost_connections) {
+        this->look_at_lost_connections();
+    }
+}
+
+void site_host::look_at_lost_connections()
+{
+    this->is_looking_at_lost_connections = !this->link.unreachable_groups().empty();
+    if (!this->is_looking_at_lost_connections) {
+        return;
+    }
+    this->loop.schedule_after(look_pause, [this] {
+        this->gateway.leave_lost_connections(
+            [this](const upstream_id& id) { return this->link.unreachable_since(id); });
+        this->link.end_calls_of_silent_hosts();
+        this->look_at_lost_connections();
+    });
+}
+
+relay_service_hooks site_host::make_relay_hooks()
+{
+    relay_service_hooks hooks;
+    hooks.timers = this->loop.hooks();
+    hooks.is_host = [this](const endpoint& peer) { return this->peers.hosts().has_host_at(peer); };
+    hooks.find_obstacle = [this](const upstream_target& target) { return this->find_relay_obstacle(target); };
+    hooks.send = [this](const upstream_target& target, const http_request& request, bool may_repeat,
+                     http_call_handlers handlers) {
+        return this->link.send_directly(target, request, may_repeat, std::move(handlers));
+    };
+    hooks.on_head = [this](const upstream_target& target, int status, const http_headers& headers,
+                        time_point sent) {
+        const upstream_answer answer = this->context.codec.decode_answer(status, headers);
+        if (!target.request.value().empty() && answer.id == target.request) {
+            note_answer(this->context, target.id, answer, sent);
+        }
+    };
+    hooks.log = [this](const delivery_event& event) {
+        if (!event.request.empty()) {
+            this->admin.note(event);
+        }
+    };
+    return hooks;
+}
+
+std::optional<std::string> site_host::find_relay_obstacle(const upstream_target& target)
+{
+    const directory_entry* entry = this->knowledge.upstreams().find(target.id);
+    if (entry == nullptr || entry->upstream.address != target.address) {
+        return "the upstream is unknown here";
+    }
+    if (!this->link.is_reachable({entry->upstream.service, entry->upstream.data_hall})) {
+        return "this host can't connect to the upstream either";
+    }
+    if (target.request.value().empty()) {
+        return std::nullopt; // a probe or a change of path, not new work
+    }
+    if (entry->upstream.is_leaving) {
+        return "the upstream is leaving";
+    }
+    if (this->pauses.is_paused(target.id, this->loop.now())) {
+        return "the upstream asked this host for a pause";
+    }
+    if (!this->knowledge.is_bundle_fresh()) {
+        return "this host can't confirm that its configuration is the newest";
+    }
+    return std::nullopt;
+}
+
+bool site_host::connects_to_engines() const
+{
+    const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
+    const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
+    return pool == nullptr || this->link.connects_to(pool->name);
+}
+
+bool site_host::is_fit_for_duties() const
+{
+    return this->reading.reads_store() && this->connects_to_engines();
 }
 
 upstream_health_hooks site_host::make_health_hooks()
@@ -124,6 +249,7 @@
     hooks.on_back = [this](const upstream_id& id) { this->gateway.keep_upstream(id); };
     hooks.on_replaced = [this](const upstream_id& id) { this->knowledge.note_ended(id); };
     hooks.on_leaving = [this](const upstream_id& id) { this->knowledge.note_leaving(id); };
+    hooks.is_probe_conclusive = [this](const upstream_id& id) { return this->link.is_probe_conclusive(id); };
     hooks.on_held = [this](const upstream_id& id, const layer_span& held) {
         this->knowledge.record_reported_layers(id, held, this->loop.now());
     };
@@ -210,6 +336,9 @@
         this->health.fill_report(report);
         this->suspects.fill_report(report);
         this->limits.fill_report(report);
+        report.relay_address = this->relay.address();
+        report.relayed_calls = static_cast<unsigned>(this->relay.calls_in_progress());
+        report.unreachable = this->link.unreachable_groups();
     };
     hooks.take_report = [this](const peer_report& report) {
         this->bundles.record_holder(report.sender, report.bundle_version);
@@ -227,7 +356,7 @@
         this->take_place(hosts);
         this->reading.note_records(this->loop.now());
     };
-    hooks.reads_store = [this] { return this->reading.reads_store(); };
+    hooks.reads_store = [this] { return this->is_fit_for_duties(); };
     hooks.take_answer = [this](const peer_report& answer, time_point asked) {
         this->knowledge.take_answer(answer, asked);
         if (answer.withheld_offset && !this->knowledge.upstreams_end()) {
@@ -333,7 +462,7 @@
 
 bool site_host::is_reader() const
 {
-    return this->peers.hosts().is_reader(this->reading.reads_store(), this->loop.now());
+    return this->peers.hosts().is_reader(this->is_fit_for_duties(), this->loop.now());
 }
 
 keyed_follower site_host::make_bundle_follower()
@@ -385,7 +514,7 @@
     hooks.send = [this](const layer_order& order, const std::function<void(order_result)>& on_result) {
         this->link.send_order(order, on_result);
     };
-    hooks.token = [this] { return this->duties.order_token(); };
+    hooks.token = [this] { return this->connects_to_engines() ? this->duties.order_token() : std::nullopt; };
     hooks.on_fenced = [this](fencing_token token) { this->duties.note_refused(token); };
     hooks.used_share = [this](const engine_profile& profile, const discovered_upstream& upstream) {
         return upstream.held.is_empty() ? 0 : token_utilization_of(profile, this->loads, upstream);
@@ -431,7 +560,14 @@
 
 bool site_host::is_ready() const
 {
-    return this->gateway.current_bundle() != nullptr && !this->stop.is_under_way();
+    const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
+    if (bundle == nullptr || this->stop.is_under_way()) {
+        return false;
+    }
+    const std::vector<upstream_pool>& pools = bundle->pools;
+    return pools.empty() || std::any_of(pools.begin(), pools.end(), [this](const upstream_pool& pool) {
+        return this->link.has_way_to(pool.name);
+    });
 }
 
 std::map<service_id, double> site_host::list_retries_left()
@@ -451,6 +587,9 @@
         this->suspects.records(), this->limits.records(), this->pauses,
         [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
         [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
+        [this] { return this->link.unreachable_groups(); },
+        [this] { return this->link.calls_by_other_hosts(); },
+        [this] { return this->relay.calls_in_progress(); },
         [this] { return this->gateway.requests_in_flight(); }, [this] { return this->list_retries_left(); },
         [this] { return this->loop.now(); }};
 }
@@ -474,11 +613,15 @@
         this->admin_server.listen(*this->settings.metrics_listen);
     }
     this->reading.note_start(this->loop.now());
+    if (this->settings.relay_listen) {
+        this->relay.start(*this->settings.relay_listen);
+    }
     const endpoint peer_address = this->peers.start(*this->settings.peer_listen);
     log_event(log_level::info, event_type::started,
         {{"host", this->settings.self.value()}, {"data_hall", this->settings.data_hall.value()},
             {"listen", address.value()}, {"admin", admin_address.value()},
-            {"peer_listen", peer_address.value()}});
+            {"peer_listen", peer_address.value()},
+            {"relay_listen", this->relay.address().value_or(endpoint()).value()}});
     this->retries.note_start(this->loop.now());
     this->bundle_follower.start();
     this->upstream_follower.start();
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -7,6 +7,7 @@
 #include "siteduties.h"
 #include "sitelimits.h"
 #include "sitepeers.h"
+#include "siterelay.h"
 #include "sitestop.h"
 #include "sitesuspects.h"
 #include "upstreamhealth.h"
@@ -39,6 +40,17 @@
 private:
     delivery_context make_delivery_context();
     upstream_health_hooks make_health_hooks();
+    upstream_link_hooks make_link_hooks();
+    relay_service_hooks make_relay_hooks();
+    /// Why this host doesn't send another host's request to the upstream; nothing if it does.
+    [[nodiscard]] std::optional<std::string> find_relay_obstacle(const upstream_target& target);
+    /// Other hosts that relay requests to the group, as they report.
+    [[nodiscard]] std::vector<relay_candidate> list_relay_candidates(const upstream_group& group) const;
+    /// When a caller should come back whose service this host has no way to; nothing if it has one.
+    [[nodiscard]] std::optional<duration> retry_after_if_unreachable(const service_id& service) const;
+    void note_reachability(const upstream_group& group, bool is_reachable);
+    /// Moves streams off connections that were lost with the way to their engines, while there are such.
+    void look_at_lost_connections();
     keyed_follower_hooks make_follower_hooks(store_topic topic);
     placement_controller_hooks make_keeper_hooks();
     [[nodiscard]] site_state_settings make_knowledge_settings() const;
@@ -57,6 +69,10 @@
     void report_work(peer_report& report) const;
     /// Takes over how many hosts live and what the others' requests hold at the upstreams.
     void take_round(const host_table& hosts);
+    /// True if this host can connect to the engines, as whoever gives orders to them must.
+    [[nodiscard]] bool connects_to_engines() const;
+    /// True if this host is fit for the duties of the site: the store answers it, and it reaches the engines.
+    [[nodiscard]] bool is_fit_for_duties() const;
     /// True if this host is one of those that read the store for all.
     [[nodiscard]] bool is_reader() const;
     void look_at_layers();
@@ -89,6 +105,7 @@
     retry_allowance retries;
     pipe_meter pipes;
     upstream_link link;
+    bool is_looking_at_lost_connections = false;
     upstream_health health;
     delivery_context context;
     gateway_service gateway;
@@ -99,6 +116,7 @@
     site_admin admin;
     http_server callers;
     http_server admin_server;
+    site_relay relay;
     site_stop stop;
     settings_watch settings_file;
 };
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -28,6 +28,7 @@
     std::function<std::optional<std::string>(const std::optional<log_offset>& known)> give_entries;
     /// The records of the other hosts, or the first of them, have been read.
     std::function<void(const host_table&)> on_records;
+    /// True if the store answers this host and it is fit for the duties of the site.
     std::function<bool()> reads_store;
     /// Answers a host that asks for requests of an upstream's limit.
     std::function<limit_grant(const limit_query&)> answer_limit;
--- a/src/app/sailtillerd/sitestop.cpp
+++ b/src/app/sailtillerd/sitestop.cpp
@@ -23,11 +23,12 @@
 
 } // namespace
 
-site_stop::site_stop(
-    event_loop& loop, http_server& callers, gateway_service& gateway, std::function<void()> announce)
+site_stop::site_stop(event_loop& loop, http_server& callers, gateway_service& gateway, site_relay& relay,
+    std::function<void()> announce)
     : loop(loop)
     , callers(callers)
     , gateway(gateway)
+    , relay(relay)
     , announce(std::move(announce))
 {
 }
@@ -41,6 +42,7 @@
     this->callers.close_after_answers();
     this->limit = this->loop.now() + longest - stop_margin;
     this->gateway.begin_stop(grace);
+    this->relay.begin_stop();
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->announce();
@@ -54,7 +56,8 @@
 {
     // Again and again: a connection whose answer began before the stop is still promised to be kept.
     this->callers.close_idle_connections();
-    const bool is_idle = this->gateway.requests_in_flight() == 0 && this->callers.connection_count() == 0;
+    const bool is_idle = this->gateway.requests_in_flight() == 0 && this->callers.connection_count() == 0
+        && this->relay.calls_in_progress() == 0;
     if (!is_idle && this->loop.now() < this->limit) {
         this->loop.schedule_after(idle_look_interval, [this] { this->finish_when_idle(); });
         return;
@@ -62,7 +65,8 @@
     this->code = is_idle ? exit_ok : exit_failed;
     // What was read is owed an answer: a connection that ends without one doesn't tell its caller whether the
     // request has run, so that one which may run only once is lost.
-    const std::size_t cut_off = this->gateway.end_for_stop();
+    const std::size_t cut_off = this->gateway.end_for_stop() + this->relay.calls_in_progress();
+    this->relay.end_for_stop();
     this->end_when_answers_are_out(this->loop.now() + last_answer_time, cut_off);
 }
 
--- a/src/app/sailtillerd/sitestop.h
+++ b/src/app/sailtillerd/sitestop.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "siterelay.h"
+
 #include <gateway/gatewayservice.h>
 #include <runtime/httpserver.h>
 
@@ -12,8 +14,8 @@
 {
 public:
     /// `announce` tells others that this host leaves. The loop is stopped at the end.
-    site_stop(
-        event_loop& loop, http_server& callers, gateway_service& gateway, std::function<void()> announce);
+    site_stop(event_loop& loop, http_server& callers, gateway_service& gateway, site_relay& relay,
+        std::function<void()> announce);
 
     /// Begins, unless it has begun already. Connections are refused after `grace`; by `longest` the process
     /// has ended.
@@ -30,6 +32,7 @@
     event_loop& loop;
     http_server& callers;
     gateway_service& gateway;
+    site_relay& relay;
     std::function<void()> announce;
     bool has_begun = false;
     time_point limit{};
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace sailtiller {
 
@@ -70,7 +71,7 @@
     const time_point now = this->loop.now();
     for (const auto& [id, load] : this->loads.all()) {
         const duration left = load.failed_until - now;
-        if (left > duration::zero()) {
+        if (left > duration::zero() && this->hooks.is_probe_conclusive(id)) {
             report.suspicions.push_back({id, left});
         }
         const duration unwilling = load.unwilling_until - now;
@@ -192,8 +193,14 @@
     }
 }
 
-void upstream_health::take_deaths(const std::vector<upstream_id>& ids)
+void upstream_health::take_deaths(const std::vector<upstream_id>& silent)
 {
+    std::vector<upstream_id> ids;
+    std::copy_if(silent.begin(), silent.end(), std::back_inserter(ids),
+        [this](const upstream_id& id) { return this->hooks.is_probe_conclusive(id); });
+    if (ids.empty()) {
+        return;
+    }
     for (const upstream_id& id : ids) {
         this->note_death(id);
     }
--- a/src/app/sailtillerd/upstreamhealth.h
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -25,6 +25,8 @@
     std::function<void(const upstream_id&)> on_leaving;
     /// An engine told in a report which layers it holds.
     std::function<void(const upstream_id&, const layer_span& held)> on_held;
+    /// True if an unanswered probe tells about the upstream rather than about this host's own way to it.
+    std::function<bool(const upstream_id&)> is_probe_conclusive;
     /// Another one answered at the address of an upstream: the upstream has ended.
     std::function<void(const upstream_id&)> on_replaced;
 };
@@ -66,7 +68,7 @@
     [[nodiscard]] bool is_assigned_prober(const upstream_id& id) const;
     void take_suspicion(const upstream_suspicion& item, const host_id& reporter);
     /// These engines gave no sign of life.
-    void take_deaths(const std::vector<upstream_id>& ids);
+    void take_deaths(const std::vector<upstream_id>& silent);
     void note_death(const upstream_id& id);
     /// An engine gave a sign of life and runs so many times slower than it should.
     void take_pace(const upstream_id& id, double pace);
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -5,6 +5,10 @@
 #include <platform/wireorder.h>
 #include <platform/wirerequest.h>
 #include <runtime/eventlog.h>
+#include <runtime/httpcall.h>
+
+#include <algorithm>
+#include <set>
 
 namespace sailtiller {
 
@@ -18,6 +22,8 @@
 /// A connection at rest is kept until its upstream closes it, or for this long. A host sends an upstream a
 /// request every second or two, so with 2.5 s one in two was a new connection.
 constexpr duration idle_time = milliseconds(15'000);
+/// Time for which an answer over a kept connection shows that requests can still be sent over such ones.
+constexpr duration kept_connection_time = milliseconds(1000);
 /// Without answer by then, an order counts as unanswered and is sent again.
 constexpr duration order_answer_limit = milliseconds(800);
 /// An answer that comes after the verdict still revives the upstream; beyond this, nothing is waited for.
@@ -32,36 +38,248 @@
     , requests(platform::make_request_codec())
     , orders(platform::make_order_codec())
     , connections(loop, {.idle_time = idle_time})
+    , reachability({}, this->make_reachability_hooks())
+    , relay(loop, {},
+          {this->hooks.random, this->hooks.list_candidates, this->hooks.is_host_live, this->hooks.log})
 {
 }
 
-cancel_call upstream_link::send(
-    const upstream_target& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
+upstream_reachability_hooks upstream_link::make_reachability_hooks()
+{
+    upstream_reachability_hooks item;
+    item.timers = this->loop.hooks();
+    item.random = this->hooks.random;
+    item.list_groups = [this] {
+        std::set<upstream_group> groups;
+        for (const auto& [id, entry] : this->hooks.upstreams.entries()) {
+            groups.insert({entry.upstream.service, entry.upstream.data_hall});
+        }
+        return std::vector<upstream_group>(groups.begin(), groups.end());
+    };
+    item.list_members = [this](const upstream_group& group) {
+        std::vector<upstream_id> members;
+        for (const auto& [id, entry] : this->hooks.upstreams.entries()) {
+            if (entry.upstream.service == group.service && entry.upstream.data_hall == group.data_hall) {
+                members.push_back(id);
+            }
+        }
+        return members;
+    };
+    item.connect = [this](const upstream_id& id, duration limit, const std::function<void(bool)>& on_end) {
+        this->check_connection(id, limit, on_end);
+    };
+    item.on_change = [this](const upstream_group& group, bool is_reachable) {
+        this->hooks.on_change(group, is_reachable);
+    };
+    return item;
+}
+
+std::optional<upstream_group> upstream_link::find_group(const upstream_id& id) const
+{
+    const directory_entry* entry = this->hooks.upstreams.find(id);
+    return entry == nullptr
+        ? std::nullopt
+        : std::optional(upstream_group{entry->upstream.service, entry->upstream.data_hall});
+}
+
+bool upstream_link::is_reachable(const upstream_group& group) const
+{
+    return this->reachability.is_reachable(group);
+}
+
+std::optional<time_point> upstream_link::unreachable_since(const upstream_id& id) const
+{
+    const std::optional<upstream_group> group = this->find_group(id);
+    return group ? this->reachability.unreachable_since(*group) : std::nullopt;
+}
+
+std::vector<upstream_group> upstream_link::unreachable_groups() const
+{
+    return this->reachability.unreachable_groups();
+}
+
+bool upstream_link::connects_to(const service_id& service) const
+{
+    return this->reachability.is_service_reachable(service);
+}
+
+bool upstream_link::has_way_to(const service_id& service) const
+{
+    if (this->connects_to(service)) {
+        return true;
+    }
+    const auto kept = this->answered.find(service);
+    if (kept != this->answered.end() && this->loop.now() - kept->second < kept_connection_time) {
+        return true;
+    }
+    const std::vector<upstream_group> groups = this->unreachable_groups();
+    return std::any_of(groups.begin(), groups.end(), [this, &service](const upstream_group& group) {
+        return group.service == service && this->relay.has_candidate(group);
+    });
+}
+
+bool upstream_link::is_probe_conclusive(const upstream_id& id) const
+{
+    const std::optional<upstream_group> group = this->find_group(id);
+    if (!group) {
+        return true;
+    }
+    return this->is_reachable(*group) ? !this->reachability.is_doubtful(*group)
+                                      : this->relay.has_candidate(*group);
+}
+
+bool upstream_link::uses_other_hosts(const upstream_group& group) const
+{
+    return !this->is_reachable(group) && this->relay.has_candidate(group);
+}
+
+upstream_link::connection_observer upstream_link::make_observer(const upstream_id& id, duration limit)
+{
+    return [this, id, group = this->find_group(id), began = this->loop.now(), limit](bool is_made) {
+        this->hooks.on_connection(is_made);
+        if (!group) {
+            return;
+        }
+        if (is_made) {
+            this->reachability.note_connected(id, *group);
+        } else {
+            this->reachability.note_failed(id, *group, began, limit);
+        }
+    };
+}
+
+cancel_call upstream_link::send_observed(const upstream_target& target, const http_request& request,
+    bool may_repeat, http_call_handlers handlers, connection_observer observer)
 {
     http_call_options options;
     options.connect_limit = connect_limit;
     options.pool = may_repeat ? &this->connections : nullptr;
     options.source = this->source;
-    options.on_connection = [this, id = target.id](bool is_made) { this->hooks.on_connection(id, is_made); };
+    options.on_connection = std::move(observer);
     const std::shared_ptr<http_call> call =
         http_call::start(this->loop, target.address, request, options, std::move(handlers));
     return [call] { call->cancel(); };
 }
 
-whole_call upstream_link::make_call(
-    const upstream_target& target, http_request request, duration limit, connection_pool* pool) const
+cancel_call upstream_link::send_directly(
+    const upstream_target& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
 {
-    return {target.address, std::move(request), limit, pool, this->source,
-        [this, id = target.id](bool is_made) { this->hooks.on_connection(id, is_made); }};
+    return this->send_observed(
+        target, request, may_repeat, std::move(handlers), this->make_observer(target.id, connect_limit));
+}
+
+cancel_call upstream_link::send(
+    const upstream_target& target, const http_request& request, bool may_repeat, http_call_handlers handlers)
+{
+    const std::optional<upstream_group> group = this->find_group(target.id);
+    if (!group) {
+        return this->send_directly(target, request, may_repeat, std::move(handlers));
+    }
+    const auto call = std::make_shared<routed_call>(
+        routed_call{target, *group, request, may_repeat, std::move(handlers), nullptr, false});
+    const auto cancel = [call] {
+        call->is_cancelled = true;
+        if (call->cancel) {
+            call->cancel();
+        }
+    };
+    if (this->uses_other_hosts(*group)) {
+        this->send_by_other_host(call);
+        return cancel;
+    }
+    const auto was_made = std::make_shared<bool>(false);
+    http_call_handlers direct = call->handlers;
+    if (!this->is_reachable(*group)) {
+        direct.on_head = [this, call](int status, const http_headers& headers) {
+            this->answered[call->group.service] = this->loop.now();
+            call->handlers.on_head(status, headers);
+        };
+    }
+    direct.on_end = [this, call, was_made](call_ending ending, const std::string& reason) {
+        if (ending == call_ending::not_connected && !*was_made) {
+            this->end_without_connection(call, reason);
+        } else {
+            call->handlers.on_end(ending, reason);
+        }
+    };
+    call->cancel = this->send_observed(target, request, may_repeat, std::move(direct),
+        [observer = this->make_observer(target.id, connect_limit), was_made](bool is_made) {
+            *was_made = is_made;
+            observer(is_made);
+        });
+    return cancel;
+}
+
+void upstream_link::end_without_connection(
+    const std::shared_ptr<routed_call>& call, const std::string& reason)
+{
+    call->cancel = nullptr;
+    this->reachability.when_settled(call->group, [this, call, reason] {
+        if (call->is_cancelled) {
+            return;
+        }
+        if (this->uses_other_hosts(call->group)) {
+            this->send_by_other_host(call);
+        } else {
+            call->handlers.on_end(call_ending::not_connected, reason);
+        }
+    });
+}
+
+void upstream_link::send_by_other_host(const std::shared_ptr<routed_call>& call)
+{
+    call->cancel =
+        this->relay.send(call->target, call->group, call->request, call->may_repeat, call->handlers);
+}
+
+void upstream_link::check_connection(const upstream_id& id, duration limit, const connection_observer& on_end)
+{
+    const directory_entry* entry = this->hooks.upstreams.find(id);
+    if (entry == nullptr) {
+        this->loop.post([on_end] { on_end(false); });
+        return;
+    }
+    http_request unsent;
+    unsent.method = "GET";
+    unsent.path = "/";
+    http_call_options options;
+    options.connect_limit = limit;
+    options.source = this->source;
+    options.on_connection = [this, on_end](bool is_made) {
+        this->hooks.on_connection(is_made);
+        on_end(is_made);
+    };
+    http_call_handlers handlers;
+    handlers.may_send = [] { return false; };
+    handlers.on_end = [](call_ending, const std::string&) {};
+    http_call::start(this->loop, entry->upstream.address, unsent, options, std::move(handlers));
+}
+
+void upstream_link::send_small(const upstream_target& target, const http_request& request, duration limit,
+    connection_pool* pool, const std::function<void(const whole_call_result&)>& on_end)
+{
+    const std::optional<upstream_group> group = this->find_group(target.id);
+    if (!group || !this->uses_other_hosts(*group)) {
+        send_whole(this->loop,
+            {target.address, request, limit, pool, this->source,
+                this->make_observer(target.id, std::min(limit, connect_limit)),
+                std::min(limit, connect_limit)},
+            on_end);
+        return;
+    }
+    collect_whole(
+        this->loop, limit,
+        [this, &target, &group, &request](http_call_handlers handlers) {
+            return this->relay.send(target, *group, request, true, std::move(handlers));
+        },
+        on_end);
 }
 
 void upstream_link::send_path_change(
     const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
 {
-    const http_request request = this->requests.encode_path_change(change);
-    send_whole(this->loop,
-        this->make_call({change.head, change.address}, request, change.limit, &this->connections),
-        [this, on_answer](const whole_call_result& result) {
+    this->send_small({change.head, change.address, {}}, this->requests.encode_path_change(change),
+        change.limit, &this->connections, [this, on_answer](const whole_call_result& result) {
             on_answer(result.response
                     ? this->requests.decode_path_change(*result.response)
                     : path_change_answer{path_change_result::failed, std::nullopt, result.failure});
@@ -96,8 +314,7 @@
 void upstream_link::send_probe(const upstream_target& target, duration limit, connection_pool* pool,
     const std::shared_ptr<probe_race>& race)
 {
-    send_whole(this->loop,
-        this->make_call(target, this->orders.encode_probe(target.address, target.id), limit, pool),
+    this->send_small(target, this->orders.encode_probe(target.address, target.id), limit, pool,
         [this, target, race](const whole_call_result& result) {
             const std::optional<http_response>& answer = result.response;
             --race->left;
@@ -113,9 +330,10 @@
 
 void upstream_link::send_order(const layer_order& order, const std::function<void(order_result)>& on_result)
 {
+    // Not by way of another host: the duty to give orders passes to a host that reaches the engines.
     send_whole(this->loop,
-        this->make_call(
-            {order.id, order.address}, this->orders.encode_order(order), order_answer_limit, nullptr),
+        {order.address, this->orders.encode_order(order), order_answer_limit, nullptr, this->source,
+            this->make_observer(order.id, order_answer_limit)},
         [this, on_result](const whole_call_result& result) {
             on_result(result.response ? this->orders.decode_result(result.response->status)
                                       : order_result::unanswered);
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <delivery/deliverycontext.h>
+#include <health/upstreamreachability.h>
 #include <placement/layerorder.h>
+#include <relay/relayclient.h>
 #include <runtime/connectionpool.h>
 #include <runtime/wholecall.h>
 
@@ -11,12 +13,23 @@
 /// Callbacks of the calls to upstreams.
 struct upstream_link_hooks
 {
+    random_function random;
+    const upstream_directory& upstreams;
     /// A new connection to an upstream was made, or could not be made.
-    std::function<void(const upstream_id&, bool is_made)> on_connection;
+    std::function<void(bool is_made)> on_connection;
+    /// This host can't connect to a group of upstreams any more, or can again.
+    std::function<void(const upstream_group&, bool is_reachable)> on_change;
+    /// Other hosts that relay requests to the group, as they report.
+    std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
+    /// True while this host hears the other one.
+    std::function<bool(const host_id&)> is_host_live;
+    /// Logs a decision about a request.
+    std::function<void(const delivery_event&)> log;
 };
 
 /// The host's calls to the upstreams of its site, each with its own limits: callers' requests, changes of
-/// path, probes and orders.
+/// path, probes and orders. While this host can't connect to a group of upstreams, all but orders go by way
+/// of another host.
 class upstream_link
 {
 public:
@@ -24,10 +37,13 @@
 
     /// Sets the address from which new connections are made; the system chooses without it.
     void set_source(std::optional<endpoint> next) { this->source = std::move(next); }
-
-    /// Sends a caller's request; only one that may be repeated goes over a kept connection.
+    /// Sends a caller's request; only one that may be repeated goes over a kept connection. One that got no
+    /// connection goes by way of another host if this host proves to be cut off.
     cancel_call send(const upstream_target& target, const http_request& request, bool may_repeat,
         http_call_handlers handlers);
+    /// Sends a request over a connection of this host's own, and not by way of another host.
+    cancel_call send_directly(const upstream_target& target, const http_request& request, bool may_repeat,
+        http_call_handlers handlers);
     /// Asks an engine to lead a running request over another path.
     void send_path_change(
         const path_change& change, const std::function<void(const path_change_answer&)>& on_answer);
@@ -38,6 +54,23 @@
     /// Tells an engine which layers to hold.
     void send_order(const layer_order& order, const std::function<void(order_result)>& on_result);
 
+    /// True if this host can make connections to the group, as far as it knows.
+    [[nodiscard]] bool is_reachable(const upstream_group& group) const;
+    /// Since when this host can't connect to the upstream's group; nothing while it can.
+    [[nodiscard]] std::optional<time_point> unreachable_since(const upstream_id& id) const;
+    [[nodiscard]] std::vector<upstream_group> unreachable_groups() const;
+    /// True if this host can connect to some upstream of the service.
+    [[nodiscard]] bool connects_to(const service_id& service) const;
+    /// True if requests to the service can be sent: directly, over a kept connection, or by way of another
+    /// host.
+    [[nodiscard]] bool has_way_to(const service_id& service) const;
+    /// True if an unanswered probe tells about the upstream rather than about this host's own way to it.
+    [[nodiscard]] bool is_probe_conclusive(const upstream_id& id) const;
+    /// Calls that are on their way by way of other hosts.
+    [[nodiscard]] std::size_t calls_by_other_hosts() const { return this->relay.calls_in_progress(); }
+    /// Ends the calls by way of hosts that have fallen silent.
+    void end_calls_of_silent_hosts() { this->relay.end_calls_of_silent_hosts(); }
+
 private:
     /// A probe that goes out twice; the first answer counts.
     struct probe_race
@@ -45,9 +78,31 @@
         std::function<void(const std::optional<engine_report>&)> on_answer; ///< empty once it is told
         int left = 2; ///< sends without an end
     };
+    /// A caller's request that may change from this host's own connection to another host.
+    struct routed_call
+    {
+        upstream_target target;
+        upstream_group group;
+        http_request request;
+        bool may_repeat = false;
+        http_call_handlers handlers;
+        cancel_call cancel;
+        bool is_cancelled = false;
+    };
+    using connection_observer = std::function<void(bool is_made)>;
 
-    [[nodiscard]] whole_call make_call(
-        const upstream_target& target, http_request request, duration limit, connection_pool* pool) const;
+    upstream_reachability_hooks make_reachability_hooks();
+    [[nodiscard]] std::optional<upstream_group> find_group(const upstream_id& id) const;
+    [[nodiscard]] bool uses_other_hosts(const upstream_group& group) const;
+    /// Feeds what becomes of a new connection into the reachability of the upstream's group.
+    [[nodiscard]] connection_observer make_observer(const upstream_id& id, duration limit);
+    cancel_call send_observed(const upstream_target& target, const http_request& request, bool may_repeat,
+        http_call_handlers handlers, connection_observer observer);
+    void send_by_other_host(const std::shared_ptr<routed_call>& call);
+    void end_without_connection(const std::shared_ptr<routed_call>& call, const std::string& reason);
+    void check_connection(const upstream_id& id, duration limit, const connection_observer& on_end);
+    void send_small(const upstream_target& target, const http_request& request, duration limit,
+        connection_pool* pool, const std::function<void(const whole_call_result&)>& on_end);
     void send_probe(const upstream_target& target, duration limit, connection_pool* pool,
         const std::shared_ptr<probe_race>& race);
     [[nodiscard]] engine_report read_report(const endpoint& target, const http_response& answer) const;
@@ -58,6 +113,10 @@
     request_codec requests;
     order_codec orders;
     connection_pool connections;
+    upstream_reachability reachability;
+    relay_client relay;
+    /// Last answers over kept connections, of services to which no new ones can be made.
+    std::map<service_id, time_point> answered;
 };
 
 } // namespace sailtiller
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -148,6 +148,49 @@
     item.is_leaving = report.is_leaving;
     item.reads_store = report.reads_store;
     item.work = report.work;
+    item.relay_address = report.relay_address;
+    item.relayed_calls = report.relayed_calls;
+    item.unreachable = report.unreachable;
+}
+
+std::vector<relaying_host> host_table::list_relaying_hosts(const upstream_group& group, time_point now) const
+{
+    std::vector<relaying_host> list;
+    for (const auto& [id, item] : this->others) {
+        const bool reaches =
+            std::find(item.unreachable.begin(), item.unreachable.end(), group) == item.unreachable.end();
+        if (item.relay_address && reaches && this->is_live(item, now)) {
+            list.push_back({item.host, *item.relay_address, item.relayed_calls});
+        }
+    }
+    return list;
+}
+
+std::size_t host_table::count_hosts_with_unreachable(time_point now) const
+{
+    const auto count = std::count_if(this->others.begin(), this->others.end(), [this, now](const auto& item) {
+        return !item.second.unreachable.empty() && this->is_live(item.second, now);
+    });
+    return static_cast<std::size_t>(count);
+}
+
+bool host_table::is_heard(const host_id& id, time_point now) const
+{
+    const auto found = this->others.find(id);
+    return found != this->others.end() && found->second.heard
+        && now - *found->second.heard < this->settings.heartbeat_timeout;
+}
+
+bool host_table::has_host_at(const endpoint& address) const
+{
+    const auto without_port = [](const endpoint& item) {
+        return std::string_view(item.value()).substr(0, item.value().rfind(':'));
+    };
+    const std::string_view wanted = without_port(address);
+    const auto& known = this->members.others();
+    return std::any_of(known.begin(), known.end(), [&wanted, &without_port](const auto& item) {
+        return without_port(item.second.state.host.address) == wanted;
+    });
 }
 
 void host_table::merge_states(const std::vector<host_state>& news, time_point now)
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -51,6 +51,14 @@
     membership_settings members;
 };
 
+/// A host that relays requests to upstreams, by its last report.
+struct relaying_host
+{
+    known_host host;
+    endpoint relay_address;
+    unsigned relayed_calls = 0;
+};
+
 /// The hosts of the site as known to this host: from their records in the store, from their own messages, and
 /// from what they report of each other. In a small fleet all hosts are partners, and the state of each is
 /// taken from its own messages.
@@ -104,6 +112,15 @@
     /// heartbeat timeout. The others, unless they left a query unanswered, are estimated by the average of
     /// those that reported, separately for this host's own hall and for the other halls.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
+    /// Returns the live hosts that relay requests to the group and reach it, as far as this host hears them.
+    [[nodiscard]] std::vector<relaying_host> list_relaying_hosts(
+        const upstream_group& group, time_point now) const;
+    /// Number of live hosts that report groups of upstreams to which they can't connect.
+    [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
+    /// Returns true if this host has heard the host within the heartbeat timeout, leaving or not.
+    [[nodiscard]] bool is_heard(const host_id& id, time_point now) const;
+    /// Returns true if a known host has this internet address, on any port.
+    [[nodiscard]] bool has_host_at(const endpoint& address) const;
     /// Fills in the fleet's state for a report to the receiver.
     void fill_report(peer_report& report, const host_id& receiver);
     /// Sets the state that this host reports of itself.
@@ -135,6 +152,9 @@
         bool is_leaving = false;
         bool reads_store = true;
         std::vector<upstream_work> work;
+        std::optional<endpoint> relay_address;
+        unsigned relayed_calls = 0;
+        std::vector<upstream_group> unreachable;
     };
     using member = membership::member;
 
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -133,6 +133,32 @@
     return list;
 }
 
+/// Writes what concerns relaying, where there is something to tell.
+void write_relaying(const peer_report& report, json& item)
+{
+    if (report.relay_address) {
+        item["relay"] = report.relay_address->value();
+    }
+    if (report.relayed_calls > 0) {
+        item["relayed_calls"] = report.relayed_calls;
+    }
+    for (const upstream_group& group : report.unreachable) {
+        item["unreachable"].push_back(json::array({group.service.value(), group.data_hall.value()}));
+    }
+}
+
+void read_relaying(const json& item, peer_report& report)
+{
+    if (item.contains("relay")) {
+        report.relay_address = endpoint(item.at("relay").get<std::string>());
+    }
+    report.relayed_calls = item.value("relayed_calls", 0U);
+    for (const json& group : item.value("unreachable", json::array())) {
+        report.unreachable.push_back(
+            {service_id(group.at(0).get<std::string>()), data_hall_id(group.at(1).get<std::string>())});
+    }
+}
+
 crash_record read_crash(const json& item)
 {
     crash_record record;
@@ -204,7 +230,7 @@
 
 std::string encode_peer_report(const peer_report& report)
 {
-    return to_cbor({{"sender", write_host(report.sender)}, {"leaving", report.is_leaving},
+    json item = {{"sender", write_host(report.sender)}, {"leaving", report.is_leaving},
         {"version", report.bundle_version}, {"bundle_age", write_age(report.bundle_age)},
         {"offset", write_optional(report.entries_offset)}, {"entries_age", write_age(report.entries_age)},
         {"disturbed_age", write_age(report.store_disturbed_age)}, {"reads_store", report.reads_store},
@@ -217,7 +243,9 @@
         {"crashes", write_crashes(report)}, {"limits", write_limits(report)},
         {"leaving_upstreams", write_leaving(report)},
         // Required by older releases.
-        {"hosts", json::array()}});
+        {"hosts", json::array()}};
+    write_relaying(report, item);
+    return to_cbor(item);
 }
 
 peer_report decode_peer_report(const std::string& bytes)
@@ -240,6 +268,7 @@
         report.incarnation = incarnation_number(item.value("incarnation", std::uint64_t{1}));
         report.hosts_digest = item.value("hosts_digest", std::uint64_t{0});
         read_lists(item, report);
+        read_relaying(item, report);
         return report;
     });
 }
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <base/ids.h>
+#include <base/upstreamgroup.h>
 #include <fleet/crashsuspects.h>
 #include <fleet/upstreamlimits.h>
 
@@ -105,6 +106,9 @@
     std::vector<host_state> news; ///< of hosts whose state changed recently
     std::vector<crash_record> crashes; ///< requests under which upstreams have crashed
     std::vector<limit_statement> limits; ///< that upstreams name or recently named
+    std::optional<endpoint> relay_address; ///< at which the sender relays requests of others
+    unsigned relayed_calls = 0; ///< that the sender relays now
+    std::vector<upstream_group> unreachable; ///< to which the sender can make no connections
 };
 
 /// Writes the states of hosts as CBOR.
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -176,6 +176,13 @@
     this->visit_streams([&id](stream_delivery& stream) { stream.keep_upstream(id); });
 }
 
+void gateway_service::leave_lost_connections(
+    const std::function<std::optional<time_point>(const upstream_id&)>& unreachable_since)
+{
+    this->visit_streams(
+        [&unreachable_since](stream_delivery& stream) { stream.leave_lost_connection(unreachable_since); });
+}
+
 void gateway_service::leave_given_up_layers()
 {
     this->visit_streams([](stream_delivery& stream) { stream.leave_given_up_layers(); });
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -30,6 +30,10 @@
     void leave_upstreams(const std::vector<upstream_id>& ids);
     /// Marks an upstream that was dead as alive again for all streams.
     void keep_upstream(const upstream_id& id);
+    /// Moves streams off silent connections to heads to which no new ones can be made; as
+    /// `stream_delivery::leave_lost_connection`.
+    void leave_lost_connections(
+        const std::function<std::optional<time_point>(const upstream_id&)>& unreachable_since);
     /// Changes the paths of streams whose engines no longer hold layers of these paths.
     void leave_given_up_layers();
     /// Answers a caller's request immediately, queues it, or starts a delivery for it.
--- a/src/libs/runtime/wholecall.cpp
+++ b/src/libs/runtime/wholecall.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-void send_whole(
-    event_loop& loop, const whole_call& call, const std::function<void(const whole_call_result&)>& on_end)
+void collect_whole(event_loop& loop, duration limit,
+    const std::function<std::function<void()>(http_call_handlers)>& start,
+    const std::function<void(const whole_call_result&)>& on_end)
 {
     const auto pending = std::make_shared<pending_answer>();
     http_call_handlers handlers;
@@ -43,16 +44,26 @@
         on_end(make_result(ending, pending->response, reason));
     };
     handlers.may_resend = [] { return true; };
-    const http_call_options options{.connect_limit = call.limit,
-        .pool = call.pool,
-        .source = call.source,
-        .on_connection = call.on_connection};
-    const std::shared_ptr<http_call> exchange =
-        http_call::start(loop, call.target, call.request, options, std::move(handlers));
-    pending->timer = loop.schedule_after(call.limit, [exchange, on_end, limit = call.limit] {
-        exchange->give_up();
+    const std::function<void()> cancel = start(std::move(handlers));
+    pending->timer = loop.schedule_after(limit, [cancel, on_end, limit] {
+        cancel();
         on_end({std::nullopt, "no answer within " + write_milliseconds(limit) + " ms"});
     });
 }
 
+void send_whole(
+    event_loop& loop, const whole_call& call, const std::function<void(const whole_call_result&)>& on_end)
+{
+    const auto start = [&loop, &call](http_call_handlers handlers) {
+        const http_call_options options{.connect_limit = call.connect_limit.value_or(call.limit),
+            .pool = call.pool,
+            .source = call.source,
+            .on_connection = call.on_connection};
+        const std::shared_ptr<http_call> exchange =
+            http_call::start(loop, call.target, call.request, options, std::move(handlers));
+        return [exchange] { exchange->give_up(); };
+    };
+    collect_whole(loop, call.limit, start, on_end);
+}
+
 } // namespace sailtiller
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -33,7 +33,8 @@
     {
         this->settings_files.push_back(testing::TempDir() + "sailtiller-" + std::to_string(getpid()) + name);
         this->write_source(this->settings_files.back(), usable_source);
-        return this->start_host(name, {"--config", this->settings_files.back()});
+        return this->start_host(
+            name, {"--config", this->settings_files.back(), "--relay-listen", "127.0.0.1:0"});
     }
 
     /// The host can make no connections to upstreams from now on; those that are open live on.
