System tests, Soak: hosts that lose and regain their way to upstreams

Return to direct connections, both sides of explain, all hosts but one cut, no way at all, a relaying host killed and stopped, the duty to give orders. The soak takes the way from hosts in series and overlapping, drawn apart from the other faults so that their series stay; a request is never refused for want of a way while a host that could relay it has been calm for the time of contact. A request's copy is kept only until its connection is made; groups of upstreams are collected anew only after a change of the directory.

--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -8,7 +8,6 @@
 #include <runtime/httpcall.h>
 
 #include <algorithm>
-#include <set>
 
 namespace sailtiller {
 
@@ -50,20 +49,15 @@
     item.timers = this->loop.hooks();
     item.random = this->hooks.random;
     item.list_groups = [this] {
-        std::set<upstream_group> groups;
-        for (const auto& [id, entry] : this->hooks.upstreams.entries()) {
-            groups.insert({entry.upstream.service, entry.upstream.data_hall});
+        std::vector<upstream_group> known;
+        for (const auto& [group, members] : this->list_groups()) {
+            known.push_back(group);
         }
-        return std::vector<upstream_group>(groups.begin(), groups.end());
+        return known;
     };
     item.list_members = [this](const upstream_group& group) {
-        std::vector<upstream_id> members;
-        for (const auto& [id, entry] : this->hooks.upstreams.entries()) {
-            if (entry.upstream.service == group.service && entry.upstream.data_hall == group.data_hall) {
-                members.push_back(id);
-            }
-        }
-        return members;
+        const auto found = this->list_groups().find(group);
+        return found == this->groups.end() ? std::vector<upstream_id>() : found->second;
     };
     item.connect = [this](const upstream_id& id, duration limit, const std::function<void(bool)>& on_end) {
         this->check_connection(id, limit, on_end);
@@ -74,6 +68,18 @@
     return item;
 }
 
+const upstream_link::group_members& upstream_link::list_groups()
+{
+    if (this->groups_version != this->hooks.upstreams.change_count()) {
+        this->groups.clear();
+        for (const auto& [id, entry] : this->hooks.upstreams.entries()) {
+            this->groups[{entry.upstream.service, entry.upstream.data_hall}].push_back(id);
+        }
+        this->groups_version = this->hooks.upstreams.change_count();
+    }
+    return this->groups;
+}
+
 std::optional<upstream_group> upstream_link::find_group(const upstream_id& id) const
 {
     const directory_entry* entry = this->hooks.upstreams.find(id);
@@ -203,8 +209,11 @@
         }
     };
     call->cancel = this->send_observed(target, request, may_repeat, std::move(direct),
-        [observer = this->make_observer(target.id, connect_limit), was_made](bool is_made) {
+        [observer = this->make_observer(target.id, connect_limit), call, was_made](bool is_made) {
             *was_made = is_made;
+            if (is_made) {
+                call->request = {}; // only a request without a connection goes another way
+            }
             observer(is_made);
         });
     return cancel;
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -90,8 +90,11 @@
         bool is_cancelled = false;
     };
     using connection_observer = std::function<void(bool is_made)>;
+    using group_members = std::map<upstream_group, std::vector<upstream_id>>;
 
     upstream_reachability_hooks make_reachability_hooks();
+    /// The upstreams by group, collected anew only after a change of the directory.
+    const group_members& list_groups();
     [[nodiscard]] std::optional<upstream_group> find_group(const upstream_id& id) const;
     [[nodiscard]] bool uses_other_hosts(const upstream_group& group) const;
     /// Feeds what becomes of a new connection into the reachability of the upstream's group.
@@ -113,6 +116,8 @@
     request_codec requests;
     order_codec orders;
     connection_pool connections;
+    group_members groups;
+    std::optional<std::uint64_t> groups_version; ///< of the directory
     upstream_reachability reachability;
     relay_client relay;
     /// Last answers over kept connections, of services to which no new ones can be made.
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -18,6 +18,8 @@
 constexpr const char* usable_source = "127.0.0.1:0";
 /// For so long after the cut the users allow a host to fail its callers.
 constexpr duration contact_time = 3s;
+/// Within this the project wants a host to know of a cut, or of its end, and to tell the others.
+constexpr duration detection_time = 1s;
 
 class unreachable_upstreams : public site_bed
 {
@@ -78,6 +80,17 @@
         }
     }
 
+    /// How often the host has made a decision of that kind.
+    std::string count_decisions(const site_host_process& host, const std::string& kind)
+    {
+        const std::string mark = "sailtiller_site_decisions_total{kind=\"" + kind + "\"} ";
+        const std::string page = this->fetch(host, "/metrics");
+        const std::size_t begin = page.find(mark);
+        return begin == std::string::npos
+            ? "0"
+            : page.substr(begin + mark.size(), page.find('\n', begin) - begin - mark.size());
+    }
+
     std::vector<std::string> settings_files; ///< of the hosts, in their order
 
 private:
@@ -96,6 +109,143 @@
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
+TEST_F(unreachable_upstreams, a_host_sends_directly_again_once_it_can)
+{
+    this->start_hosts({"a", "b", "c"});
+    this->cut(0);
+    this->pass(detection_time);
+    this->ask_in_turn(*this->hosts[0], "cut-", 4);
+    const std::string relayed = this->count_decisions(*this->hosts[0], "relayed");
+    EXPECT_NE(relayed, "0"); // the first ones may still find a kept connection
+    this->heal(0);
+    this->pass(detection_time);
+    this->ask_in_turn(*this->hosts[0], "healed-", 6);
+    EXPECT_EQ(this->count_decisions(*this->hosts[0], "relayed"), relayed);
+}
+
+TEST_F(unreachable_upstreams, explain_follows_a_request_over_both_hosts)
+{
+    this->start_hosts({"a", "b"});
+    this->cut(0);
+    this->pass(detection_time);
+    this->ask_in_turn(*this->hosts[0], "cut-", 1);
+    EXPECT_NE(this->fetch(*this->hosts[0], "/explain?request=cut-0").find("by way of b"), std::string::npos);
+    EXPECT_NE(
+        this->fetch(*this->hosts[1], "/explain?request=cut-0").find("relayed_for_peer"), std::string::npos);
+}
+
+TEST_F(unreachable_upstreams, all_hosts_but_one_are_served_by_it)
+{
+    this->start_hosts({"a", "b", "c", "d"});
+    for (const std::size_t number : {0U, 1U, 2U}) {
+        this->cut(number);
+    }
+    this->pass(detection_time);
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (unsigned number = 0; number < 60; ++number) {
+        answers.push_back(this->ask(*this->hosts[number % 3], "r" + std::to_string(number)));
+    }
+    for (const auto& answer : answers) {
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200) << answer->body;
+        EXPECT_EQ(answer->body, this->whole_stream());
+    }
+    EXPECT_EQ(this->world.order_faults, 0U);
+}
+
+TEST_F(unreachable_upstreams, hosts_without_any_way_refuse_at_once_and_are_not_ready)
+{
+    this->start_hosts({"a", "b"});
+    this->cut(0);
+    this->cut(1);
+    // A host learns of the loss from its own requests.
+    for (unsigned number = 0; number < 4; ++number) {
+        this->wait_for(this->ask(*this->hosts[number % 2], "first-" + std::to_string(number)));
+    }
+    this->pass(detection_time);
+    for (const auto& host : this->hosts) {
+        const time_point asked = this->loop.now();
+        const auto answer = this->ask(*host, "refused-at-" + host->name);
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 503);
+        EXPECT_TRUE(find_header(answer->headers, "retry-after"));
+        EXPECT_LT(this->loop.now() - asked, 100ms);
+        EXPECT_EQ(this->fetch(*host, "/readyz"), "no way to any upstream\n");
+    }
+    this->heal(0);
+    this->heal(1);
+    this->pass(detection_time);
+    this->ask_in_turn(*this->hosts[0], "healed-", 4);
+    EXPECT_EQ(this->fetch(*this->hosts[0], "/readyz"), "ready\n");
+}
+
+TEST_F(unreachable_upstreams, a_relayed_stream_goes_on_when_its_relaying_host_is_killed)
+{
+    this->start_hosts({"a", "b", "c"});
+    this->cut(0);
+    this->pass(detection_time);
+    this->world.stream_events = 200;
+    this->world.event_interval = 10ms;
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (unsigned number = 0; number < 8; ++number) {
+        answers.push_back(this->ask(*this->hosts[0], "long-" + std::to_string(number)));
+    }
+    this->pass(700ms);
+    this->hosts[1]->process->send_signal(SIGKILL);
+    for (const auto& answer : answers) {
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, this->whole_stream());
+    }
+    EXPECT_EQ(this->world.order_faults, 0U);
+}
+
+TEST_F(unreachable_upstreams, a_planned_stop_of_the_relaying_host_cuts_no_relayed_stream)
+{
+    this->start_hosts({"a", "b"});
+    this->cut(0);
+    this->pass(detection_time);
+    this->world.stream_events = 200;
+    this->world.event_interval = 10ms;
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (unsigned number = 0; number < 4; ++number) {
+        answers.push_back(this->ask(*this->hosts[0], "long-" + std::to_string(number)));
+    }
+    this->pass(500ms);
+    this->hosts[1]->process->send_signal(SIGTERM);
+    for (const auto& answer : answers) {
+        this->wait_for(answer);
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, this->whole_stream());
+    }
+    run_until(this->loop, [this] { return this->hosts[1]->process->exit_code().has_value(); });
+    EXPECT_EQ(this->hosts[1]->process->exit_code(), 0);
+}
+
+TEST_F(unreachable_upstreams, the_duty_to_give_orders_leaves_a_host_that_can_not_reach_the_engines)
+{
+    this->start_hosts({"a", "b", "c"});
+    const auto find_holder = [this] {
+        for (std::size_t number = 0; number < this->hosts.size(); ++number) {
+            if (json::parse(this->fetch(*this->hosts[number], "/status")).at("gives_orders").get<bool>()) {
+                return std::optional(number);
+            }
+        }
+        return std::optional<std::size_t>();
+    };
+    std::optional<std::size_t> holder;
+    run_until(this->loop, [&] {
+        holder = find_holder();
+        return holder.has_value();
+    });
+    this->cut(*holder);
+    this->ask_in_turn(*this->hosts[*holder], "cut-", 2);
+    this->pass(contact_time);
+    const std::optional<std::size_t> next = find_holder();
+    ASSERT_TRUE(next);
+    EXPECT_NE(*next, *holder);
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
 
 namespace sailtiller::tests {
 
@@ -38,11 +41,13 @@
 void soak_bed::start(unsigned seed)
 {
     this->random.seed(seed);
+    this->way_random.seed(seed ^ 0x5a5aU);
     this->start_engines(4);
     for (const char* name : {"a", "b", "c"}) {
         host_slot slot;
         slot.name = name;
-        slot.host = &this->start_host(name);
+        slot.settings_file = testing::TempDir() + "sailtiller-soak-" + std::to_string(getpid()) + name;
+        slot.host = &this->start_slot(slot);
         this->slots.push_back(slot);
     }
     for (const host_slot& slot : this->slots) {
@@ -108,6 +113,7 @@
     this->bring_back();
     this->name_limits();
     this->notices->apply(this->loop.now());
+    this->change_ways();
     this->ask_beyond_limits();
     this->copies.push_back(this->store.take_copy());
     if (this->copies.size() > kept_copies) {
@@ -163,6 +169,7 @@
         if (!item.answered && item.answer->is_done) {
             item.answered = this->loop.now();
             item.was_host_disturbed = this->slots[item.slot].disturbed >= item.sent;
+            item.had_relaying_host = this->has_relaying_host(this->slots[item.slot]);
         }
     }
 }
@@ -194,7 +201,7 @@
             }
             slot.is_ended = false;
             slot.unsettled.push_back(now);
-            slot.host = &this->start_host(slot.name);
+            slot.host = &this->start_slot(slot);
         }
     }
 }
@@ -255,6 +262,64 @@
     slot.host->process->send_signal(signal);
 }
 
+site_host_process& soak_bed::start_slot(host_slot& slot)
+{
+    this->write_source(slot);
+    return this->start_host(slot.name, {"--config", slot.settings_file, "--relay-listen", "127.0.0.1:0"});
+}
+
+void soak_bed::write_source(const host_slot& slot)
+{
+    // No connection can be made from an address of documentation (RFC 5737).
+    std::ofstream(slot.settings_file)
+        << "upstream-source=" << (slot.way_back_at ? "203.0.113.1:0" : "127.0.0.1:0") << "\n";
+}
+
+void soak_bed::set_way(host_slot& slot, bool is_open)
+{
+    this->series += (is_open ? " way-" : " no-way-") + slot.name;
+    slot.way_back_at = is_open
+        ? std::nullopt
+        : std::optional(this->loop.now() + std::chrono::milliseconds(300 + this->way_random() % 5000));
+    slot.way_changed = this->loop.now();
+    this->write_source(slot);
+    if (!slot.is_ended) {
+        slot.host->process->send_signal(SIGHUP);
+    }
+}
+
+void soak_bed::change_ways()
+{
+    for (host_slot& slot : this->slots) {
+        if (slot.way_back_at && this->loop.now() >= *slot.way_back_at) {
+            this->set_way(slot, true);
+        }
+    }
+    host_slot& slot = this->slots[this->way_random() % this->slots.size()];
+    if (this->way_random() % 6 == 0 && !slot.way_back_at && this->is_taking(slot)) {
+        this->set_way(slot, false);
+    }
+}
+
+bool soak_bed::has_relaying_host(const host_slot& slot) const
+{
+    const time_point now = this->loop.now();
+    const auto is_calm = [this, now](const host_slot& item) {
+        return this->is_taking(item) && this->is_settled(item, now) && now - item.disturbed >= contact_time;
+    };
+    return is_calm(slot) && std::any_of(this->slots.begin(), this->slots.end(), [&](const host_slot& other) {
+        return other.name != slot.name && is_calm(other) && !other.way_back_at
+            && now - other.way_changed >= contact_time;
+    });
+}
+
+soak_bed::~soak_bed()
+{
+    for (const host_slot& slot : this->slots) {
+        std::remove(slot.settings_file.c_str());
+    }
+}
+
 void soak_bed::suspend_host(host_slot& slot)
 {
     if (!this->is_taking(slot)) {
@@ -344,6 +409,11 @@
             engine->crash(); // it ends, and another start of it takes its place
         }
     }
+    for (host_slot& slot : this->slots) {
+        if (slot.way_back_at) {
+            this->set_way(slot, true);
+        }
+    }
     const auto is_back = [this] {
         this->bring_back();
         this->name_limits();
@@ -379,6 +449,8 @@
     const std::string what = item.id + " " + item.path + " at " + this->slots[item.slot].name + ", status "
         + std::to_string(status) + ", after" + this->series;
     const unsigned runs = this->world.runs[item.id];
+    const bool found_no_way = item.answer->body.find("neither this host nor another") != std::string::npos;
+    EXPECT_FALSE(found_no_way && item.had_relaying_host) << "another host could relay it: " << what;
     if (item.path == "/submit/x") {
         EXPECT_LE(runs, 1U) << "an unsafe request runs once: " << what;
         EXPECT_TRUE(!promises_not_run(status) || runs == 0) << "a refusal is true: " << what;
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -14,6 +14,7 @@
 class soak_bed : public site_bed
 {
 protected:
+    ~soak_bed() override;
     void start(unsigned seed);
     /// One step of the series: some requests, and perhaps a fault.
     void step();
@@ -39,6 +40,9 @@
         bool is_ended = false; ///< or told to end
         bool is_planned = false; ///< its end
         std::vector<time_point> unsettled; ///< starts, ends and freezes, planned ones too
+        std::string settings_file;
+        std::optional<time_point> way_back_at; ///< while it can make no connections to upstreams
+        time_point way_changed{}; ///< the last loss or return of that
     };
 
     /// A time in which an upstream names a limit.
@@ -60,6 +64,7 @@
         time_point sent{};
         std::optional<time_point> answered;
         std::shared_ptr<site_answer> answer;
+        bool had_relaying_host = false; ///< at its answer
         bool was_host_disturbed = false; ///< by anything that wasn't planned, from its sending to its answer
     };
 
@@ -72,6 +77,13 @@
     void disturb();
     void end_host(host_slot& slot, int signal);
     void suspend_host(host_slot& slot);
+    site_host_process& start_slot(host_slot& slot);
+    /// Some hosts lose their way to the upstreams, and get it back; connections that are open live on.
+    void change_ways();
+    void set_way(host_slot& slot, bool is_open);
+    static void write_source(const host_slot& slot);
+    /// Another host, to whom nothing has happened of late, could relay for this one.
+    [[nodiscard]] bool has_relaying_host(const host_slot& slot) const;
     void shut_store(host_slot& slot);
     void change_configuration();
     void restore_store();
@@ -102,6 +114,7 @@
     time_point drop_silent_at{}; ///< when it drops what nobody writes again
     std::vector<limited_time> limited;
     std::unique_ptr<notice_series> notices;
+    std::mt19937 way_random; ///< as the one for limits
     std::mt19937 limit_random; ///< apart from that of the other faults
     unsigned count = 0;
 };
