--- a/src/libs/health/upstreamreachability.cpp
+++ b/src/libs/health/upstreamreachability.cpp
@@ -2,6 +2,7 @@
 #include <health/upstreamreachability.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace sailtiller {
 
@@ -244,14 +245,11 @@
 
 void upstream_reachability::run_settled_actions()
 {
-    std::vector<waiting_action> due;
-    for (waiting_action& item : this->waiting) {
-        if (this->is_settled(item.group)) {
-            due.push_back(std::move(item));
-            item.action = nullptr;
-        }
-    }
-    std::erase_if(this->waiting, [](const waiting_action& item) { return !item.action; });
+    const auto first_due = std::stable_partition(this->waiting.begin(), this->waiting.end(),
+        [this](const waiting_action& item) { return !this->is_settled(item.group); });
+    const std::vector<waiting_action> due(
+        std::make_move_iterator(first_due), std::make_move_iterator(this->waiting.end()));
+    this->waiting.erase(first_due, this->waiting.end());
     for (const waiting_action& item : due) {
         item.action();
     }
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -170,6 +170,10 @@
     void miss_acceptance()
     {
         this->owner.avoid(this->host);
+        if (this->call) {
+            this->call->give_up(); // kept connections to the host may be as silent
+            this->call.reset();
+        }
         this->break_off(this->host.value() + " did not accept the request in time");
     }
 
@@ -234,6 +238,14 @@
 {
 }
 
+relay_client::~relay_client()
+{
+    while (!this->calls.empty()) {
+        const std::shared_ptr<relayed_call> call = this->calls.begin()->second;
+        call->cancel();
+    }
+}
+
 cancel_call relay_client::send(const upstream_target& target, const upstream_group& group,
     const http_request& request, bool may_repeat, http_call_handlers handlers)
 {
@@ -258,6 +270,7 @@
     const upstream_group& group, const std::set<host_id>& tried) const
 {
     const time_point now = this->loop.now();
+    std::map<host_id, unsigned> own_calls = this->count_calls();
     std::optional<relay_candidate> best;
     std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
     for (relay_candidate& candidate : this->hooks.list_candidates(group)) {
@@ -267,7 +280,7 @@
             continue;
         }
         constexpr std::uint64_t tie_values = 1000; // spreads hosts of equal cost
-        const std::uint64_t calls = std::max(candidate.relayed_calls, this->count_calls(candidate.id))
+        const std::uint64_t calls = std::max(candidate.relayed_calls, own_calls[candidate.id])
             + (candidate.is_same_hall ? 0 : this->settings.other_hall_calls);
         const std::uint64_t cost = calls * tie_values + this->hooks.random() % tie_values;
         if (cost < least) {
@@ -283,10 +296,13 @@
     this->avoided_until[host] = this->loop.now() + this->settings.avoid_time;
 }
 
-unsigned relay_client::count_calls(const host_id& host) const
+std::map<host_id, unsigned> relay_client::count_calls() const
 {
-    return static_cast<unsigned>(std::count_if(this->calls.begin(), this->calls.end(),
-        [&host](const auto& item) { return item.second->current_host() == host; }));
+    std::map<host_id, unsigned> counts;
+    for (const auto& [key, call] : this->calls) {
+        ++counts[call->current_host()];
+    }
+    return counts;
 }
 
 void relay_client::end_calls_of_silent_hosts()
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -57,6 +57,9 @@
 {
 public:
     relay_client(event_loop& loop, relay_client_settings settings, relay_client_hooks hooks);
+    ~relay_client();
+    relay_client(const relay_client&) = delete;
+    relay_client& operator=(const relay_client&) = delete;
 
     /// Sends a request by way of the host with the fewest relayed calls. The handlers run from the loop. The
     /// result cancels the call.
@@ -74,7 +77,8 @@
     [[nodiscard]] std::optional<relay_candidate> choose(
         const upstream_group& group, const std::set<host_id>& tried) const;
     void avoid(const host_id& host);
-    [[nodiscard]] unsigned count_calls(const host_id& host) const;
+    /// Calls of this host that are under way by way of each other one.
+    [[nodiscard]] std::map<host_id, unsigned> count_calls() const;
 
     event_loop& loop;
     relay_client_settings settings;
--- a/src/libs/relay/relayservice.cpp
+++ b/src/libs/relay/relayservice.cpp
@@ -11,6 +11,25 @@
 {
 }
 
+relay_service::~relay_service()
+{
+    while (!this->calls.empty()) {
+        const relayed_call call = this->remove(this->calls.begin());
+        call.exchange->when_abandoned(nullptr);
+        if (call.cancel) {
+            call.cancel();
+        }
+    }
+}
+
+relay_service::relayed_call relay_service::remove(std::map<std::uint64_t, relayed_call>::iterator place)
+{
+    relayed_call call = std::move(place->second);
+    this->calls.erase(place);
+    this->hooks.timers.cancel(call.look_timer);
+    return call;
+}
+
 void relay_service::handle(const std::shared_ptr<http_exchange>& exchange)
 {
     const endpoint& peer = exchange->request().peer;
@@ -118,8 +137,7 @@
     if (found == this->calls.end()) {
         return;
     }
-    const relayed_call call = std::move(found->second);
-    this->calls.erase(found);
+    const relayed_call call = this->remove(found);
     if (ending == call_ending::not_connected) {
         this->log(event_type::path_failed, call.request.target, "no connection: " + reason);
         call.exchange->send(encode_relay_head({reason, 0, {}}));
@@ -138,8 +156,7 @@
     if (found == this->calls.end()) {
         return;
     }
-    const relayed_call call = std::move(found->second);
-    this->calls.erase(found);
+    const relayed_call call = this->remove(found);
     this->log(event_type::caller_left, call.request.target, reason);
     if (call.cancel) {
         call.cancel();
@@ -149,17 +166,18 @@
 
 void relay_service::schedule_look(std::uint64_t key)
 {
-    this->hooks.timers.schedule_after(this->settings.look_interval, [this, key] {
-        const auto found = this->calls.find(key);
-        if (found == this->calls.end()) {
-            return;
-        }
-        if (found->second.exchange->has_caller_left()) {
-            this->drop(key, "the asking host closed the connection");
-            return;
-        }
-        this->schedule_look(key);
-    });
+    this->calls[key].look_timer =
+        this->hooks.timers.schedule_after(this->settings.look_interval, [this, key] {
+            const auto found = this->calls.find(key);
+            if (found == this->calls.end()) {
+                return;
+            }
+            if (found->second.exchange->has_caller_left()) {
+                this->drop(key, "the asking host closed the connection");
+                return;
+            }
+            this->schedule_look(key);
+        });
 }
 
 void relay_service::end_for_stop()
--- a/src/libs/relay/relayservice.h
+++ b/src/libs/relay/relayservice.h
@@ -46,6 +46,9 @@
 {
 public:
     relay_service(relay_service_settings settings, relay_service_hooks hooks);
+    ~relay_service();
+    relay_service(const relay_service&) = delete;
+    relay_service& operator=(const relay_service&) = delete;
 
     /// Relays one request, or refuses it before anything was sent.
     void handle(const std::shared_ptr<http_exchange>& exchange);
@@ -63,6 +66,7 @@
         cancel_call cancel;
         time_point sent{};
         bool has_head = false;
+        timer_id look_timer = 0;
     };
 
     [[nodiscard]] std::optional<std::string> find_obstacle(const relayed_request& request) const;
@@ -73,6 +77,8 @@
     void take_head(relayed_call& call, int status, const http_headers& headers);
     void take_body(std::uint64_t key, std::string_view bytes);
     void take_end(std::uint64_t key, call_ending ending, const std::string& reason);
+    /// Takes a call out of those in progress.
+    relayed_call remove(std::map<std::uint64_t, relayed_call>::iterator place);
     /// Ends a call whose asking host is gone or too slow.
     void drop(std::uint64_t key, const std::string& reason);
     void schedule_look(std::uint64_t key);
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -178,6 +178,7 @@
     this->add_peer("q");
     this->send(false);
     this->run_to_arrival();
+    this->arrived.front()->start(200, {});
     this->arrived.front()->abort();
     this->run_to_end();
     EXPECT_EQ(this->ending, call_ending::broken);
@@ -294,7 +295,7 @@
     this->run_to_end();
     EXPECT_EQ(this->ending, call_ending::not_connected);
     this->arrived.front()->respond({200, {}, "answer"});
-    run_until(this->loop, [&peer] { return peer.service->calls_in_progress() == 0; });
+    run_until(this->loop, [this] { return this->client->calls_in_progress() == 0; });
     peer.service->begin_stop();
     this->ending.reset();
     this->send(false);
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -24,7 +24,7 @@
 class unreachable_upstreams : public site_bed
 {
 protected:
-    ~unreachable_upstreams() override
+    void TearDown() override
     {
         for (const std::string& path : this->settings_files) {
             std::remove(path.c_str());
--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -313,7 +313,7 @@
     });
 }
 
-soak_bed::~soak_bed()
+void soak_bed::TearDown()
 {
     for (const host_slot& slot : this->slots) {
         std::remove(slot.settings_file.c_str());
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -14,7 +14,7 @@
 class soak_bed : public site_bed
 {
 protected:
-    ~soak_bed() override;
+    void TearDown() override;
     void start(unsigned seed);
     /// One step of the series: some requests, and perhaps a fault.
     void step();
