--- a/src/libs/health/upstreamreachability.cpp
+++ b/src/libs/health/upstreamreachability.cpp
@@ -108,7 +108,9 @@
     const time_point now = this->hooks.timers.now();
     const bool was_stalled = now - began > limit + this->settings.late_timer_margin;
     const bool has_connected_since = state.last_connected && *state.last_connected >= began;
-    if (was_stalled || has_connected_since) {
+    const std::vector<upstream_id> members = this->hooks.list_members(group);
+    const bool has_left = std::find(members.begin(), members.end(), id) == members.end();
+    if (was_stalled || has_connected_since || has_left) {
         return;
     }
     std::erase_if(state.failed,
--- a/tests/auto/health/tst_upstreamreachability.cpp
+++ b/tests/auto/health/tst_upstreamreachability.cpp
@@ -140,6 +140,15 @@
     EXPECT_TRUE(this->changes.empty());
 }
 
+TEST_F(upstream_reachability_test, upstreams_that_have_left_are_no_evidence)
+{
+    for (const char* id : {"gone1", "gone2", "gone3"}) {
+        this->reachability->note_failed(upstream_id(id), engines_x, this->now - request_limit, request_limit);
+    }
+    this->pass(500ms);
+    EXPECT_TRUE(this->changes.empty());
+}
+
 TEST_F(upstream_reachability_test, one_hall_or_one_service_is_lost_alone)
 {
     this->cut_groups({engines_y});
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -80,6 +80,28 @@
         }
     }
 
+    /// Streams of two seconds.
+    std::vector<std::shared_ptr<site_answer>> ask_for_long_streams(
+        const site_host_process& host, unsigned count)
+    {
+        this->world.stream_events = 200;
+        this->world.event_interval = 10ms;
+        std::vector<std::shared_ptr<site_answer>> answers;
+        for (unsigned number = 0; number < count; ++number) {
+            answers.push_back(this->ask(host, "long-" + std::to_string(number)));
+        }
+        return answers;
+    }
+
+    void expect_whole(const std::vector<std::shared_ptr<site_answer>>& answers)
+    {
+        for (const auto& answer : answers) {
+            this->wait_for(answer);
+            EXPECT_EQ(answer->status, 200) << answer->body;
+            EXPECT_EQ(answer->body, this->whole_stream());
+        }
+    }
+
     /// How often the host has made a decision of that kind.
     std::string count_decisions(const site_host_process& host, const std::string& kind)
     {
@@ -145,11 +167,7 @@
     for (unsigned number = 0; number < 60; ++number) {
         answers.push_back(this->ask(*this->hosts[number % 3], "r" + std::to_string(number)));
     }
-    for (const auto& answer : answers) {
-        this->wait_for(answer);
-        EXPECT_EQ(answer->status, 200) << answer->body;
-        EXPECT_EQ(answer->body, this->whole_stream());
-    }
+    this->expect_whole(answers);
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
@@ -184,19 +202,10 @@
     this->start_hosts({"a", "b", "c"});
     this->cut(0);
     this->pass(detection_time);
-    this->world.stream_events = 200;
-    this->world.event_interval = 10ms;
-    std::vector<std::shared_ptr<site_answer>> answers;
-    for (unsigned number = 0; number < 8; ++number) {
-        answers.push_back(this->ask(*this->hosts[0], "long-" + std::to_string(number)));
-    }
+    const auto answers = this->ask_for_long_streams(*this->hosts[0], 8);
     this->pass(700ms);
     this->hosts[1]->process->send_signal(SIGKILL);
-    for (const auto& answer : answers) {
-        this->wait_for(answer);
-        EXPECT_EQ(answer->status, 200);
-        EXPECT_EQ(answer->body, this->whole_stream());
-    }
+    this->expect_whole(answers);
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
@@ -205,19 +214,10 @@
     this->start_hosts({"a", "b"});
     this->cut(0);
     this->pass(detection_time);
-    this->world.stream_events = 200;
-    this->world.event_interval = 10ms;
-    std::vector<std::shared_ptr<site_answer>> answers;
-    for (unsigned number = 0; number < 4; ++number) {
-        answers.push_back(this->ask(*this->hosts[0], "long-" + std::to_string(number)));
-    }
+    const auto answers = this->ask_for_long_streams(*this->hosts[0], 4);
     this->pass(500ms);
     this->hosts[1]->process->send_signal(SIGTERM);
-    for (const auto& answer : answers) {
-        this->wait_for(answer);
-        EXPECT_EQ(answer->status, 200);
-        EXPECT_EQ(answer->body, this->whole_stream());
-    }
+    this->expect_whole(answers);
     run_until(this->loop, [this] { return this->hosts[1]->process->exit_code().has_value(); });
     EXPECT_EQ(this->hosts[1]->process->exit_code(), 0);
 }
