Daemon: silence that may be a lost way is judged again once the way is known

In reading the change: a verdict of death that fell into the checks of a connection was dropped, so a dead engine would have been left half a second later; and engines of a hall that is dark for every host would never have been called dead, as no host reaches it. Such verdicts wait for the checks (20 ms at a time). A group that the other hosts can't reach either is dead, not cut off; one that another host reaches is probed once more by way of that host.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -130,7 +130,8 @@
         [this](
             const upstream_group& group, bool is_reachable) { this->note_reachability(group, is_reachable); },
         [this](const upstream_group& group) { return this->list_relay_candidates(group); },
-        [this](const host_id& id) { return this->peers.hosts().is_heard(id, this->loop.now()); }, log};
+        [this](const host_id& id) { return this->peers.hosts().is_heard(id, this->loop.now()); },
+        [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; }, log};
 }
 
 std::vector<relay_candidate> site_host::list_relay_candidates(const upstream_group& group) const
@@ -249,7 +250,7 @@
     hooks.on_back = [this](const upstream_id& id) { this->gateway.keep_upstream(id); };
     hooks.on_replaced = [this](const upstream_id& id) { this->knowledge.note_ended(id); };
     hooks.on_leaving = [this](const upstream_id& id) { this->knowledge.note_leaving(id); };
-    hooks.is_probe_conclusive = [this](const upstream_id& id) { return this->link.is_probe_conclusive(id); };
+    hooks.judge_silence = [this](const upstream_id& id) { return this->link.judge_silence(id); };
     hooks.on_held = [this](const upstream_id& id, const layer_span& held) {
         this->knowledge.record_reported_layers(id, held, this->loop.now());
     };
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 namespace sailtiller {
 
@@ -17,6 +16,8 @@
 constexpr std::size_t watcher_count = 2;
 /// How long an answer to a probe is told to other hosts: some rounds of reports.
 constexpr duration answer_told_time = std::chrono::milliseconds(1500);
+/// Between two looks at upstreams whose silence shows nothing yet; checks of connections take 60 ms.
+constexpr duration decision_interval = std::chrono::milliseconds(20);
 /// A change of an engine's pace that is worth a line in the log.
 constexpr double pace_margin = 0.5;
 
@@ -71,7 +72,7 @@
     const time_point now = this->loop.now();
     for (const auto& [id, load] : this->loads.all()) {
         const duration left = load.failed_until - now;
-        if (left > duration::zero() && this->hooks.is_probe_conclusive(id)) {
+        if (left > duration::zero() && this->hooks.judge_silence(id) == probe_evidence::of_death) {
             report.suspicions.push_back({id, left});
         }
         const duration unwilling = load.unwilling_until - now;
@@ -195,9 +196,63 @@
 
 void upstream_health::take_deaths(const std::vector<upstream_id>& silent)
 {
-    std::vector<upstream_id> ids;
-    std::copy_if(silent.begin(), silent.end(), std::back_inserter(ids),
-        [this](const upstream_id& id) { return this->hooks.is_probe_conclusive(id); });
+    std::vector<upstream_id> dead;
+    for (const upstream_id& id : silent) {
+        if (this->hooks.judge_silence(id) == probe_evidence::of_death) {
+            dead.push_back(id);
+        } else {
+            this->undecided.insert(id);
+        }
+    }
+    this->mark_dead(dead);
+    this->schedule_decision();
+}
+
+void upstream_health::schedule_decision()
+{
+    if (!this->undecided.empty() && !this->is_decision_scheduled) {
+        this->is_decision_scheduled = true;
+        this->loop.schedule_after(decision_interval, [this] { this->decide(); });
+    }
+}
+
+void upstream_health::decide()
+{
+    this->is_decision_scheduled = false;
+    std::vector<upstream_id> dead;
+    const std::set<upstream_id> silent = this->undecided;
+    for (const upstream_id& id : silent) {
+        const probe_evidence evidence = this->hooks.judge_silence(id);
+        if (this->watch.is_dead(id) && evidence == probe_evidence::none_yet) {
+            continue;
+        }
+        this->undecided.erase(id);
+        if (!this->watch.is_dead(id)) {
+            continue; // it has answered, or its verdict has expired
+        }
+        if (evidence == probe_evidence::of_death) {
+            dead.push_back(id);
+        } else {
+            this->probe_again(id);
+        }
+    }
+    this->mark_dead(dead);
+    this->schedule_decision();
+}
+
+void upstream_health::probe_again(const upstream_id& id)
+{
+    this->probe(id, [this, id](const std::optional<double>& pace) {
+        if (pace) {
+            this->watch.prober().note_reported_alive(id, *pace, this->loop.now());
+        } else if (this->watch.is_dead(id)) {
+            this->mark_dead({id});
+        }
+    });
+}
+
+void upstream_health::mark_dead(const std::vector<upstream_id>& ids)
+{
     if (ids.empty()) {
         return;
     }
--- a/src/app/sailtillerd/upstreamhealth.h
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -10,6 +10,8 @@
 #include <health/stalldetector.h>
 #include <routing/engineloads.h>
 
+#include <set>
+
 namespace sailtiller {
 
 /// What the health of the upstreams tells the rest of its host.
@@ -25,8 +27,8 @@
     std::function<void(const upstream_id&)> on_leaving;
     /// An engine told in a report which layers it holds.
     std::function<void(const upstream_id&, const layer_span& held)> on_held;
-    /// True if an unanswered probe tells about the upstream rather than about this host's own way to it.
-    std::function<bool(const upstream_id&)> is_probe_conclusive;
+    /// What an unanswered probe of the upstream shows now.
+    std::function<probe_evidence(const upstream_id&)> judge_silence;
     /// Another one answered at the address of an upstream: the upstream has ended.
     std::function<void(const upstream_id&)> on_replaced;
 };
@@ -69,6 +71,11 @@
     void take_suspicion(const upstream_suspicion& item, const host_id& reporter);
     /// These engines gave no sign of life.
     void take_deaths(const std::vector<upstream_id>& silent);
+    /// Decides on upstreams whose silence showed nothing yet, again and again while there are such.
+    void schedule_decision();
+    void decide();
+    void probe_again(const upstream_id& id);
+    void mark_dead(const std::vector<upstream_id>& ids);
     void note_death(const upstream_id& id);
     /// An engine gave a sign of life and runs so many times slower than it should.
     void take_pace(const upstream_id& id, double pace);
@@ -89,7 +96,9 @@
         time_point at{};
     };
     std::map<upstream_id, answered_probe> answers; ///< of the last moments
+    std::set<upstream_id> undecided; ///< silent ones that may be cut off from this host alone
     std::vector<host_id> live_hosts;
+    bool is_decision_scheduled = false;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -21,6 +21,8 @@
 /// A connection at rest is kept until its upstream closes it, or for this long. A host sends an upstream a
 /// request every second or two, so with 2.5 s one in two was a new connection.
 constexpr duration idle_time = milliseconds(15'000);
+/// From a probe to the verdict on it: its answer limit, extended four times.
+constexpr duration longest_probe_time = milliseconds(600);
 /// Time for which an answer over a kept connection shows that requests can still be sent over such ones.
 constexpr duration kept_connection_time = milliseconds(1000);
 /// Without answer by then, an order counts as unanswered and is sent again.
@@ -124,14 +126,22 @@
     });
 }
 
-bool upstream_link::is_probe_conclusive(const upstream_id& id) const
+probe_evidence upstream_link::judge_silence(const upstream_id& id) const
 {
     const std::optional<upstream_group> group = this->find_group(id);
     if (!group) {
-        return true;
+        return probe_evidence::of_death;
+    }
+    const std::optional<time_point> since = this->reachability.unreachable_since(*group);
+    if (!since) {
+        return this->reachability.is_doubtful(*group) ? probe_evidence::none_yet : probe_evidence::of_death;
+    }
+    if (this->hooks.list_candidates(*group).empty()) {
+        // The others say the same of it, so it is not this host's way that is lost.
+        return this->hooks.hears_other_hosts() ? probe_evidence::of_death : probe_evidence::none_yet;
     }
-    return this->is_reachable(*group) ? !this->reachability.is_doubtful(*group)
-                                      : this->relay.has_candidate(*group);
+    const bool was_relayed = this->loop.now() - *since > longest_probe_time;
+    return was_relayed ? probe_evidence::of_death : probe_evidence::of_lost_way;
 }
 
 bool upstream_link::uses_other_hosts(const upstream_group& group) const
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -10,6 +10,13 @@
 
 namespace sailtiller {
 
+/// What an unanswered probe shows.
+enum class probe_evidence {
+    of_death, ///< the upstream is dead, or no host reaches it
+    none_yet, ///< this host may have lost its way to it
+    of_lost_way ///< this host has lost its way, and others may reach it: a probe by way of them tells
+};
+
 /// Callbacks of the calls to upstreams.
 struct upstream_link_hooks
 {
@@ -23,6 +30,8 @@
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
     /// True while this host hears the other one.
     std::function<bool(const host_id&)> is_host_live;
+    /// True while this host hears any other one.
+    std::function<bool()> hears_other_hosts;
     /// Logs a decision about a request.
     std::function<void(const delivery_event&)> log;
 };
@@ -64,8 +73,8 @@
     /// True if requests to the service can be sent: directly, over a kept connection, or by way of another
     /// host.
     [[nodiscard]] bool has_way_to(const service_id& service) const;
-    /// True if an unanswered probe tells about the upstream rather than about this host's own way to it.
-    [[nodiscard]] bool is_probe_conclusive(const upstream_id& id) const;
+    /// What an unanswered probe that was sent lately shows about the upstream.
+    [[nodiscard]] probe_evidence judge_silence(const upstream_id& id) const;
     /// Calls that are on their way by way of other hosts.
     [[nodiscard]] std::size_t calls_by_other_hosts() const { return this->relay.calls_in_progress(); }
     /// Ends the calls by way of hosts that have fallen silent.
