--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -242,10 +242,16 @@
 
 void upstream_health::probe_again(const upstream_id& id)
 {
-    this->probe(id, [this, id](const std::optional<double>& pace) {
+    const auto has_answered = std::make_shared<bool>(false);
+    this->probe(id, [this, id, has_answered](const std::optional<double>& pace) {
         if (pace) {
+            *has_answered = true;
             this->watch.prober().note_reported_alive(id, *pace, this->loop.now());
-        } else if (this->watch.is_dead(id)) {
+        }
+    });
+    // By way of another host an answer takes one more connection.
+    this->loop.schedule_after(2 * this->watch.prober().answer_limit(), [this, id, has_answered] {
+        if (!*has_answered && this->watch.is_dead(id)) {
             this->mark_dead({id});
         }
     });
