Daemon: a call to an upstream is freed with its end

Found in reading: a routed call kept the cancellation of its connection's call, whose handlers kept the routed call, so each request left both behind.

--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -8,6 +8,7 @@
 #include <runtime/httpcall.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace sailtiller {
 
@@ -195,8 +196,8 @@
         routed_call{target, *group, request, may_repeat, std::move(handlers), nullptr, false});
     const auto cancel = [call] {
         call->is_cancelled = true;
-        if (call->cancel) {
-            call->cancel();
+        if (const cancel_call action = std::exchange(call->cancel, nullptr)) {
+            action();
         }
     };
     if (this->uses_other_hosts(*group)) {
@@ -212,6 +213,7 @@
         };
     }
     direct.on_end = [this, call, was_made](call_ending ending, const std::string& reason) {
+        call->cancel = nullptr; // it keeps the connection's call, whose handlers keep this one
         if (ending == call_ending::not_connected && !*was_made) {
             this->end_without_connection(call, reason);
         } else {
@@ -232,7 +234,6 @@
 void upstream_link::end_without_connection(
     const std::shared_ptr<routed_call>& call, const std::string& reason)
 {
-    call->cancel = nullptr;
     this->reachability.when_settled(call->group, [this, call, reason] {
         if (call->is_cancelled) {
             return;
