Relay: an upstream that breaks off before its answer leaves its relaying host in use

Callers of a host without a way to the upstreams got 503 for a second although another host could relay. Cause: an answer that broke off before its head counted against the host that relayed it, also where the upstream had broken off, so that the only host was avoided. A host that has accepted a request has shown that it works; only one that has not is avoided.

--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -151,8 +151,8 @@
         } else if (ending == call_ending::whole && this->reader.has_head()) {
             this->end(call_ending::whole, {});
         } else {
-            if (!this->reader.has_head()) {
-                this->owner.avoid(this->host);
+            if (!this->is_accepted) {
+                this->owner.avoid(this->host); // later the upstream may have broken off
             }
             this->end(call_ending::broken, from + (reason.empty() ? "no answer" : reason));
         }
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -185,6 +185,18 @@
     EXPECT_EQ(this->arrived.size(), 1U);
 }
 
+TEST_F(relay_test, an_upstream_that_breaks_off_before_its_answer_leaves_its_relaying_host_in_use)
+{
+    this->add_peer("p");
+    this->send(false);
+    this->run_to_arrival();
+    this->arrived.front()->start(200, {});
+    this->arrived.front()->abort();
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::broken);
+    EXPECT_TRUE(this->client->has_candidate(group));
+}
+
 TEST_F(relay_test, a_host_that_can_not_connect_or_refuses_is_followed_by_the_next)
 {
     this->add_peer("p").can_connect = false;
