Delivery: a stream leaves a connection as lost only if no event came after the loss

Streams whose connections lived on while new ones failed were moved if their engine was slow for a moment, to the same engine, by way of another host, so that it ran the stream twice at once. Now an event after the loss keeps the connection, and another head is preferred.

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -93,6 +93,8 @@
     duration look_interval = std::chrono::milliseconds(100);
     /// Retry-after time for refusals while a layer has no holder: approximately one layer load.
     duration retry_after = std::chrono::milliseconds(1000);
+    /// Time after the loss of a way in which a connection that lives on shows it by an event.
+    duration lost_connection_time = std::chrono::milliseconds(100);
     /// Pause before the next path search when every path contains a dead upstream.
     duration change_pause = std::chrono::milliseconds(40);
     /// Path changes allowed without a further pause after one failure. The pause before each later one
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -32,9 +32,9 @@
     this->context.watch.note_progress(*this->watch_key);
 }
 
-bool path_use::is_silent() const
+std::optional<time_point> path_use::silent_since() const
 {
-    return this->watch_key && this->context.watch.is_silent(*this->watch_key);
+    return this->watch_key ? this->context.watch.silent_since(*this->watch_key) : std::nullopt;
 }
 
 void path_use::release()
--- a/src/libs/delivery/pathuse.h
+++ b/src/libs/delivery/pathuse.h
@@ -24,8 +24,8 @@
     void note_begun();
     /// Records an event.
     void note_progress();
-    /// Returns true if the stream's next event is overdue.
-    [[nodiscard]] bool is_silent() const;
+    /// Returns the time of the stream's last event, or of its sending, if its next event is overdue.
+    [[nodiscard]] std::optional<time_point> silent_since() const;
     /// Clears the path.
     void release();
 
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -191,15 +191,24 @@
 void stream_delivery::leave_lost_connection(
     const std::function<std::optional<time_point>(const upstream_id&)>& unreachable_since)
 {
-    if (!this->is_under_way() || !this->path.is_silent()) {
+    if (!this->is_under_way()) {
+        return;
+    }
+    const std::optional<time_point> silent = this->path.silent_since();
+    const std::optional<time_point> lost = unreachable_since(this->path.head().id);
+    // An event after the loss shows that the connection lives on; a send after it went another way.
+    const bool may_be_lost = silent && lost && std::max(*silent, this->call.sent_at()) < *lost
+        && this->context.timers.now() - *lost >= this->context.settings.lost_connection_time;
+    if (!may_be_lost || !this->sends.may_send_now(this->has_started)) {
         return;
     }
-    const std::optional<time_point> since = unreachable_since(this->path.head().id);
-    const bool is_direct = since && this->call.sent_at() < *since;
-    if (is_direct && this->sends.may_send_now(this->has_started)) {
-        // The head is not at fault, so that it may be used again by way of another host.
-        this->retry_or_give_up("its connection is silent, and no new one can be made");
+    // The head may go on with the stream until it finds the connection closed.
+    std::set<upstream_id> others = this->avoided;
+    others.insert(this->path.head().id);
+    if (this->chooser.find(others)) {
+        this->avoided = std::move(others);
     }
+    this->retry_or_give_up("its connection is silent, and no new one can be made");
 }
 
 void stream_delivery::leave_given_up_layers()
--- a/src/libs/health/stalldetector.cpp
+++ b/src/libs/health/stalldetector.cpp
@@ -241,10 +241,11 @@
     });
 }
 
-bool stall_detector::is_silent(stream_key key) const
+std::optional<time_point> stall_detector::silent_since(stream_key key) const
 {
     const auto found = this->streams.find(key);
-    return found != this->streams.end() && found->second.due <= this->hooks.timers.now();
+    const bool is_silent = found != this->streams.end() && found->second.due <= this->hooks.timers.now();
+    return is_silent ? std::optional(found->second.since) : std::nullopt;
 }
 
 bool stall_detector::is_progressing(const upstream_id& id) const
--- a/src/libs/health/stalldetector.h
+++ b/src/libs/health/stalldetector.h
@@ -4,6 +4,7 @@
 #include <health/silencemodel.h>
 #include <health/upstreamprobes.h>
 
+#include <optional>
 #include <vector>
 
 namespace sailtiller {
@@ -87,8 +88,8 @@
     void suspect(const upstream_id& id);
     /// True from a dead verdict until a sign of life.
     [[nodiscard]] bool is_dead(const upstream_id& id) const { return this->probes.is_dead(id); }
-    /// True if the stream's next event is overdue.
-    [[nodiscard]] bool is_silent(stream_key key) const;
+    /// Time of the stream's last event, or of its sending, if its next event is overdue; empty if it is not.
+    [[nodiscard]] std::optional<time_point> silent_since(stream_key key) const;
     /// True if a stream over the upstream had an event at `since` or later.
     [[nodiscard]] bool has_progressed(const upstream_id& id, time_point since) const;
     /// True if a stream over the upstream has had events and the next one is not overdue.
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -930,18 +930,43 @@
 TEST_F(stream_delivery_test, a_silent_connection_is_left_once_no_new_one_can_be_made)
 {
     const auto delivery = this->start_streaming(2);
+    const time_point lost = this->now + 10ms;
+    const auto lost_way = [lost](const upstream_id&) { return std::optional(lost); };
     this->pass(2s);
     const std::size_t before = this->sends.size();
     delivery->leave_lost_connection([](const upstream_id&) { return std::nullopt; });
     EXPECT_EQ(this->sends.size(), before) << "new connections can be made, so the engine is silent";
-    const time_point lost = this->now;
-    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    delivery->leave_lost_connection(lost_way);
     ASSERT_EQ(this->sends.size(), before + 1);
     EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "1");
-    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    this->pass(2s);
+    delivery->leave_lost_connection(lost_way);
     EXPECT_EQ(this->sends.size(), before + 1) << "the new send went another way";
 }
 
+TEST_F(stream_delivery_test, a_lost_connection_is_left_for_another_head_while_there_is_one)
+{
+    this->put_engine("other", 3, {0, 8});
+    const auto delivery = this->start_streaming(2);
+    const upstream_id first = this->last_target();
+    const time_point lost = this->now + 10ms;
+    this->pass(2s);
+    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    EXPECT_NE(this->last_target(), first);
+}
+
+TEST_F(stream_delivery_test, a_connection_with_events_after_the_loss_of_the_way_is_kept)
+{
+    const auto delivery = this->start_streaming(2);
+    const time_point lost = this->now;
+    this->pass(50ms);
+    this->last_send().handlers.on_body(events(2, 3));
+    this->pass(2s);
+    const std::size_t before = this->sends.size();
+    delivery->leave_lost_connection([lost](const upstream_id&) { return std::optional(lost); });
+    EXPECT_EQ(this->sends.size(), before);
+}
+
 TEST_F(stream_delivery_test, a_stream_without_a_way_to_its_engines_waits_and_a_new_one_is_refused_at_once)
 {
     this->put_engine("other", 3, {0, 8});
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -261,6 +261,10 @@
     this->world.accounts_seen.insert(header_of(exchange, "x-tenant"));
     const std::string last = header_of(exchange, "last-event-id");
     running_stream& stream = this->running[request];
+    if (stream.exchange) {
+        this->loop.cancel(stream.timer); // the same request again, while its former run goes on
+        stream.exchange->abort();
+    }
     stream.exchange = exchange;
     stream.path = parts;
     stream.next_event = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last)) + 1;
