Relay: a request that went out twice is not taken as not sent

Found in reading: when a kept connection to the relaying host proved to be closed, the request went out once more, and a refusal or failed connection of that second copy was passed on as 'not connected'. The first copy may have been relayed before the close, so a caller could be told that a request had not run which had, and it could run again by way of another host. Only repeatable requests use kept connections, so none that runs once was sent twice. Such a call now ends as broken off, as a direct one does. The test of the same name failed before. Two tests of relaying share the steps of an upstream that closes without an answer.

--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -81,7 +81,10 @@
             return !self->is_held_back;
         };
         if (this->handlers.may_resend) {
-            to_host.may_resend = this->handlers.may_resend;
+            to_host.may_resend = [self] {
+                self->was_resent = self->handlers.may_resend();
+                return self->was_resent;
+            };
         }
         to_host.on_head = [self](int status, const http_headers&) { self->take_status(status); };
         to_host.on_body = [self](std::string_view bytes) { self->take_body(bytes); };
@@ -140,7 +143,11 @@
         }
         this->owner.loop.cancel(this->accept_timer);
         const std::string from = this->host.value() + ": ";
-        if (this->is_held_back) {
+        const bool is_whole = ending == call_ending::whole && !this->refusal && this->reader.has_head();
+        if (this->was_resent && !is_whole) {
+            // The first copy may have been passed on, whatever became of the second.
+            this->end(call_ending::broken, from + this->refusal.value_or(reason));
+        } else if (this->is_held_back) {
             this->end(call_ending::not_connected, reason);
         } else if (ending == call_ending::not_connected) {
             this->owner.avoid(this->host);
@@ -148,7 +155,7 @@
         } else if (ending == call_ending::whole && this->refusal) {
             this->failed_upstream_connections += this->is_accepted ? 1 : 0;
             this->try_next(from + *this->refusal);
-        } else if (ending == call_ending::whole && this->reader.has_head()) {
+        } else if (is_whole) {
             this->end(call_ending::whole, {});
         } else {
             if (!this->is_accepted) {
@@ -227,6 +234,7 @@
     std::size_t failed_upstream_connections = 0; ///< of the hosts that accepted the request
     bool is_accepted = false;
     bool is_held_back = false;
+    bool was_resent = false; ///< to the present host, as its kept connection proved to be closed
     bool is_done = false;
 };
 
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -6,6 +6,8 @@
 #include <runtime/httpserver.h>
 #include <support/looprunner.h>
 
+#include <utility>
+
 namespace sailtiller {
 
 namespace {
@@ -26,6 +28,7 @@
     bool knows_asker = true;
     std::optional<std::string> obstacle;
     bool can_connect = true;
+    bool closes_next = false; ///< the connection of the next request, once it was read
     std::vector<int> heads; ///< statuses of the upstream's answers
 };
 
@@ -65,7 +68,14 @@
         hooks.log = [](const delivery_event&) {};
         peer.service = std::make_unique<relay_service>(settings, hooks);
         peer.server = std::make_unique<http_server>(this->loop, http_server_limits{}, std::nullopt,
-            [&peer](const std::shared_ptr<http_exchange>& exchange) { peer.service->handle(exchange); });
+            [&peer](const std::shared_ptr<http_exchange>& exchange) {
+                if (std::exchange(peer.closes_next, false)) {
+                    exchange->start(200, {});
+                    exchange->abort();
+                    return;
+                }
+                peer.service->handle(exchange);
+            });
         peer.address = peer.server->listen(endpoint("127.0.0.1:0"));
         const auto number = static_cast<unsigned>(this->candidates.size());
         this->candidates.push_back({host_id(name), peer.address, true, number});
@@ -81,6 +91,12 @@
         request.body = "question";
         http_call_handlers handlers;
         handlers.may_send = [this] { return this->may_send; };
+        if (may_repeat) {
+            handlers.may_resend = [this] {
+                ++this->resends;
+                return true;
+            };
+        }
         handlers.on_head = [this](int status, const http_headers& headers) {
             this->status = status;
             this->headers = headers;
@@ -104,6 +120,15 @@
         run_until(this->loop, [this] { return !this->arrived.empty(); });
     }
 
+    /// The upstream closes the connection of the request without an answer.
+    void break_off_before_answer()
+    {
+        this->run_to_arrival();
+        this->arrived.front()->start(200, {});
+        this->arrived.front()->abort();
+        this->run_to_end();
+    }
+
     void pass(duration time)
     {
         const time_point end = this->loop.now() + time;
@@ -121,6 +146,7 @@
     std::set<host_id> silent;
     std::unique_ptr<relay_client> client;
     bool may_send = true;
+    unsigned resends = 0;
     cancel_call cancel;
     int status = 0;
     http_headers headers;
@@ -177,10 +203,7 @@
     this->add_peer("p");
     this->add_peer("q");
     this->send(false);
-    this->run_to_arrival();
-    this->arrived.front()->start(200, {});
-    this->arrived.front()->abort();
-    this->run_to_end();
+    this->break_off_before_answer();
     EXPECT_EQ(this->ending, call_ending::broken);
     EXPECT_EQ(this->arrived.size(), 1U);
 }
@@ -189,12 +212,26 @@
 {
     this->add_peer("p");
     this->send(false);
+    this->break_off_before_answer();
+    EXPECT_EQ(this->ending, call_ending::broken);
+    EXPECT_TRUE(this->client->has_candidate(group));
+}
+
+TEST_F(relay_test, a_request_that_went_out_twice_is_not_taken_as_not_sent)
+{
+    relaying_peer& peer = this->add_peer("p");
+    this->send();
     this->run_to_arrival();
-    this->arrived.front()->start(200, {});
-    this->arrived.front()->abort();
+    this->arrived.front()->respond({200, {}, "answer"});
     this->run_to_end();
+    // The first copy, over the kept connection, may have been passed on before that closed.
+    peer.closes_next = true;
+    peer.obstacle = "not now";
+    this->ending.reset();
+    this->send();
+    this->run_to_end();
+    EXPECT_EQ(this->resends, 1U);
     EXPECT_EQ(this->ending, call_ending::broken);
-    EXPECT_TRUE(this->client->has_candidate(group));
 }
 
 TEST_F(relay_test, a_host_that_can_not_connect_or_refuses_is_followed_by_the_next)
