Delivery, Relay: one rule of the retry allowance, one way to leave a failed path

The rule that the first arrival needs no allowance stood in both kinds of delivery, and the steps after a failed path twice in streams; a relayed call cancelled its connection in two places. Behaviour as before: tst_delivery, tst_relay, tst_health and tst_gateway pass unchanged.

--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -148,6 +148,11 @@
     context.limits.note_answer(id, answer.requests_per_second, sent);
 }
 
+bool has_retry_allowance(const delivery_context& context, const delivery_order& order, unsigned arrivals)
+{
+    return arrivals == 0 || context.retries.left(order.service, context.timers.now()) >= 1;
+}
+
 std::optional<duration> retry_after_if_unreachable(
     const delivery_context& context, const delivery_order& order)
 {
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -206,6 +206,11 @@
 /// Applies the upstream state in the head of an answer to a request sent at `sent`.
 void note_answer(
     const delivery_context& context, const upstream_id& id, const upstream_answer& answer, time_point sent);
+/// Returns true if the fleet's retry allowance permits the next send of an order that has had so many
+/// arrivals. The allowance is for arrivals at upstreams, so the first one and what precedes it need none.
+[[nodiscard]] bool has_retry_allowance(
+    const delivery_context& context, const delivery_order& order, unsigned arrivals);
+
 /// Reason for refusing a request to a service to which neither this host nor another one can connect.
 inline constexpr const char* unreachable_service_reason =
     "neither this host nor another one that it hears can connect to the service";
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -40,12 +40,6 @@
     this->search();
 }
 
-bool plain_delivery::has_allowance() const
-{
-    return this->arrivals == 0
-        || this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
-}
-
 bool plain_delivery::is_candidate(const discovered_upstream& upstream) const
 {
     return upstream.service == this->order.service && !upstream.is_leaving;
@@ -124,7 +118,7 @@
 void plain_delivery::send_to(const discovered_upstream& upstream)
 {
     const time_point now = this->context.timers.now();
-    if (!this->has_allowance()) {
+    if (!has_retry_allowance(this->context, this->order, this->arrivals)) {
         this->refuse("the fleet's retry allowance is used up");
         return;
     }
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -32,9 +32,6 @@
     /// Returns true if the upstream serves this request, regardless of its current availability.
     [[nodiscard]] bool is_candidate(const discovered_upstream& upstream) const;
     [[nodiscard]] bool may_run_elsewhere() const;
-    /// Returns true if the fleet's retry allowance permits the next send. The allowance is for arrivals at
-    /// upstreams, so the first one and what precedes it need none.
-    [[nodiscard]] bool has_allowance() const;
     void send_to(const discovered_upstream& upstream);
     /// Returns true if the request may be sent now. A request suspected of crashing its upstreams otherwise
     /// is refused, or continues once its trial is decided.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -423,13 +423,9 @@
     if (this->sends.runs() > 0) {
         this->avoided.insert(this->path.head().id);
     }
-    this->log_path_failure(reason);
-    this->release_call();
-    if (!this->sends.may_send_again(this->has_started)) {
-        this->give_up(stream_end::runs_used_up, reason);
-        return;
+    if (this->leave_failed_path(reason)) {
+        this->search_after_pause(search_obstacle::connection);
     }
-    this->search_after_pause(search_obstacle::connection);
 }
 
 void stream_delivery::handle_refusal()
@@ -497,20 +493,22 @@
 /// Continues on another path, or gives up if no run is left.
 void stream_delivery::retry_or_give_up(const std::string& reason)
 {
-    this->log_path_failure(reason);
-    this->release_call();
-    if (!this->sends.may_send_again(this->has_started)) {
-        this->give_up(stream_end::runs_used_up, reason);
-        return;
+    if (this->leave_failed_path(reason)) {
+        this->search();
     }
-    this->search();
 }
 
-void stream_delivery::log_path_failure(const std::string& reason) const
+bool stream_delivery::leave_failed_path(const std::string& reason)
 {
     this->log(event_type::path_failed,
         reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
             + this->sends.describe_runs() + ", content " + this->order.content().value());
+    this->release_call();
+    if (this->sends.may_send_again(this->has_started)) {
+        return true;
+    }
+    this->give_up(stream_end::runs_used_up, reason);
+    return false;
 }
 
 void stream_delivery::give_up(stream_end cause, const std::string& reason)
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -76,7 +76,8 @@
     void search_after_pause(search_obstacle obstacle);
     void fail_over(const std::string& reason);
     void retry_or_give_up(const std::string& reason);
-    void log_path_failure(const std::string& reason) const;
+    /// Logs the failure and clears the path. Returns false if no run is left and the stream was given up.
+    [[nodiscard]] bool leave_failed_path(const std::string& reason);
     void finish_other_answer();
     void give_up(stream_end cause, const std::string& reason);
     void wait_for_configuration();
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -18,8 +18,7 @@
 
 bool stream_sends::has_allowance() const
 {
-    return this->arrivals() == 0
-        || this->context.retries.left(this->order.service, this->context.timers.now()) >= 1;
+    return has_retry_allowance(this->context, this->order, this->arrivals());
 }
 
 duration stream_sends::pause_before_next() const
--- a/src/libs/delivery/streamsends.h
+++ b/src/libs/delivery/streamsends.h
@@ -39,8 +39,7 @@
     [[nodiscard]] bool may_send_again(bool has_started) const;
     /// Returns true if the request could be sent again at once.
     [[nodiscard]] bool may_send_now(bool has_started) const;
-    /// Returns true if the fleet's retry allowance permits the next send. The allowance is for arrivals at
-    /// upstreams, so the first one and what precedes it need none.
+    /// Returns true if the fleet's retry allowance permits the next send.
     [[nodiscard]] bool has_allowance() const;
     /// Returns the pause before the next send after a refusal or a failed connection.
     [[nodiscard]] duration pause_before_next() const;
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -61,13 +61,7 @@
     }
 
     /// Ends the call, which its host may have passed on.
-    void break_off(const std::string& reason)
-    {
-        if (!this->is_done) {
-            this->cancel_call_to_host();
-            this->end(call_ending::broken, reason);
-        }
-    }
+    void break_off(const std::string& reason) { this->end(call_ending::broken, reason); }
 
     [[nodiscard]] const host_id& current_host() const { return this->host; }
 
@@ -184,18 +178,13 @@
         this->break_off(this->host.value() + " did not accept the request in time");
     }
 
-    void cancel_call_to_host()
+    void release()
     {
         this->owner.loop.cancel(this->accept_timer);
         if (this->call) {
             this->call->cancel();
             this->call.reset();
         }
-    }
-
-    void release()
-    {
-        this->cancel_call_to_host();
         this->owner.loop.post([keep = this->shared_from_this()] {}); // may be on the stack
         this->owner.calls.erase(this->key);
     }
