System tests: logs of hosts are kept when a test fails

The hosts' output lives in the test's memory and was gone with it, so that a failure that shows once (a relayed stream that was cut, 1 of 20 plays) could not be traced. A failed test on a site of hosts now writes them to its folder for temporary files and prints their paths.

--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -2,6 +2,9 @@
 #include "sitebed.h"
 
 #include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
 
 namespace sailtiller::tests {
 
@@ -30,6 +33,20 @@
     }
 }
 
+void site_bed::TearDown()
+{
+    if (!HasFailure()) {
+        return;
+    }
+    const std::string test = testing::UnitTest::GetInstance()->current_test_info()->name();
+    for (const auto& host : this->hosts) {
+        const std::string path =
+            testing::TempDir() + test + "-" + std::to_string(getpid()) + "-" + host->name + ".log";
+        std::ofstream(path) << host->process->output();
+        std::cout << "log of host " << host->name << ": " << path << "\n";
+    }
+}
+
 void site_bed::write_configuration(std::uint64_t version, const std::vector<std::string>& keys)
 {
     const json chat = {{"name", "chat"}, {"host", "a.example"}, {"path-prefix", "/chat/"},
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -37,6 +37,8 @@
 {
 protected:
     site_bed();
+    /// Keeps the hosts' logs of a test that failed.
+    void TearDown() override;
 
     /// Starts engines in two halls, each of which can hold the model.
     void start_engines(unsigned count_per_hall);
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -26,6 +26,7 @@
 protected:
     void TearDown() override
     {
+        site_bed::TearDown();
         for (const std::string& path : this->settings_files) {
             std::remove(path.c_str());
         }
