System tests: hosts without any way lose their open connections to engines too

Its streams were served, rightly, over connections that the hosts had kept or made before they had read their new settings, so that they had not learned of any loss. The test said "without any way" and left one.

--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -41,16 +41,15 @@
     }
 
     /// The host can make no connections to upstreams from now on; those that are open live on.
-    void cut(std::size_t number)
-    {
-        this->write_source(this->settings_files[number], unusable_source);
-        this->hosts[number]->process->send_signal(SIGHUP);
-    }
+    void cut(std::size_t number) { this->change_source(number, unusable_source); }
+    void heal(std::size_t number) { this->change_source(number, usable_source); }
 
-    void heal(std::size_t number)
+    void close_idle_connections_to_engines()
     {
-        this->write_source(this->settings_files[number], usable_source);
-        this->hosts[number]->process->send_signal(SIGHUP);
+        for (const auto& engine : this->engines) {
+            engine->close_idle_connections();
+        }
+        this->pass(50ms); // until the hosts have read it
     }
 
     void start_hosts(std::initializer_list<const char*> names)
@@ -117,6 +116,24 @@
     std::vector<std::string> settings_files; ///< of the hosts, in their order
 
 private:
+    void change_source(std::size_t number, const char* source)
+    {
+        child_process& process = *this->hosts[number]->process;
+        const auto count_reloads = [&process] {
+            const std::string& text = process.output();
+            const std::string mark = "\"event\":\"reload\"";
+            std::size_t count = 0;
+            for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1)) {
+                ++count;
+            }
+            return count;
+        };
+        const std::size_t before = count_reloads();
+        this->write_source(this->settings_files[number], source);
+        process.send_signal(SIGHUP);
+        run_until(this->loop, [&count_reloads, before] { return count_reloads() > before; });
+    }
+
     static void write_source(const std::string& path, const std::string& source)
     {
         std::ofstream(path) << "upstream-source=" << source << "\n";
@@ -178,6 +195,7 @@
     this->start_hosts({"a", "b"});
     this->cut(0);
     this->cut(1);
+    this->close_idle_connections_to_engines();
     // A host learns of the loss from its own requests.
     for (unsigned number = 0; number < 4; ++number) {
         this->wait_for(this->ask(*this->hosts[number % 2], "first-" + std::to_string(number)));
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -84,6 +84,8 @@
     void kill();
     /// The process ends without a word and starts anew a moment later, empty, under another name.
     void crash();
+    /// Closes the connections that carry no request now.
+    void close_idle_connections() { this->server->close_idle_connections(); }
     /// Does and answers nothing for so long, as a process without a processor; then it goes on.
     void stand_still(duration time) { this->still_until = this->loop.now() + time; }
     [[nodiscard]] bool stands_still() const { return this->loop.now() < this->still_until; }
