Relay: a relaying host that is lost is not taken for an upstream that breaks off

Cause: the end of the relaying host's connection was all that told the end of an answer, so its death looked like an upstream that broke off, and nothing was done about the host. The stream was sent on within a millisecond, over a connection that was still kept to the dead host; that counted as its second and last run. A sound request could also be suspected of crashing upstreams by the deaths of its relaying hosts.

The relaying host now says how the upstream's answer ended; an answer without that word is `relay_lost`: it may have run, no crash is counted, the kept connections to that host are closed, and the upstream stays in use. Of the tests, two expected "broken" of calls whose host had fallen silent or may have passed on a first copy; they expect `relay_lost`, by which nothing more may be sent than before.

--- a/src/libs/base/httpcallhandlers.h
+++ b/src/libs/base/httpcallhandlers.h
@@ -14,7 +14,10 @@
     not_connected, ///< no connection was made, so no byte of the request left this process
     /// The connection ended, or the bytes were no HTTP, before the answer's end; or what had gone out over a
     /// kept connection could not go out again.
-    broken
+    broken,
+    /// The host by way of which the call went was lost, or said nothing in time. The upstream may have the
+    /// request, and has shown no fault.
+    relay_lost
 };
 
 /// What a call tells its caller; handlers run from the loop, never within `start` or `cancel`.
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -191,6 +191,11 @@
         this->retry_or_fail("broken off: " + reason);
         return;
     }
+    if (ending == call_ending::relay_lost) {
+        ++this->runs;
+        this->retry_or_fail("relaying host lost: " + reason);
+        return;
+    }
     this->handle_complete_answer();
 }
 
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -202,13 +202,17 @@
     if (!may_be_lost || !this->sends.may_send_now(this->has_started)) {
         return;
     }
-    // The head may go on with the stream until it finds the connection closed.
+    this->avoid_busy_head();
+    this->retry_or_give_up("its connection is silent, and no new one can be made");
+}
+
+void stream_delivery::avoid_busy_head()
+{
     std::set<upstream_id> others = this->avoided;
     others.insert(this->path.head().id);
     if (this->chooser.find(others)) {
         this->avoided = std::move(others);
     }
-    this->retry_or_give_up("its connection is silent, and no new one can be made");
 }
 
 void stream_delivery::leave_given_up_layers()
@@ -393,6 +397,11 @@
         this->fail_over("broken off: " + reason);
         return;
     }
+    if (ending == call_ending::relay_lost) {
+        this->avoid_busy_head();
+        this->retry_or_give_up("relaying host lost: " + reason);
+        return;
+    }
     if (this->state == phase::streaming) {
         if (this->events.has_partial_event()) {
             this->guard.note_ended(this->path.head().id);
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -74,6 +74,9 @@
     void handle_refusal();
     /// Searches again, after a pause if the request was sent often.
     void search_after_pause(search_obstacle obstacle);
+    /// Avoids the head if another path exists: without its connection it may go on with the stream for a
+    /// while.
+    void avoid_busy_head();
     void fail_over(const std::string& reason);
     void retry_or_give_up(const std::string& reason);
     /// Logs the failure and clears the path. Returns false if no run is left and the stream was given up.
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -38,11 +38,13 @@
             return;
         }
         this->host = next->id;
+        this->address = next->address;
         this->tried.insert(next->id);
         this->refusal.reset();
         this->is_accepted = false;
         this->is_held_back = false;
         this->reader = {};
+        this->upstream_end.reset();
         this->accept_timer = this->owner.loop.schedule_after(this->owner.settings.accept_limit,
             [self = this->shared_from_this()] { self->miss_acceptance(); });
         http_call_options options;
@@ -60,8 +62,13 @@
         this->release();
     }
 
-    /// Ends the call, which its host may have passed on.
-    void break_off(const std::string& reason) { this->end(call_ending::broken, reason); }
+    /// Ends the call, which its host may have passed on before it was lost.
+    void lose_host(const std::string& reason)
+    {
+        // Connections that are kept to the host may be as dead, and a request sent over one may have run.
+        this->owner.connections.drop_idle(this->address, this->owner.loop.now());
+        this->end(call_ending::relay_lost, reason);
+    }
 
     [[nodiscard]] const host_id& current_host() const { return this->host; }
 
@@ -107,17 +114,20 @@
             return;
         }
         try {
-            std::string body;
-            if (const std::optional<relay_head> head = this->reader.take(bytes, body)) {
-                this->take_head(*head);
+            const relay_answer_part part = this->reader.take(bytes);
+            if (part.head) {
+                this->take_head(*part.head);
+            }
+            if (!part.body.empty() && !this->is_done && this->handlers.on_body) {
+                this->handlers.on_body(part.body);
             }
-            if (!body.empty() && !this->is_done && this->handlers.on_body) {
-                this->handlers.on_body(body);
+            if (part.end) {
+                this->upstream_end = part.end;
             }
         } catch (const error& malformed) {
             log_event(log_level::warning, event_type::peer_answer_malformed,
                 {{"step", malformed.step()}, {"peer", this->host.value()}, {"reason", malformed.reason()}});
-            this->break_off("malformed answer of " + this->host.value());
+            this->lose_host("malformed answer of " + this->host.value());
         }
     }
 
@@ -137,10 +147,12 @@
         }
         this->owner.loop.cancel(this->accept_timer);
         const std::string from = this->host.value() + ": ";
-        const bool is_whole = ending == call_ending::whole && !this->refusal && this->reader.has_head();
-        if (this->was_resent && !is_whole) {
+        if (this->upstream_end) {
+            this->end(this->upstream_end->is_whole ? call_ending::whole : call_ending::broken,
+                this->upstream_end->is_whole ? std::string() : from + this->upstream_end->reason);
+        } else if (this->was_resent) {
             // The first copy may have been passed on, whatever became of the second.
-            this->end(call_ending::broken, from + this->refusal.value_or(reason));
+            this->lose_host(from + this->refusal.value_or(reason));
         } else if (this->is_held_back) {
             this->end(call_ending::not_connected, reason);
         } else if (ending == call_ending::not_connected) {
@@ -149,13 +161,12 @@
         } else if (ending == call_ending::whole && this->refusal) {
             this->failed_upstream_connections += this->is_accepted ? 1 : 0;
             this->try_next(from + *this->refusal);
-        } else if (is_whole) {
-            this->end(call_ending::whole, {});
         } else {
             if (!this->is_accepted) {
-                this->owner.avoid(this->host); // later the upstream may have broken off
+                this->owner.avoid(
+                    this->host); // another request finds out what became of one that has accepted
             }
-            this->end(call_ending::broken, from + (reason.empty() ? "no answer" : reason));
+            this->lose_host(from + (reason.empty() ? "no answer" : reason));
         }
     }
 
@@ -175,7 +186,7 @@
             this->call->give_up(); // kept connections to the host may be as silent
             this->call.reset();
         }
-        this->break_off(this->host.value() + " did not accept the request in time");
+        this->lose_host(this->host.value() + " did not accept the request in time");
     }
 
     void release()
@@ -214,10 +225,12 @@
     relayed_request request;
     http_call_handlers handlers;
     host_id host; ///< that has the request now
+    endpoint address; ///< of that host
     std::set<host_id> tried;
     std::string last_failure;
     std::optional<std::string> refusal; ///< why nothing reached the upstream, by the present host
     relay_answer_reader reader;
+    std::optional<relay_end> upstream_end; ///< how the upstream's answer ended
     std::shared_ptr<http_call> call;
     timer_id accept_timer = 0;
     std::size_t failed_upstream_connections = 0; ///< of the hosts that accepted the request
@@ -312,7 +325,7 @@
     }
     for (const std::shared_ptr<relayed_call>& call : silent) {
         this->avoid(call->current_host());
-        call->break_off(call->current_host().value() + " has fallen silent");
+        call->lose_host(call->current_host().value() + " has fallen silent");
     }
 }
 
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -52,7 +52,8 @@
 };
 
 /// Sends requests to upstreams by way of other hosts. A call ends as one over a connection of this host's
-/// own: as not connected only if the other host says that no byte reached the upstream, or got none itself.
+/// own: as not connected only if the other host says that no byte reached the upstream, or got none itself;
+/// as broken only if that host says so of the upstream. Whatever becomes of the host itself is `relay_lost`.
 class relay_client
 {
 public:
@@ -67,7 +68,7 @@
         bool may_repeat, http_call_handlers handlers);
     /// Returns true if some host that may be asked reaches the group.
     [[nodiscard]] bool has_candidate(const upstream_group& group) const;
-    /// Ends the calls by way of hosts that have fallen silent, as broken off.
+    /// Ends the calls by way of hosts that have fallen silent, as lost with them.
     void end_calls_of_silent_hosts();
     [[nodiscard]] std::size_t calls_in_progress() const { return this->calls.size(); }
 
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <utility>
 
 namespace sailtiller {
 
@@ -38,6 +40,63 @@
     return *value;
 }
 
+error malformed_answer(const std::string& reason)
+{
+    return error({"read relay answer", ""}, reason);
+}
+
+std::string encode_line(const json& item)
+{
+    return item.dump(-1, ' ', true, json::error_handler_t::replace) + "\n";
+}
+
+json parse_line(std::string_view line)
+{
+    try {
+        return json::parse(line);
+    } catch (const json::exception& malformed) {
+        throw malformed_answer(malformed.what());
+    }
+}
+
+relay_head read_head(const json& item)
+{
+    try {
+        relay_head head;
+        if (item.contains("failure")) {
+            head.failure = item.at("failure").get<std::string>();
+            return head;
+        }
+        head.status = item.at("status").get<int>();
+        for (const json& header : item.at("headers")) {
+            head.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+        }
+        return head;
+    } catch (const json::exception& malformed) {
+        throw malformed_answer(malformed.what());
+    }
+}
+
+relay_end read_end(const json& item)
+{
+    try {
+        return {item.at("whole").get<bool>(), item.at("reason").get<std::string>()};
+    } catch (const json::exception& malformed) {
+        throw malformed_answer(malformed.what());
+    }
+}
+
+std::size_t decode_length(std::string_view text)
+{
+    std::size_t length = 0;
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, length);
+    if (result.ec != std::errc() || result.ptr != end) {
+        throw malformed_answer("a part has no length");
+    }
+    return length;
+}
+
 } // namespace
 
 http_request encode_relay_request(const relayed_request& request)
@@ -85,55 +144,86 @@
             line["headers"].push_back(json::array({header.name, header.value}));
         }
     }
-    return line.dump(-1, ' ', true, json::error_handler_t::replace) + "\n";
+    return encode_line(line);
 }
 
-relay_head decode_relay_head(std::string_view line)
+std::string encode_relay_body(std::string_view bytes)
 {
-    try {
-        const json item = json::parse(line);
-        relay_head head;
-        if (item.contains("failure")) {
-            head.failure = item.at("failure").get<std::string>();
-            return head;
-        }
-        head.status = item.at("status").get<int>();
-        for (const json& header : item.at("headers")) {
-            head.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+    std::string part = std::to_string(bytes.size()) + "\n";
+    part += bytes;
+    return part;
+}
+
+std::string encode_relay_end(const relay_end& end)
+{
+    json line;
+    line["whole"] = end.is_whole;
+    line["reason"] = end.reason;
+    return encode_line(line);
+}
+
+relay_answer_part relay_answer_reader::take(std::string_view bytes)
+{
+    relay_answer_part part;
+    while (!bytes.empty()) {
+        if (this->left_of_part > 0) {
+            const std::string_view body = bytes.substr(0, this->left_of_part);
+            part.body += body;
+            this->left_of_part -= body.size();
+            bytes.remove_prefix(body.size());
+        } else if (const std::optional<std::string> text = this->take_line(bytes)) {
+            this->read_line(*text, part);
         }
-        return head;
-    } catch (const json::exception& malformed) {
-        throw error({"read relay answer", ""}, malformed.what());
     }
+    return part;
 }
 
-std::optional<relay_head> relay_answer_reader::take(std::string_view bytes, std::string& body)
+std::optional<std::string> relay_answer_reader::take_line(std::string_view& bytes)
 {
-    body.clear();
-    if (this->is_head_read) {
-        body = bytes;
+    if (!this->is_accepted && !bytes.starts_with(relay_accepted_line)) {
+        throw malformed_answer("it doesn't begin with an empty line");
+    }
+    const std::size_t end = bytes.find('\n');
+    this->line += bytes.substr(0, end);
+    if (this->line.size() > max_line_bytes) {
+        throw malformed_answer("a line is too long");
+    }
+    if (end == std::string_view::npos) {
+        bytes = {};
         return std::nullopt;
     }
-    this->line += bytes;
-    if (!this->is_accepted && !this->line.empty()) {
-        if (!this->line.starts_with(relay_accepted_line)) {
-            throw error({"read relay answer", ""}, "it doesn't begin with an empty line");
-        }
-        this->line.erase(0, relay_accepted_line.size());
+    bytes.remove_prefix(end + 1);
+    return std::exchange(this->line, {});
+}
+
+void relay_answer_reader::read_line(std::string_view text, relay_answer_part& part)
+{
+    if (this->has_ended) {
+        throw malformed_answer("it goes on after its end");
+    }
+    if (!this->is_accepted) {
         this->is_accepted = true;
+        return;
+    }
+    if (this->has_head && !text.starts_with('{')) {
+        this->left_of_part = decode_length(text);
+        return;
     }
-    const std::size_t end = this->line.find('\n');
-    if (end == std::string::npos) {
-        if (this->line.size() > max_line_bytes) {
-            throw error({"read relay answer", ""}, "the line of its head is too long");
+    const json item = parse_line(text);
+    if (item.contains("whole")) {
+        part.end = read_end(item);
+        if (part.end->is_whole && !this->has_head) {
+            throw malformed_answer("it is whole without a head");
         }
-        return std::nullopt;
+        this->has_ended = true;
+        return;
+    }
+    if (this->has_head) {
+        throw malformed_answer("it has two heads");
     }
-    const relay_head head = decode_relay_head(std::string_view(this->line).substr(0, end));
-    this->is_head_read = true;
-    body = this->line.substr(end + 1);
-    std::string().swap(this->line);
-    return head;
+    part.head = read_head(item);
+    this->has_head = true;
+    this->has_ended = part.head->failure.has_value();
 }
 
 } // namespace sailtiller
--- a/src/libs/relay/relaymessages.h
+++ b/src/libs/relay/relaymessages.h
@@ -32,26 +32,47 @@
     http_headers headers;
 };
 
-/// The body of an accepted relay request's answer: an empty line once the request is accepted, a line with
-/// the head in JSON once the upstream has answered, then the bytes of the upstream's body.
+/// How the upstream's answer ended.
+struct relay_end
+{
+    bool is_whole = false;
+    std::string reason; ///< why it is not whole, for the log
+};
+
+/// The body of an accepted relay request's answer: an empty line once the request is accepted; a line with
+/// the head in JSON once the upstream has answered; the upstream's body in parts, each behind a line with its
+/// length in bytes; a line that tells how it ended. An answer without its last line is one whose relaying
+/// host was lost, which says nothing of the upstream.
 inline constexpr std::string_view relay_accepted_line = "\n";
 std::string encode_relay_head(const relay_head& head);
-/// Throws `error` if the line is malformed.
-relay_head decode_relay_head(std::string_view line);
+std::string encode_relay_body(std::string_view bytes);
+std::string encode_relay_end(const relay_end& end);
+
+/// What some bytes of a relay answer hold.
+struct relay_answer_part
+{
+    std::optional<relay_head> head;
+    std::string body; ///< of the upstream
+    std::optional<relay_end> end;
+};
 
 /// Splits the body of a relay answer into its lines and the upstream's body.
 class relay_answer_reader
 {
 public:
-    /// Takes the next bytes. Returns the head once it is whole; the bytes of the upstream's body after it
-    /// are left in `body`. Throws `error` if the bytes are malformed.
-    std::optional<relay_head> take(std::string_view bytes, std::string& body);
-    [[nodiscard]] bool has_head() const { return this->is_head_read; }
+    /// Takes the next bytes. Throws `error` if they are malformed.
+    relay_answer_part take(std::string_view bytes);
 
 private:
+    /// Returns the next line without its end, or nothing until it is whole; removes what was read.
+    std::optional<std::string> take_line(std::string_view& bytes);
+    void read_line(std::string_view text, relay_answer_part& part);
+
     std::string line;
+    std::size_t left_of_part = 0; ///< bytes
     bool is_accepted = false;
-    bool is_head_read = false;
+    bool has_head = false;
+    bool has_ended = false;
 };
 
 } // namespace sailtiller
--- a/src/libs/relay/relayservice.cpp
+++ b/src/libs/relay/relayservice.cpp
@@ -125,7 +125,7 @@
     if (found == this->calls.end()) {
         return;
     }
-    found->second.exchange->send(bytes);
+    found->second.exchange->send(encode_relay_body(bytes));
     if (found->second.exchange->queued() > this->settings.max_queued_bytes) {
         this->drop(key, "the asking host reads too slowly");
     }
@@ -141,13 +141,13 @@
     if (ending == call_ending::not_connected) {
         this->log(event_type::path_failed, call.request.target, "no connection: " + reason);
         call.exchange->send(encode_relay_head({reason, 0, {}}));
-        call.exchange->finish();
     } else if (ending == call_ending::whole && call.has_head) {
-        call.exchange->finish();
+        call.exchange->send(encode_relay_end({true, {}}));
     } else {
         this->log(event_type::path_failed, call.request.target, "broken off: " + reason);
-        call.exchange->abort();
+        call.exchange->send(encode_relay_end({false, reason}));
     }
+    call.exchange->finish();
 }
 
 void relay_service::drop(std::uint64_t key, const std::string& reason)
--- a/src/libs/runtime/wholecall.cpp
+++ b/src/libs/runtime/wholecall.cpp
@@ -21,6 +21,7 @@
     case call_ending::not_connected:
         return {std::nullopt, "no connection: " + reason};
     case call_ending::broken:
+    case call_ending::relay_lost:
         break;
     }
     return {std::nullopt, "broken off: " + reason};
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -101,6 +101,14 @@
     EXPECT_EQ(this->caller.answer->status, 502) << "502 promises nothing";
 }
 
+TEST_F(plain_delivery_test, a_non_repeatable_request_is_not_resent_after_its_relaying_host_is_lost)
+{
+    this->start(route_kind::single_run);
+    end(this->last_send(), call_ending::relay_lost);
+    EXPECT_EQ(this->sends.size(), 1U);
+    EXPECT_EQ(this->caller.answer->status, 502) << "it may have run";
+}
+
 TEST_F(plain_delivery_test, an_answer_to_another_request_leaves_the_outcome_unknown)
 {
     this->start(route_kind::single_run);
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -64,6 +64,21 @@
     EXPECT_TRUE(this->caller.is_finished);
 }
 
+TEST_F(stream_delivery_test, goes_on_after_its_last_event_when_its_relaying_host_is_lost)
+{
+    this->start();
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(0, 3));
+    end(this->last_send(), call_ending::relay_lost);
+    ASSERT_EQ(this->sends.size(), 2U) << "over the only head again, which has shown no fault";
+    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(3, 5));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 5));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST_F(stream_delivery_test, a_clean_close_within_an_event_is_not_the_end_of_the_stream)
 {
     this->put_engine("other", 3, {0, 8});
--- a/tests/auto/delivery/tst_suspectguard.cpp
+++ b/tests/auto/delivery/tst_suspectguard.cpp
@@ -93,6 +93,16 @@
     EXPECT_TRUE(this->suspects.is_empty());
 }
 
+TEST_F(suspect_guard_test, a_lost_relaying_host_is_no_crash_of_the_upstream)
+{
+    for (int round = 0; round < 3; ++round) {
+        this->start_stream();
+        end(this->last_send(), call_ending::relay_lost);
+        end(this->last_send(), call_ending::relay_lost);
+    }
+    EXPECT_TRUE(this->suspects.is_empty());
+}
+
 // Guards against sending a request that crashes each engine again and again from any host.
 TEST_F(suspect_guard_test, a_request_needs_a_trial_after_three_upstream_crashes)
 {
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -231,7 +231,7 @@
     this->send();
     this->run_to_end();
     EXPECT_EQ(this->resends, 1U);
-    EXPECT_EQ(this->ending, call_ending::broken);
+    EXPECT_EQ(this->ending, call_ending::relay_lost);
 }
 
 TEST_F(relay_test, a_host_that_can_not_connect_or_refuses_is_followed_by_the_next)
@@ -319,7 +319,25 @@
     EXPECT_FALSE(this->ending) << "no handler runs after the cancellation";
 }
 
-TEST_F(relay_test, calls_by_way_of_a_silent_host_end_as_broken_off)
+TEST_F(relay_test, a_host_that_is_lost_is_not_taken_for_an_upstream_that_breaks_off)
+{
+    relaying_peer& peer = this->add_peer("p");
+    this->send();
+    this->run_to_arrival();
+    this->arrived.front()->respond({200, {}, "answer"});
+    this->run_to_end();
+    this->ending.reset();
+    this->send(false);
+    run_until(this->loop, [this] { return this->arrived.size() == 2; });
+    ASSERT_EQ(peer.server->connection_count(), 2U);
+    peer.service->end_for_stop();
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::relay_lost);
+    // A request over a connection that was kept to the lost host would count as run.
+    run_until(this->loop, [&peer] { return peer.server->connection_count() == 0; });
+}
+
+TEST_F(relay_test, calls_by_way_of_a_silent_host_end_as_lost_with_it)
 {
     this->add_peer("p");
     this->send();
@@ -328,7 +346,7 @@
     EXPECT_FALSE(this->ending);
     this->silent.insert(host_id("p"));
     this->client->end_calls_of_silent_hosts();
-    EXPECT_EQ(this->ending, call_ending::broken);
+    EXPECT_EQ(this->ending, call_ending::relay_lost);
     EXPECT_FALSE(this->client->has_candidate(group)) << "it is avoided for a while";
     EXPECT_EQ(this->client->calls_in_progress(), 0U);
 }
--- a/tests/auto/relay/tst_relaymessages.cpp
+++ b/tests/auto/relay/tst_relaymessages.cpp
@@ -54,36 +54,56 @@
 TEST(relay_messages, a_head_is_read_from_any_cut_of_the_bytes)
 {
     const std::string text = std::string(relay_accepted_line)
-        + encode_relay_head({std::nullopt, 200, {{"a", "b\xc3\xa4"}}}) + "data: 1\n\n";
+        + encode_relay_head({std::nullopt, 200, {{"a", "b\xc3\xa4"}}}) + encode_relay_body("data: 1\n\n")
+        + encode_relay_body("12\n") + encode_relay_end({true, {}});
     for (std::size_t cut = 0; cut <= text.size(); ++cut) {
         relay_answer_reader reader;
         std::string all;
         std::optional<relay_head> head;
-        for (const std::string& part : {text.substr(0, cut), text.substr(cut)}) {
-            std::string body;
-            if (const auto found = reader.take(part, body)) {
-                head = found;
-            }
-            all += body;
+        std::optional<relay_end> end;
+        for (const std::string& bytes : {text.substr(0, cut), text.substr(cut)}) {
+            const relay_answer_part part = reader.take(bytes);
+            head = part.head ? part.head : head;
+            end = part.end ? part.end : end;
+            all += part.body;
         }
         ASSERT_TRUE(head) << cut;
         EXPECT_EQ(head->status, 200);
         EXPECT_EQ(find_header(head->headers, "a"), "b\xc3\xa4");
-        EXPECT_EQ(all, "data: 1\n\n") << cut;
+        EXPECT_EQ(all, "data: 1\n\n12\n") << cut;
+        ASSERT_TRUE(end) << cut;
+        EXPECT_TRUE(end->is_whole);
     }
 }
 
+TEST(relay_messages, an_upstream_that_breaks_off_before_its_head_is_told)
+{
+    relay_answer_reader reader;
+    const relay_answer_part part =
+        reader.take(std::string(relay_accepted_line) + encode_relay_end({false, "reset"}));
+    EXPECT_FALSE(part.head);
+    ASSERT_TRUE(part.end);
+    EXPECT_FALSE(part.end->is_whole);
+    EXPECT_EQ(part.end->reason, "reset");
+}
+
 TEST(relay_messages, malformed_answers_are_errors)
 {
     for (const char* text : {"x", "\nnot json\n", "\n{}\n", "\n{\"status\":\"a\",\"headers\":[]}\n",
-             "\n{\"status\":200,\"headers\":[[1]]}\n", "\n[]\n"}) {
+             "\n{\"status\":200,\"headers\":[[1]]}\n", "\n[]\n", "\n{\"whole\":1,\"reason\":\"\"}\n",
+             "\n{\"whole\":true,\"reason\":\"\"}\n", "\n{\"failure\":\"f\"}\n1\na"}) {
+        relay_answer_reader reader;
+        EXPECT_THROW(reader.take(text), error) << text;
+    }
+    const std::string head = "\n" + encode_relay_head({std::nullopt, 200, {}});
+    for (const std::string& text : {std::string("\n"), std::string("-1\n"), std::string("1x\n"),
+             std::string("99999999999999999999999\n"), encode_relay_head({std::nullopt, 200, {}}),
+             encode_relay_end({true, {}}) + "1\na"}) {
         relay_answer_reader reader;
-        std::string body;
-        EXPECT_THROW(reader.take(text, body), error) << text;
+        EXPECT_THROW(reader.take(head + text), error) << text;
     }
     relay_answer_reader reader;
-    std::string body;
-    EXPECT_THROW(reader.take("\n" + std::string(1U << 20U, 'a'), body), error);
+    EXPECT_THROW(reader.take("\n" + std::string(1U << 20U, 'a')), error);
 }
 
 } // namespace
