Daemon: a host that can make no connections serves over those that answer

Callers of hosts that could make no new connections, with no other host to relay, were refused for as long as that lasted once there had been a calm of a second: open connections counted as a way only for a second after an answer to a caller, and refused callers bring no answer. The new test, open_connections_still_serve_after_a_calm_when_no_host_can_make_new_ones, fails on the code before (503, and not ready, at both hosts). While a group answers so, its upstreams aren't called dead for want of new connections. Single runs never go over kept connections: they are refused at once instead of after failed connections.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -115,7 +115,9 @@
             this->admin.measure(order, moment, time);
         },
         [this](stream_end cause) { this->admin.count_end(cause); },
-        [this](const service_id& service) { return this->retry_after_if_unreachable(service); }};
+        [this](const service_id& service, bool may_repeat) {
+            return this->retry_after_if_unreachable(service, may_repeat);
+        }};
 }
 
 upstream_link_hooks site_host::make_link_hooks()
@@ -144,9 +146,10 @@
     return list;
 }
 
-std::optional<duration> site_host::retry_after_if_unreachable(const service_id& service) const
+std::optional<duration> site_host::retry_after_if_unreachable(
+    const service_id& service, bool may_repeat) const
 {
-    if (this->link.has_way_to(service)) {
+    if (this->link.has_way_to(service, may_repeat)) {
         return std::nullopt;
     }
     // A host that hears no other one is the exception; callers find a way at the next host.
@@ -567,7 +570,7 @@
     }
     const std::vector<upstream_pool>& pools = bundle->pools;
     return pools.empty() || std::any_of(pools.begin(), pools.end(), [this](const upstream_pool& pool) {
-        return this->link.has_way_to(pool.name);
+        return this->link.has_way_to(pool.name, true);
     });
 }
 
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -47,7 +47,8 @@
     /// Other hosts that relay requests to the group, as they report.
     [[nodiscard]] std::vector<relay_candidate> list_relay_candidates(const upstream_group& group) const;
     /// When a caller should come back whose service this host has no way to; nothing if it has one.
-    [[nodiscard]] std::optional<duration> retry_after_if_unreachable(const service_id& service) const;
+    [[nodiscard]] std::optional<duration> retry_after_if_unreachable(
+        const service_id& service, bool may_repeat) const;
     void note_reachability(const upstream_group& group, bool is_reachable);
     /// Moves streams off connections that were lost with the way to their engines, while there are such.
     void look_at_lost_connections();
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -26,6 +26,12 @@
 constexpr duration longest_probe_time = milliseconds(600);
 /// Time for which an answer over a kept connection shows that requests can still be sent over such ones.
 constexpr duration kept_connection_time = milliseconds(1000);
+/// Interval between checks of kept connections, and time limit of an answer: a lost one leaves time for the
+/// next.
+constexpr duration kept_check_interval = milliseconds(400);
+constexpr duration kept_check_limit = milliseconds(200);
+/// Upstreams of a group whose kept connections are checked at the same time.
+constexpr std::size_t max_kept_checks = 3;
 /// Without answer by then, an order counts as unanswered and is sent again.
 constexpr duration order_answer_limit = milliseconds(800);
 /// An answer that comes after the verdict still revives the upstream; beyond this, nothing is waited for.
@@ -67,6 +73,9 @@
     };
     item.on_change = [this](const upstream_group& group, bool is_reachable) {
         this->hooks.on_change(group, is_reachable);
+        if (!is_reachable) {
+            this->check_kept_connections();
+        }
     };
     return item;
 }
@@ -112,15 +121,25 @@
     return this->reachability.is_service_reachable(service);
 }
 
-bool upstream_link::has_way_to(const service_id& service) const
+bool upstream_link::has_way_to(const service_id& service, bool may_repeat) const
 {
-    if (this->connects_to(service)) {
-        return true;
-    }
-    const auto kept = this->answered.find(service);
-    if (kept != this->answered.end() && this->loop.now() - kept->second < kept_connection_time) {
+    if (this->connects_to(service) || this->is_relayed(service)) {
         return true;
     }
+    return may_repeat
+        && std::any_of(this->answered.begin(), this->answered.end(), [this, &service](const auto& item) {
+               return item.first.service == service && this->answers_over_kept_connections(item.first);
+           });
+}
+
+bool upstream_link::answers_over_kept_connections(const upstream_group& group) const
+{
+    const auto found = this->answered.find(group);
+    return found != this->answered.end() && this->loop.now() - found->second < kept_connection_time;
+}
+
+bool upstream_link::is_relayed(const service_id& service) const
+{
     const std::vector<upstream_group> groups = this->unreachable_groups();
     return std::any_of(groups.begin(), groups.end(), [this, &service](const upstream_group& group) {
         return group.service == service && this->relay.has_candidate(group);
@@ -138,8 +157,10 @@
         return this->reachability.is_doubtful(*group) ? probe_evidence::none_yet : probe_evidence::of_death;
     }
     if (this->hooks.list_candidates(*group).empty()) {
-        // The others say the same of it, so it is not this host's way that is lost.
-        return this->hooks.hears_other_hosts() ? probe_evidence::of_death : probe_evidence::none_yet;
+        // The others say the same of it, so its upstreams are dead, unless they answer where they can.
+        return this->hooks.hears_other_hosts() && !this->answers_over_kept_connections(*group)
+            ? probe_evidence::of_death
+            : probe_evidence::none_yet;
     }
     const bool was_relayed = this->loop.now() - *since > longest_probe_time;
     return was_relayed ? probe_evidence::of_death : probe_evidence::of_lost_way;
@@ -208,7 +229,7 @@
     http_call_handlers direct = call->handlers;
     if (!this->is_reachable(*group)) {
         direct.on_head = [this, call](int status, const http_headers& headers) {
-            this->answered[call->group.service] = this->loop.now();
+            this->answered[call->group] = this->loop.now();
             call->handlers.on_head(status, headers);
         };
     }
@@ -252,6 +273,50 @@
         this->relay.send(call->target, call->group, call->request, call->may_repeat, call->handlers);
 }
 
+void upstream_link::check_kept_connections()
+{
+    const std::vector<upstream_group> groups = this->unreachable_groups();
+    for (const upstream_group& group : groups) {
+        if (!this->connects_to(group.service) && !this->is_relayed(group.service)) {
+            this->check_kept_connections_to(group);
+        }
+    }
+    if (!groups.empty() && !this->is_kept_check_scheduled) {
+        this->is_kept_check_scheduled = true;
+        this->loop.schedule_after(kept_check_interval, [this] {
+            this->is_kept_check_scheduled = false;
+            this->check_kept_connections();
+        });
+    }
+}
+
+void upstream_link::check_kept_connections_to(const upstream_group& group)
+{
+    const auto members = this->list_groups().find(group);
+    if (members == this->groups.end()) {
+        return;
+    }
+    std::vector<upstream_target> kept;
+    for (const upstream_id& id : members->second) {
+        const endpoint& address = this->hooks.upstreams.find(id)->upstream.address;
+        if (this->connections.has(address)) {
+            kept.push_back({id, address, {}});
+        }
+    }
+    for (std::size_t count = 0; count < max_kept_checks && !kept.empty(); ++count) {
+        const auto chosen = kept.begin() + static_cast<std::ptrdiff_t>(this->hooks.random() % kept.size());
+        send_whole(this->loop,
+            {chosen->address, this->orders.encode_probe(chosen->address, chosen->id), kept_check_limit,
+                &this->connections, this->source},
+            [this, group](const whole_call_result& result) {
+                if (result.response) {
+                    this->answered[group] = this->loop.now();
+                }
+            });
+        kept.erase(chosen);
+    }
+}
+
 void upstream_link::check_connection(const upstream_id& id, duration limit, const connection_observer& on_end)
 {
     const directory_entry* entry = this->hooks.upstreams.find(id);
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -70,9 +70,9 @@
     [[nodiscard]] std::vector<upstream_group> unreachable_groups() const;
     /// True if this host can connect to some upstream of the service.
     [[nodiscard]] bool connects_to(const service_id& service) const;
-    /// True if requests to the service can be sent: directly, over a kept connection, or by way of another
-    /// host.
-    [[nodiscard]] bool has_way_to(const service_id& service) const;
+    /// True if requests to the service can be sent: directly, by way of another host or, if they may be
+    /// repeated, over a kept connection.
+    [[nodiscard]] bool has_way_to(const service_id& service, bool may_repeat) const;
     /// What an unanswered probe that was sent lately shows about the upstream.
     [[nodiscard]] probe_evidence judge_silence(const upstream_id& id) const;
     /// Calls that are on their way by way of other hosts.
@@ -112,6 +112,13 @@
         http_call_handlers handlers, connection_observer observer);
     void send_by_other_host(const std::shared_ptr<routed_call>& call);
     void end_without_connection(const std::shared_ptr<routed_call>& call, const std::string& reason);
+    /// Returns true if another host that this one hears can send requests to the service.
+    [[nodiscard]] bool is_relayed(const service_id& service) const;
+    /// True if an upstream of the unreachable group has lately answered over a kept connection.
+    [[nodiscard]] bool answers_over_kept_connections(const upstream_group& group) const;
+    /// Finds out, as long as upstreams are unreachable, which services answer over kept connections.
+    void check_kept_connections();
+    void check_kept_connections_to(const upstream_group& group);
     void check_connection(const upstream_id& id, duration limit, const connection_observer& on_end);
     void send_small(const upstream_target& target, const http_request& request, duration limit,
         connection_pool* pool, const std::function<void(const whole_call_result&)>& on_end);
@@ -129,8 +136,9 @@
     std::optional<std::uint64_t> groups_version; ///< of the directory
     upstream_reachability reachability;
     relay_client relay;
-    /// Last answers over kept connections, of services to which no new ones can be made.
-    std::map<service_id, time_point> answered;
+    /// Last answers over kept connections, of groups to which no new ones can be made.
+    std::map<upstream_group, time_point> answered;
+    bool is_kept_check_scheduled = false;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -156,8 +156,9 @@
 std::optional<duration> retry_after_if_unreachable(
     const delivery_context& context, const delivery_order& order)
 {
-    return context.retry_after_if_unreachable ? context.retry_after_if_unreachable(order.service)
-                                              : std::nullopt;
+    return context.retry_after_if_unreachable
+        ? context.retry_after_if_unreachable(order.service, order.route->may_repeat())
+        : std::nullopt;
 }
 
 http_response make_refusal(duration retry_after, const std::string& reason)
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -154,9 +154,9 @@
     std::function<void(const delivery_order&, request_moment, duration)> measure;
     /// Counts started streams that ended without their last event; optional.
     std::function<void(stream_end)> count_end;
-    /// Returns the retry-after time if neither this host nor another one that it hears can connect to the
-    /// service; empty if one can. Optional.
-    std::function<std::optional<duration>(const service_id&)> retry_after_if_unreachable;
+    /// Returns the retry-after time if neither this host nor another one that it hears can send a request to
+    /// the service; empty if one can. Only requests that may be repeated go over kept connections. Optional.
+    std::function<std::optional<duration>(const service_id&, bool may_repeat)> retry_after_if_unreachable;
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/runtime/connectionpool.cpp
+++ b/src/libs/runtime/connectionpool.cpp
@@ -52,6 +52,12 @@
     h2o_socket_read_start(socket, &connection_pool::drop);
 }
 
+bool connection_pool::has(const endpoint& target) const
+{
+    const auto found = this->by_target.find(target);
+    return found != this->by_target.end() && !found->second.empty();
+}
+
 void connection_pool::drop_idle(const endpoint& target, time_point before)
 {
     const auto found = this->by_target.find(target);
--- a/src/libs/runtime/connectionpool.h
+++ b/src/libs/runtime/connectionpool.h
@@ -33,6 +33,8 @@
     st_h2o_socket_t* take(const endpoint& target);
     /// Keeps a connection on which everything that was asked has been answered.
     void give(const endpoint& target, st_h2o_socket_t* socket);
+    /// Returns true if a connection to the target is kept.
+    [[nodiscard]] bool has(const endpoint& target) const;
     /// Closes the connections to a target that have carried nothing since `before`.
     void drop_idle(const endpoint& target, time_point before);
     [[nodiscard]] std::size_t kept_count() const { return this->kept.size(); }
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -85,7 +85,9 @@
 
 TEST_F(plain_delivery_test, a_request_without_a_way_to_its_service_is_refused_at_once)
 {
-    this->context->retry_after_if_unreachable = [](const service_id&) { return std::optional(duration(1s)); };
+    this->context->retry_after_if_unreachable = [](const service_id&, bool) {
+        return std::optional(duration(1s));
+    };
     this->start(route_kind::single_run);
     EXPECT_TRUE(this->sends.empty());
     ASSERT_TRUE(this->caller.answer);
@@ -109,6 +111,17 @@
     EXPECT_EQ(this->caller.answer->status, 502) << "it may have run";
 }
 
+TEST_F(plain_delivery_test, only_a_repeatable_request_counts_kept_connections_as_a_way)
+{
+    this->context->retry_after_if_unreachable = [](const service_id&, bool may_repeat) {
+        return may_repeat ? std::nullopt : std::optional(duration(1s));
+    };
+    this->start(route_kind::single_run);
+    EXPECT_TRUE(this->sends.empty());
+    this->start(route_kind::repeatable);
+    EXPECT_EQ(this->sends.size(), 1U);
+}
+
 TEST_F(plain_delivery_test, an_answer_to_another_request_leaves_the_outcome_unknown)
 {
     this->start(route_kind::single_run);
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -987,7 +987,8 @@
     this->put_engine("other", 3, {0, 8});
     const auto delivery = this->start_streaming(2);
     std::optional<duration> retry_after = 1s;
-    this->context->retry_after_if_unreachable = [&retry_after](const service_id&) { return retry_after; };
+    this->context->retry_after_if_unreachable = [&retry_after](
+                                                    const service_id&, bool) { return retry_after; };
     end(this->last_send(), call_ending::broken);
     this->pass(200ms);
     EXPECT_EQ(this->sends.size(), 1U);
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -52,6 +52,14 @@
         this->pass(50ms); // until the hosts have read it
     }
 
+    /// Single-run requests, which never go over kept connections, so that the host learns of its loss.
+    void ask_for_single_runs(const site_host_process& host, unsigned count)
+    {
+        for (unsigned number = 0; number < count; ++number) {
+            this->wait_for(this->ask(host, host.name + "-" + std::to_string(number), "/submit/x"));
+        }
+    }
+
     void start_hosts(std::initializer_list<const char*> names)
     {
         this->start_engines(3);
@@ -217,6 +225,28 @@
     EXPECT_EQ(this->fetch(*this->hosts[0], "/readyz"), "ready\n");
 }
 
+TEST_F(unreachable_upstreams, open_connections_still_serve_after_a_calm_when_no_host_can_make_new_ones)
+{
+    this->start_hosts({"a", "b"});
+    this->cut(0);
+    this->cut(1);
+    for (const auto& host : this->hosts) {
+        this->ask_for_single_runs(*host, 2);
+    }
+    this->pass(contact_time);
+    for (const auto& host : this->hosts) {
+        EXPECT_EQ(this->fetch(*host, "/readyz"), "ready\n");
+        const auto stream = this->ask(*host, "stream-at-" + host->name);
+        this->wait_for(stream);
+        EXPECT_EQ(stream->status, 200) << stream->body;
+        const time_point asked = this->loop.now();
+        const auto refused = this->ask(*host, "single-run-at-" + host->name, "/submit/x");
+        this->wait_for(refused);
+        EXPECT_EQ(refused->status, 503) << "it may not go over an open connection";
+        EXPECT_LT(this->loop.now() - asked, 100ms);
+    }
+}
+
 TEST_F(unreachable_upstreams, a_relayed_stream_goes_on_when_its_relaying_host_is_killed)
 {
     this->start_hosts({"a", "b", "c"});
