Daemon: calls by way of another host are watched until they end

Callers of streams that were relayed when the way came back waited in vain if their relaying host froze then: a_relayed_stream_goes_on_when_its_relaying_host_freezes_after_the_way_is_back ends at the time limit of 20 s on the code before. Cause: hosts that fall silent were looked for only while a group was unreachable, but a call stays with its host until it ends. Now the look goes on while any call is under way by way of another host. Found by reading.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -172,7 +172,8 @@
 
 void site_host::look_at_lost_connections()
 {
-    this->is_looking_at_lost_connections = !this->link.unreachable_groups().empty();
+    this->is_looking_at_lost_connections =
+        !this->link.unreachable_groups().empty() || this->link.calls_by_other_hosts() > 0;
     if (!this->is_looking_at_lost_connections) {
         return;
     }
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -50,7 +50,8 @@
     [[nodiscard]] std::optional<duration> retry_after_if_unreachable(
         const service_id& service, bool may_repeat) const;
     void note_reachability(const upstream_group& group, bool is_reachable);
-    /// Moves streams off connections that were lost with the way to their engines, while there are such.
+    /// Moves streams off connections that were lost with the way to their engines, and ends calls by way of
+    /// silent hosts, which outlive the return of the way.
     void look_at_lost_connections();
     keyed_follower_hooks make_follower_hooks(store_topic topic);
     placement_controller_hooks make_keeper_hooks();
--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -259,6 +259,20 @@
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
+TEST_F(unreachable_upstreams, a_relayed_stream_goes_on_when_its_relaying_host_freezes_after_the_way_is_back)
+{
+    this->start_hosts({"a", "b"});
+    this->cut(0);
+    this->pass(detection_time);
+    const auto answers = this->ask_for_long_streams(*this->hosts[0], 4);
+    this->pass(300ms);
+    this->heal(0);
+    this->pass(detection_time);
+    this->hosts[1]->process->send_signal(SIGSTOP);
+    this->expect_whole(answers);
+    EXPECT_EQ(this->world.order_faults, 0U);
+}
+
 TEST_F(unreachable_upstreams, a_planned_stop_of_the_relaying_host_cuts_no_relayed_stream)
 {
     this->start_hosts({"a", "b"});
