Daemon: what a host relays, and the watch over lost connections, in classes of their own

sitehost.cpp wired and decided both. site_relay now decides which requests of other hosts it sends; lost_connection_watch moves streams off lost connections. No behaviour changes.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -68,6 +68,7 @@
           delivery_settings().death_suspension, this->make_health_hooks())
     , context(this->make_delivery_context())
     , gateway(this->context)
+    , lost_connections(this->loop, this->link, this->gateway)
     , duties(this->loop, this->store, this->settings.self,
           [this] {
               return this->peers.hosts().is_duty_candidate(this->is_fit_for_duties(), this->loop.now());
@@ -80,7 +81,8 @@
           [this](const std::shared_ptr<http_exchange>& exchange) { this->gateway.handle(exchange); })
     , admin_server(this->loop, this->settings.limits, std::nullopt,
           [this](const std::shared_ptr<http_exchange>& exchange) { this->admin.handle(exchange); })
-    , relay(this->loop, this->settings.limits, this->make_relay_hooks())
+    , relay(this->loop, this->settings.limits, this->link, this->knowledge.upstreams(), this->pauses,
+          this->make_relay_hooks())
     , stop(this->loop, this->callers, this->gateway, this->relay,
           [this] {
               this->peers.announce_leaving();
@@ -120,20 +122,39 @@
         }};
 }
 
+void site_host::log_call(const delivery_event& event)
+{
+    if (!event.request.empty()) { // probes are logged by their results
+        this->admin.note(event);
+    }
+}
+
 upstream_link_hooks site_host::make_link_hooks()
 {
-    const auto log = [this](const delivery_event& event) {
-        if (!event.request.empty()) { // probes are logged by their results
-            this->admin.note(event);
-        }
-    };
     return {this->random, this->knowledge.upstreams(),
         [this](bool is_made) { this->admin.count_connection(is_made); },
         [this](
             const upstream_group& group, bool is_reachable) { this->note_reachability(group, is_reachable); },
         [this](const upstream_group& group) { return this->list_relay_candidates(group); },
         [this](const host_id& id) { return this->peers.hosts().is_heard(id, this->loop.now()); },
-        [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; }, log};
+        [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; },
+        [this](const delivery_event& event) { this->log_call(event); }};
+}
+
+site_relay_hooks site_host::make_relay_hooks()
+{
+    site_relay_hooks hooks;
+    hooks.is_host = [this](const endpoint& peer) { return this->peers.hosts().has_host_at(peer); };
+    hooks.is_bundle_fresh = [this] { return this->knowledge.is_bundle_fresh(); };
+    hooks.on_head = [this](const upstream_target& target, int status, const http_headers& headers,
+                        time_point sent) {
+        const upstream_answer answer = this->context.codec.decode_answer(status, headers);
+        if (!target.request.value().empty() && answer.id == target.request) {
+            note_answer(this->context, target.id, answer, sent);
+        }
+    };
+    hooks.log = [this](const delivery_event& event) { this->log_call(event); };
+    return hooks;
 }
 
 std::vector<relay_candidate> site_host::list_relay_candidates(const upstream_group& group) const
@@ -165,73 +186,9 @@
     log_event(is_reachable ? log_level::info : log_level::warning, what,
         {{"service", group.service.value()}, {"data_hall", group.data_hall.value()},
             {"relaying_hosts", std::to_string(this->list_relay_candidates(group).size())}});
-    if (!is_reachable && !this->is_looking_at_lost_connections) {
-        this->look_at_lost_connections();
-    }
-}
-
-void site_host::look_at_lost_connections()
-{
-    this->is_looking_at_lost_connections =
-        !this->link.unreachable_groups().empty() || this->link.calls_by_other_hosts() > 0;
-    if (!this->is_looking_at_lost_connections) {
-        return;
-    }
-    this->loop.schedule_after(look_pause, [this] {
-        this->gateway.leave_lost_connections(
-            [this](const upstream_id& id) { return this->link.unreachable_since(id); });
-        this->link.end_calls_of_silent_hosts();
-        this->look_at_lost_connections();
-    });
-}
-
-relay_service_hooks site_host::make_relay_hooks()
-{
-    relay_service_hooks hooks;
-    hooks.timers = this->loop.hooks();
-    hooks.is_host = [this](const endpoint& peer) { return this->peers.hosts().has_host_at(peer); };
-    hooks.find_obstacle = [this](const upstream_target& target) { return this->find_relay_obstacle(target); };
-    hooks.send = [this](const upstream_target& target, const http_request& request, bool may_repeat,
-                     http_call_handlers handlers) {
-        return this->link.send_directly(target, request, may_repeat, std::move(handlers));
-    };
-    hooks.on_head = [this](const upstream_target& target, int status, const http_headers& headers,
-                        time_point sent) {
-        const upstream_answer answer = this->context.codec.decode_answer(status, headers);
-        if (!target.request.value().empty() && answer.id == target.request) {
-            note_answer(this->context, target.id, answer, sent);
-        }
-    };
-    hooks.log = [this](const delivery_event& event) {
-        if (!event.request.empty()) {
-            this->admin.note(event);
-        }
-    };
-    return hooks;
-}
-
-std::optional<std::string> site_host::find_relay_obstacle(const upstream_target& target)
-{
-    const directory_entry* entry = this->knowledge.upstreams().find(target.id);
-    if (entry == nullptr || entry->upstream.address != target.address) {
-        return "the upstream is unknown here";
-    }
-    if (!this->link.is_reachable({entry->upstream.service, entry->upstream.data_hall})) {
-        return "this host can't connect to the upstream either";
-    }
-    if (target.request.value().empty()) {
-        return std::nullopt; // a probe or a change of path, not new work
-    }
-    if (entry->upstream.is_leaving) {
-        return "the upstream is leaving";
-    }
-    if (this->pauses.is_paused(target.id, this->loop.now())) {
-        return "the upstream asked this host for a pause";
-    }
-    if (!this->knowledge.is_bundle_fresh()) {
-        return "this host can't confirm that its configuration is the newest";
+    if (!is_reachable) {
+        this->lost_connections.watch();
     }
-    return std::nullopt;
 }
 
 bool site_host::connects_to_engines() const
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "lostconnectionwatch.h"
 #include "settingswatch.h"
 #include "siteadmin.h"
 #include "siteduties.h"
@@ -41,18 +42,15 @@
     delivery_context make_delivery_context();
     upstream_health_hooks make_health_hooks();
     upstream_link_hooks make_link_hooks();
-    relay_service_hooks make_relay_hooks();
-    /// Why this host doesn't send another host's request to the upstream; nothing if it does.
-    [[nodiscard]] std::optional<std::string> find_relay_obstacle(const upstream_target& target);
+    site_relay_hooks make_relay_hooks();
+    /// Logs a decision about a call to an upstream.
+    void log_call(const delivery_event& event);
     /// Other hosts that relay requests to the group, as they report.
     [[nodiscard]] std::vector<relay_candidate> list_relay_candidates(const upstream_group& group) const;
     /// When a caller should come back whose service this host has no way to; nothing if it has one.
     [[nodiscard]] std::optional<duration> retry_after_if_unreachable(
         const service_id& service, bool may_repeat) const;
     void note_reachability(const upstream_group& group, bool is_reachable);
-    /// Moves streams off connections that were lost with the way to their engines, and ends calls by way of
-    /// silent hosts, which outlive the return of the way.
-    void look_at_lost_connections();
     keyed_follower_hooks make_follower_hooks(store_topic topic);
     placement_controller_hooks make_keeper_hooks();
     [[nodiscard]] site_state_settings make_knowledge_settings() const;
@@ -107,10 +105,10 @@
     retry_allowance retries;
     pipe_meter pipes;
     upstream_link link;
-    bool is_looking_at_lost_connections = false;
     upstream_health health;
     delivery_context context;
     gateway_service gateway;
+    lost_connection_watch lost_connections;
     site_duties duties;
     placement_controller keeper;
     keyed_follower bundle_follower;
