Soak: with as many hosts as asked for

SAILTILLER_SOAK_HOSTS plays the series with more than three hosts, as many faults and requests for each as before; the series of three are unchanged.

--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -38,15 +38,17 @@
 
 } // namespace
 
-void soak_bed::start(unsigned seed)
+void soak_bed::start(unsigned seed, unsigned host_count)
 {
     this->random.seed(seed);
     this->way_random.seed(seed ^ 0x5a5aU);
     this->start_engines(4);
-    for (const char* name : {"a", "b", "c"}) {
+    constexpr unsigned letters = 26;
+    for (unsigned number = 0; number < host_count; ++number) {
         host_slot slot;
-        slot.name = name;
-        slot.settings_file = testing::TempDir() + "sailtiller-soak-" + std::to_string(getpid()) + name;
+        slot.name = std::string(1, static_cast<char>('a' + number % letters))
+            + (number < letters ? "" : std::to_string(number / letters));
+        slot.settings_file = testing::TempDir() + "sailtiller-soak-" + std::to_string(getpid()) + slot.name;
         slot.host = &this->start_slot(slot);
         this->slots.push_back(slot);
     }
@@ -113,15 +115,21 @@
     this->bring_back();
     this->name_limits();
     this->notices->apply(this->loop.now());
-    this->change_ways();
+    // As many faults and requests for each host as with the few hosts of CI.
+    const std::size_t rounds = std::max(std::size_t{1}, this->slots.size() / default_host_count);
+    for (std::size_t round = 0; round < rounds; ++round) {
+        this->change_ways();
+    }
     this->ask_beyond_limits();
     this->copies.push_back(this->store.take_copy());
     if (this->copies.size() > kept_copies) {
         this->copies.erase(this->copies.begin());
     }
-    this->ask_some();
-    if (this->draw(3) == 0) {
-        this->disturb();
+    for (std::size_t round = 0; round < rounds; ++round) {
+        this->ask_some();
+        if (this->draw(3) == 0) {
+            this->disturb();
+        }
     }
     const time_point end = this->loop.now() + step_time;
     while (this->loop.now() < end) {
@@ -315,6 +323,7 @@
 
 void soak_bed::TearDown()
 {
+    site_bed::TearDown();
     for (const host_slot& slot : this->slots) {
         std::remove(slot.settings_file.c_str());
     }
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -13,9 +13,12 @@
 /// must always hold is checked from what callers and upstreams saw.
 class soak_bed : public site_bed
 {
+public:
+    static constexpr unsigned default_host_count = 3;
+
 protected:
     void TearDown() override;
-    void start(unsigned seed);
+    void start(unsigned seed, unsigned host_count);
     /// One step of the series: some requests, and perhaps a fault.
     void step();
     /// Ends all faults, and waits for all answers.
--- a/tests/soak/tst_soak.cpp
+++ b/tests/soak/tst_soak.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Series of faults against hosts as real processes, beside upstreams that name limits, ask for pauses or
-// leave. SAILTILLER_SOAK_SEEDS=FIRST:COUNT plays other seeds than the few of CI; `--gtest_filter=*/17` plays
-// one.
+// leave. SAILTILLER_SOAK_SEEDS=FIRST:COUNT plays other seeds than the few of CI, `--gtest_filter=*/17` plays
+// one; SAILTILLER_SOAK_HOSTS=COUNT plays with more hosts than three.
 #include "soakbed.h"
 
 #include <array>
@@ -36,13 +36,19 @@
     return seeds;
 }
 
+unsigned host_count_to_play()
+{
+    const char* given = std::getenv("SAILTILLER_SOAK_HOSTS");
+    return given == nullptr ? soak_bed::default_host_count : static_cast<unsigned>(std::stoul(given));
+}
+
 class soak : public soak_bed, public testing::WithParamInterface<unsigned>
 {
 };
 
 TEST_P(soak, what_must_always_hold_holds)
 {
-    this->start(this->GetParam());
+    this->start(this->GetParam(), host_count_to_play());
     for (unsigned number = 0; number < steps; ++number) {
         this->step();
     }
