Fleet: a restarted host is asked at the address that other hosts know

The two had restarted while the store came back from an older copy: each read the other's former address there, asked only that, and neither heard the other for the 60 s until it would be forgotten. A third host heard both and told of them; the news reached the membership, but not the entry that holds the address to ask.

--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -140,7 +140,7 @@
     }
     this->members.record_report(report, now);
     for (const host_state& news : report.news) {
-        this->members.take(news, membership::propagation::forwarded, now);
+        this->merge_state(news, membership::propagation::forwarded, now);
     }
     entry& item = this->find_or_add(report.sender, now);
     item.host = report.sender;
@@ -196,7 +196,21 @@
 void host_table::merge_states(const std::vector<host_state>& news, time_point now)
 {
     for (const host_state& item : news) {
-        this->members.take(item, membership::propagation::not_forwarded, now);
+        this->merge_state(item, membership::propagation::not_forwarded, now);
+    }
+}
+
+void host_table::merge_state(const host_state& news, membership::propagation use, time_point now)
+{
+    this->members.take(news, use, now);
+    const auto known = this->members.others().find(news.host.id);
+    const auto place = this->others.find(news.host.id);
+    if (known == this->members.others().end() || place == this->others.end()) {
+        return;
+    }
+    // Newer than its own last report or record: the host may have restarted at another address.
+    if (known->second.state.incarnation > known->second.heard) {
+        place->second.host = known->second.state.host;
     }
 }
 
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -159,6 +159,7 @@
     using member = membership::member;
 
     entry& find_or_add(const known_host& host, time_point now);
+    void merge_state(const host_state& news, membership::propagation use, time_point now);
     /// True in a fleet so small that this host queries all others.
     [[nodiscard]] bool is_full_mesh() const
     {
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -188,6 +188,21 @@
     EXPECT_EQ(this->table.live_hosts(this->now)[0].data_hall.value(), "new");
 }
 
+TEST_F(host_table_test, a_host_that_restarted_elsewhere_is_asked_at_the_address_that_others_know)
+{
+    this->table.record_report(make_report(make_host("a")), this->now);
+    known_host restarted = make_host("a");
+    restarted.address = endpoint("127.0.0.1:2");
+    peer_report report = make_report(make_host("c"));
+    report.news = {{restarted, incarnation_number(2), false, true, {}}};
+    this->table.record_report(report, this->now + 500ms);
+    const std::vector<known_host> asked = this->table.select_hosts_to_query(this->now + 2s);
+    const auto found = std::find_if(
+        asked.begin(), asked.end(), [&restarted](const known_host& host) { return host.id == restarted.id; });
+    ASSERT_NE(found, asked.end());
+    EXPECT_EQ(found->address, restarted.address);
+}
+
 TEST(peer_report, decodes_to_the_encoded_report)
 {
     peer_report report = make_report(make_host("a"));
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -38,7 +38,8 @@
     if (!HasFailure()) {
         return;
     }
-    const std::string test = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string test = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::replace(test.begin(), test.end(), '/', '-'); // before a parameter
     for (const auto& host : this->hosts) {
         const std::string path =
             testing::TempDir() + test + "-" + std::to_string(getpid()) + "-" + host->name + ".log";
--- a/tests/soak/tst_soak.cpp
+++ b/tests/soak/tst_soak.cpp
@@ -17,8 +17,9 @@
 /// heartbeats. At 3 a service that named 0.5 requests a second got more than 8 in four seconds, as hosts read
 /// nothing of that. At 1 and 2 hosts read nothing of pauses either, at 2 nothing of an engine's leaving.
 /// At 6126 a host without a way to the upstreams refused its callers, as a service that lost an answer had
-/// made it avoid the only host that could relay.
-constexpr std::array seeds_in_ci = {1U, 2U, 3U, 111U, 131U, 6126U};
+/// made it avoid the only host that could relay. At 7117 two hosts that had restarted around a restore asked
+/// each other at their former addresses only.
+constexpr std::array seeds_in_ci = {1U, 2U, 3U, 111U, 131U, 6126U, 7117U};
 
 std::vector<unsigned> seeds_to_play()
 {
