Delivery, Platform: failed sends name the shared parts of their prompt

Failed sends name the content of their request, so that tries of one request can be told from others. Requests that are unlike but share a part of their prompts could not be seen to share it: nothing read the parts. They are decoded once, in platform/: all but the last, bounded in number and length, malformed ones passed over; the upstream sees what the caller sent. path_failed and upstream_failed name them.

--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -20,6 +20,8 @@
 /// What a caller asks, whoever counts its tries: a digest over path, client account and body, in lower-case
 /// hexadecimal. Tries of one request have ids of their own and share this.
 using request_content = strong_type<struct request_content_tag, std::string>;
+/// A part of prompts that requests share, in lower-case hexadecimal.
+using prompt_part_id = strong_type<struct prompt_part_id_tag, std::string>;
 /// One generation of tokens on the engines; a request of a model has exactly one.
 using stream_id = strong_type<struct stream_id_tag, std::string>;
 /// Counts the tries of one stream from 1; an answer of an older try is stale.
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -17,6 +17,11 @@
     unsigned end_layer = 0; ///< one past the last layer
 };
 
+/// Maximum number of parts of a prompt that are read; a caller may name any number.
+constexpr std::size_t max_shared_parts = 64;
+/// Maximum length of a part's id in hexadecimal digits; longer ones are not read.
+constexpr std::size_t max_part_id_length = 64;
+
 /// Decoded request of a caller.
 struct caller_request
 {
@@ -31,6 +36,9 @@
     double prompt_tokens = 0;
     double max_answer_tokens = 0;
     std::optional<double> predicted_answer_tokens; ///< median estimate, with a wide spread
+    /// Parts of the prompt that other requests may share, in order and each once; without the last part,
+    /// which is the request's or its session's own. At most `max_shared_parts`.
+    std::vector<prompt_part_id> shared_parts;
     http_headers passed_on; ///< headers forwarded to the upstream unchanged
 };
 
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -87,6 +87,17 @@
     return request_content(digest_of(text).value().substr(0, content_digits));
 }
 
+std::string delivery_order::describe_content() const
+{
+    std::string text = "content " + this->content().value();
+    const char* separator = ", parts ";
+    for (const prompt_part_id& part : this->request.shared_parts) {
+        text += separator + part.value();
+        separator = " ";
+    }
+    return text;
+}
+
 upstream_request delivery_order::make_request(const upstream_id& target, time_point now) const
 {
     upstream_request item;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -186,6 +186,9 @@
     /// Returns the digest that is the same for every retry of a request, whose ids differ. Reads the whole
     /// body, which takes some microseconds.
     [[nodiscard]] request_content content() const;
+    /// Returns what tells requests apart or shows what they share, for the log of a failed send: the content
+    /// and the shared parts of the prompt.
+    [[nodiscard]] std::string describe_content() const;
     /// Returns the request for this upstream, without a path.
     [[nodiscard]] upstream_request make_request(const upstream_id& target, time_point now) const;
 };
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -248,7 +248,7 @@
 
 void plain_delivery::retry_or_fail(const std::string& reason)
 {
-    this->log(event_type::upstream_failed, reason + ", content " + this->order.content().value());
+    this->log(event_type::upstream_failed, reason + ", " + this->order.describe_content());
     if (this->target) {
         this->avoided.insert(*this->target);
     }
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -511,7 +511,7 @@
 {
     this->log(event_type::path_failed,
         reason + " after " + std::to_string(this->events.pace().event_count()) + " events, "
-            + this->sends.describe_runs() + ", content " + this->order.content().value());
+            + this->sends.describe_runs() + ", " + this->order.describe_content());
     this->release_call();
     if (this->sends.may_send_again(this->has_started)) {
         return true;
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -169,6 +169,37 @@
     }
 }
 
+std::vector<prompt_part_id> read_parts(const std::string& text)
+{
+    http_request message = make_request();
+    message.headers.push_back({"x-prompt-prefix", text});
+    const caller_request request = make_request_codec().decode_request(message);
+    EXPECT_EQ(find_header(request.passed_on, "x-prompt-prefix"), text) << "the upstream sees what was sent";
+    return request.shared_parts;
+}
+
+TEST(wire_request, parts_of_the_prompt_but_the_last_are_shared)
+{
+    const std::vector<prompt_part_id> both{prompt_part_id("5c1e07a2"), prompt_part_id("91bd3f06")};
+    EXPECT_EQ(read_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), both);
+    EXPECT_EQ(read_parts("5C1E07A2:800, 91bd3f06 :410,5c1e07a2:800,e4402b7d:250"), both);
+    EXPECT_TRUE(read_parts("e4402b7d:250").empty());
+    EXPECT_TRUE(make_request_codec().decode_request(make_request()).shared_parts.empty());
+}
+
+TEST(wire_request, malformed_parts_of_the_prompt_are_passed_over_and_their_number_is_bounded)
+{
+    const std::vector<prompt_part_id> sound{prompt_part_id("5c1e")};
+    EXPECT_EQ(read_parts("5c1e,xyz:3,:4,,91bd3f:2"), sound);
+    EXPECT_EQ(read_parts("5c1e:-7," + std::string(1000, 'a') + ":1,91bd3f"), sound);
+    EXPECT_EQ(read_parts("5c1e:many:colons,"), sound);
+    std::string many;
+    for (int number = 0; number < 1000; ++number) {
+        many += std::to_string(number) + ":1,";
+    }
+    EXPECT_EQ(read_parts(many + "ff:1").size(), max_shared_parts);
+}
+
 TEST(wire_request, only_whole_words_of_the_connection_header_name_headers)
 {
     http_request message = make_request();
