System tests: unlike requests with one fatal part in common, failing

Three hosts as real processes before twelve stand-in engines a hall, each of which crashes 30 ms after it begins a prompt with the part and is back, empty, after half a second; sound requests beside, of the same account, route and other parts.

--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -108,7 +108,8 @@
 }
 
 std::shared_ptr<site_answer> site_bed::ask(const site_host_process& host, const std::string& id,
-    const std::string& path, const std::string& key, const std::string& body)
+    const std::string& path, const std::string& key, const std::string& body,
+    const http_headers& more_headers)
 {
     auto answer = std::make_shared<site_answer>();
     http_request request;
@@ -116,6 +117,7 @@
     request.path = path;
     request.headers = {{"x-attempt-id", id}, {"x-deadline-ms", "20000"}, {"authorization", "Bearer " + key},
         {"x-token-usage", "80,20"}};
+    request.headers.insert(request.headers.end(), more_headers.begin(), more_headers.end());
     request.body = body;
     // The client names the address as the host; routes are by the virtual host, which goes before it.
     request.authority = "a.example";
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -48,7 +48,7 @@
     void write_configuration(std::uint64_t version, const std::vector<std::string>& keys);
     std::shared_ptr<site_answer> ask(const site_host_process& host, const std::string& id,
         const std::string& path = "/chat/x", const std::string& key = "key-1",
-        const std::string& body = "ask");
+        const std::string& body = "ask", const http_headers& more_headers = {});
     /// Waits until every layer has a holder that the host knows, shown by a stream that it serves.
     void wait_until_served(const site_host_process& host);
     /// A page of a host's admin address.
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -29,10 +29,27 @@
     return path;
 }
 
+bool holds_part(const http_request& request, const std::string& part)
+{
+    std::istringstream list(find_header(request.headers, "x-prompt-prefix").value_or(""));
+    std::vector<std::string> names;
+    std::string item;
+    while (std::getline(list, item, ',')) {
+        names.push_back(item.substr(0, item.find(':')));
+    }
+    // The last part is the request's own.
+    return !names.empty() && std::find(names.begin(), names.end() - 1, part) != names.end() - 1;
+}
+
+bool is_fatal(const engine_world& world, const http_request& request)
+{
+    return request.body == world.fatal_body || (world.fatal_part && holds_part(request, *world.fatal_part));
+}
+
 void note_arrival(engine_world& world, const std::string& name, const http_request& request, time_point now)
 {
     world.arrivals[name].push_back({find_header(request.headers, "x-attempt-id").value_or(""), now});
-    if (request.body == world.fatal_body) {
+    if (is_fatal(world, request)) {
         world.fatal_arrivals.push_back(now);
     }
 }
@@ -132,7 +149,7 @@
 
 void path_engine::take_fatal(const http_request& request)
 {
-    if (request.body != this->world.fatal_body) {
+    if (!is_fatal(this->world, request)) {
         return;
     }
     this->loop.schedule_after(this->world.time_to_crash, [this, start = this->starts] {
@@ -359,7 +376,7 @@
     }
     const std::string request = header_of(exchange, "x-attempt-id");
     ++this->world.runs[request];
-    if (exchange->request().body == this->world.fatal_body) {
+    if (is_fatal(this->world, exchange->request())) {
         this->loop.schedule_after(this->world.time_to_crash, [this] { this->crash(); });
         return;
     }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -46,10 +46,13 @@
     std::uint64_t highest_token = 0;
     /// A request with this body ends each engine or service that begins it; nothing if there is none.
     std::optional<std::string> fatal_body;
+    /// A prompt that holds this part before its last one does the same, whatever else the request holds;
+    /// nothing if there is none.
+    std::optional<std::string> fatal_part;
     duration time_to_crash = std::chrono::milliseconds(30);
     duration time_to_restart = std::chrono::milliseconds(500);
-    std::vector<time_point> crashes; ///< that the fatal request brought about
-    std::vector<time_point> fatal_arrivals; ///< of the fatal request, refused ones included
+    std::vector<time_point> crashes; ///< that fatal requests brought about
+    std::vector<time_point> fatal_arrivals; ///< of fatal requests, refused ones included
     /// Requests a second that engines and services name in their answers as those that they take, by their
     /// names.
     std::map<std::string, double> limits;
