Fleet, Delivery: a part of prompts that crashes its engines is suspected, not only a whole request

Cause: crashes were booked on the whole request.

Change: a crash names the request and the shared parts of its prompt. What passes the beginning of a stream is cleared of the crashes before, so that of all that the same crashes name only what never passes becomes suspect: the first part of a route passes many times a second. For a part in regular use, engines that crash together count once. Suspects of both kinds go through one mechanism: three trials for the fleet, counted in the store. Of two suspect parts each is first tried alone; the crash of a trial names only what was tried. Urgent records go to eight hosts at once, before the next report. Metrics, /status, explain and the log name which kind it is.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -90,6 +90,9 @@
           "Requests that were answered, or lost with their connection, while they were read.", "code")
     , connections("sailtiller_upstream_connections_total",
           "New connections to upstreams that were made, or could not be made.", "outcome")
+    , suspect_refusals("sailtiller_suspect_refusals_total",
+          "Requests refused because they, or a part of their prompt, are suspect of crashing upstreams.",
+          "kind")
     , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
           "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
           "source", source_labels)
@@ -191,6 +194,16 @@
     return list;
 }
 
+json site_admin::list_suspects() const
+{
+    json list = json::array();
+    for (const suspect_state& item : this->view.suspects.list_suspects(this->view.now())) {
+        list.push_back({{"kind", std::string(name_of(item.suspect.kind))}, {"id", item.suspect.value},
+            {"crashes", item.crashes}, {"trials", item.trials}, {"age_ms", to_milliseconds(item.age)}});
+    }
+    return list;
+}
+
 http_response site_admin::status() const
 {
     const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
@@ -213,7 +226,7 @@
             {"upstreams_offset", upstreams_end ? json(number_of(*upstreams_end)) : json()},
             {"live_hosts", hosts}, {"reads_store", this->view.reads_store()},
             {"gives_orders", token.has_value()}, {"order_token", token ? json(token->value()) : json()},
-            {"upstreams", this->list_upstreams()}});
+            {"suspects", this->list_suspects()}, {"upstreams", this->list_upstreams()}});
 }
 
 http_response site_admin::explain(const http_request& request) const
@@ -248,8 +261,7 @@
         this->view.reads_store() ? 1 : 0);
     write_gauge(out, "sailtiller_gives_orders", "1 on the host that gives orders to engines.",
         this->view.order_token() ? 1 : 0);
-    write_gauge(out, "sailtiller_suspect_requests", "Requests that are suspect of ending their upstreams.",
-        static_cast<double>(this->view.suspects.suspect_count()));
+    this->write_suspects(out);
     write_gauge(out, "sailtiller_limited_upstreams",
         "Upstreams that name how many requests a second they take.",
         static_cast<double>(this->view.limits.limited_count()));
@@ -269,6 +281,20 @@
     return out;
 }
 
+void site_admin::write_suspects(std::string& out) const
+{
+    const crash_suspects& suspects = this->view.suspects;
+    write_gauge(out, "sailtiller_suspect_requests", "Requests that are suspect of crashing their upstreams.",
+        static_cast<double>(suspects.suspect_count(suspect_kind::request)));
+    write_gauge(out, "sailtiller_suspect_prompt_parts",
+        "Parts of prompts that are suspect of crashing the upstreams that start on them.",
+        static_cast<double>(suspects.suspect_count(suspect_kind::prompt_part)));
+    write_gauge(out, "sailtiller_crash_records",
+        "Requests and parts of prompts under which an upstream crashed lately.",
+        static_cast<double>(suspects.record_count()));
+    this->suspect_refusals.write(out);
+}
+
 void site_admin::write_known_upstreams(std::string& out) const
 {
     // Their age alone doesn't show that two hosts believe in different upstreams.
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -48,6 +48,8 @@
     void count_rejection(const std::string& code) { this->rejections.add(code); }
     /// A stream that had begun ended without its last event.
     void count_end(stream_end cause) { this->ends.add(std::string(name_of(cause))); }
+    /// A request was refused because of a suspect of this kind.
+    void count_suspect_refusal(suspect_kind kind) { this->suspect_refusals.add(std::string(name_of(kind))); }
     /// A new connection to an upstream was made, or could not be made.
     void count_connection(bool is_made) { this->connections.add(is_made ? "made" : "failed"); }
     /// Takes one of a request's times into the histograms of its route and its account.
@@ -70,6 +72,8 @@
     [[nodiscard]] json list_unreachable() const;
     [[nodiscard]] std::string write_account_times(const http_request& request) const;
     [[nodiscard]] json list_upstreams() const;
+    [[nodiscard]] json list_suspects() const;
+    void write_suspects(std::string& out) const;
 
     site_admin_view view;
     decision_log decisions;
@@ -78,6 +82,7 @@
     counter_family ends;
     counter_family rejections;
     counter_family connections;
+    counter_family suspect_refusals;
     time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -55,7 +55,8 @@
     , reading(this->settings.store->reading)
     , suspects(
           this->loop, this->store, [this] { return this->reading.reads_store(); },
-          [this](event_type event) { this->admin.note_belief(event); })
+          [this](event_type event) { this->admin.note_belief(event); },
+          [this](const std::vector<crash_record>& records) { this->peers.send_crashes(records); })
     , bundles({}, this->make_exchange_hooks())
     , entries({}, this->knowledge, this->make_entry_hooks())
     , peers(this->loop, this->store, this->own_host(), this->make_peers_hooks())
@@ -106,8 +107,8 @@
         },
         this->health.stream_watch(), this->knowledge.upstreams(), this->loads, this->retries, this->pipes,
         this->suspects.records(),
-        [this](const request_content& content, const std::function<void(bool)>& on_answer) {
-            this->suspects.claim_trial(content, on_answer);
+        [this](const suspect_list& tried, const std::function<void(bool)>& on_answer) {
+            this->suspects.claim_trial(tried, on_answer);
         },
         this->limits.own_part(), [this](const upstream_id& id) { this->knowledge.note_leaving(id); },
         this->pauses, this->random, this->settings.data_hall,
@@ -119,7 +120,8 @@
         [this](stream_end cause) { this->admin.count_end(cause); },
         [this](const service_id& service, bool may_repeat) {
             return this->retry_after_if_unreachable(service, may_repeat);
-        }};
+        },
+        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); }};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -306,9 +308,13 @@
         this->bundles.record_holder(report.sender, report.bundle_version);
         this->knowledge.apply_leaving_notices(report);
         this->health.take_report(report);
-        this->suspects.take_report(report);
+        this->suspects.take_records(report.crashes);
         this->limits.take_report(report);
     };
+    hooks.take_crashes = [this](const std::vector<crash_record>& crashes) {
+        this->suspects.take_records(crashes);
+    };
+    hooks.random = this->random;
     hooks.answer_limit = [this](const limit_query& question) { return this->limits.answer(question); };
     hooks.give_bundle = [this] { return this->bundles.make_answer(); };
     hooks.give_entries = [this](const std::optional<log_offset>& known) {
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -20,6 +20,7 @@
 constexpr const char* bundle_method = "site-bundle";
 constexpr const char* entries_method = "site-entries";
 constexpr const char* hosts_method = "site-hosts";
+constexpr const char* crashes_method = "site-crashes";
 constexpr duration connect_limit = milliseconds(500);
 constexpr duration answer_limit = milliseconds(600);
 /// To a bundle's whole text, or a list: 2.5 MB on a link of 20 Mbit/s, packed about a tenth of its size.
@@ -36,6 +37,9 @@
 /// Of the peers asked in one round, those that may answer with changes of the upstreams' entries, as they
 /// all know the same ones; a second one covers the time until the first is missed.
 constexpr std::size_t peers_asked_for_changes = 2;
+/// Hosts to which crash records are sent at once; each sends on what is urgent, so that a thousand know it
+/// after four hops.
+constexpr std::size_t hosts_told_at_once = 8;
 /// A connection to a peer that was not used for so long is closed: partners are asked every two seconds.
 constexpr duration connection_idle_limit = std::chrono::seconds(20);
 /// After a failed call to the store.
@@ -264,6 +268,16 @@
         });
 }
 
+void site_peers::send_crashes(const std::vector<crash_record>& crashes)
+{
+    std::vector<known_host> others = this->table.live_hosts(this->loop.now());
+    std::erase_if(others, [this](const known_host& host) { return host.id == this->table.own().id; });
+    const std::string body = encode_crash_records(crashes);
+    for (const known_host& peer : draw_some(std::move(others), hosts_told_at_once, this->hooks.random)) {
+        this->ask_text(peer, crashes_method, body, "send crash records", [](const auto&) {});
+    }
+}
+
 std::optional<std::string> site_peers::answer(const std::string& method, const std::string& body)
 {
     try {
@@ -291,6 +305,10 @@
     if (method == hosts_method) {
         return pack_text(encode_host_news(this->table.list_states()));
     }
+    if (method == crashes_method) {
+        this->hooks.take_crashes(decode_crash_records(body));
+        return std::string();
+    }
     if (method == limit_query_method) {
         return encode_limit_grant(this->hooks.answer_limit(decode_limit_query(body)));
     }
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/random.h>
 #include <fleet/hosttable.h>
 #include <fleet/limitmessages.h>
 #include <runtime/peerclient.h>
@@ -32,6 +33,9 @@
     std::function<bool()> reads_store;
     /// Answers a host that asks for requests of an upstream's limit.
     std::function<limit_grant(const limit_query&)> answer_limit;
+    /// Takes crash records that another host sent between the rounds.
+    std::function<void(const std::vector<crash_record>&)> take_crashes;
+    random_function random;
 };
 
 /// The exchange of reports among the hosts of a site. Hosts find each other by their records in the store,
@@ -58,6 +62,8 @@
     /// Asks a peer for requests of an upstream's limit; one of the handlers runs later.
     void ask_limit(const known_host& peer, const limit_query& question,
         const std::function<void(const limit_grant&)>& on_grant, const std::function<void()>& on_failure);
+    /// Sends crash records to some hosts at once; a host that doesn't get them learns of them in a report.
+    void send_crashes(const std::vector<crash_record>& crashes);
     [[nodiscard]] const host_table& hosts() const { return this->table; }
 
 private:
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -110,6 +110,10 @@
         return "path_changed";
     case event_type::path_failed:
         return "path_failed";
+    case event_type::prompt_part_cleared:
+        return "prompt_part_cleared";
+    case event_type::prompt_part_suspected:
+        return "prompt_part_suspected";
     case event_type::refused:
         return "refused";
     case event_type::refused_at_entry:
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -133,11 +133,10 @@
     engine_loads& loads;
     retry_allowance& retries;
     pipe_meter& pipes;
-    /// Requests during which upstreams crashed, shared by all hosts.
+    /// Requests and parts of prompts during which upstreams crashed, shared by all hosts.
     crash_suspects& suspects;
-    /// Asks the fleet for one trial of a suspect request; answers asynchronously.
-    std::function<void(const request_content&, const std::function<void(bool is_given)>& on_answer)>
-        claim_trial;
+    /// Asks the fleet for one trial of a request that holds these suspects; answers asynchronously.
+    std::function<void(const suspect_list&, const std::function<void(bool is_given)>& on_answer)> claim_trial;
     /// This host's shares of the upstreams' limits on requests per second.
     limit_client& limits;
     /// Called for each upstream that announces its shutdown in an answer.
@@ -157,6 +156,8 @@
     /// Returns the retry-after time if neither this host nor another one that it hears can send a request to
     /// the service; empty if one can. Only requests that may be repeated go over kept connections. Optional.
     std::function<std::optional<duration>(const service_id&, bool may_repeat)> retry_after_if_unreachable;
+    /// Counts requests that were refused because of a suspect of this kind; optional.
+    std::function<void(suspect_kind)> count_suspect_refusal;
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/delivery/suspectguard.cpp
+++ b/src/libs/delivery/suspectguard.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <delivery/suspectguard.h>
 
+#include <algorithm>
+
 namespace sailtiller {
 
 namespace {
@@ -11,14 +13,47 @@
 /// no event.
 constexpr duration max_start_time = std::chrono::milliseconds(250);
 
+/// The suspect that a refusal names: a part, if there is one, as other requests share it.
+const suspect_id& select_named(const suspect_list& suspects)
+{
+    const auto part = std::find_if(suspects.begin(), suspects.end(),
+        [](const suspect_id& item) { return item.kind == suspect_kind::prompt_part; });
+    return part == suspects.end() ? suspects.front() : *part;
+}
+
 } // namespace
 
-const request_content& suspect_guard::content()
+suspect_list suspect_guard::list_parts() const
+{
+    const std::vector<prompt_part_id>& parts = this->order.request.shared_parts;
+    suspect_list list;
+    std::transform(parts.begin(), parts.end(), std::back_inserter(list),
+        [](const prompt_part_id& part) { return suspect_id(part); });
+    return list;
+}
+
+const suspect_list& suspect_guard::causes()
+{
+    if (!this->known_causes) {
+        this->known_causes = this->list_parts();
+        this->known_causes->emplace_back(this->order.content());
+    }
+    return *this->known_causes;
+}
+
+void suspect_guard::refuse_suspect(
+    const suspect_list& suspects, const std::string& outlook, duration retry_after, const refusal& refuse)
 {
-    if (!this->known_content) {
-        this->known_content = this->order.content();
+    const suspect_id& named = select_named(suspects);
+    if (this->context.count_suspect_refusal) {
+        this->context.count_suspect_refusal(named.kind);
     }
-    return *this->known_content;
+    const bool is_part = named.kind == suspect_kind::prompt_part;
+    refuse("upstreams crashed while running "
+            + (is_part ? "requests with part " + named.value + " of this prompt"
+                       : std::string("this request"))
+            + "; " + outlook,
+        retry_after);
 }
 
 bool suspect_guard::is_cleared_to_send(const std::function<void()>& on_answer, const refusal& refuse)
@@ -31,25 +66,26 @@
     }
     if (this->trial == trial_state::withheld) {
         this->trial = trial_state::none;
-        refuse("upstreams crashed while running this request, and no trial is available now",
-            this->context.settings.retry_after);
+        this->refuse_suspect(
+            this->trial_suspects, "no trial is available now", this->context.settings.retry_after, refuse);
         return false;
     }
-    const send_assessment judged = this->context.suspects.assess(this->content(), this->context.timers.now());
+    const send_assessment judged = this->context.suspects.assess(this->causes(), this->context.timers.now());
     switch (judged.decision) {
     case send_decision::free:
         return true;
     case send_decision::later:
-        refuse("upstreams crashed while running this request; a trial follows later", judged.wait);
+        this->refuse_suspect(judged.suspects, "a trial is running or follows later", judged.wait, refuse);
         return false;
     case send_decision::never:
-        refuse("upstreams crashed in all trials of this request", judged.wait);
+        this->refuse_suspect(judged.suspects, "they crashed in all trials too", judged.wait, refuse);
         return false;
     case send_decision::trial:
         break;
     }
     this->trial = trial_state::asking;
-    this->context.claim_trial(this->content(), [this, on_answer](bool is_given) {
+    this->trial_suspects = judged.suspects;
+    this->context.claim_trial(this->trial_suspects, [this, on_answer](bool is_given) {
         this->trial = is_given ? trial_state::given : trial_state::withheld;
         on_answer();
     });
@@ -61,6 +97,7 @@
     this->is_trial_send = this->trial == trial_state::given;
     this->trial = trial_state::none;
     this->is_counted = false;
+    this->has_passed = false;
     this->first_progress.reset();
 }
 
@@ -71,29 +108,46 @@
     }
 }
 
+bool suspect_guard::is_past_start_phase() const
+{
+    return this->first_progress && this->context.timers.now() - *this->first_progress > max_start_time;
+}
+
 void suspect_guard::note_progress()
 {
     if (!this->first_progress) {
         this->first_progress = this->context.timers.now();
     }
+    if (!this->has_passed && this->is_past_start_phase()) {
+        this->note_passed();
+    }
 }
 
-void suspect_guard::note_ended(const upstream_id& upstream)
+void suspect_guard::note_passed()
 {
+    this->has_passed = true;
     const time_point now = this->context.timers.now();
-    const bool is_past_start_phase = this->first_progress && now - *this->first_progress > max_start_time;
+    // The content is needed only if there is a record of it.
+    this->context.suspects.note_passed(
+        this->context.suspects.is_empty() ? this->list_parts() : this->causes(), now);
+}
+
+void suspect_guard::note_ended(const upstream_id& upstream)
+{
     // Several engines of one path may crash together; they count once per send.
-    if (is_past_start_phase || this->is_counted) {
+    if (this->is_past_start_phase() || this->is_counted) {
         return;
     }
     this->is_counted = true;
-    this->context.suspects.note_crash(this->content(), upstream, now);
+    // What was tried explains the crash of its trial.
+    const suspect_list& causes = this->is_trial_send ? this->trial_suspects : this->causes();
+    this->context.suspects.note_crash(causes, upstream, this->context.timers.now());
 }
 
 void suspect_guard::note_completed()
 {
-    if (!this->context.suspects.is_empty()) {
-        this->context.suspects.note_completed(this->content(), this->context.timers.now());
+    if (!this->has_passed) {
+        this->note_passed();
     }
 }
 
--- a/src/libs/delivery/suspectguard.h
+++ b/src/libs/delivery/suspectguard.h
@@ -6,7 +6,7 @@
 namespace sailtiller {
 
 /// Records upstreams that crash while they start the request of one delivery, and requires a trial for each
-/// send once the request is suspected of crashing them.
+/// send once the request, or a part of its prompt, is suspected of crashing them.
 class suspect_guard
 {
 public:
@@ -37,13 +37,21 @@
 private:
     enum class trial_state { none, asking, given, withheld };
 
-    const request_content& content();
+    [[nodiscard]] suspect_list list_parts() const;
+    /// The request and the parts of its prompt.
+    const suspect_list& causes();
+    [[nodiscard]] bool is_past_start_phase() const;
+    void note_passed();
+    void refuse_suspect(const suspect_list& suspects, const std::string& outlook, duration retry_after,
+        const refusal& refuse);
 
     delivery_context& context;
     const delivery_order& order;
-    std::optional<request_content> known_content; ///< computed from the body on first use
+    std::optional<suspect_list> known_causes; ///< the content is computed from the body on first use
     trial_state trial = trial_state::none;
+    suspect_list trial_suspects; ///< of the last trial that was asked for
     bool is_trial_send = false; ///< of the current send
+    bool has_passed = false; ///< the current send is past the start phase
     bool is_counted = false; ///< a crash during the current send is counted
     std::optional<time_point> first_progress; ///< of the current send
 };
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -110,16 +110,18 @@
     return news;
 }
 
-json write_crashes(const peer_report& report)
+json write_crashes(const std::vector<crash_record>& crashes)
 {
     json list = json::array();
-    for (const crash_record& item : report.crashes) {
+    for (const crash_record& item : crashes) {
         json crashed = json::array();
-        for (const upstream_id& upstream : item.crashed) {
-            crashed.push_back(upstream.value());
+        json ages = json::array();
+        for (const reported_crash& crash : item.crashes) {
+            crashed.push_back(crash.upstream.value());
+            ages.push_back(crash.age.count());
         }
-        list.push_back(
-            json::array({item.content.value(), crashed, item.trials, item.clearances, item.age.count()}));
+        list.push_back(json::array({write_suspect_key(item.suspect), crashed, item.trials, item.clearances,
+            item.age.count(), ages, write_age(item.pass_age)}));
     }
     return list;
 }
@@ -162,16 +164,31 @@
 crash_record read_crash(const json& item)
 {
     crash_record record;
-    record.content = request_content(item.at(0).get<std::string>());
-    for (const json& upstream : item.at(1)) {
-        record.crashed.emplace_back(upstream.get<std::string>());
-    }
+    record.suspect = read_suspect_key(item.at(0).get<std::string>());
     record.trials = item.at(2).get<unsigned>();
     record.clearances = item.at(3).get<unsigned>();
     record.age = duration(item.at(4).get<duration::rep>());
+    constexpr std::size_t fields_of_older_releases = 5;
+    const bool has_times = item.size() > fields_of_older_releases;
+    for (std::size_t number = 0; number < item.at(1).size(); ++number) {
+        record.crashes.push_back({upstream_id(item.at(1).at(number).get<std::string>()),
+            has_times ? duration(item.at(5).at(number).get<duration::rep>()) : record.age});
+    }
+    if (has_times) {
+        record.pass_age = read_age(item.at(6));
+    }
     return record;
 }
 
+std::vector<crash_record> read_crashes(const json& list)
+{
+    std::vector<crash_record> crashes;
+    for (const json& item : list) {
+        crashes.push_back(read_crash(item));
+    }
+    return crashes;
+}
+
 std::vector<upstream_suspicion> read_suspicions(const json& list)
 {
     std::vector<upstream_suspicion> suspicions;
@@ -205,9 +222,7 @@
     }
     report.news = read_news(item.value("news", json::array()));
     // The fields below are absent in reports of older releases.
-    for (const json& crash : item.value("crashes", json::array())) {
-        report.crashes.push_back(read_crash(crash));
-    }
+    report.crashes = read_crashes(item.value("crashes", json::array()));
     for (const json& id : item.value("leaving_upstreams", json::array())) {
         report.leaving_upstreams.emplace_back(id.get<std::string>());
     }
@@ -228,6 +243,16 @@
     return decode_cbor("read states of hosts", bytes, [](const json& item) { return read_news(item); });
 }
 
+std::string encode_crash_records(const std::vector<crash_record>& crashes)
+{
+    return to_cbor(write_crashes(crashes));
+}
+
+std::vector<crash_record> decode_crash_records(const std::string& bytes)
+{
+    return decode_cbor("read crash records", bytes, [](const json& item) { return read_crashes(item); });
+}
+
 std::string encode_peer_report(const peer_report& report)
 {
     json item = {{"sender", write_host(report.sender)}, {"leaving", report.is_leaving},
@@ -240,7 +265,7 @@
         {"unwilling", write_suspicions(report.unwilling)}, {"signs", write_signs(report)},
         {"holdings", write_holdings(report)}, {"incarnation", report.incarnation.value()},
         {"hosts_digest", report.hosts_digest}, {"news", write_news(report.news)},
-        {"crashes", write_crashes(report)}, {"limits", write_limits(report)},
+        {"crashes", write_crashes(report.crashes)}, {"limits", write_limits(report)},
         {"leaving_upstreams", write_leaving(report)},
         // Required by older releases.
         {"hosts", json::array()}};
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -104,7 +104,7 @@
     incarnation_number incarnation{1}; ///< of the sender's state
     std::uint64_t hosts_digest = 0; ///< of the hosts known to the sender; 0: not reported
     std::vector<host_state> news; ///< of hosts whose state changed recently
-    std::vector<crash_record> crashes; ///< requests under which upstreams have crashed
+    std::vector<crash_record> crashes; ///< requests and parts of prompts under which upstreams have crashed
     std::vector<limit_statement> limits; ///< that upstreams name or recently named
     std::optional<endpoint> relay_address; ///< at which the sender relays requests of others
     unsigned relayed_calls = 0; ///< that the sender relays now
@@ -116,6 +116,11 @@
 /// Throws `error` if the bytes are malformed.
 std::vector<host_state> decode_host_news(const std::string& bytes);
 
+/// Writes crash records as CBOR.
+std::string encode_crash_records(const std::vector<crash_record>& crashes);
+/// Throws `error` if the bytes are malformed.
+std::vector<crash_record> decode_crash_records(const std::string& bytes);
+
 /// Writes a report as CBOR.
 std::string encode_peer_report(const peer_report& report);
 /// Throws `error` if the bytes are malformed.
--- a/src/libs/site/trialclaims.cpp
+++ b/src/libs/site/trialclaims.cpp
@@ -50,82 +50,92 @@
         if (!record.value) {
             continue;
         }
-        const request_content content(record.key);
+        const suspect_id suspect = read_suspect_key(record.key);
         try {
-            this->suspects.note_trials(content, read_record(*record.value), now);
+            this->suspects.note_trials(suspect, read_record(*record.value), now);
         } catch (const json::exception& malformed) {
-            this->hooks.on_event(event_type::malformed_record, content, malformed.what());
+            this->hooks.on_event(event_type::malformed_record, suspect, malformed.what());
         }
     }
 }
 
-void trial_claims::claim(const request_content& content, const answer_handler& on_answer)
+void trial_claims::claim(const suspect_list& tried, const answer_handler& on_answer)
 {
     if (this->hooks.is_store_reached()) {
-        this->read_claim(content, max_claim_reads, on_answer);
+        this->read_claim(tried, max_claim_reads, on_answer);
         return;
     }
     this->hooks.timers.schedule_after(duration::zero(),
-        [this, content, on_answer] { this->deny_trial(content, "the store is unavailable", on_answer); });
+        [this, tried, on_answer] { this->deny_trial(tried, "the store is unavailable", on_answer); });
 }
 
-void trial_claims::read_claim(
-    const request_content& content, unsigned reads_left, const answer_handler& on_answer)
+void trial_claims::read_claim(const suspect_list& tried, unsigned reads_left, const answer_handler& on_answer)
 {
     this->hooks.read_newest(
-        [this, content, reads_left, on_answer](const newest_page& page) {
+        [this, tried, reads_left, on_answer](const newest_page& page) {
             this->take_records(page.records);
-            if (this->suspects.assess(content, this->hooks.timers.now()).decision != send_decision::trial) {
-                this->deny_trial(content, "another host was just granted a trial", on_answer);
+            const send_assessment judged = this->suspects.assess(tried, this->hooks.timers.now());
+            if (judged.decision != send_decision::trial) {
+                this->deny_trial(tried, "another host was just granted a trial", on_answer);
                 return;
             }
-            this->write_claim(content, page.end, reads_left - 1, on_answer);
+            this->write_claim(tried, page.end, reads_left - 1, on_answer);
         },
-        [this, content, on_answer](
-            const error& failure) { this->deny_trial(content, failure.what(), on_answer); });
+        [this, tried, on_answer](
+            const error& failure) { this->deny_trial(tried, failure.what(), on_answer); });
 }
 
 void trial_claims::write_claim(
-    const request_content& content, log_offset end, unsigned reads_left, const answer_handler& on_answer)
+    const suspect_list& tried, log_offset end, unsigned reads_left, const answer_handler& on_answer)
 {
-    trial_record record = this->suspects.trials_of(content);
-    ++record.trials;
+    std::vector<trial_record> trials;
+    std::vector<keyed_record> records;
+    for (const suspect_id& suspect : tried) {
+        trial_record& record = trials.emplace_back(this->suspects.trials_of(suspect));
+        ++record.trials;
+        records.push_back({write_suspect_key(suspect), write_record(record)});
+    }
     this->hooks.put_at(
-        {content.value(), write_record(record)}, end,
-        [this, content, record, reads_left, on_answer](bool was_written) {
+        records, end,
+        [this, tried, trials, reads_left, on_answer](bool was_written) {
             if (was_written) {
-                this->grant_trial(content, record, on_answer);
+                this->grant_trial(tried, trials, on_answer);
             } else if (reads_left > 0) {
-                this->read_claim(content, reads_left, on_answer);
+                this->read_claim(tried, reads_left, on_answer);
             } else {
-                this->deny_trial(content, "other hosts claim trials at the same time", on_answer);
+                this->deny_trial(tried, "other hosts claim trials at the same time", on_answer);
             }
         },
-        [this, content, on_answer](const error& failure) {
-            // The record may have been written; a lost trial costs less than one too many.
-            this->deny_trial(content, failure.what(), on_answer);
+        [this, tried, on_answer](const error& failure) {
+            // The records may have been written; a lost trial costs less than one too many.
+            this->deny_trial(tried, failure.what(), on_answer);
         });
 }
 
 void trial_claims::grant_trial(
-    const request_content& content, const trial_record& record, const answer_handler& on_answer)
+    const suspect_list& tried, const std::vector<trial_record>& records, const answer_handler& on_answer)
 {
-    this->suspects.note_trials(content, record, this->hooks.timers.now());
-    this->hooks.on_event(event_type::trial_given, content,
-        std::to_string(record.trials) + " of " + std::to_string(max_trials));
+    const time_point now = this->hooks.timers.now();
+    for (std::size_t number = 0; number < tried.size(); ++number) {
+        this->suspects.note_granted_trial(tried[number], records[number], now);
+        this->hooks.on_event(event_type::trial_given, tried[number],
+            std::to_string(records[number].trials) + " of " + std::to_string(max_trials));
+    }
     on_answer(true);
 }
 
 void trial_claims::deny_trial(
-    const request_content& content, const std::string& reason, const answer_handler& on_answer) const
+    const suspect_list& tried, const std::string& reason, const answer_handler& on_answer) const
 {
-    this->hooks.on_event(event_type::trial_withheld, content, reason);
+    for (const suspect_id& suspect : tried) {
+        this->hooks.on_event(event_type::trial_withheld, suspect, reason);
+    }
     on_answer(false);
 }
 
-void trial_claims::drop(const request_content& content)
+void trial_claims::drop(const suspect_id& suspect)
 {
-    this->hooks.drop(content.value());
+    this->hooks.drop(write_suspect_key(suspect));
 }
 
 } // namespace sailtiller
--- a/src/libs/store/storeclient.cpp
+++ b/src/libs/store/storeclient.cpp
@@ -98,10 +98,10 @@
         [on_done](const http_response&) { on_done(); }, on_failure);
 }
 
-void store_client::put_at(store_topic topic, const keyed_record& record, log_offset end,
+void store_client::put_at(store_topic topic, const std::vector<keyed_record>& records, log_offset end,
     const std::function<void(bool was_written)>& on_done, const failure_handler& on_failure)
 {
-    this->call("write record at end", this->codec.encode_put_at(topic, record, end),
+    this->call("write records at end", this->codec.encode_put_at(topic, records, end),
         this->settings.answer_limit,
         [on_done](const http_response& answer) { on_done(answer.status == http_status::ok); }, on_failure,
         {http_status::ok, elsewhere_status});
--- a/src/libs/store/storeclient.h
+++ b/src/libs/store/storeclient.h
@@ -37,9 +37,9 @@
     /// Writes a record; one without a value drops its key.
     void put(store_topic topic, const keyed_record& record, const std::function<void()>& on_done,
         const failure_handler& on_failure);
-    /// Writes a record if the topic still ends at that offset, so that nobody has written since it was read.
-    /// Tells whether it was written; after a failure it may have been.
-    void put_at(store_topic topic, const keyed_record& record, log_offset end,
+    /// Writes records, all or none, if the topic still ends at that offset, so that nobody has written since
+    /// it was read. Tells whether they were written; after a failure they may have been.
+    void put_at(store_topic topic, const std::vector<keyed_record>& records, log_offset end,
         const std::function<void(bool was_written)>& on_done, const failure_handler& on_failure);
     /// Joins the group of hosts that share out duties, or stays in it.
     void join(const host_id& self, duration silence_limit, group_generation last,
--- a/src/libs/store/storetypes.h
+++ b/src/libs/store/storetypes.h
@@ -65,7 +65,7 @@
     std::function<record_page(const http_response&, log_offset from)> decode_read;
     std::function<http_request(store_topic, const keyed_record&)> encode_put;
     /// Writes the record only if the topic still ends there.
-    std::function<http_request(store_topic, const keyed_record&, log_offset end)> encode_put_at;
+    std::function<http_request(store_topic, const std::vector<keyed_record>&, log_offset end)> encode_put_at;
     std::function<http_request(const host_id&, duration silence_limit, group_generation)> encode_join;
     std::function<group_membership(const http_response&)> decode_join;
     std::function<http_request(const host_id&, group_generation)> encode_leave;
--- a/tests/auto/delivery/deliveryfixture.cpp
+++ b/tests/auto/delivery/deliveryfixture.cpp
@@ -98,12 +98,12 @@
             this->change_answers.push_back(std::move(on_answer));
         },
         *this->watch, this->directory, this->loads, this->retries, this->pipes, this->suspects,
-        [this](const request_content& content, std::function<void(bool)> on_answer) {
-            this->claims.emplace_back(content, std::move(on_answer));
+        [this](const suspect_list& tried, std::function<void(bool)> on_answer) {
+            this->claims.emplace_back(tried, std::move(on_answer));
         },
         *this->holder, [this](const upstream_id& id) { this->leaving.push_back(id.value()); }, this->pauses,
         make_seeded_random(1), data_hall_id("x"), [this] { return this->may_send; },
-        [](const delivery_event&) {}, {}, {}, {}, {}};
+        [](const delivery_event&) {}, {}, {}, {}, {}, {}};
 }
 
 void delivery_fixture::put_engine(
--- a/tests/auto/delivery/deliveryfixture.h
+++ b/tests/auto/delivery/deliveryfixture.h
@@ -73,7 +73,7 @@
     /// Share of a limit that this host is granted per query.
     unsigned grant = 0;
     /// Requested trials with their answer callbacks.
-    std::vector<std::pair<request_content, std::function<void(bool)>>> claims;
+    std::vector<std::pair<suspect_list, std::function<void(bool)>>> claims;
     std::vector<std::string> probed;
     std::unique_ptr<stall_detector> watch;
     std::unique_ptr<delivery_context> context;
--- a/tests/auto/delivery/tst_suspectguard.cpp
+++ b/tests/auto/delivery/tst_suspectguard.cpp
@@ -43,9 +43,49 @@
         return delivery;
     }
 
-    [[nodiscard]] request_content content() { return this->make_order(route_kind::stream).content(); }
+    [[nodiscard]] suspect_id content() { return suspect_id(this->make_order(route_kind::stream).content()); }
 
-    send_decision judge() { return this->suspects.assess(this->content(), this->now).decision; }
+    [[nodiscard]] static suspect_id part(const std::string& id) { return suspect_id(prompt_part_id(id)); }
+
+    /// Starts a stream of a request that is like no other, with these parts in its prompt.
+    std::shared_ptr<stream_delivery> start_with_parts(const std::vector<std::string>& parts)
+    {
+        this->caller = {};
+        delivery_order order = this->make_order(route_kind::stream);
+        order.request.body = "body " + std::to_string(this->bodies++);
+        for (const std::string& id : parts) {
+            order.request.shared_parts.emplace_back(id);
+        }
+        auto delivery =
+            std::make_shared<stream_delivery>(*this->context, std::move(order), this->make_caller(), [] {});
+        delivery->start();
+        return delivery;
+    }
+
+    /// Engines crash under so many unlike requests with these parts, whose callers then leave.
+    void crash_engines_with(const std::vector<std::string>& parts, unsigned count)
+    {
+        constexpr int tail_number = 99;
+        for (unsigned number = 0; number < count; ++number) {
+            this->directory.replace({}, this->now);
+            this->put_engine("crashing" + std::to_string(number), static_cast<int>(number) + 50, {0, 8});
+            this->put_engine("tail", tail_number, {8, 16});
+            const auto stream = this->start_with_parts(parts);
+            end(this->last_send(), call_ending::broken);
+            stream->abandon();
+        }
+        this->directory.replace({}, this->now);
+        this->put_engine("e1", 1, {0, 8});
+        this->put_engine("e2", 2, {0, 8});
+        this->put_engine("tail", tail_number, {8, 16});
+    }
+
+    send_decision judge(const suspect_id& suspect)
+    {
+        return this->suspects.assess({suspect}, this->now).decision;
+    }
+
+    send_decision judge() { return this->suspects.assess({this->content()}, this->now).decision; }
 
     /// Two tries during which four engines crash.
     void end_engines()
@@ -66,6 +106,8 @@
         this->claims.pop_back();
         answer(is_given);
     }
+
+    unsigned bodies = 0;
 };
 
 TEST_F(suspect_guard_test, retries_of_one_request_share_its_content_digest)
@@ -109,7 +151,7 @@
     this->end_engines();
     EXPECT_EQ(this->sends.size(), 3U) << "the fourth send waits for leave";
     ASSERT_EQ(this->claims.size(), 1U);
-    EXPECT_EQ(this->claims.back().first, this->content());
+    EXPECT_EQ(this->claims.back().first, suspect_list{this->content()});
     this->answer_claim(false);
     ASSERT_TRUE(this->caller.answer);
     EXPECT_EQ(this->caller.answer->status, 503) << "a stream that may be resumed may come back";
@@ -190,6 +232,47 @@
     EXPECT_EQ(this->sends.size(), before);
 }
 
+// Guards against sending unlike requests with one part in common that crashes each engine.
+TEST_F(suspect_guard_test, unlike_requests_with_a_part_in_common_need_a_trial_after_three_upstream_crashes)
+{
+    this->crash_engines_with({"aa", "bb"}, 3);
+    const std::size_t before = this->sends.size();
+    this->start_with_parts({"aa", "bb"});
+    ASSERT_TRUE(this->caller.answer) << "the two parts are not told apart yet, and waiting would not help";
+    EXPECT_EQ(this->caller.answer->status, 503);
+    this->start_with_parts({"bb"});
+    EXPECT_EQ(this->sends.size(), before);
+    ASSERT_EQ(this->claims.size(), 1U);
+    EXPECT_EQ(this->claims.back().first, suspect_list{part("bb")});
+    this->start_with_parts({"cc"});
+    EXPECT_EQ(this->sends.size(), before + 1) << "others are served";
+}
+
+TEST_F(suspect_guard_test, a_crash_during_a_trial_counts_only_against_what_was_tried)
+{
+    this->crash_engines_with({"bb"}, 3);
+    this->start_with_parts({"aa", "bb"});
+    this->answer_claim(true);
+    const std::size_t records = this->suspects.record_count();
+    end(this->last_send(), call_ending::broken);
+    EXPECT_EQ(this->suspects.record_count(), records) << "neither the other part nor the request is named";
+}
+
+TEST_F(suspect_guard_test, a_stream_past_its_beginning_clears_its_parts)
+{
+    this->crash_engines_with({"aa"}, 3);
+    this->start_with_parts({"aa"});
+    this->answer_claim(true);
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(0, 1));
+    this->pass(200ms);
+    this->last_send().handlers.on_body(events(1, 2));
+    EXPECT_NE(this->judge(part("aa")), send_decision::free) << "it may crash the engine yet";
+    this->pass(100ms);
+    this->last_send().handlers.on_body(events(2, 3));
+    EXPECT_EQ(this->judge(part("aa")), send_decision::free);
+}
+
 TEST_F(suspect_guard_test, a_plain_service_call_of_a_suspect_request_needs_a_trial)
 {
     for (int round = 0; round < 3; ++round) {
--- a/tests/auto/fleet/tst_crashsuspects.cpp
+++ b/tests/auto/fleet/tst_crashsuspects.cpp
@@ -24,11 +24,11 @@
     void crash(crash_suspects& host, unsigned first, unsigned count)
     {
         for (unsigned number = first; number < first + count; ++number) {
-            host.note_crash(this->content, engine(number), this->now);
+            host.note_crash({this->content}, engine(number), this->now);
         }
     }
 
-    send_decision judge(crash_suspects& host) { return host.assess(this->content, this->now).decision; }
+    send_decision judge(crash_suspects& host) { return host.assess({this->content}, this->now).decision; }
 
     /// Exchanges the records of both hosts.
     void exchange(crash_suspects& left, crash_suspects& right) const
@@ -38,7 +38,7 @@
     }
 
     time_point now{std::chrono::seconds(100)};
-    request_content content{"c"};
+    suspect_id content{request_content("c")};
 };
 
 TEST_F(crash_suspects_test, a_request_is_free_until_three_starts_have_crashed_under_it)
@@ -50,8 +50,8 @@
     EXPECT_EQ(this->judge(host), send_decision::free);
     this->crash(host, 3, 1);
     EXPECT_EQ(this->judge(host), send_decision::trial);
-    EXPECT_EQ(host.assess(request_content("other"), this->now).decision, send_decision::free);
-    EXPECT_EQ(host.suspect_count(), 1U);
+    EXPECT_EQ(host.assess({suspect_id(request_content("other"))}, this->now).decision, send_decision::free);
+    EXPECT_EQ(host.suspect_count(suspect_kind::request), 1U);
 }
 
 TEST_F(crash_suspects_test, crashes_seen_by_different_hosts_add_up_in_any_order)
@@ -75,7 +75,7 @@
     crash_suspects host;
     this->crash(host, 1, 3);
     host.note_trials(this->content, {1, 0}, this->now);
-    const send_assessment soon = host.assess(this->content, this->now);
+    const send_assessment soon = host.assess({this->content}, this->now);
     EXPECT_EQ(soon.decision, send_decision::later);
     EXPECT_EQ(soon.wait, duration(5s));
     this->now += 5s;
@@ -87,7 +87,7 @@
     EXPECT_EQ(this->judge(host), send_decision::trial);
     host.note_trials(this->content, {3, 0}, this->now);
     this->now += 5min;
-    const send_assessment last = host.assess(this->content, this->now);
+    const send_assessment last = host.assess({this->content}, this->now);
     EXPECT_EQ(last.decision, send_decision::never);
     EXPECT_EQ(last.wait, duration(10min)) << "it is worth coming back once it is forgotten";
 }
@@ -99,7 +99,7 @@
     this->crash(first, 1, 3);
     this->exchange(first, second);
     first.note_trials(this->content, {1, 0}, this->now);
-    first.note_completed(this->content, this->now);
+    first.note_passed({this->content}, this->now);
     EXPECT_EQ(this->judge(first), send_decision::free);
     this->exchange(second, first); // the other host's older records don't undo the clearance
     EXPECT_EQ(this->judge(first), send_decision::free);
@@ -114,7 +114,7 @@
     crash_suspects second;
     this->crash(first, 1, 3);
     this->exchange(first, second);
-    first.note_completed(this->content, this->now);
+    first.note_passed({this->content}, this->now);
     this->now += 2min;
     first.forget_old(this->now);
     this->exchange(second, first);
@@ -126,7 +126,7 @@
 TEST_F(crash_suspects_test, success_of_an_unknown_request_is_not_recorded)
 {
     crash_suspects host;
-    host.note_completed(this->content, this->now);
+    host.note_passed({this->content}, this->now);
     EXPECT_TRUE(host.is_empty());
 }
 
@@ -134,7 +134,7 @@
 {
     crash_suspects host;
     this->crash(host, 1, 3);
-    host.note_crash(request_content("once"), engine(1), this->now);
+    host.note_crash({suspect_id(request_content("once"))}, engine(1), this->now);
     this->now += 61s;
     EXPECT_TRUE(host.forget_old(this->now).empty());
     EXPECT_EQ(host.record_count(), 1U);
@@ -145,7 +145,7 @@
         EXPECT_NE(this->judge(host), send_decision::free);
     }
     this->now += 10min + 1s;
-    EXPECT_EQ(host.forget_old(this->now), std::vector<request_content>{this->content});
+    EXPECT_EQ(host.forget_old(this->now), suspect_list{this->content});
     EXPECT_TRUE(host.is_empty());
 }
 
@@ -156,11 +156,11 @@
     this->crash(host, 1, 3);
     for (std::size_t number = 0; number < 3 * settings.most_records; ++number) {
         this->now += 1ms;
-        host.note_crash(request_content(std::to_string(number)), engine(1), this->now);
+        host.note_crash({suspect_id(request_content(std::to_string(number)))}, engine(1), this->now);
     }
     EXPECT_EQ(host.record_count(), settings.most_records);
     EXPECT_EQ(this->judge(host), send_decision::trial);
-    EXPECT_EQ(host.list_updates(this->now).size(), settings.max_per_report);
+    EXPECT_EQ(host.list_updates(this->now).size(), max_reported_crash_records);
 }
 
 TEST_F(crash_suspects_test, reports_carry_the_records_and_those_of_older_releases_none)
@@ -168,15 +168,17 @@
     crash_suspects host;
     this->crash(host, 1, 2);
     host.note_trials(this->content, {2, 1}, this->now);
-    host.note_crash(this->content, engine(7), this->now);
+    host.note_crash({this->content}, engine(7), this->now);
     this->now += 20ms;
     peer_report report;
     report.crashes = host.list_updates(this->now);
     const peer_report read = decode_peer_report(encode_peer_report(report));
     ASSERT_EQ(read.crashes.size(), 1U);
     const crash_record& record = read.crashes.front();
-    EXPECT_EQ(record.content, this->content);
-    EXPECT_EQ(record.crashed, std::vector<upstream_id>{engine(7)}) << "what was before the clearance is gone";
+    EXPECT_EQ(record.suspect, this->content);
+    ASSERT_EQ(record.crashes.size(), 1U) << "what was before the clearance is gone";
+    EXPECT_EQ(record.crashes.front().upstream, engine(7));
+    EXPECT_EQ(record.crashes.front().age, duration(20ms));
     EXPECT_EQ(record.trials, 2U);
     EXPECT_EQ(record.clearances, 1U);
     EXPECT_EQ(record.age, duration(20ms));
@@ -193,7 +195,7 @@
     const random_function random = make_seeded_random(7);
     std::vector<crash_suspects> hosts(host_count);
     for (unsigned number = 0; number < 3; ++number) {
-        hosts[random() % host_count].note_crash(this->content, engine(number), this->now);
+        hosts[random() % host_count].note_crash({this->content}, engine(number), this->now);
     }
     const time_point start = this->now;
     const auto knows = [this](crash_suspects& host) { return this->judge(host) == send_decision::trial; };
--- a/tests/auto/site/tst_trialclaims.cpp
+++ b/tests/auto/site/tst_trialclaims.cpp
@@ -88,13 +88,15 @@
         hooks.read_newest = [this](const auto& on_all, const auto& on_failure) {
             this->call([this, on_all] { on_all(this->topic.page()); }, on_failure);
         };
-        hooks.put_at = [this](const keyed_record& record, log_offset end, const auto& on_done,
+        hooks.put_at = [this](const std::vector<keyed_record>& records, log_offset end, const auto& on_done,
                            const auto& on_failure) {
             this->call(
-                [this, record, end, on_done, on_failure] {
+                [this, records, end, on_done, on_failure] {
                     const bool is_at_end = end.value() == this->topic.end;
                     if (is_at_end) {
-                        this->topic.put(record);
+                        for (const keyed_record& record : records) {
+                            this->topic.put(record);
+                        }
                     }
                     if (this->topic.loses_answers) {
                         on_failure(error({"write", "store"}, "lost"));
@@ -106,7 +108,7 @@
         };
         hooks.drop = [this](const std::string& key) { this->topic.put({key, std::nullopt}); };
         hooks.is_store_reached = [&host] { return host.is_store_reached; };
-        hooks.on_event = [](event_type, const request_content&, const std::string&) {};
+        hooks.on_event = [](event_type, const suspect_id&, const std::string&) {};
         return hooks;
     }
 
@@ -126,7 +128,7 @@
     {
         for (const auto& host : this->hosts) {
             for (const char* name : {"e1", "e2", "e3"}) {
-                host->suspects.note_crash(this->content, upstream_id(name), this->now);
+                host->suspects.note_crash({this->content}, upstream_id(name), this->now);
             }
         }
     }
@@ -134,7 +136,7 @@
     void claim(claiming_host& host)
     {
         host.answer.reset();
-        host.claims->claim(this->content, [&host](bool is_given) { host.answer = is_given; });
+        host.claims->claim({this->content}, [&host](bool is_given) { host.answer = is_given; });
     }
 
     /// Claims a trial on all hosts at once. Returns the number of granted trials.
@@ -161,7 +163,7 @@
     timer_queue timers;
     suspects_topic topic{this->timers, this->now};
     std::vector<std::unique_ptr<claiming_host>> hosts;
-    request_content content{"c"};
+    suspect_id content{request_content("c")};
 };
 
 TEST_F(trial_claims_test, grants_one_trial_for_concurrent_claims)
@@ -196,7 +198,7 @@
     this->pass(1s);
     this->topic.fails = false;
     this->pass(1s);
-    const send_assessment judged = this->hosts.front()->suspects.assess(this->content, this->now);
+    const send_assessment judged = this->hosts.front()->suspects.assess({this->content}, this->now);
     EXPECT_EQ(judged.decision, send_decision::later) << "one trial was granted, to a host that has ended";
     EXPECT_GT(judged.wait, duration(3s));
 }
@@ -234,7 +236,7 @@
     claiming_host& host = *this->hosts.front();
     host.claims->start();
     this->pass(1s);
-    EXPECT_EQ(host.suspects.assess(this->content, this->now).decision, send_decision::never);
+    EXPECT_EQ(host.suspects.assess({this->content}, this->now).decision, send_decision::never);
     EXPECT_EQ(host.suspects.record_count(), 1U);
 }
 
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -184,12 +184,17 @@
         this->respond(exchange, {412, {}, json({{"end", end}}).dump()});
         return;
     }
-    const std::string_view body = request.body;
-    const std::size_t size = from_big_endian(body.substr(0, 4));
-    const std::string_view content = body.substr(4, size);
-    const std::size_t key_size = from_big_endian(content.substr(0, 1));
-    this->put(topic, std::string(content.substr(1, key_size)), std::string(content.substr(1 + key_size)));
-    this->respond_json(exchange, {{"offset", end}, {"end", end + 1}});
+    std::string_view body = request.body;
+    std::uint64_t count = 0;
+    while (!body.empty()) {
+        const std::size_t size = from_big_endian(body.substr(0, 4));
+        const std::string_view content = body.substr(4, size);
+        const std::size_t key_size = from_big_endian(content.substr(0, 1));
+        this->put(topic, std::string(content.substr(1, key_size)), std::string(content.substr(1 + key_size)));
+        body = body.substr(4 + size);
+        ++count;
+    }
+    this->respond_json(exchange, {{"offset", end}, {"end", end + count}});
 }
 
 void platform_store::drop_silent_members()
