Delivery: an error of an upstream clears no suspicion

An engine that answered with a failure (a 504 after its queue, a 5xx of a service that fails a part of its requests) counted as having run the request to its end, and cleared it on all hosts, although it may not have begun it. Such a request, or a part, then cost three more crashes and three more trials. Seen by reading; the test failed before the change. A stream clears by its events alone, a plain call by an answer below 500.

--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -222,12 +222,12 @@
         this->retry_or_pass_on();
         return;
     }
+    this->guard.note_completed();
     this->pass_on();
 }
 
 void plain_delivery::pass_on()
 {
-    this->guard.note_completed();
     this->log(event_type::answered, "status " + std::to_string(this->answer.status));
     measure_since_arrival(this->context, this->order, request_moment::first_event);
     this->caller.respond({this->answer.status, this->answer.passed_on, this->body});
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -486,7 +486,6 @@
         return;
     }
     this->log(event_type::answered, "status " + std::to_string(this->answer.status));
-    this->guard.note_completed();
     this->caller.respond({this->answer.status, this->answer.passed_on, this->non_stream_body});
     this->end();
 }
--- a/tests/auto/delivery/tst_suspectguard.cpp
+++ b/tests/auto/delivery/tst_suspectguard.cpp
@@ -273,6 +273,21 @@
     EXPECT_EQ(this->judge(part("aa")), send_decision::free);
 }
 
+// Guards against clearing a part by an engine that failed before it wrote anything.
+TEST_F(suspect_guard_test, an_error_status_of_an_engine_clears_nothing)
+{
+    this->crash_engines_with({"aa"}, 3);
+    this->start_with_parts({"aa"});
+    for (int run = 0; run < 2; ++run) {
+        this->answer_claim(true);
+        give_head(this->last_send(), 504, signed_head());
+        end(this->last_send());
+    }
+    ASSERT_TRUE(this->caller.answer);
+    EXPECT_EQ(this->caller.answer->status, 504);
+    EXPECT_NE(this->judge(part("aa")), send_decision::free);
+}
+
 TEST_F(suspect_guard_test, a_plain_service_call_of_a_suspect_request_needs_a_trial)
 {
     for (int round = 0; round < 3; ++round) {
