Delivery: a stream that ends before its first event is no whole answer

An answer without length and chunks ends with its connection. An engine that ended with an orderly close after its head and before its first event left no partial event, so the caller got an empty answer as a whole one, and what was suspected was cleared. The test failed before the change. Such a stream now goes on at another engine and counts as a crash in its beginning.

--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -408,6 +408,12 @@
             this->fail_over("the answer ended within an event");
             return;
         }
+        if (this->events.pace().event_count() == 0) {
+            // An answer without length and chunks ends with its connection, whatever ended that.
+            this->guard.note_ended(this->path.head().id);
+            this->fail_over("the answer ended before its first event");
+            return;
+        }
         this->finish();
         return;
     }
--- a/tests/auto/delivery/tst_suspectguard.cpp
+++ b/tests/auto/delivery/tst_suspectguard.cpp
@@ -288,6 +288,17 @@
     EXPECT_NE(this->judge(part("aa")), send_decision::free);
 }
 
+// Guards against taking an answer that ended with its connection before any event for a whole one.
+TEST_F(suspect_guard_test, a_stream_that_ends_before_its_first_event_is_a_crash_and_not_a_whole_answer)
+{
+    this->start_with_parts({"aa"});
+    give_head(this->last_send(), 200, signed_head());
+    end(this->last_send());
+    EXPECT_FALSE(this->caller.is_finished);
+    EXPECT_EQ(this->sends.size(), 2U) << "it goes on at another engine";
+    EXPECT_FALSE(this->suspects.is_empty());
+}
+
 TEST_F(suspect_guard_test, a_plain_service_call_of_a_suspect_request_needs_a_trial)
 {
     for (int round = 0; round < 3; ++round) {
