Fleet, System tests: sound requests while engines crash of something else, and restarts beside a fatal part

With real hosts: a third of the engines crashes, nothing is refused as suspect; a seldom part under which three engines crashed of something else is served; hosts that are all killed give a part no further trials.

--- a/tests/auto/system/tst_crashingparts.cpp
+++ b/tests/auto/system/tst_crashingparts.cpp
@@ -164,6 +164,75 @@
         std::string(shared_part) + ":40," + other_part + ":40");
 }
 
+TEST_F(crashing_parts, hosts_that_all_start_anew_do_not_try_a_part_that_the_fleet_has_tried)
+{
+    const std::string fatal_parts = std::string(shared_part) + ":40," + fatal_part + ":100";
+    const std::string sound_parts = std::string(shared_part) + ":40";
+    this->start_site();
+    this->send_sound(20, sound_parts);
+    this->world.fatal_part = fatal_part;
+    this->send_both(4s, {100ms}, fatal_parts, sound_parts);
+    for (const auto& host : this->hosts) {
+        host->process->send_signal(SIGKILL);
+    }
+    this->hosts.clear();
+    this->start_hosts();
+    this->send_both(8s, {100ms}, fatal_parts, sound_parts);
+    ASSERT_GE(this->world.crashes.size(), 3U);
+    EXPECT_LE(this->count_late_sends(), most_late_sends) << this->world.crashes.size() << " crashes";
+    const auto sound_answer = this->ask_with_parts(sound_parts);
+    this->wait_for(sound_answer);
+    EXPECT_EQ(sound_answer->status, 200) << sound_answer->body;
+}
+
+// Guards against holding a sound part that comes seldom for engines that crashed of something else.
+TEST_F(crashing_parts, a_sound_part_whose_engines_crashed_of_something_else_is_served)
+{
+    this->start_site();
+    this->world.event_interval = 20ms;
+    unsigned crashed = 0;
+    std::shared_ptr<site_answer> answer;
+    // Each caller is another one; one that is told to come back does.
+    for (unsigned number = 0; number < 6 && (!answer || answer->status != 200); ++number) {
+        answer = this->ask_with_parts(std::string(other_part) + ":40");
+        run_until(this->loop, [&] {
+            for (const auto& engine : this->engines) {
+                if (crashed < 3 && engine->streams_led() > 0) {
+                    engine->crash();
+                    ++crashed;
+                }
+            }
+            return answer->is_done;
+        });
+        this->pass(1s);
+    }
+    EXPECT_EQ(crashed, 3U);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+    const auto again = this->ask_with_parts(std::string(other_part) + ":40");
+    this->wait_for(again);
+    EXPECT_EQ(again->status, 200) << again->body;
+}
+
+// Guards against counting as crashes what a third of the engines does to the requests of a route.
+TEST_F(crashing_parts, sound_requests_are_not_suspected_while_a_third_of_the_engines_crashes)
+{
+    const std::string parts = std::string(shared_part) + ":40," + other_part + ":60";
+    this->start_site();
+    for (int round = 0; round < 100; ++round) {
+        if (round == 40) {
+            for (std::size_t number = 0; number < this->engines.size(); number += 3) {
+                this->engines[number]->crash();
+            }
+        }
+        this->send_sound(2, parts);
+        this->pass(50ms);
+    }
+    this->pass(2s);
+    for (const sound_try& item : this->sound) {
+        EXPECT_EQ(item.answer->body.find("upstreams crashed while"), std::string::npos) << item.answer->body;
+    }
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
