--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -301,6 +301,17 @@
            });
 }
 
+bool path_engine::finish_if_whole(const std::string& request)
+{
+    running_stream& stream = this->running[request];
+    const bool is_whole = stream.next_event >= this->world.stream_events;
+    if (is_whole) {
+        stream.exchange->finish();
+        this->running.erase(request);
+    }
+    return is_whole;
+}
+
 void path_engine::make_event(const std::string& request)
 {
     running_stream& stream = this->running[request];
@@ -308,6 +319,9 @@
         this->running.erase(request);
         return;
     }
+    if (this->finish_if_whole(request)) {
+        return; // it was resumed after its last event
+    }
     const auto again = [this, request] { this->make_event(request); };
     if (this->is_held_up(stream.path)) {
         stream.timer = this->loop.schedule_after(this->world.event_interval, again);
@@ -322,9 +336,7 @@
     this->world.events_made[request].insert(stream.next_event);
     stream.exchange->send("id: " + std::to_string(stream.next_event) + "\ndata: t\n\n");
     ++stream.next_event;
-    if (stream.next_event >= this->world.stream_events) {
-        stream.exchange->finish();
-        this->running.erase(request);
+    if (this->finish_if_whole(request)) {
         return;
     }
     stream.timer = this->loop.schedule_after(this->world.event_interval, again);
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -121,6 +121,8 @@
     [[nodiscard]] const engine_part* find_fault(const std::vector<engine_part>& path) const;
     /// True if the stream can make no event now, though it may later.
     [[nodiscard]] bool is_held_up(const std::vector<engine_part>& path) const;
+    /// Returns true if the stream has all its events and was ended.
+    bool finish_if_whole(const std::string& request);
     void make_event(const std::string& id);
     void restart();
     /// Ends with the request that ends every engine, if this is it.
