--- a/tests/auto/delivery/tst_suspectguard.cpp
+++ b/tests/auto/delivery/tst_suspectguard.cpp
@@ -273,6 +273,18 @@
     EXPECT_EQ(this->judge(part("aa")), send_decision::free);
 }
 
+// Guards against callers that have parts of others held by leaving their own requests.
+TEST_F(suspect_guard_test, a_caller_that_leaves_blames_nothing_that_its_prompt_holds)
+{
+    for (int round = 0; round < 4; ++round) {
+        const auto stream = this->start_with_parts({"aa"});
+        give_head(this->last_send(), 200, signed_head());
+        this->last_send().handlers.on_body(events(0, 1));
+        stream->abandon();
+    }
+    EXPECT_TRUE(this->suspects.is_empty());
+}
+
 // Guards against clearing a part by an engine that failed before it wrote anything.
 TEST_F(suspect_guard_test, an_error_status_of_an_engine_clears_nothing)
 {
