--- a/tests/auto/system/tst_crashingparts.cpp
+++ b/tests/auto/system/tst_crashingparts.cpp
@@ -176,6 +176,9 @@
     const std::string sound_parts = std::string(shared_part) + ":40";
     this->start_site();
     this->send_sound(20, sound_parts);
+    for (const sound_try& item : this->sound) {
+        this->wait_for(item.answer); // so that the shared part is known to pass
+    }
     this->world.fatal_part = fatal_part;
     this->send_both(4s, {100ms}, fatal_parts, sound_parts);
     for (const auto& host : this->hosts) {
