Relay, Daemon: calls lost with their relaying hosts are counted by how the loss showed

Logs and metrics could not tell a host that doesn't accept requests from one that is taken for silent: all were lines of failed paths. sailtiller_relayed_calls_lost_total has the cause, and a line about a silent host says when it was last heard.

--- a/bench/bench_relayhop.cpp
+++ b/bench/bench_relayhop.cpp
@@ -89,7 +89,8 @@
         hooks.list_candidates = [this](const upstream_group&) {
             return std::vector{relay_candidate{host_id("p"), this->relay_address, true, 0}};
         };
-        hooks.is_live = [](const host_id&) { return true; };
+        hooks.silence_of = [](const host_id&) { return std::nullopt; };
+        hooks.on_lost = [](relay_loss) {};
         hooks.log = [](const delivery_event&) {};
         return hooks;
     }
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -93,6 +93,8 @@
     , suspect_refusals("sailtiller_suspect_refusals_total",
           "Requests refused because they, or a part of their prompt, are suspect of crashing upstreams.",
           "kind")
+    , relay_losses("sailtiller_relayed_calls_lost_total",
+          "Calls by way of other hosts that were lost with these hosts, by how the loss showed.", "cause")
     , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
           "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
           "source", source_labels)
@@ -243,6 +245,7 @@
     this->ends.write(out);
     this->rejections.write(out);
     this->connections.write(out);
+    this->relay_losses.write(out);
     const auto seconds = [](const std::optional<duration>& age) {
         return age ? std::chrono::duration<double>(*age).count() : -1;
     };
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -7,6 +7,7 @@
 #include <delivery/deliverycontext.h>
 #include <fleet/hosttable.h>
 #include <placement/layerorder.h>
+#include <relay/relayclient.h>
 #include <runtime/httpexchange.h>
 #include <runtime/metrics.h>
 #include <site/sitestate.h>
@@ -52,6 +53,8 @@
     void count_suspect_refusal(suspect_kind kind) { this->suspect_refusals.add(std::string(name_of(kind))); }
     /// A new connection to an upstream was made, or could not be made.
     void count_connection(bool is_made) { this->connections.add(is_made ? "made" : "failed"); }
+    /// A call was lost with the host by way of which it went.
+    void count_relay_loss(relay_loss cause) { this->relay_losses.add(std::string(name_of(cause))); }
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
     /// Takes the age that the word on the bundle had reached when this source confirmed it anew.
@@ -83,6 +86,7 @@
     counter_family rejections;
     counter_family connections;
     counter_family suspect_refusals;
+    counter_family relay_losses;
     time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -28,8 +28,10 @@
     std::function<void(const upstream_group&, bool is_reachable)> on_change;
     /// Other hosts that relay requests to the group, as they report.
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
-    /// True while this host hears the other one.
-    std::function<bool(const host_id&)> is_host_live;
+    /// How long ago this host last heard the other one, if that is too long ago for a host that lives.
+    std::function<std::optional<duration>(const host_id&)> silence_of_host;
+    /// A call was lost with the host by way of which it went.
+    std::function<void(relay_loss)> on_relay_lost;
     /// True while this host hears any other one.
     std::function<bool()> hears_other_hosts;
     /// Logs a decision about a request.
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -175,10 +175,18 @@
 }
 
 bool host_table::is_heard(const host_id& id, time_point now) const
+{
+    const std::optional<duration> age = this->age_of_last_report(id, now);
+    return age && *age < this->settings.heartbeat_timeout;
+}
+
+std::optional<duration> host_table::age_of_last_report(const host_id& id, time_point now) const
 {
     const auto found = this->others.find(id);
-    return found != this->others.end() && found->second.heard
-        && now - *found->second.heard < this->settings.heartbeat_timeout;
+    if (found == this->others.end() || !found->second.heard) {
+        return std::nullopt;
+    }
+    return now - *found->second.heard;
 }
 
 bool host_table::has_host_at(const endpoint& address) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -119,6 +119,8 @@
     [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
     /// Returns true if this host has heard the host within the heartbeat timeout, leaving or not.
     [[nodiscard]] bool is_heard(const host_id& id, time_point now) const;
+    /// Returns the time since the host's last report to this one, or nothing if it has sent none.
+    [[nodiscard]] std::optional<duration> age_of_last_report(const host_id& id, time_point now) const;
     /// Returns true if a known host has this internet address, on any port.
     [[nodiscard]] bool has_host_at(const endpoint& address) const;
     /// Fills in the fleet's state for a report to the receiver.
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -10,6 +10,19 @@
 
 namespace sailtiller {
 
+std::string_view name_of(relay_loss cause)
+{
+    switch (cause) {
+    case relay_loss::not_accepted:
+        return "not_accepted";
+    case relay_loss::silent:
+        return "silent";
+    case relay_loss::ended:
+        break;
+    }
+    return "ended";
+}
+
 /// One request on its way, over one host after the other until one accepts it.
 class relay_client::relayed_call : public std::enable_shared_from_this<relayed_call>
 {
@@ -63,8 +76,12 @@
     }
 
     /// Ends the call, which its host may have passed on before it was lost.
-    void lose_host(const std::string& reason)
+    void lose_host(relay_loss cause, const std::string& reason)
     {
+        if (this->is_done) {
+            return;
+        }
+        this->owner.hooks.on_lost(cause);
         // Connections that are kept to the host may be as dead, and a request sent over one may have run.
         this->owner.connections.drop_idle(this->address, this->owner.loop.now());
         this->end(call_ending::relay_lost, reason);
@@ -127,7 +144,7 @@
         } catch (const error& malformed) {
             log_event(log_level::warning, event_type::peer_answer_malformed,
                 {{"step", malformed.step()}, {"peer", this->host.value()}, {"reason", malformed.reason()}});
-            this->lose_host("malformed answer of " + this->host.value());
+            this->lose_host(relay_loss::ended, "malformed answer of " + this->host.value());
         }
     }
 
@@ -152,7 +169,7 @@
                 this->upstream_end->is_whole ? std::string() : from + this->upstream_end->reason);
         } else if (this->was_resent) {
             // The first copy may have been passed on, whatever became of the second.
-            this->lose_host(from + this->refusal.value_or(reason));
+            this->lose_host(relay_loss::ended, from + this->refusal.value_or(reason));
         } else if (this->is_held_back) {
             this->end(call_ending::not_connected, reason);
         } else if (ending == call_ending::not_connected) {
@@ -166,7 +183,7 @@
                 this->owner.avoid(
                     this->host); // another request finds out what became of one that has accepted
             }
-            this->lose_host(from + (reason.empty() ? "no answer" : reason));
+            this->lose_host(relay_loss::ended, from + (reason.empty() ? "no answer" : reason));
         }
     }
 
@@ -186,7 +203,7 @@
             this->call->give_up(); // kept connections to the host may be as silent
             this->call.reset();
         }
-        this->lose_host(this->host.value() + " did not accept the request in time");
+        this->lose_host(relay_loss::not_accepted, this->host.value() + " did not accept the request in time");
     }
 
     void release()
@@ -317,15 +334,20 @@
 
 void relay_client::end_calls_of_silent_hosts()
 {
-    std::vector<std::shared_ptr<relayed_call>> silent;
+    std::vector<std::pair<std::shared_ptr<relayed_call>, duration>> silent;
     for (const auto& [key, call] : this->calls) {
-        if (!call->current_host().value().empty() && !this->hooks.is_live(call->current_host())) {
-            silent.push_back(call);
+        if (call->current_host().value().empty()) {
+            continue;
+        }
+        if (const std::optional<duration> silence = this->hooks.silence_of(call->current_host())) {
+            silent.emplace_back(call, *silence);
         }
     }
-    for (const std::shared_ptr<relayed_call>& call : silent) {
+    for (const auto& [call, silence] : silent) {
         this->avoid(call->current_host());
-        call->lose_host(call->current_host().value() + " has fallen silent");
+        call->lose_host(relay_loss::silent,
+            call->current_host().value() + " has fallen silent, last heard " + std::to_string(silence.count())
+                + " ms ago");
     }
 }
 
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -41,13 +41,25 @@
     unsigned other_hall_calls = 8;
 };
 
+/// Why a call counts as lost with its relaying host.
+enum class relay_loss {
+    not_accepted, ///< the host did not accept the request in time
+    silent, ///< the host accepted it and has fallen silent
+    ended ///< the connection to the host ended, or its answer was malformed
+};
+
+/// Name of the cause in metrics.
+std::string_view name_of(relay_loss cause);
+
 /// Callbacks of the relay client.
 struct relay_client_hooks
 {
     random_function random;
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
-    /// Returns true while the host sends reports.
-    std::function<bool(const host_id&)> is_live;
+    /// Returns how long ago the host was last heard, if that is too long ago for a host that lives.
+    std::function<std::optional<duration>(const host_id&)> silence_of;
+    /// Called for each call that is lost with its relaying host.
+    std::function<void(relay_loss)> on_lost;
     std::function<void(const delivery_event&)> log;
 };
 
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -43,7 +43,10 @@
         relay_client_hooks hooks;
         hooks.random = make_seeded_random(3);
         hooks.list_candidates = [this](const upstream_group&) { return this->candidates; };
-        hooks.is_live = [this](const host_id& id) { return !this->silent.contains(id); };
+        hooks.silence_of = [this](const host_id& id) {
+            return this->silent.contains(id) ? std::optional<duration>(2s) : std::nullopt;
+        };
+        hooks.on_lost = [this](relay_loss cause) { this->losses.push_back(cause); };
         hooks.log = [](const delivery_event&) {};
         this->client = std::make_unique<relay_client>(this->loop, relay_client_settings{}, hooks);
     }
@@ -144,6 +147,7 @@
     std::vector<std::unique_ptr<relaying_peer>> peers;
     std::vector<relay_candidate> candidates;
     std::set<host_id> silent;
+    std::vector<relay_loss> losses;
     std::unique_ptr<relay_client> client;
     bool may_send = true;
     unsigned resends = 0;
@@ -333,6 +337,7 @@
     peer.service->end_for_stop();
     this->run_to_end();
     EXPECT_EQ(this->ending, call_ending::relay_lost);
+    EXPECT_EQ(this->losses, std::vector{relay_loss::ended});
     // A request over a connection that was kept to the lost host would count as run.
     run_until(this->loop, [&peer] { return peer.server->connection_count() == 0; });
 }
@@ -347,6 +352,7 @@
     this->silent.insert(host_id("p"));
     this->client->end_calls_of_silent_hosts();
     EXPECT_EQ(this->ending, call_ending::relay_lost);
+    EXPECT_EQ(this->losses, std::vector{relay_loss::silent});
     EXPECT_FALSE(this->client->has_candidate(group)) << "it is avoided for a while";
     EXPECT_EQ(this->client->calls_in_progress(), 0U);
 }
