System tests: relayed streams of a large fleet, failing

Callers of hosts that have lost their way to the upstreams lose their streams in fleets of 60 hosts. Here 56 real hosts, six of which are cut, relay 24 streams of four seconds; no host dies. 18 of them ran twice: their relaying hosts, last heard 1,508 to 1,545 ms before, were taken for silent. In a fleet of this size a host is queried each 1.75 s.

--- a/tests/auto/system/tst_unreachableupstreams.cpp
+++ b/tests/auto/system/tst_unreachableupstreams.cpp
@@ -18,6 +18,8 @@
 constexpr const char* usable_source = "127.0.0.1:0";
 /// For so long after the cut the users allow a host to fail its callers.
 constexpr duration contact_time = 3s;
+/// Hosts that need longer than a host's heartbeat timeout to query each other in turn.
+constexpr unsigned large_fleet = 56;
 /// Within this the project wants a host to know of a cut, or of its end, and to tell the others.
 constexpr duration detection_time = 1s;
 
@@ -88,15 +90,15 @@
         }
     }
 
-    /// Streams of two seconds.
+    /// Streams of two seconds, or of 200 events at that interval.
     std::vector<std::shared_ptr<site_answer>> ask_for_long_streams(
-        const site_host_process& host, unsigned count)
+        const site_host_process& host, unsigned count, duration event_interval = 10ms)
     {
         this->world.stream_events = 200;
-        this->world.event_interval = 10ms;
+        this->world.event_interval = event_interval;
         std::vector<std::shared_ptr<site_answer>> answers;
         for (unsigned number = 0; number < count; ++number) {
-            answers.push_back(this->ask(host, "long-" + std::to_string(number)));
+            answers.push_back(this->ask(host, "long-" + host.name + "-" + std::to_string(number)));
         }
         return answers;
     }
@@ -273,6 +275,34 @@
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
+TEST_F(unreachable_upstreams, relayed_streams_of_a_large_fleet_are_not_lost_with_hosts_that_live)
+{
+    constexpr unsigned cut_hosts = 6;
+    constexpr unsigned streams = 4; // of each
+    this->start_engines(3);
+    for (unsigned number = 0; number < large_fleet; ++number) {
+        this->start_host_with_settings("h" + std::to_string(number));
+    }
+    this->wait_until_served(*this->hosts.back());
+    for (unsigned number = 0; number < cut_hosts; ++number) {
+        this->wait_until_served(*this->hosts[number]);
+        this->cut(number);
+    }
+    this->pass(contact_time);
+    std::vector<std::shared_ptr<site_answer>> answers;
+    for (unsigned number = 0; number < cut_hosts; ++number) {
+        const auto more = this->ask_for_long_streams(*this->hosts[number], streams, 20ms);
+        answers.insert(answers.end(), more.begin(), more.end());
+    }
+    this->expect_whole(answers);
+    for (unsigned number = 0; number < cut_hosts * streams; ++number) {
+        const std::string name =
+            "long-h" + std::to_string(number / streams) + "-" + std::to_string(number % streams);
+        EXPECT_EQ(this->world.runs[name], 1U) << name;
+    }
+    EXPECT_EQ(this->world.order_faults, 0U);
+}
+
 TEST_F(unreachable_upstreams, a_planned_stop_of_the_relaying_host_cuts_no_relayed_stream)
 {
     this->start_hosts({"a", "b"});
