Relay: a relaying host's life is told by the connection that carries the call

Callers saw: in fleets of 60 hosts, at hosts that had lost their way to the upstreams, streams were broken off or left waiting.

Cause: a relayed call ended as lost once its relaying host had not been heard for 1.5 s through the reports of hosts, which query each other in turn: at 64 hosts each is queried each two seconds. Each such loss counted as a run and took from the retry allowance.

Change: a relaying host sends keep-alive lines while the upstream is silent, at most 150 ms apart, if the request says that they are understood, and says so in its answer. A call over which nothing came for 400 ms is lost with its host. Only time in which the asking host itself looked in time counts. Hosts of a release without keep-alives are left once the fleet counts them as gone, by turns and not by the heartbeat timeout.

Why it holds: the time within which a living host shows itself no longer depends on the size of the fleet, and a suspended process sends no lines.

--- a/bench/bench_relayhop.cpp
+++ b/bench/bench_relayhop.cpp
@@ -89,7 +89,7 @@
         hooks.list_candidates = [this](const upstream_group&) {
             return std::vector{relay_candidate{host_id("p"), this->relay_address, true, 0}};
         };
-        hooks.silence_of = [](const host_id&) { return std::nullopt; };
+        hooks.is_up = [](const host_id&) { return true; };
         hooks.on_lost = [](relay_loss) {};
         hooks.log = [](const delivery_event&) {};
         return hooks;
--- a/src/app/sailtillerd/lostconnectionwatch.cpp
+++ b/src/app/sailtillerd/lostconnectionwatch.cpp
@@ -33,8 +33,7 @@
 {
     this->gateway.leave_lost_connections(
         [this](const upstream_id& id) { return this->link.unreachable_since(id); });
-    this->link.end_calls_of_silent_hosts();
-    this->is_watching = !this->link.unreachable_groups().empty() || this->link.calls_by_other_hosts() > 0;
+    this->is_watching = !this->link.unreachable_groups().empty();
     if (this->is_watching) {
         this->schedule_look();
     }
--- a/src/app/sailtillerd/lostconnectionwatch.h
+++ b/src/app/sailtillerd/lostconnectionwatch.h
@@ -7,14 +7,13 @@
 
 namespace sailtiller {
 
-/// Moves streams off connections that were lost with the way to their upstreams, and ends calls by way of
-/// hosts that have fallen silent, which outlive the return of the way.
+/// Moves streams off connections that were lost with the way to their upstreams.
 class lost_connection_watch
 {
 public:
     lost_connection_watch(event_loop& loop, upstream_link& link, gateway_service& gateway);
 
-    /// Looks again and again while upstreams are unreachable or calls are under way by way of other hosts.
+    /// Looks again and again while upstreams are unreachable.
     void watch();
 
 private:
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -138,7 +138,7 @@
         [this](
             const upstream_group& group, bool is_reachable) { this->note_reachability(group, is_reachable); },
         [this](const upstream_group& group) { return this->list_relay_candidates(group); },
-        [this](const host_id& id) { return this->silence_of(id); },
+        [this](const host_id& id) { return this->peers.hosts().is_alive(id, this->loop.now()); },
         [this](relay_loss cause) { this->admin.count_relay_loss(cause); },
         [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; },
         [this](const delivery_event& event) { this->log_call(event); }};
@@ -160,14 +160,6 @@
     return hooks;
 }
 
-std::optional<duration> site_host::silence_of(const host_id& id) const
-{
-    const host_table& hosts = this->peers.hosts();
-    const time_point now = this->loop.now();
-    return hosts.is_heard(id, now) ? std::nullopt
-                                   : std::optional(hosts.age_of_last_report(id, now).value_or(duration()));
-}
-
 std::vector<relay_candidate> site_host::list_relay_candidates(const upstream_group& group) const
 {
     std::vector<relay_candidate> list;
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -45,8 +45,6 @@
     site_relay_hooks make_relay_hooks();
     /// Logs a decision about a call to an upstream.
     void log_call(const delivery_event& event);
-    /// How long ago the other host was last heard, if that is too long ago for a host that lives.
-    [[nodiscard]] std::optional<duration> silence_of(const host_id& id) const;
     /// Other hosts that relay requests to the group, as they report.
     [[nodiscard]] std::vector<relay_candidate> list_relay_candidates(const upstream_group& group) const;
     /// When a caller should come back whose service this host has no way to; nothing if it has one.
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -28,8 +28,8 @@
     std::function<void(const upstream_group&, bool is_reachable)> on_change;
     /// Other hosts that relay requests to the group, as they report.
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
-    /// How long ago this host last heard the other one, if that is too long ago for a host that lives.
-    std::function<std::optional<duration>(const host_id&)> silence_of_host;
+    /// False once the other host counts as gone.
+    std::function<bool(const host_id&)> is_host_up;
     /// A call was lost with the host by way of which it went.
     std::function<void(relay_loss)> on_relay_lost;
     /// True while this host hears any other one.
@@ -79,8 +79,6 @@
     [[nodiscard]] probe_evidence judge_silence(const upstream_id& id) const;
     /// Calls that are on their way by way of other hosts.
     [[nodiscard]] std::size_t calls_by_other_hosts() const { return this->relay.calls_in_progress(); }
-    /// Ends the calls by way of hosts that have fallen silent.
-    void end_calls_of_silent_hosts() { this->relay.end_calls_of_silent_hosts(); }
 
 private:
     /// A probe that goes out twice; the first answer counts.
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -65,13 +65,16 @@
     return std::min(this->members.others().size(), this->settings.max_partners);
 }
 
-bool host_table::is_live_by_turns(const entry& item, time_point now) const
+duration host_table::turns_timeout() const
 {
-    // Two turns, so that one lost answer doesn't make a host count as down.
     const auto rounds =
         static_cast<duration::rep>(2 * this->partner_count() / this->settings.max_queries_per_round);
-    const duration limit = std::max(this->settings.heartbeat_timeout, rounds * this->settings.round_interval);
-    return item.heard && !item.is_leaving && now - *item.heard < limit;
+    return std::max(this->settings.heartbeat_timeout, rounds * this->settings.round_interval);
+}
+
+bool host_table::is_live_by_turns(const entry& item, time_point now) const
+{
+    return item.heard && !item.is_leaving && now - *item.heard < this->turns_timeout();
 }
 
 duration host_table::ask_interval(const entry& item, time_point now) const
@@ -174,19 +177,14 @@
     return static_cast<std::size_t>(count);
 }
 
-bool host_table::is_heard(const host_id& id, time_point now) const
-{
-    const std::optional<duration> age = this->age_of_last_report(id, now);
-    return age && *age < this->settings.heartbeat_timeout;
-}
-
-std::optional<duration> host_table::age_of_last_report(const host_id& id, time_point now) const
+bool host_table::is_alive(const host_id& id, time_point now) const
 {
     const auto found = this->others.find(id);
-    if (found == this->others.end() || !found->second.heard) {
-        return std::nullopt;
+    if (found != this->others.end() && found->second.is_partner && found->second.heard) {
+        return now - *found->second.heard < this->turns_timeout();
     }
-    return now - *found->second.heard;
+    const auto known = this->members.others().find(id);
+    return !this->is_full_mesh() && known != this->members.others().end() && !known->second.down_since;
 }
 
 bool host_table::has_host_at(const endpoint& address) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -117,10 +117,9 @@
         const upstream_group& group, time_point now) const;
     /// Number of live hosts that report groups of upstreams to which they can't connect.
     [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
-    /// Returns true if this host has heard the host within the heartbeat timeout, leaving or not.
-    [[nodiscard]] bool is_heard(const host_id& id, time_point now) const;
-    /// Returns the time since the host's last report to this one, or nothing if it has sent none.
-    [[nodiscard]] std::optional<duration> age_of_last_report(const host_id& id, time_point now) const;
+    /// Returns true unless the host counts as gone, leaving or not: by the age of its own reports, or by what
+    /// others tell of a host that is no partner.
+    [[nodiscard]] bool is_alive(const host_id& id, time_point now) const;
     /// Returns true if a known host has this internet address, on any port.
     [[nodiscard]] bool has_host_at(const endpoint& address) const;
     /// Fills in the fleet's state for a report to the receiver.
@@ -180,6 +179,9 @@
     /// Returns the entry if this host monitors that host by its own messages, or null.
     [[nodiscard]] const entry* find_monitored(const host_id& id) const;
     [[nodiscard]] bool is_live(const entry& item, time_point now) const;
+    /// Time within which every partner has two turns, so that one lost answer doesn't make a host count as
+    /// down; at least the heartbeat timeout.
+    [[nodiscard]] duration turns_timeout() const;
     /// Like `is_live`, within a time in which every partner has its turn.
     [[nodiscard]] bool is_live_by_turns(const entry& item, time_point now) const;
     [[nodiscard]] duration ask_interval(const entry& item, time_point now) const;
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -56,6 +56,7 @@
         this->refusal.reset();
         this->is_accepted = false;
         this->is_held_back = false;
+        this->has_keep_alive = false;
         this->reader = {};
         this->upstream_end.reset();
         this->accept_timer = this->owner.loop.schedule_after(this->owner.settings.accept_limit,
@@ -89,6 +90,16 @@
 
     [[nodiscard]] const host_id& current_host() const { return this->host; }
 
+    /// Returns true if the host has accepted the request and shows no sign of life any more.
+    [[nodiscard]] bool is_silent() const
+    {
+        if (!this->is_accepted) {
+            return false; // the limit for its acceptance holds
+        }
+        return this->has_keep_alive ? this->owner.watched - this->heard >= this->owner.settings.silence_limit
+                                    : !this->owner.hooks.is_up(this->host);
+    }
+
 private:
     http_call_handlers make_handlers()
     {
@@ -104,7 +115,9 @@
                 return self->was_resent;
             };
         }
-        to_host.on_head = [self](int status, const http_headers&) { self->take_status(status); };
+        to_host.on_head = [self](int status, const http_headers& headers) {
+            self->take_head_of_host(status, headers);
+        };
         to_host.on_body = [self](std::string_view bytes) { self->take_body(bytes); };
         to_host.on_end = [self](call_ending ending, const std::string& reason) {
             self->take_end(ending, reason);
@@ -112,10 +125,12 @@
         return to_host;
     }
 
-    void take_status(int status)
+    void take_head_of_host(int status, const http_headers& headers)
     {
         this->owner.loop.cancel(this->accept_timer);
         this->is_accepted = status == http_status::ok;
+        this->has_keep_alive = announces_keep_alive(headers);
+        this->heard = this->owner.watched;
         if (!this->is_accepted) {
             this->refusal = "status " + std::to_string(status) + " ";
         }
@@ -126,6 +141,7 @@
         if (this->is_done) {
             return;
         }
+        this->heard = this->owner.watched;
         if (this->refusal) {
             *this->refusal += bytes;
             return;
@@ -252,6 +268,8 @@
     timer_id accept_timer = 0;
     std::size_t failed_upstream_connections = 0; ///< of the hosts that accepted the request
     bool is_accepted = false;
+    bool has_keep_alive = false; ///< the present host sends keep-alive lines
+    duration heard{}; ///< watched time at which something last came from the present host
     bool is_held_back = false;
     bool was_resent = false; ///< to the present host, as its kept connection proved to be closed
     bool is_done = false;
@@ -271,6 +289,7 @@
         const std::shared_ptr<relayed_call> call = this->calls.begin()->second;
         call->cancel();
     }
+    this->loop.cancel(this->check_timer);
 }
 
 cancel_call relay_client::send(const upstream_target& target, const upstream_group& group,
@@ -278,9 +297,13 @@
 {
     const std::uint64_t key = ++this->last_key;
     const auto call = std::make_shared<relayed_call>(
-        *this, key, group, relayed_request{target, may_repeat, request}, std::move(handlers));
+        *this, key, group, relayed_request{target, may_repeat, true, request}, std::move(handlers));
     this->calls.emplace(key, call);
     call->start();
+    if (!this->is_check_scheduled) {
+        this->last_check = this->loop.now();
+        this->schedule_check();
+    }
     return [held = std::weak_ptr<relayed_call>(call)] {
         if (const std::shared_ptr<relayed_call> present = held.lock()) {
             present->cancel();
@@ -332,22 +355,31 @@
     return counts;
 }
 
-void relay_client::end_calls_of_silent_hosts()
+void relay_client::schedule_check()
 {
-    std::vector<std::pair<std::shared_ptr<relayed_call>, duration>> silent;
+    this->is_check_scheduled = true;
+    this->check_timer =
+        this->loop.schedule_after(this->settings.check_interval, [this] { this->end_silent_calls(); });
+}
+
+void relay_client::end_silent_calls()
+{
+    const time_point now = this->loop.now();
+    this->watched += std::min<duration>(now - this->last_check, 2 * this->settings.check_interval);
+    this->last_check = now;
+    std::vector<std::shared_ptr<relayed_call>> silent;
     for (const auto& [key, call] : this->calls) {
-        if (call->current_host().value().empty()) {
-            continue;
-        }
-        if (const std::optional<duration> silence = this->hooks.silence_of(call->current_host())) {
-            silent.emplace_back(call, *silence);
+        if (call->is_silent()) {
+            silent.push_back(call);
         }
     }
-    for (const auto& [call, silence] : silent) {
+    for (const std::shared_ptr<relayed_call>& call : silent) {
         this->avoid(call->current_host());
-        call->lose_host(relay_loss::silent,
-            call->current_host().value() + " has fallen silent, last heard " + std::to_string(silence.count())
-                + " ms ago");
+        call->lose_host(relay_loss::silent, call->current_host().value() + " has fallen silent");
+    }
+    this->is_check_scheduled = false;
+    if (!this->calls.empty()) {
+        this->schedule_check();
     }
 }
 
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -30,6 +30,11 @@
     /// Time until the other host has accepted the request, the connection included. A host that was suspended
     /// in between finds the connection closed and sends nothing.
     duration accept_limit = std::chrono::milliseconds(400);
+    /// An answer over which nothing has come for so long, neither bytes of the upstream nor keep-alive lines,
+    /// is one of a host that is lost. It doesn't depend on how often the hosts of a fleet hear each other.
+    duration silence_limit = std::chrono::milliseconds(400);
+    /// Interval between checks for silence.
+    duration check_interval = std::chrono::milliseconds(50);
     /// Time without new requests for a host that failed one.
     duration avoid_time = std::chrono::milliseconds(1000);
     /// Hosts that are tried for one call while nothing of it has reached an upstream.
@@ -44,7 +49,7 @@
 /// Why a call counts as lost with its relaying host.
 enum class relay_loss {
     not_accepted, ///< the host did not accept the request in time
-    silent, ///< the host accepted it and has fallen silent
+    silent, ///< the host accepted it, and nothing more has come over the connection
     ended ///< the connection to the host ended, or its answer was malformed
 };
 
@@ -56,8 +61,9 @@
 {
     random_function random;
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
-    /// Returns how long ago the host was last heard, if that is too long ago for a host that lives.
-    std::function<std::optional<duration>(const host_id&)> silence_of;
+    /// Returns false once the fleet counts the host as gone; for relaying hosts whose answers contain no
+    /// keep-alive lines.
+    std::function<bool(const host_id&)> is_up;
     /// Called for each call that is lost with its relaying host.
     std::function<void(relay_loss)> on_lost;
     std::function<void(const delivery_event&)> log;
@@ -80,8 +86,6 @@
         bool may_repeat, http_call_handlers handlers);
     /// Returns true if some host that may be asked reaches the group.
     [[nodiscard]] bool has_candidate(const upstream_group& group) const;
-    /// Ends the calls by way of hosts that have fallen silent, as lost with them.
-    void end_calls_of_silent_hosts();
     [[nodiscard]] std::size_t calls_in_progress() const { return this->calls.size(); }
 
 private:
@@ -90,6 +94,9 @@
     [[nodiscard]] std::optional<relay_candidate> choose(
         const upstream_group& group, const std::set<host_id>& tried) const;
     void avoid(const host_id& host);
+    void schedule_check();
+    /// Ends the calls by way of hosts that have fallen silent, as lost with them.
+    void end_silent_calls();
     /// Calls of this host that are under way by way of each other one.
     [[nodiscard]] std::map<host_id, unsigned> count_calls() const;
 
@@ -100,6 +107,12 @@
     std::map<host_id, time_point> avoided_until;
     std::map<std::uint64_t, std::shared_ptr<relayed_call>> calls;
     std::uint64_t last_key = 0;
+    /// Time for which this host has looked for silent calls. A check that runs late adds no more than two
+    /// intervals, so that a delay of this host's own is not taken for silence of others.
+    duration watched{};
+    time_point last_check{};
+    timer_id check_timer = 0;
+    bool is_check_scheduled = false;
 };
 
 } // namespace sailtiller
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view address_header = "sailtiller-relay-address";
 constexpr std::string_view request_header = "sailtiller-relay-request";
 constexpr std::string_view repeat_header = "sailtiller-relay-may-repeat";
+constexpr std::string_view keep_alive_header = "sailtiller-relay-keep-alive";
 constexpr std::string_view header_prefix = "sailtiller-relay-";
 constexpr std::string_view true_value = "1";
 /// Headers of the connection between the hosts, and those that each sender writes anew.
@@ -113,6 +114,9 @@
     if (request.may_repeat) {
         add(repeat_header, std::string(true_value));
     }
+    if (request.takes_keep_alive) {
+        add(keep_alive_header, std::string(true_value));
+    }
     return message;
 }
 
@@ -123,6 +127,7 @@
     request.target.address = endpoint(require_header(message, address_header));
     request.target.request = request_id(find_header(message.headers, request_header).value_or(""));
     request.may_repeat = find_header(message.headers, repeat_header) == true_value;
+    request.takes_keep_alive = announces_keep_alive(message.headers);
     request.message.method = message.method;
     request.message.path = message.path;
     request.message.body = message.body;
@@ -132,6 +137,16 @@
     return request;
 }
 
+http_header make_keep_alive_header()
+{
+    return {std::string(keep_alive_header), std::string(true_value)};
+}
+
+bool announces_keep_alive(const http_headers& headers)
+{
+    return find_header(headers, keep_alive_header) == true_value;
+}
+
 std::string encode_relay_head(const relay_head& head)
 {
     json line;
@@ -205,6 +220,9 @@
         this->is_accepted = true;
         return;
     }
+    if (text == relay_keep_alive_line.substr(0, relay_keep_alive_line.size() - 1)) {
+        return;
+    }
     if (this->has_head && !text.starts_with('{')) {
         this->left_of_part = decode_length(text);
         return;
--- a/src/libs/relay/relaymessages.h
+++ b/src/libs/relay/relaymessages.h
@@ -15,6 +15,7 @@
 {
     upstream_target target;
     bool may_repeat = false; ///< may go over a kept connection, and once more if that proves to be closed
+    bool takes_keep_alive = false; ///< the answer may contain keep-alive lines
     http_request message; ///< as the upstream gets it
 };
 
@@ -42,8 +43,14 @@
 /// The body of an accepted relay request's answer: an empty line once the request is accepted; a line with
 /// the head in JSON once the upstream has answered; the upstream's body in parts, each behind a line with its
 /// length in bytes; a line that tells how it ended. An answer without its last line is one whose relaying
-/// host was lost, which says nothing of the upstream.
+/// host was lost, which says nothing of the upstream. Keep-alive lines may stand between these while the
+/// upstream is silent, if the request allows them; the answer's headers tell whether they come.
 inline constexpr std::string_view relay_accepted_line = "\n";
+inline constexpr std::string_view relay_keep_alive_line = ":\n";
+/// Header of an answer that contains a keep-alive line whenever it would be silent for longer than a fraction
+/// of `relay_client_settings::silence_limit`. Relaying hosts of older releases send none.
+http_header make_keep_alive_header();
+bool announces_keep_alive(const http_headers& headers);
 std::string encode_relay_head(const relay_head& head);
 std::string encode_relay_body(std::string_view bytes);
 std::string encode_relay_end(const relay_end& end);
--- a/src/libs/relay/relayservice.cpp
+++ b/src/libs/relay/relayservice.cpp
@@ -78,12 +78,16 @@
     const std::uint64_t key = ++this->last_key;
     this->log(event_type::relayed_for_peer, request.target,
         "for " + exchange->request().peer.value() + " to " + request.target.address.value());
-    exchange->start(http_status::ok, {{"content-type", "application/octet-stream"}});
-    exchange->send(relay_accepted_line);
+    http_headers headers = {{"content-type", "application/octet-stream"}};
+    if (request.takes_keep_alive) {
+        headers.push_back(make_keep_alive_header());
+    }
+    exchange->start(http_status::ok, headers);
     relayed_call& call = this->calls[key];
     call.exchange = exchange;
     call.request = std::move(request);
     call.sent = this->hooks.timers.now();
+    this->send_to_asker(call, relay_accepted_line);
     exchange->when_abandoned([this, key] { this->drop(key, "the asking host closed the connection"); });
     this->schedule_look(key);
     const relayed_request& sent = call.request;
@@ -116,7 +120,13 @@
 {
     call.has_head = true;
     this->hooks.on_head(call.request.target, status, headers, call.sent);
-    call.exchange->send(encode_relay_head({std::nullopt, status, headers}));
+    this->send_to_asker(call, encode_relay_head({std::nullopt, status, headers}));
+}
+
+void relay_service::send_to_asker(relayed_call& call, std::string_view bytes)
+{
+    call.last_answered = this->hooks.timers.now();
+    call.exchange->send(bytes);
 }
 
 void relay_service::take_body(std::uint64_t key, std::string_view bytes)
@@ -125,8 +135,9 @@
     if (found == this->calls.end()) {
         return;
     }
-    found->second.exchange->send(encode_relay_body(bytes));
-    if (found->second.exchange->queued() > this->settings.max_queued_bytes) {
+    const std::shared_ptr<http_exchange> exchange = found->second.exchange;
+    this->send_to_asker(found->second, encode_relay_body(bytes)); // may end the call
+    if (exchange->queued() > this->settings.max_queued_bytes) {
         this->drop(key, "the asking host reads too slowly");
     }
 }
@@ -167,17 +178,26 @@
 void relay_service::schedule_look(std::uint64_t key)
 {
     this->calls[key].look_timer =
-        this->hooks.timers.schedule_after(this->settings.look_interval, [this, key] {
-            const auto found = this->calls.find(key);
-            if (found == this->calls.end()) {
-                return;
-            }
-            if (found->second.exchange->has_caller_left()) {
-                this->drop(key, "the asking host closed the connection");
-                return;
-            }
-            this->schedule_look(key);
-        });
+        this->hooks.timers.schedule_after(this->settings.look_interval, [this, key] { this->look(key); });
+}
+
+void relay_service::look(std::uint64_t key)
+{
+    const auto found = this->calls.find(key);
+    if (found == this->calls.end()) {
+        return;
+    }
+    relayed_call& call = found->second;
+    if (call.exchange->has_caller_left()) {
+        this->drop(key, "the asking host closed the connection");
+        return;
+    }
+    this->schedule_look(key);
+    const bool is_silent = this->hooks.timers.now() - call.last_answered >= this->settings.keep_alive_after;
+    // What waits for a slow host is a sign of life once it is read.
+    if (call.request.takes_keep_alive && is_silent && call.exchange->queued() == 0) {
+        this->send_to_asker(call, relay_keep_alive_line);
+    }
 }
 
 void relay_service::end_for_stop()
--- a/src/libs/relay/relayservice.h
+++ b/src/libs/relay/relayservice.h
@@ -18,8 +18,12 @@
     std::size_t max_calls = 1024;
     /// Bytes of one answer that wait for a slow host; beyond it the call is cut.
     std::size_t max_queued_bytes = std::size_t{4} << 20U;
-    /// Interval between checks whether the asking host has closed its connection.
+    /// Interval between checks whether the asking host has closed its connection, and whether it needs a
+    /// sign of life.
     duration look_interval = std::chrono::milliseconds(100);
+    /// An answer that has been silent for so long at such a check gets a keep-alive line, so that no pause is
+    /// longer than this and the interval together: well under `relay_client_settings::silence_limit`.
+    duration keep_alive_after = std::chrono::milliseconds(50);
 };
 
 /// Callbacks of the relay service.
@@ -65,6 +69,7 @@
         relayed_request request;
         cancel_call cancel;
         time_point sent{};
+        time_point last_answered{}; ///< when bytes of the answer were last sent to the asking host
         bool has_head = false;
         timer_id look_timer = 0;
     };
@@ -82,6 +87,8 @@
     /// Ends a call whose asking host is gone or too slow.
     void drop(std::uint64_t key, const std::string& reason);
     void schedule_look(std::uint64_t key);
+    void look(std::uint64_t key);
+    void send_to_asker(relayed_call& call, std::string_view bytes);
     void log(event_type what, const upstream_target& target, const std::string& detail) const;
 
     relay_service_settings settings;
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -6,6 +6,7 @@
 #include <runtime/httpserver.h>
 #include <support/looprunner.h>
 
+#include <thread>
 #include <utility>
 
 namespace sailtiller {
@@ -17,6 +18,8 @@
 
 /// Within this an upstream must be free of a request whose caller has left.
 constexpr duration leave_limit = 500ms;
+/// Within this a relaying host that has fallen silent must be left.
+constexpr duration silence_detection_time = 500ms;
 const upstream_group group{service_id("llm"), data_hall_id("x")};
 
 /// A host that relays.
@@ -29,6 +32,9 @@
     std::optional<std::string> obstacle;
     bool can_connect = true;
     bool closes_next = false; ///< the connection of the next request, once it was read
+    /// Headers of answers that end with the acceptance, and leave the connection open.
+    std::optional<http_headers> silent_answer;
+    std::vector<std::shared_ptr<http_exchange>> silent;
     std::vector<int> heads; ///< statuses of the upstream's answers
 };
 
@@ -43,9 +49,7 @@
         relay_client_hooks hooks;
         hooks.random = make_seeded_random(3);
         hooks.list_candidates = [this](const upstream_group&) { return this->candidates; };
-        hooks.silence_of = [this](const host_id& id) {
-            return this->silent.contains(id) ? std::optional<duration>(2s) : std::nullopt;
-        };
+        hooks.is_up = [this](const host_id& id) { return !this->gone.contains(id); };
         hooks.on_lost = [this](relay_loss cause) { this->losses.push_back(cause); };
         hooks.log = [](const delivery_event&) {};
         this->client = std::make_unique<relay_client>(this->loop, relay_client_settings{}, hooks);
@@ -77,6 +81,12 @@
                     exchange->abort();
                     return;
                 }
+                if (peer.silent_answer) {
+                    exchange->start(200, *peer.silent_answer);
+                    exchange->send(relay_accepted_line);
+                    peer.silent.push_back(exchange);
+                    return;
+                }
                 peer.service->handle(exchange);
             });
         peer.address = peer.server->listen(endpoint("127.0.0.1:0"));
@@ -146,7 +156,7 @@
     std::vector<std::shared_ptr<http_exchange>> arrived; ///< at the upstream
     std::vector<std::unique_ptr<relaying_peer>> peers;
     std::vector<relay_candidate> candidates;
-    std::set<host_id> silent;
+    std::set<host_id> gone; ///< for the fleet
     std::vector<relay_loss> losses;
     std::unique_ptr<relay_client> client;
     bool may_send = true;
@@ -343,18 +353,64 @@
 }
 
 TEST_F(relay_test, calls_by_way_of_a_silent_host_end_as_lost_with_it)
+{
+    relaying_peer& peer = this->add_peer("p");
+    peer.silent_answer = {make_keep_alive_header()};
+    this->send();
+    run_until(this->loop, [&peer] { return !peer.silent.empty(); });
+    const time_point accepted = this->loop.now();
+    this->run_to_end();
+    EXPECT_LT(this->loop.now() - accepted, silence_detection_time);
+    EXPECT_EQ(this->ending, call_ending::relay_lost);
+    EXPECT_EQ(this->losses, std::vector{relay_loss::silent});
+    EXPECT_FALSE(this->client->has_candidate(group)) << "it is avoided for a while";
+    EXPECT_EQ(this->client->calls_in_progress(), 0U);
+}
+
+TEST_F(relay_test, a_silent_upstream_does_not_end_a_call_whose_host_the_fleet_has_not_heard_lately)
 {
     this->add_peer("p");
+    this->gone.insert(host_id("p"));
     this->send();
     this->run_to_arrival();
-    this->client->end_calls_of_silent_hosts();
+    this->pass(3 * silence_detection_time);
     EXPECT_FALSE(this->ending);
-    this->silent.insert(host_id("p"));
-    this->client->end_calls_of_silent_hosts();
+    this->arrived.front()->start(200, {});
+    this->pass(3 * silence_detection_time);
+    EXPECT_FALSE(this->ending);
+    this->arrived.front()->send("answer");
+    this->arrived.front()->finish();
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::whole);
+    EXPECT_EQ(this->body, "answer");
+    EXPECT_EQ(this->arrived.size(), 1U);
+}
+
+TEST_F(relay_test, a_delay_of_the_own_loop_is_not_taken_for_silence_of_the_other_host)
+{
+    this->add_peer("p");
+    this->send();
+    this->run_to_arrival();
+    for (int count = 0; count < 3; ++count) {
+        std::this_thread::sleep_for(2 * silence_detection_time);
+        this->pass(100ms);
+        EXPECT_FALSE(this->ending);
+    }
+}
+
+TEST_F(relay_test, a_host_of_a_release_without_keep_alives_is_lost_once_the_fleet_counts_it_as_gone)
+{
+    relaying_peer& peer = this->add_peer("p");
+    peer.silent_answer.emplace();
+    this->send();
+    run_until(this->loop, [&peer] { return !peer.silent.empty(); });
+    this->pass(2 * silence_detection_time);
+    EXPECT_FALSE(this->ending);
+    this->gone.insert(host_id("p"));
+    this->run_to_end();
     EXPECT_EQ(this->ending, call_ending::relay_lost);
     EXPECT_EQ(this->losses, std::vector{relay_loss::silent});
     EXPECT_FALSE(this->client->has_candidate(group)) << "it is avoided for a while";
-    EXPECT_EQ(this->client->calls_in_progress(), 0U);
 }
 
 TEST_F(relay_test, a_host_takes_no_more_calls_than_it_may_and_none_while_it_stops)
--- a/tests/auto/relay/tst_relaymessages.cpp
+++ b/tests/auto/relay/tst_relaymessages.cpp
@@ -46,6 +46,16 @@
     EXPECT_EQ(find_header(read.message.headers, "x-any"), "1");
 }
 
+TEST(relay_messages, a_request_tells_whether_its_answer_may_contain_keep_alives)
+{
+    relayed_request request = make_request();
+    EXPECT_FALSE(decode_relay_request(receive(request)).takes_keep_alive);
+    request.takes_keep_alive = true;
+    const relayed_request read = decode_relay_request(receive(request));
+    EXPECT_TRUE(read.takes_keep_alive);
+    EXPECT_EQ(read.message.headers.size(), 2U) << "the upstream doesn't get the header";
+}
+
 TEST(relay_messages, a_request_without_a_target_is_malformed)
 {
     EXPECT_THROW(decode_relay_request(make_request().message), error);
@@ -53,9 +63,11 @@
 
 TEST(relay_messages, a_head_is_read_from_any_cut_of_the_bytes)
 {
-    const std::string text = std::string(relay_accepted_line)
-        + encode_relay_head({std::nullopt, 200, {{"a", "b\xc3\xa4"}}}) + encode_relay_body("data: 1\n\n")
-        + encode_relay_body("12\n") + encode_relay_end({true, {}});
+    const std::string keep_alive(relay_keep_alive_line);
+    const std::string text = std::string(relay_accepted_line) + keep_alive + keep_alive
+        + encode_relay_head({std::nullopt, 200, {{"a", "b\xc3\xa4"}}}) + keep_alive
+        + encode_relay_body("data: 1\n\n") + keep_alive + encode_relay_body("12\n") + keep_alive
+        + encode_relay_end({true, {}});
     for (std::size_t cut = 0; cut <= text.size(); ++cut) {
         relay_answer_reader reader;
         std::string all;
