Fleet: hosts relay for others also between their turns

Callers saw: no failure by itself; at hosts without a way a part of the fleet was not asked at any time, and fewer hosts carried the calls.

Cause: only hosts heard within 1.5 s counted as relaying hosts. Between two turns a host of a large fleet is older than that: the same cause as of calls lost with living hosts.

Change: hosts that are live or wait for their turn, as for the duties. The count of hosts with unreachable upstreams follows the same rule.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -350,7 +350,7 @@
     write_gauge(out, "sailtiller_relayed_calls", "Calls to upstreams that this host relays for other hosts.",
         static_cast<double>(this->view.relayed_calls()));
     write_gauge(out, "sailtiller_hosts_with_unreachable_upstreams",
-        "Live hosts that report that they can't connect to some upstreams; in a large fleet a part.",
+        "Hosts that report that they can't connect to some upstreams; in a large fleet a part.",
         static_cast<double>(this->view.hosts.count_hosts_with_unreachable(this->view.now())));
 }
 
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -162,7 +162,7 @@
     for (const auto& [id, item] : this->others) {
         const bool reaches =
             std::find(item.unreachable.begin(), item.unreachable.end(), group) == item.unreachable.end();
-        if (item.relay_address && reaches && this->is_live(item, now)) {
+        if (item.relay_address && reaches && this->is_up(item, now)) {
             list.push_back({item.host, *item.relay_address, item.relayed_calls});
         }
     }
@@ -172,7 +172,7 @@
 std::size_t host_table::count_hosts_with_unreachable(time_point now) const
 {
     const auto count = std::count_if(this->others.begin(), this->others.end(), [this, now](const auto& item) {
-        return !item.second.unreachable.empty() && this->is_live(item.second, now);
+        return !item.second.unreachable.empty() && this->is_up(item.second, now);
     });
     return static_cast<std::size_t>(count);
 }
@@ -405,7 +405,7 @@
     if (!this->is_full_mesh() && known.down_since && *known.down_since > *item->heard) {
         return false;
     }
-    return this->is_live(*item, now) || this->is_waiting_for_turn(*item, now);
+    return this->is_up(*item, now);
 }
 
 bool host_table::is_ranked(const host_id& id, const member& known, bool is_watched, time_point now) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -112,10 +112,10 @@
     /// heartbeat timeout. The others, unless they left a query unanswered, are estimated by the average of
     /// those that reported, separately for this host's own hall and for the other halls.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
-    /// Returns the live hosts that relay requests to the group and reach it, as far as this host hears them.
+    /// Returns the hosts that relay requests to the group and reach it, as far as this host hears them.
     [[nodiscard]] std::vector<relaying_host> list_relaying_hosts(
         const upstream_group& group, time_point now) const;
-    /// Number of live hosts that report groups of upstreams to which they can't connect.
+    /// Number of hosts that report groups of upstreams to which they can't connect.
     [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
     /// Returns true unless the host counts as gone, leaving or not: by the age of its own reports, or by what
     /// others tell of a host that is no partner.
@@ -187,6 +187,11 @@
     [[nodiscard]] duration ask_interval(const entry& item, time_point now) const;
     /// True if the last report is older than the heartbeat timeout only because the host's turn has not come.
     [[nodiscard]] bool is_waiting_for_turn(const entry& item, time_point now) const;
+    /// True if the host is live, or counts as such until its turn.
+    [[nodiscard]] bool is_up(const entry& item, time_point now) const
+    {
+        return this->is_live(item, now) || this->is_waiting_for_turn(item, now);
+    }
     [[nodiscard]] bool is_present(const host_id& id, const member& known, time_point now) const;
     /// Like `is_present`, for a ranking; `is_watched`: this host monitors those ranked before it.
     [[nodiscard]] bool is_ranked(
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -307,6 +307,7 @@
     {
         peer_report report = make_report(host);
         report.work.push_back({upstream_id("u"), 100, 2});
+        report.relay_address = host.address;
         this->tables.at(host.id).fill_report(report, receiver);
         return report;
     }
@@ -509,6 +510,29 @@
     EXPECT_NEAR(sums.at(upstream_id("u")).requests, left, left / 5.0);
 }
 
+/// A fleet whose hosts relay requests for each other.
+class relaying_fleet_test : public large_fleet_test
+{
+protected:
+    [[nodiscard]] std::vector<relaying_host> list_relaying(const known_host& host) const
+    {
+        return this->fleet.tables.at(host.id).list_relaying_hosts(group, this->fleet.now);
+    }
+
+    const upstream_group group{service_id("llm"), data_hall_id("hall-0")};
+};
+
+TEST_P(relaying_fleet_test, living_hosts_stay_relaying_hosts_between_their_turns)
+{
+    const std::size_t partners = std::min(GetParam() - 1, host_table_settings().max_partners);
+    for (const time_point end = this->fleet.now + 4s; this->fleet.now < end;) {
+        this->fleet.run_for(250ms);
+        for (const known_host& host : this->fleet.hosts) {
+            EXPECT_GE(this->list_relaying(host).size(), partners) << host.id;
+        }
+    }
+}
+
 /// Sizes from the environment for manual runs, or the default sizes.
 std::vector<std::size_t> fleet_sizes()
 {
@@ -519,6 +543,10 @@
 
 INSTANTIATE_TEST_SUITE_P(sizes, large_fleet_test, testing::ValuesIn(fleet_sizes()),
     [](const auto& size) { return std::to_string(size.param) + "_hosts"; });
+INSTANTIATE_TEST_SUITE_P(small_sizes, relaying_fleet_test, testing::Values(9, 60),
+    [](const auto& size) { return std::to_string(size.param) + "_hosts"; });
+INSTANTIATE_TEST_SUITE_P(sizes, relaying_fleet_test, testing::ValuesIn(fleet_sizes()),
+    [](const auto& size) { return std::to_string(size.param) + "_hosts"; });
 
 } // namespace
 
