Relay: a refusal by a host without a way is news of that host

Cause: such a refusal used up one of three trials, and left the host and its hall as good a choice as before until its next report, up to two seconds later.

Change: the refusal says that the host has no way to the group. The asking host records that until the next report, asks hosts of other halls before, and asks up to eight such hosts besides the three that may fail otherwise: the refusals take a millisecond or two.

--- a/bench/bench_relayhop.cpp
+++ b/bench/bench_relayhop.cpp
@@ -90,6 +90,7 @@
             return std::vector{relay_candidate{host_id("p"), this->relay_address, true, 0}};
         };
         hooks.is_up = [](const host_id&) { return true; };
+        hooks.on_no_way = [](const host_id&, const upstream_group&) {};
         hooks.on_lost = [](relay_loss) {};
         hooks.log = [](const delivery_event&) {};
         return hooks;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -139,6 +139,9 @@
             const upstream_group& group, bool is_reachable) { this->note_reachability(group, is_reachable); },
         [this](const upstream_group& group) { return this->list_relay_candidates(group); },
         [this](const host_id& id) { return this->peers.hosts().is_alive(id, this->loop.now()); },
+        [this](const host_id& id, const upstream_group& group) {
+            this->peers.note_unreachable_group(id, group);
+        },
         [this](relay_loss cause) { this->admin.count_relay_loss(cause); },
         [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; },
         [this](const delivery_event& event) { this->log_call(event); }};
@@ -165,7 +168,7 @@
     std::vector<relay_candidate> list;
     for (const relaying_host& item : this->peers.hosts().list_relaying_hosts(group, this->loop.now())) {
         list.push_back({item.host.id, item.relay_address, item.host.data_hall == this->settings.data_hall,
-            item.relayed_calls});
+            item.relayed_calls, item.host.data_hall});
     }
     return list;
 }
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -65,6 +65,11 @@
     /// Sends crash records to some hosts at once; a host that doesn't get them learns of them in a report.
     void send_crashes(const std::vector<crash_record>& crashes);
     [[nodiscard]] const host_table& hosts() const { return this->table; }
+    /// Records that a host can't connect to a group of upstreams, as it answered.
+    void note_unreachable_group(const host_id& id, const upstream_group& group)
+    {
+        this->table.note_unreachable_group(id, group);
+    }
 
 private:
     void run_round();
--- a/src/app/sailtillerd/siterelay.cpp
+++ b/src/app/sailtillerd/siterelay.cpp
@@ -49,26 +49,26 @@
     return item;
 }
 
-std::optional<std::string> site_relay::find_obstacle(const upstream_target& target) const
+std::optional<relay_obstacle> site_relay::find_obstacle(const upstream_target& target) const
 {
     const directory_entry* entry = this->upstreams.find(target.id);
     if (entry == nullptr || entry->upstream.address != target.address) {
-        return "the upstream is unknown here";
+        return relay_obstacle{"the upstream is unknown here"};
     }
     if (!this->link.is_reachable({entry->upstream.service, entry->upstream.data_hall})) {
-        return "this host can't connect to the upstream either";
+        return relay_obstacle{"this host can't connect to the upstream either", true};
     }
     if (target.request.value().empty()) {
         return std::nullopt; // a probe or a change of path, not new work
     }
     if (entry->upstream.is_leaving) {
-        return "the upstream is leaving";
+        return relay_obstacle{"the upstream is leaving"};
     }
     if (this->pauses.is_paused(target.id, this->loop.now())) {
-        return "the upstream asked this host for a pause";
+        return relay_obstacle{"the upstream asked this host for a pause"};
     }
     if (!this->hooks.is_bundle_fresh()) {
-        return "this host can't confirm that its configuration is the newest";
+        return relay_obstacle{"this host can't confirm that its configuration is the newest"};
     }
     return std::nullopt;
 }
--- a/src/app/sailtillerd/siterelay.h
+++ b/src/app/sailtillerd/siterelay.h
@@ -41,7 +41,7 @@
 private:
     relay_service_hooks make_service_hooks();
     /// Why this host doesn't send another host's request to the upstream; nothing if it does.
-    [[nodiscard]] std::optional<std::string> find_obstacle(const upstream_target& target) const;
+    [[nodiscard]] std::optional<relay_obstacle> find_obstacle(const upstream_target& target) const;
 
     event_loop& loop;
     upstream_link& link;
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -48,8 +48,8 @@
     , connections(loop, {.idle_time = idle_time})
     , reachability({}, this->make_reachability_hooks())
     , relay(loop, {},
-          {this->hooks.random, this->hooks.list_candidates, this->hooks.is_host_up, this->hooks.on_relay_lost,
-              this->hooks.log})
+          {this->hooks.random, this->hooks.list_candidates, this->hooks.is_host_up, this->hooks.on_no_way,
+              this->hooks.on_relay_lost, this->hooks.log})
 {
 }
 
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -30,6 +30,8 @@
     std::function<std::vector<relay_candidate>(const upstream_group&)> list_candidates;
     /// False once the other host counts as gone.
     std::function<bool(const host_id&)> is_host_up;
+    /// Another host answered that it can't connect to the group either.
+    std::function<void(const host_id&, const upstream_group&)> on_no_way;
     /// A call was lost with the host by way of which it went.
     std::function<void(relay_loss)> on_relay_lost;
     /// True while this host hears any other one.
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -169,6 +169,18 @@
     return list;
 }
 
+void host_table::note_unreachable_group(const host_id& id, const upstream_group& group)
+{
+    const auto found = this->others.find(id);
+    if (found == this->others.end()) {
+        return;
+    }
+    std::vector<upstream_group>& known = found->second.unreachable;
+    if (std::find(known.begin(), known.end(), group) == known.end()) {
+        known.push_back(group);
+    }
+}
+
 std::size_t host_table::count_hosts_with_unreachable(time_point now) const
 {
     const auto count = std::count_if(this->others.begin(), this->others.end(), [this, now](const auto& item) {
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -115,6 +115,8 @@
     /// Returns the hosts that relay requests to the group and reach it, as far as this host hears them.
     [[nodiscard]] std::vector<relaying_host> list_relaying_hosts(
         const upstream_group& group, time_point now) const;
+    /// Records that a host can't connect to a group; valid until its next report.
+    void note_unreachable_group(const host_id& id, const upstream_group& group);
     /// Number of hosts that report groups of upstreams to which they can't connect.
     [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
     /// Returns true unless the host counts as gone, leaving or not: by the age of its own reports, or by what
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -41,7 +41,8 @@
     {
         const std::optional<relay_candidate> next = this->owner.choose(this->group, this->tried);
         const relay_client_settings& limits = this->owner.settings;
-        const bool is_spent = this->tried.size() >= limits.max_hosts
+        const bool is_spent = this->tried.all.size() - this->tried.without_way >= limits.max_hosts
+            || this->tried.without_way >= limits.max_hosts_without_way
             || this->failed_upstream_connections >= limits.max_upstream_connections;
         if (!next || is_spent) {
             this->owner.loop.post([self = this->shared_from_this()] {
@@ -52,11 +53,13 @@
         }
         this->host = next->id;
         this->address = next->address;
-        this->tried.insert(next->id);
+        this->data_hall = next->data_hall;
+        this->tried.all.insert(next->id);
         this->refusal.reset();
         this->is_accepted = false;
         this->is_held_back = false;
         this->has_keep_alive = false;
+        this->has_no_way = false;
         this->reader = {};
         this->upstream_end.reset();
         this->accept_timer = this->owner.loop.schedule_after(this->owner.settings.accept_limit,
@@ -130,6 +133,7 @@
         this->owner.loop.cancel(this->accept_timer);
         this->is_accepted = status == http_status::ok;
         this->has_keep_alive = announces_keep_alive(headers);
+        this->has_no_way = !this->is_accepted && tells_no_way(headers);
         this->heard = this->owner.watched;
         if (!this->is_accepted) {
             this->refusal = "status " + std::to_string(status) + " ";
@@ -193,6 +197,9 @@
             this->try_next(from + reason);
         } else if (ending == call_ending::whole && this->refusal) {
             this->failed_upstream_connections += this->is_accepted ? 1 : 0;
+            if (this->has_no_way) {
+                this->note_no_way();
+            }
             this->try_next(from + *this->refusal);
         } else {
             if (!this->is_accepted) {
@@ -203,6 +210,13 @@
         }
     }
 
+    void note_no_way()
+    {
+        ++this->tried.without_way;
+        this->tried.halls_without_way.insert(this->data_hall);
+        this->owner.hooks.on_no_way(this->host, this->group);
+    }
+
     /// Nothing has reached the upstream, so another host may be asked.
     void try_next(const std::string& failure)
     {
@@ -259,7 +273,8 @@
     http_call_handlers handlers;
     host_id host; ///< that has the request now
     endpoint address; ///< of that host
-    std::set<host_id> tried;
+    data_hall_id data_hall; ///< of that host
+    tried_hosts tried;
     std::string last_failure;
     std::optional<std::string> refusal; ///< why nothing reached the upstream, by the present host
     relay_answer_reader reader;
@@ -269,6 +284,7 @@
     std::size_t failed_upstream_connections = 0; ///< of the hosts that accepted the request
     bool is_accepted = false;
     bool has_keep_alive = false; ///< the present host sends keep-alive lines
+    bool has_no_way = false; ///< the present host refused as it can't connect to the group
     duration heard{}; ///< watched time at which something last came from the present host
     bool is_held_back = false;
     bool was_resent = false; ///< to the present host, as its kept connection proved to be closed
@@ -317,7 +333,7 @@
 }
 
 std::optional<relay_candidate> relay_client::choose(
-    const upstream_group& group, const std::set<host_id>& tried) const
+    const upstream_group& group, const tried_hosts& tried) const
 {
     const time_point now = this->loop.now();
     std::map<host_id, unsigned> own_calls = this->count_calls();
@@ -326,12 +342,14 @@
     for (relay_candidate& candidate : this->hooks.list_candidates(group)) {
         const auto avoided = this->avoided_until.find(candidate.id);
         const bool is_avoided = avoided != this->avoided_until.end() && avoided->second > now;
-        if (is_avoided || tried.contains(candidate.id)) {
+        if (is_avoided || tried.all.contains(candidate.id)) {
             continue;
         }
         constexpr std::uint64_t tie_values = 1000; // spreads hosts of equal cost
         const std::uint64_t calls = std::max(candidate.relayed_calls, own_calls[candidate.id])
-            + (candidate.is_same_hall ? 0 : this->settings.other_hall_calls);
+            + (candidate.is_same_hall ? 0 : this->settings.other_hall_calls)
+            + (tried.halls_without_way.contains(candidate.data_hall) ? this->settings.doubtful_hall_calls
+                                                                     : 0);
         const std::uint64_t cost = calls * tie_values + this->hooks.random() % tie_values;
         if (cost < least) {
             least = cost;
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -20,6 +20,7 @@
     endpoint address; ///< for relay requests
     bool is_same_hall = false;
     unsigned relayed_calls = 0; ///< that it relays for all hosts, by its last report
+    data_hall_id data_hall{};
 };
 
 /// Times and bounds of relayed calls.
@@ -37,13 +38,20 @@
     duration check_interval = std::chrono::milliseconds(50);
     /// Time without new requests for a host that failed one.
     duration avoid_time = std::chrono::milliseconds(1000);
-    /// Hosts that are tried for one call while nothing of it has reached an upstream.
+    /// Hosts that are tried for one call while nothing of it has reached an upstream, but for those that
+    /// answer at once that they have no way to it themselves.
     std::size_t max_hosts = 3;
+    /// Hosts without a way that are tried for one call. In the first moments of a loss that many hosts share,
+    /// few have told the others of it.
+    std::size_t max_hosts_without_way = 8;
     /// Of these, hosts that may fail to connect to the upstream; a second one may tell a dead upstream from a
     /// host that has just lost its own way.
     std::size_t max_upstream_connections = 2;
     /// Calls that a host of another hall must have fewer than one of this host's hall to be chosen.
     unsigned other_hall_calls = 8;
+    /// The same for a host of a hall in which another one has no way; often the hosts of a hall lose it
+    /// together.
+    unsigned doubtful_hall_calls = 64;
 };
 
 /// Why a call counts as lost with its relaying host.
@@ -64,6 +72,8 @@
     /// Returns false once the fleet counts the host as gone; for relaying hosts whose answers contain no
     /// keep-alive lines.
     std::function<bool(const host_id&)> is_up;
+    /// Called if a host answers that it can't connect to the group, which its reports don't tell yet.
+    std::function<void(const host_id&, const upstream_group&)> on_no_way;
     /// Called for each call that is lost with its relaying host.
     std::function<void(relay_loss)> on_lost;
     std::function<void(const delivery_event&)> log;
@@ -91,8 +101,16 @@
 private:
     class relayed_call;
 
+    /// Hosts that were asked to send one request.
+    struct tried_hosts
+    {
+        std::set<host_id> all;
+        std::size_t without_way = 0; ///< number of those that have no way to the group themselves
+        std::set<data_hall_id> halls_without_way;
+    };
+
     [[nodiscard]] std::optional<relay_candidate> choose(
-        const upstream_group& group, const std::set<host_id>& tried) const;
+        const upstream_group& group, const tried_hosts& tried) const;
     void avoid(const host_id& host);
     void schedule_check();
     /// Ends the calls by way of hosts that have fallen silent, as lost with them.
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view request_header = "sailtiller-relay-request";
 constexpr std::string_view repeat_header = "sailtiller-relay-may-repeat";
 constexpr std::string_view keep_alive_header = "sailtiller-relay-keep-alive";
+constexpr std::string_view no_way_header = "sailtiller-relay-no-way";
 constexpr std::string_view header_prefix = "sailtiller-relay-";
 constexpr std::string_view true_value = "1";
 /// Headers of the connection between the hosts, and those that each sender writes anew.
@@ -147,6 +148,16 @@
     return find_header(headers, keep_alive_header) == true_value;
 }
 
+http_header make_no_way_header()
+{
+    return {std::string(no_way_header), std::string(true_value)};
+}
+
+bool tells_no_way(const http_headers& headers)
+{
+    return find_header(headers, no_way_header) == true_value;
+}
+
 std::string encode_relay_head(const relay_head& head)
 {
     json line;
--- a/src/libs/relay/relaymessages.h
+++ b/src/libs/relay/relaymessages.h
@@ -24,6 +24,10 @@
 /// Throws `error` if the target is missing or malformed.
 relayed_request decode_relay_request(const http_request& message);
 
+/// Marks the refusal of a host that can't connect to the upstream's group itself.
+http_header make_no_way_header();
+bool tells_no_way(const http_headers& headers);
+
 /// First part of the answer of an upstream, or why there is none.
 struct relay_head
 {
--- a/src/libs/relay/relayservice.cpp
+++ b/src/libs/relay/relayservice.cpp
@@ -34,12 +34,12 @@
 {
     const endpoint& peer = exchange->request().peer;
     if (!this->hooks.is_host(peer)) {
-        this->refuse(exchange, {}, "the request doesn't come from a host of the site");
+        this->refuse(exchange, {}, {"the request doesn't come from a host of the site"});
         return;
     }
     try {
         relayed_request request = decode_relay_request(exchange->request());
-        if (const std::optional<std::string> obstacle = this->find_obstacle(request)) {
+        if (const std::optional<relay_obstacle> obstacle = this->find_obstacle(request)) {
             this->refuse(exchange, request.target, *obstacle);
             return;
         }
@@ -50,22 +50,27 @@
     }
 }
 
-std::optional<std::string> relay_service::find_obstacle(const relayed_request& request) const
+std::optional<relay_obstacle> relay_service::find_obstacle(const relayed_request& request) const
 {
     if (this->is_stopping) {
-        return "the host is stopping";
+        return relay_obstacle{"the host is stopping"};
     }
     if (this->calls.size() >= this->settings.max_calls) {
-        return "the host relays as many requests as it may";
+        return relay_obstacle{"the host relays as many requests as it may"};
     }
     return this->hooks.find_obstacle(request.target);
 }
 
 void relay_service::refuse(const std::shared_ptr<http_exchange>& exchange, const upstream_target& target,
-    const std::string& reason) const
+    const relay_obstacle& obstacle) const
 {
-    this->log(event_type::relay_refused, target, reason + ", asked by " + exchange->request().peer.value());
-    exchange->respond({http_status::unavailable, {{"content-type", "text/plain"}}, reason});
+    this->log(event_type::relay_refused, target,
+        obstacle.reason + ", asked by " + exchange->request().peer.value());
+    http_headers headers = {{"content-type", "text/plain"}};
+    if (obstacle.has_no_way) {
+        headers.push_back(make_no_way_header());
+    }
+    exchange->respond({http_status::unavailable, headers, obstacle.reason});
 }
 
 void relay_service::start(const std::shared_ptr<http_exchange>& exchange, relayed_request request)
--- a/src/libs/relay/relayservice.h
+++ b/src/libs/relay/relayservice.h
@@ -26,6 +26,13 @@
     duration keep_alive_after = std::chrono::milliseconds(50);
 };
 
+/// Why a host doesn't send a request to its target.
+struct relay_obstacle
+{
+    std::string reason; ///< for the log
+    bool has_no_way = false; ///< the host can't connect to the upstream's group
+};
+
 /// Callbacks of the relay service.
 struct relay_service_hooks
 {
@@ -33,7 +40,7 @@
     /// Returns true if the request comes from a host of the site.
     std::function<bool(const endpoint& peer)> is_host;
     /// Returns why this host doesn't send the request to the target; empty if it does.
-    std::function<std::optional<std::string>(const upstream_target&)> find_obstacle;
+    std::function<std::optional<relay_obstacle>(const upstream_target&)> find_obstacle;
     /// Sends a request over a connection of this host's own.
     std::function<cancel_call(
         const upstream_target&, const http_request&, bool may_repeat, http_call_handlers)>
@@ -74,9 +81,9 @@
         timer_id look_timer = 0;
     };
 
-    [[nodiscard]] std::optional<std::string> find_obstacle(const relayed_request& request) const;
+    [[nodiscard]] std::optional<relay_obstacle> find_obstacle(const relayed_request& request) const;
     void refuse(const std::shared_ptr<http_exchange>& exchange, const upstream_target& target,
-        const std::string& reason) const;
+        const relay_obstacle& obstacle) const;
     void start(const std::shared_ptr<http_exchange>& exchange, relayed_request request);
     [[nodiscard]] http_call_handlers make_handlers(std::uint64_t key);
     void take_head(relayed_call& call, int status, const http_headers& headers);
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -29,7 +29,7 @@
     std::unique_ptr<http_server> server;
     endpoint address;
     bool knows_asker = true;
-    std::optional<std::string> obstacle;
+    std::optional<relay_obstacle> obstacle;
     bool can_connect = true;
     bool closes_next = false; ///< the connection of the next request, once it was read
     /// Headers of answers that end with the acceptance, and leave the connection open.
@@ -50,6 +50,7 @@
         hooks.random = make_seeded_random(3);
         hooks.list_candidates = [this](const upstream_group&) { return this->candidates; };
         hooks.is_up = [this](const host_id& id) { return !this->gone.contains(id); };
+        hooks.on_no_way = [this](const host_id& id, const upstream_group&) { this->without_way.insert(id); };
         hooks.on_lost = [this](relay_loss cause) { this->losses.push_back(cause); };
         hooks.log = [](const delivery_event&) {};
         this->client = std::make_unique<relay_client>(this->loop, relay_client_settings{}, hooks);
@@ -158,6 +159,7 @@
     std::vector<relay_candidate> candidates;
     std::set<host_id> gone; ///< for the fleet
     std::vector<relay_loss> losses;
+    std::set<host_id> without_way; ///< as told by refusals
     std::unique_ptr<relay_client> client;
     bool may_send = true;
     unsigned resends = 0;
@@ -240,7 +242,7 @@
     this->run_to_end();
     // The first copy, over the kept connection, may have been passed on before that closed.
     peer.closes_next = true;
-    peer.obstacle = "not now";
+    peer.obstacle = relay_obstacle{"not now"};
     this->ending.reset();
     this->send();
     this->run_to_end();
@@ -258,7 +260,7 @@
     this->run_to_end();
     EXPECT_EQ(this->ending, call_ending::whole);
     EXPECT_EQ(this->body, "answer");
-    this->peers.front()->obstacle = "none of mine";
+    this->peers.front()->obstacle = relay_obstacle{"none of mine"};
     this->ending.reset();
     this->send(false);
     run_until(this->loop, [this] { return this->arrived.size() == 2; });
@@ -278,6 +280,29 @@
     EXPECT_TRUE(this->client->has_candidate(group)) << "no host is at fault";
 }
 
+TEST_F(relay_test, hosts_that_have_lost_their_own_way_lately_do_not_use_up_the_hosts_that_are_tried)
+{
+    for (const char* name : {"p", "q", "r", "s"}) {
+        this->add_peer(name).obstacle = relay_obstacle{"no way", true};
+        this->candidates.back().data_hall = data_hall_id("x");
+    }
+    this->add_peer("t");
+    this->candidates.back().relayed_calls = 60;
+    this->candidates.back().data_hall = data_hall_id("y");
+    this->send(false);
+    this->run_to_arrival();
+    this->arrived.front()->respond({200, {}, "answer"});
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::whole);
+    EXPECT_EQ(this->without_way, std::set{host_id("p")}) << "the next one is of another hall";
+    this->peers.back()->obstacle = relay_obstacle{"not now"};
+    this->ending.reset();
+    this->send(false);
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::not_connected);
+    EXPECT_EQ(this->without_way.size(), 4U) << "none of them uses up a trial";
+}
+
 TEST_F(relay_test, without_a_host_a_request_ends_at_once_as_not_connected)
 {
     this->send();
