Fleet: in a large fleet hosts tell those without a way who has one

A host hears its 64 partners; where these have all lost the way, it refused all requests though other hosts of the fleet reach the upstreams.

Change: a report to a host that reports unreachable groups names up to four hosts that reach them, by their own latest reports or as others told it, with the age. They are asked like partners as long as a partner's report would count.

--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -135,7 +135,7 @@
 {
     this->table.set_own_state(this->hooks.is_leaving(), this->hooks.reads_store());
     peer_report report;
-    this->table.fill_report(report, receiver);
+    this->table.fill_report(report, receiver, this->loop.now());
     report.is_leaving = this->hooks.is_leaving();
     report.reads_store = this->hooks.reads_store();
     this->hooks.fill_report(report, asker);
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -68,7 +68,7 @@
     /// Records that a host can't connect to a group of upstreams, as it answered.
     void note_unreachable_group(const host_id& id, const upstream_group& group)
     {
-        this->table.note_unreachable_group(id, group);
+        this->table.note_unreachable_group(id, group, this->loop.now());
     }
 
 private:
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -47,6 +47,11 @@
     }
 };
 
+bool contains(const std::vector<upstream_group>& groups, const upstream_group& group)
+{
+    return std::find(groups.begin(), groups.end(), group) != groups.end();
+}
+
 } // namespace
 
 host_table::host_table(known_host self, host_table_settings settings)
@@ -154,30 +159,99 @@
     item.relay_address = report.relay_address;
     item.relayed_calls = report.relayed_calls;
     item.unreachable = report.unreachable;
+    this->merge_relaying_hosts(report.relaying_hosts, now);
 }
 
-std::vector<relaying_host> host_table::list_relaying_hosts(const upstream_group& group, time_point now) const
+void host_table::for_each_relaying_host(
+    const std::function<void(const relaying_host_view&)>& action, time_point now) const
 {
-    std::vector<relaying_host> list;
     for (const auto& [id, item] : this->others) {
-        const bool reaches =
-            std::find(item.unreachable.begin(), item.unreachable.end(), group) == item.unreachable.end();
-        if (item.relay_address && reaches && this->is_up(item, now)) {
-            list.push_back({item.host, *item.relay_address, item.relayed_calls});
+        const auto told = this->told_relaying.find(id);
+        const bool is_told_newer = told != this->told_relaying.end() && told->second.heard > item.heard;
+        if (item.relay_address && !is_told_newer && this->is_up(item, now)) {
+            action({item.host, *item.relay_address, item.relayed_calls, item.unreachable, now - *item.heard});
+        }
+    }
+    for (const auto& [id, told] : this->told_relaying) {
+        const auto heard = this->others.find(id);
+        const bool is_heard_newer = heard != this->others.end() && heard->second.heard >= told.heard;
+        const auto known = this->members.others().find(id);
+        const bool is_up = known != this->members.others().end() && this->is_present(id, known->second, now)
+            && now - told.heard < this->turns_timeout();
+        if (!is_heard_newer && is_up) {
+            const relaying_host& item = told.item;
+            action({item.host, item.relay_address, item.relayed_calls, item.unreachable, now - told.heard});
         }
     }
+}
+
+std::vector<relaying_host> host_table::list_relaying_hosts(const upstream_group& group, time_point now) const
+{
+    std::vector<relaying_host> list;
+    this->for_each_relaying_host(
+        [&list, &group](const relaying_host_view& item) {
+            if (!contains(item.unreachable, group)) {
+                list.push_back(item.copy());
+            }
+        },
+        now);
     return list;
 }
 
-void host_table::note_unreachable_group(const host_id& id, const upstream_group& group)
+void host_table::fill_relaying_hosts(peer_report& report, const host_id& receiver, time_point now) const
 {
-    const auto found = this->others.find(id);
-    if (found == this->others.end()) {
+    const auto found = this->others.find(receiver);
+    if (this->is_full_mesh() || found == this->others.end() || found->second.unreachable.empty()) {
         return;
     }
-    std::vector<upstream_group>& known = found->second.unreachable;
-    if (std::find(known.begin(), known.end(), group) == known.end()) {
-        known.push_back(group);
+    const std::vector<upstream_group>& missed = found->second.unreachable;
+    const auto reaches_all = [&missed](const relaying_host_view& item) {
+        return std::none_of(missed.begin(), missed.end(),
+            [&item](const upstream_group& group) { return contains(item.unreachable, group); });
+    };
+    // The latest reports: after a loss that many hosts share, older ones don't tell it yet.
+    std::multimap<duration, relaying_host_view> latest;
+    this->for_each_relaying_host(
+        [this, &latest, &receiver, &reaches_all](const relaying_host_view& item) {
+            if (item.host.id == receiver || !reaches_all(item)) {
+                return;
+            }
+            latest.emplace(item.age, item);
+            if (latest.size() > this->settings.max_relaying_hosts_per_report) {
+                latest.erase(std::prev(latest.end()));
+            }
+        },
+        now);
+    for (const auto& [age, item] : latest) {
+        report.relaying_hosts.push_back(item.copy());
+    }
+}
+
+void host_table::merge_relaying_hosts(const std::vector<relaying_host>& told, time_point now)
+{
+    for (const relaying_host& item : told) {
+        const time_point heard = now - item.age;
+        const auto known = this->told_relaying.find(item.host.id);
+        const bool is_newer = known == this->told_relaying.end() || known->second.heard < heard;
+        if (item.host.id != this->own().id && is_newer) {
+            this->told_relaying[item.host.id] = {item, heard};
+        }
+    }
+}
+
+void host_table::note_unreachable_group(const host_id& id, const upstream_group& group, time_point now)
+{
+    const auto add = [&group](std::vector<upstream_group>& known) {
+        if (!contains(known, group)) {
+            known.push_back(group);
+        }
+    };
+    if (const auto found = this->others.find(id); found != this->others.end()) {
+        add(found->second.unreachable);
+    }
+    if (const auto told = this->told_relaying.find(id); told != this->told_relaying.end()) {
+        add(told->second.item.unreachable);
+        told->second.heard = now; // what others tell of it is older
     }
 }
 
@@ -243,6 +317,8 @@
         return is_old;
     });
     this->members.remove_expired_down(now);
+    std::erase_if(this->told_relaying,
+        [limit = now - this->turns_timeout()](const auto& item) { return item.second.heard < limit; });
 }
 
 void host_table::select_partners(time_point now)
@@ -543,12 +619,13 @@
     return rank && *rank < this->settings.duty_candidates;
 }
 
-void host_table::fill_report(peer_report& report, const host_id& receiver)
+void host_table::fill_report(peer_report& report, const host_id& receiver, time_point now)
 {
     report.sender = this->own();
     report.incarnation = this->members.own().incarnation;
     report.hosts_digest = this->members.digest();
     report.news = this->members.next_updates(receiver);
+    this->fill_relaying_hosts(report, receiver, now);
 }
 
 bool host_table::is_waiting_for_turn(const entry& item, time_point now) const
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -48,17 +48,12 @@
     /// After this time a host that doesn't answer is reported as unreachable, provided that other hosts
     /// answer.
     duration unreachable_timeout = std::chrono::milliseconds(1500);
+    /// Relaying hosts that a report of a large fleet names to a host that has lost its way to upstreams. All
+    /// of its partners may have lost theirs; it sends and receives some thirty reports a second.
+    std::size_t max_relaying_hosts_per_report = 4;
     membership_settings members;
 };
 
-/// A host that relays requests to upstreams, by its last report.
-struct relaying_host
-{
-    known_host host;
-    endpoint relay_address;
-    unsigned relayed_calls = 0;
-};
-
 /// The hosts of the site as known to this host: from their records in the store, from their own messages, and
 /// from what they report of each other. In a small fleet all hosts are partners, and the state of each is
 /// taken from its own messages.
@@ -112,11 +107,12 @@
     /// heartbeat timeout. The others, unless they left a query unanswered, are estimated by the average of
     /// those that reported, separately for this host's own hall and for the other halls.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
-    /// Returns the hosts that relay requests to the group and reach it, as far as this host hears them.
+    /// Returns the hosts that relay requests to the group and reach it, as far as this host hears them or, in
+    /// a large fleet, as others tell it.
     [[nodiscard]] std::vector<relaying_host> list_relaying_hosts(
         const upstream_group& group, time_point now) const;
-    /// Records that a host can't connect to a group; valid until its next report.
-    void note_unreachable_group(const host_id& id, const upstream_group& group);
+    /// Records that a host can't connect to a group; valid until a newer report of it.
+    void note_unreachable_group(const host_id& id, const upstream_group& group, time_point now);
     /// Number of hosts that report groups of upstreams to which they can't connect.
     [[nodiscard]] std::size_t count_hosts_with_unreachable(time_point now) const;
     /// Returns true unless the host counts as gone, leaving or not: by the age of its own reports, or by what
@@ -125,7 +121,7 @@
     /// Returns true if a known host has this internet address, on any port.
     [[nodiscard]] bool has_host_at(const endpoint& address) const;
     /// Fills in the fleet's state for a report to the receiver.
-    void fill_report(peer_report& report, const host_id& receiver);
+    void fill_report(peer_report& report, const host_id& receiver, time_point now);
     /// Sets the state that this host reports of itself.
     void set_own_state(bool is_leaving, bool reads_store)
     {
@@ -161,6 +157,27 @@
     };
     using member = membership::member;
 
+    /// What is known of a relaying host, without a copy.
+    struct relaying_host_view
+    {
+        const known_host& host;
+        const endpoint& relay_address;
+        unsigned relayed_calls = 0;
+        const std::vector<upstream_group>& unreachable;
+        duration age{};
+
+        [[nodiscard]] relaying_host copy() const
+        {
+            return {this->host, this->relay_address, this->relayed_calls, this->unreachable, this->age};
+        }
+    };
+    /// A relaying host that this one knows from other hosts.
+    struct told_relaying_host
+    {
+        relaying_host item;
+        time_point heard{}; ///< when it reported that state
+    };
+
     entry& find_or_add(const known_host& host, time_point now);
     void merge_state(const host_state& news, membership::propagation use, time_point now);
     /// True in a fleet so small that this host queries all others.
@@ -177,6 +194,12 @@
     /// The next host that is down, in turn; nothing if there is none.
     [[nodiscard]] std::optional<known_host> next_down_host();
     void forget_old(time_point now);
+    void merge_relaying_hosts(const std::vector<relaying_host>& told, time_point now);
+    /// Calls `action` for each host that relays, as this host hears it or as others tell it.
+    void for_each_relaying_host(
+        const std::function<void(const relaying_host_view&)>& action, time_point now) const;
+    /// Names relaying hosts to a receiver that has lost its way to upstreams.
+    void fill_relaying_hosts(peer_report& report, const host_id& receiver, time_point now) const;
     [[nodiscard]] std::vector<entry*> list_due(time_point now);
     /// Returns the entry if this host monitors that host by its own messages, or null.
     [[nodiscard]] const entry* find_monitored(const host_id& id) const;
@@ -210,6 +233,7 @@
     host_table_settings settings;
     membership members;
     std::map<host_id, entry> others; ///< partners, and hosts that were heard lately
+    std::map<host_id, told_relaying_host> told_relaying; ///< in a large fleet
     /// Version of the membership from which the partners were selected.
     std::optional<std::uint64_t> partners_version;
     host_id last_down_host_queried;
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -135,6 +135,25 @@
     return list;
 }
 
+json write_groups(const std::vector<upstream_group>& groups)
+{
+    json list = json::array();
+    for (const upstream_group& group : groups) {
+        list.push_back(json::array({group.service.value(), group.data_hall.value()}));
+    }
+    return list;
+}
+
+std::vector<upstream_group> read_groups(const json& list)
+{
+    std::vector<upstream_group> groups;
+    for (const json& group : list) {
+        groups.push_back(
+            {service_id(group.at(0).get<std::string>()), data_hall_id(group.at(1).get<std::string>())});
+    }
+    return groups;
+}
+
 /// Writes what concerns relaying, where there is something to tell.
 void write_relaying(const peer_report& report, json& item)
 {
@@ -144,8 +163,12 @@
     if (report.relayed_calls > 0) {
         item["relayed_calls"] = report.relayed_calls;
     }
-    for (const upstream_group& group : report.unreachable) {
-        item["unreachable"].push_back(json::array({group.service.value(), group.data_hall.value()}));
+    if (!report.unreachable.empty()) {
+        item["unreachable"] = write_groups(report.unreachable);
+    }
+    for (const relaying_host& other : report.relaying_hosts) {
+        item["relaying_hosts"].push_back(json::array({write_host(other.host), other.relay_address.value(),
+            other.relayed_calls, write_groups(other.unreachable), other.age.count()}));
     }
 }
 
@@ -155,9 +178,11 @@
         report.relay_address = endpoint(item.at("relay").get<std::string>());
     }
     report.relayed_calls = item.value("relayed_calls", 0U);
-    for (const json& group : item.value("unreachable", json::array())) {
-        report.unreachable.push_back(
-            {service_id(group.at(0).get<std::string>()), data_hall_id(group.at(1).get<std::string>())});
+    report.unreachable = read_groups(item.value("unreachable", json::array()));
+    for (const json& other : item.value("relaying_hosts", json::array())) {
+        report.relaying_hosts.push_back(
+            {read_host(other.at(0)), endpoint(other.at(1).get<std::string>()), other.at(2).get<unsigned>(),
+                read_groups(other.at(3)), duration(other.at(4).get<duration::rep>())});
     }
 }
 
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -76,6 +76,16 @@
     std::optional<std::string> value; ///< nothing: the entry was removed
 };
 
+/// A host that relays requests to upstreams, as one host tells another that has lost its way to some.
+struct relaying_host
+{
+    known_host host;
+    endpoint relay_address;
+    unsigned relayed_calls = 0;
+    std::vector<upstream_group> unreachable; ///< to which it can make no connections
+    duration age{}; ///< since its report that says so
+};
+
 /// Report exchanged between two hosts, in a query and in its answer. Ages are as of the time of sending.
 struct peer_report
 {
@@ -109,6 +119,8 @@
     std::optional<endpoint> relay_address; ///< at which the sender relays requests of others
     unsigned relayed_calls = 0; ///< that the sender relays now
     std::vector<upstream_group> unreachable; ///< to which the sender can make no connections
+    /// Some hosts that reach what the receiver can't, and that need not be its partners.
+    std::vector<relaying_host> relaying_hosts;
 };
 
 /// Writes the states of hosts as CBOR.
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -224,7 +224,16 @@
     report.incarnation = incarnation_number(7);
     report.hosts_digest = 1234;
     report.news = {{make_host("c", "y"), incarnation_number(3), true, false, {host_id("d")}}};
+    report.unreachable = {{service_id("llm"), data_hall_id("y")}};
+    report.relaying_hosts = {{make_host("r", "z"), endpoint("127.0.0.1:9"), 5, report.unreachable, 800ms}};
     const peer_report read = decode_peer_report(encode_peer_report(report));
+    EXPECT_EQ(read.unreachable, report.unreachable);
+    ASSERT_EQ(read.relaying_hosts.size(), 1U);
+    EXPECT_EQ(read.relaying_hosts[0].host, report.relaying_hosts[0].host);
+    EXPECT_EQ(read.relaying_hosts[0].relay_address, endpoint("127.0.0.1:9"));
+    EXPECT_EQ(read.relaying_hosts[0].relayed_calls, 5U);
+    EXPECT_EQ(read.relaying_hosts[0].unreachable, report.unreachable);
+    EXPECT_EQ(read.relaying_hosts[0].age, duration(800ms));
     EXPECT_EQ(read.sender, report.sender);
     EXPECT_TRUE(read.is_leaving);
     EXPECT_EQ(read.bundle_version, 12U);
@@ -308,7 +317,10 @@
         peer_report report = make_report(host);
         report.work.push_back({upstream_id("u"), 100, 2});
         report.relay_address = host.address;
-        this->tables.at(host.id).fill_report(report, receiver);
+        if (this->without_way.count(host.id) != 0) {
+            report.unreachable = this->lost_groups;
+        }
+        this->tables.at(host.id).fill_report(report, receiver, this->now);
         return report;
     }
 
@@ -391,6 +403,8 @@
     std::map<host_id, host_table> tables;
     std::set<host_id> dead;
     std::set<host_id> cut; ///< hosts that reach each other only
+    std::set<host_id> without_way; ///< hosts that can't connect to these groups
+    std::vector<upstream_group> lost_groups;
     std::map<host_id, std::set<host_id>> partners; ///< hosts that each has queried
 };
 
@@ -519,9 +533,95 @@
         return this->fleet.tables.at(host.id).list_relaying_hosts(group, this->fleet.now);
     }
 
+    /// Takes the way to the group from all hosts but each `step`th.
+    void cut_all_but_each(std::size_t step)
+    {
+        this->fleet.lost_groups = {this->group};
+        for (std::size_t number = 0; number < this->fleet.hosts.size(); ++number) {
+            if (number % step != 0) {
+                this->fleet.without_way.insert(this->fleet.hosts[number].id);
+            }
+        }
+    }
+
+    /// Returns how many hosts without a way know a host that has one.
+    [[nodiscard]] std::size_t count_hosts_that_know_a_way() const
+    {
+        std::size_t count = 0;
+        for (const host_id& id : this->fleet.without_way) {
+            count += this->count_known(id, true) > 0 ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Returns how many hosts without a way take another such host for one that has a way.
+    [[nodiscard]] std::size_t count_hosts_that_are_wrong() const
+    {
+        std::size_t count = 0;
+        for (const host_id& id : this->fleet.without_way) {
+            count += this->count_known(id, false) > 0 ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Returns how many of the relaying hosts that a host lists have a way, or have none.
+    [[nodiscard]] std::size_t count_known(const host_id& id, bool has_way) const
+    {
+        const std::vector<relaying_host> list =
+            this->fleet.tables.at(id).list_relaying_hosts(this->group, this->fleet.now);
+        return static_cast<std::size_t>(
+            std::count_if(list.begin(), list.end(), [this, has_way](const relaying_host& item) {
+                return (this->fleet.without_way.count(item.host.id) == 0) == has_way;
+            }));
+    }
+
     const upstream_group group{service_id("llm"), data_hall_id("hall-0")};
 };
 
+/// For so long after the loss the users allow a host to fail its callers.
+constexpr duration contact_time = 3s;
+
+TEST_P(relaying_fleet_test, each_host_knows_one_with_a_way_though_all_of_its_partners_may_have_none)
+{
+    this->cut_all_but_each(GetParam());
+    this->fleet.run_for(contact_time);
+    EXPECT_EQ(this->count_hosts_that_know_a_way(), GetParam() - 1);
+    this->fleet.run_for(contact_time); // the last reports from before the loss are older than two turns
+    EXPECT_EQ(this->count_hosts_that_are_wrong(), 0U);
+    this->fleet.run_for(10s);
+    EXPECT_EQ(this->count_hosts_that_know_a_way(), GetParam() - 1);
+    EXPECT_EQ(this->count_hosts_that_are_wrong(), 0U);
+    this->fleet.without_way.clear();
+    this->fleet.run_for(contact_time);
+    for (const known_host& host : this->fleet.hosts) {
+        EXPECT_GE(this->list_relaying(host).size(), std::min<std::size_t>(8, GetParam() - 1)) << host.id;
+    }
+}
+
+TEST_P(relaying_fleet_test, lost_hosts_and_no_others_count_as_gone)
+{
+    const auto count_wrong = [this] {
+        std::size_t wrong = 0;
+        for (const host_id& id : this->fleet.list_if([](const host_table&) { return true; })) {
+            for (const known_host& other : this->fleet.hosts) {
+                const bool is_believed =
+                    other.id == id || this->fleet.tables.at(id).is_alive(other.id, this->fleet.now);
+                wrong += is_believed != this->fleet.is_alive(other.id) ? 1 : 0;
+            }
+        }
+        return wrong;
+    };
+    for (int step = 0; step < 9; ++step) {
+        EXPECT_EQ(count_wrong(), 0U);
+        this->fleet.run_for(250ms);
+    }
+    for (std::size_t number = 0; number < GetParam(); number += 10) {
+        this->fleet.dead.insert(this->fleet.hosts[number].id);
+    }
+    this->fleet.run_for(5s);
+    EXPECT_EQ(count_wrong(), 0U);
+}
+
 TEST_P(relaying_fleet_test, living_hosts_stay_relaying_hosts_between_their_turns)
 {
     const std::size_t partners = std::min(GetParam() - 1, host_table_settings().max_partners);
--- a/tests/support/sitefleet.cpp
+++ b/tests/support/sitefleet.cpp
@@ -286,7 +286,7 @@
 {
     item.table->set_own_state(false, item.reading.reads_store());
     peer_report report;
-    item.table->fill_report(report, receiver);
+    item.table->fill_report(report, receiver, this->now);
     report.reads_store = item.reading.reads_store();
     item.knowledge->fill_report(report, asker);
     return report;
--- a/tests/support/sitefleet.h
+++ b/tests/support/sitefleet.h
@@ -74,7 +74,7 @@
     [[nodiscard]] paused_store& store_of(store_topic topic);
     host& find(const host_id& id) { return *this->hosts[std::stoul(id.value().substr(1))]; }
     [[nodiscard]] bool is_reader(const host& item) const;
-    static peer_report make_report(host& item, const host_id& receiver, const peer_report* asker);
+    peer_report make_report(host& item, const host_id& receiver, const peer_report* asker);
     /// Asks the others in turn, again and again.
     void tell(host& item);
     void ask(host& item, host& other, bool wants_changes);
