Delivery: a request that went another way is not taken for one on a lost connection

Callers saw: first events that came later than need be in the first seconds of a loss; their streams ran twice, one run and one retry more than they needed.

Cause: the request that finds the loss is sent before it and, once the loss is known, goes by way of another host. Streams sent before the loss that are silent 100 ms after it count as being on a connection that was lost. The time compared was that of the send, at which the request had no connection.

Evidence: relayed_streams_of_a_large_fleet_are_not_lost_with_hosts_that_live under the sanitizers beside other load failed in two of two runs, with no host lost: "its connection is silent, and no new one can be made after 0 events", 0.2 s after "relayed" of the same request.

Change: the time of the first byte counts, which is written over the connection that the request really has. A request without a connection isn't on a lost one.

Result: the new unit test failed before (moved both without a connection and after it went another way) and passes. The test with 56 hosts passes under the sanitizers beside a load of 19 (one run, 31 s), and without them (11 s).

--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -196,8 +196,9 @@
     }
     const std::optional<time_point> silent = this->path.silent_since();
     const std::optional<time_point> lost = unreachable_since(this->path.head().id);
+    const std::optional<time_point> sent = this->call.first_byte_at();
     // An event after the loss shows that the connection lives on; a send after it went another way.
-    const bool may_be_lost = silent && lost && std::max(*silent, this->call.sent_at()) < *lost
+    const bool may_be_lost = silent && lost && sent && std::max(*silent, *sent) < *lost
         && this->context.timers.now() - *lost >= this->context.settings.lost_connection_time;
     if (!may_be_lost || !this->sends.may_send_now(this->has_started)) {
         return;
--- a/src/libs/delivery/upstreamcall.cpp
+++ b/src/libs/delivery/upstreamcall.cpp
@@ -11,6 +11,7 @@
     this->is_held_back = false;
     this->target = request.target;
     this->first_sent = this->context.timers.now();
+    this->first_byte.reset();
     const http_request message = this->context.codec.encode_request(this->order.request, request);
     this->cancel = this->context.send({request.target, address, this->order.request.id}, message,
         this->order.route->may_repeat(), this->make_handlers(hooks));
@@ -46,8 +47,11 @@
 
 bool upstream_call::may_send_first_byte()
 {
-    const bool is_paused = this->context.pauses.is_paused(this->target, this->context.timers.now());
-    this->is_held_back = is_paused || !this->context.may_send();
+    const time_point now = this->context.timers.now();
+    this->is_held_back = this->context.pauses.is_paused(this->target, now) || !this->context.may_send();
+    if (!this->is_held_back) {
+        this->first_byte = now;
+    }
     return !this->is_held_back;
 }
 
--- a/src/libs/delivery/upstreamcall.h
+++ b/src/libs/delivery/upstreamcall.h
@@ -35,6 +35,9 @@
     [[nodiscard]] bool was_held_back() const { return this->is_held_back; }
     /// Time at which the first copy of the current or most recent call was sent.
     [[nodiscard]] time_point sent_at() const { return this->first_sent; }
+    /// Time at which the first byte was last written over a connection, which may be one to another host;
+    /// empty before that.
+    [[nodiscard]] std::optional<time_point> first_byte_at() const { return this->first_byte; }
     /// Serial number, incremented with each call that starts or is cancelled.
     [[nodiscard]] std::uint64_t number() const { return this->present; }
 
@@ -50,6 +53,7 @@
     std::uint64_t present = 0;
     upstream_id target; ///< of the current call
     time_point first_sent{};
+    std::optional<time_point> first_byte;
     bool was_resent = false;
     bool is_held_back = false;
     cancel_call cancel;
--- a/tests/auto/delivery/streamdeliveryfixture.h
+++ b/tests/auto/delivery/streamdeliveryfixture.h
@@ -35,6 +35,7 @@
     std::shared_ptr<stream_delivery> start_streaming(unsigned count)
     {
         auto delivery = this->start();
+        EXPECT_TRUE(this->last_send().handlers.may_send());
         give_head(this->last_send(), 200, signed_head());
         this->last_send().handlers.on_body(events(0, count));
         return delivery;
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -959,6 +959,21 @@
     EXPECT_EQ(this->sends.size(), before + 1) << "the new send went another way";
 }
 
+TEST_F(stream_delivery_test, a_request_that_went_another_way_after_the_loss_is_not_on_a_lost_connection)
+{
+    const auto delivery = this->start();
+    const std::size_t before = this->sends.size();
+    const time_point lost = this->now + 10ms;
+    const auto lost_way = [lost](const upstream_id&) { return std::optional(lost); };
+    this->pass(200ms); // without a connection
+    delivery->leave_lost_connection(lost_way);
+    EXPECT_EQ(this->sends.size(), before) << "nothing of it has been sent";
+    ASSERT_TRUE(this->last_send().handlers.may_send());
+    this->pass(200ms);
+    delivery->leave_lost_connection(lost_way);
+    EXPECT_EQ(this->sends.size(), before) << "it was sent after the loss";
+}
+
 TEST_F(stream_delivery_test, a_lost_connection_is_left_for_another_head_while_there_is_one)
 {
     this->put_engine("other", 3, {0, 8});
