Delivery: an engine that refuses connections is probed, not tried by each request

Cause: a failed connection was taken for a full engine. Each host tried it again every 250 ms with a caller's request; the probe that would have shown its death was left out when the engine had answered within the last second, or when the suspects of late streams had used up the probe budget; and signs of life from before the crash ended the suspicions that other hosts had reported.

Change: an upstream that a host can't connect to, and of which no stream shows life, gets no new requests for 1.5 s, doubled up to 6 s, or until a sign of life given after the failure. The probe has a budget of its own, and its verdict is reported by the suspicions as before (two hosts' word). A host that can't connect to the whole group blames none of its upstreams, and forgets the failures when its way is lost or found.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -121,7 +121,8 @@
         [this](const service_id& service, bool may_repeat) {
             return this->retry_after_if_unreachable(service, may_repeat);
         },
-        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); }};
+        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
+        [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); }};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -189,6 +190,7 @@
     const event_type what =
         is_reachable ? event_type::upstreams_reachable : event_type::upstreams_unreachable;
     this->admin.note_belief(what);
+    this->health.note_way_changed(group);
     log_event(is_reachable ? log_level::info : log_level::warning, what,
         {{"service", group.service.value()}, {"data_hall", group.data_hall.value()},
             {"relaying_hosts", std::to_string(this->list_relay_candidates(group).size())}});
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -81,7 +81,7 @@
         }
     }
     for (const auto& [id, answer] : this->answers) {
-        if (now - answer.at <= answer_told_time) {
+        if (now - answer.at <= answer_told_time && !this->is_outdated(id, answer.at)) {
             report.signs.push_back({id, answer.pace, now - answer.at});
         }
     }
@@ -97,8 +97,27 @@
         this->loads.avoid(item.id, now + item.left);
     }
     for (const upstream_probe_result& sign : report.signs) {
-        this->told.clear(sign.id);
-        this->watch.prober().note_reported_alive(sign.id, sign.pace, now - sign.age);
+        const time_point at = now - sign.age;
+        if (!this->is_outdated(sign.id, at)) {
+            this->told.clear(sign.id);
+            this->watch.prober().note_reported_alive(sign.id, sign.pace, at);
+        }
+    }
+}
+
+bool upstream_health::is_outdated(const upstream_id& id, time_point at) const
+{
+    const engine_load& load = this->loads.of(id);
+    const time_point judged_dead = std::max(load.failed_until, load.reported_until) - this->death_suspension;
+    return at <= std::max(judged_dead, load.unreachable_since);
+}
+
+void upstream_health::note_way_changed(const upstream_group& group)
+{
+    for (const auto& [id, entry] : this->upstreams.entries()) {
+        if (entry.upstream.service == group.service && entry.upstream.data_hall == group.data_hall) {
+            this->loads.forget_unreachable(id);
+        }
     }
 }
 
@@ -280,6 +299,7 @@
 
 void upstream_health::take_pace(const upstream_id& id, double pace)
 {
+    this->loads.note_alive(id, this->loop.now());
     const engine_load& known = this->loads.of(id);
     const bool was_dead = known.has_failed(this->loop.now());
     const bool is_news = was_dead || std::abs(known.pace - pace) > pace_margin;
--- a/src/app/sailtillerd/upstreamhealth.h
+++ b/src/app/sailtillerd/upstreamhealth.h
@@ -53,6 +53,9 @@
     void note_ended(const upstream_id& id);
     /// Forgets upstreams that no longer exist.
     void forget(const std::function<bool(const upstream_id&)>& is_known);
+    /// This host can't connect to a group of upstreams any more, or can again: its failed connections to them
+    /// tell about its way, and not about them.
+    void note_way_changed(const upstream_group& group);
     /// The hosts that live, this one included, in the order of their names.
     void set_live_hosts(std::vector<host_id> hosts);
     /// Adds the upstreams that failed this host's requests, and those that answered its probes lately.
@@ -68,6 +71,8 @@
     /// Some upstream other than this one that is believed to be alive.
     [[nodiscard]] std::optional<upstream_id> find_other(const upstream_id& id) const;
     [[nodiscard]] bool is_assigned_prober(const upstream_id& id) const;
+    /// A sign of life given at `at` is older than the failure for which nothing new goes to the upstream.
+    [[nodiscard]] bool is_outdated(const upstream_id& id, time_point at) const;
     void take_suspicion(const upstream_suspicion& item, const host_id& reporter);
     /// These engines gave no sign of life.
     void take_deaths(const std::vector<upstream_id>& silent);
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -127,6 +127,19 @@
         id, context.timers.now(), context.settings.unwilling_pause, context.settings.max_unwilling_pause);
 }
 
+void note_unreachable(const delivery_context& context, const upstream_id& id)
+{
+    // A lost packet, an engine that resets connections as it has too many, and a dead one look the same.
+    // Streams that go on over it show that it lives; otherwise the probe does.
+    avoid_after_refusal(context, id);
+    const bool is_own_fault = context.is_group_reachable && !context.is_group_reachable(id);
+    if (!is_own_fault && !context.watch.is_progressing(id)) {
+        context.loads.note_unreachable(
+            id, context.timers.now(), context.settings.suspension, context.settings.max_suspension);
+    }
+    context.watch.suspect(id);
+}
+
 void note_failure(const delivery_context& context, const upstream_id& id)
 {
     context.loads.note_failure(
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -63,6 +63,9 @@
 {
     /// Time without new requests for an upstream that is unreachable or is not the intended one.
     duration suspension = std::chrono::milliseconds(1500);
+    /// Upper bound of `suspension` where it doubles: an engine takes seconds to restart, and a sign of life
+    /// ends the time earlier.
+    duration max_suspension = std::chrono::seconds(6);
     /// Time without new requests for a dead upstream; its entry is removed within that time.
     duration death_suspension = std::chrono::milliseconds(1500);
     /// Time without new requests for an upstream that refused one, usually for lack of capacity.
@@ -158,6 +161,9 @@
     std::function<std::optional<duration>(const service_id&, bool may_repeat)> retry_after_if_unreachable;
     /// Counts requests that were refused because of a suspect of this kind; optional.
     std::function<void(suspect_kind)> count_suspect_refusal;
+    /// Returns false while this host can connect to none of the upstream's group, so that a failed connection
+    /// says nothing about the upstream; optional.
+    std::function<bool(const upstream_id&)> is_group_reachable = {};
 };
 
 /// Request with its settings from the bundle.
@@ -205,6 +211,9 @@
 /// Suspends new requests to an upstream that refused one despite free capacity, for `unwilling_pause` or
 /// longer.
 void avoid_unwilling(const delivery_context& context, const upstream_id& id);
+/// Records a failed connection to an upstream, which is probed. It gets no new requests for `refusal_pause`,
+/// and without another sign of life for `suspension` or longer.
+void note_unreachable(const delivery_context& context, const upstream_id& id);
 /// Records that an upstream ran a request and failed.
 void note_failure(const delivery_context& context, const upstream_id& id);
 /// Applies the upstream state in the head of an answer to a request sent at `sent`.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -433,9 +433,7 @@
         this->retry_or_give_up(reason); // withheld by this host; not the engine's fault
         return;
     }
-    // A lost packet and an overloaded engine look the same; a probe shows whether the engine is dead.
-    avoid_after_refusal(this->context, this->path.head().id);
-    this->context.watch.suspect(this->path.head().id);
+    note_unreachable(this->context, this->path.head().id);
     if (this->sends.runs() > 0) {
         this->avoided.insert(this->path.head().id);
     }
--- a/src/libs/health/stalldetector.cpp
+++ b/src/libs/health/stalldetector.cpp
@@ -231,7 +231,7 @@
 
 void stall_detector::suspect(const upstream_id& id)
 {
-    this->externally_suspected.insert(id);
+    this->unreachable.insert(id);
 }
 
 bool stall_detector::has_progressed(const upstream_id& id, time_point since) const
@@ -265,8 +265,10 @@
 {
     std::set<upstream_id> suspects = this->find_suspects(now);
     this->add_slow_stages(suspects, now);
-    suspects.merge(this->externally_suspected);
-    this->externally_suspected.clear();
+    for (const upstream_id& id : this->unreachable) {
+        this->probes.ask_unreachable(id);
+    }
+    this->unreachable.clear();
     for (const upstream_id& id : suspects) {
         this->probes.ask(id);
     }
--- a/src/libs/health/stalldetector.h
+++ b/src/libs/health/stalldetector.h
@@ -84,7 +84,7 @@
     void change_path(stream_key key, std::vector<upstream_id> parts, const stream_expectation& expected);
     /// Removes a stream that ended or left its path.
     void remove(stream_key key);
-    /// Marks an upstream as suspect for a reason other than a stream: it is probed at the next check.
+    /// Marks an upstream as suspect after a failed connection: it is probed at the next check.
     void suspect(const upstream_id& id);
     /// True from a dead verdict until a sign of life.
     [[nodiscard]] bool is_dead(const upstream_id& id) const { return this->probes.is_dead(id); }
@@ -122,7 +122,7 @@
     upstream_probes probes;
     silence_model model;
     std::map<stream_key, watched_stream> streams;
-    std::set<upstream_id> externally_suspected; ///< suspected for reasons other than a stream
+    std::set<upstream_id> unreachable; ///< to be probed, as a connection failed
     stream_key last_key = 0;
     time_point last_check{};
 };
--- a/src/libs/health/upstreamprobes.cpp
+++ b/src/libs/health/upstreamprobes.cpp
@@ -9,7 +9,8 @@
 upstream_probes::upstream_probes(upstream_probe_settings settings, upstream_probe_hooks hooks)
     : settings(settings)
     , hooks(std::move(hooks))
-    , budget(settings.burst)
+    , budget{settings.burst, {}}
+    , unreachable_budget{settings.burst, {}}
 {
 }
 
@@ -22,16 +23,16 @@
     return std::clamp(usual, this->settings.min_answer_limit, this->settings.max_answer_limit);
 }
 
-bool upstream_probes::take_from_budget(time_point now)
+bool upstream_probes::take_from(probe_budget& budget, time_point now) const
 {
-    const std::chrono::duration<double> passed = now - this->budget_filled;
+    const std::chrono::duration<double> passed = now - budget.filled;
     const double rate = this->settings.fleet_probes_per_s / static_cast<double>(this->live_hosts);
-    this->budget = std::min(this->settings.burst, this->budget + passed.count() * rate);
-    this->budget_filled = now;
-    if (this->budget < 1) {
+    budget.left = std::min(this->settings.burst, budget.left + passed.count() * rate);
+    budget.filled = now;
+    if (budget.left < 1) {
         return false;
     }
-    this->budget -= 1;
+    budget.left -= 1;
     return true;
 }
 
@@ -43,13 +44,27 @@
         || (quiet != this->no_probe_before.end() && quiet->second > now)) {
         return false;
     }
-    if (!this->take_from_budget(now)) {
+    if (!this->take_from(this->budget, now)) {
         return false;
     }
     this->send(id);
     return true;
 }
 
+bool upstream_probes::ask_unreachable(const upstream_id& id)
+{
+    const time_point now = this->hooks.timers.now();
+    const bool was_asked =
+        this->no_unreachable_probe_before.count(id) != 0 && this->no_unreachable_probe_before.at(id) > now;
+    if (this->is_dead(id) || this->is_asked(id) || was_asked
+        || !this->take_from(this->unreachable_budget, now)) {
+        return false;
+    }
+    this->no_unreachable_probe_before[id] = now + this->settings.pause;
+    this->send(id);
+    return true;
+}
+
 void upstream_probes::send(const upstream_id& id)
 {
     const time_point now = this->hooks.timers.now();
@@ -96,7 +111,9 @@
 void upstream_probes::look()
 {
     const time_point now = this->hooks.timers.now();
-    std::erase_if(this->no_probe_before, [now](const auto& item) { return item.second <= now; });
+    const auto is_past = [now](const auto& item) { return item.second <= now; };
+    std::erase_if(this->no_probe_before, is_past);
+    std::erase_if(this->no_unreachable_probe_before, is_past);
     std::vector<upstream_id> due;
     for (const auto& [id, probe] : this->asked) {
         if (probe.due <= now) {
--- a/src/libs/health/upstreamprobes.h
+++ b/src/libs/health/upstreamprobes.h
@@ -78,6 +78,9 @@
     /// Probes a suspect unless it was probed recently, is known to be dead, or the budget is used up. Returns
     /// whether it was probed.
     bool ask(const upstream_id& id);
+    /// As `ask` for an upstream to which a connection failed. An earlier answer doesn't prevent the probe,
+    /// and it has a budget of its own: when many streams are late, their suspects use up the other one.
+    bool ask_unreachable(const upstream_id& id);
     /// Evaluates probes without an answer and probes dead and slow upstreams again. Called periodically.
     void look();
     /// Extends the deadlines by the time for which this process was stalled.
@@ -106,6 +109,12 @@
         int extensions = 0;
         bool is_over = false; ///< the probe failed; no answer will come
     };
+    /// Probes that may be sent at once; refilled at this host's share of the fleet's rate.
+    struct probe_budget
+    {
+        double left = 0;
+        time_point filled{};
+    };
     struct dead_upstream
     {
         time_point since{}; ///< time of the last verdict
@@ -122,12 +131,14 @@
     void mark_alive(const upstream_id& id, double pace);
     void reprobe_dead(time_point now);
     void reprobe_slow(time_point now);
-    bool take_from_budget(time_point now);
+    bool take_from(probe_budget& budget, time_point now) const;
 
     upstream_probe_settings settings;
     upstream_probe_hooks hooks;
     std::map<upstream_id, pending_probe> asked;
     std::map<upstream_id, time_point> no_probe_before; ///< end of the probe interval
+    /// The same for upstreams to which a connection failed.
+    std::map<upstream_id, time_point> no_unreachable_probe_before;
     std::map<upstream_id, dead_upstream> dead;
     std::map<upstream_id, time_point> slow; ///< time of the next probe of each slow upstream
     running_estimate answer_time; ///< in microseconds
@@ -135,8 +146,8 @@
     std::optional<std::pair<upstream_id, time_point>> last_answer;
     std::optional<std::pair<upstream_id, time_point>> other_answer;
     std::size_t live_hosts = 1;
-    double budget = 0;
-    time_point budget_filled{};
+    probe_budget budget;
+    probe_budget unreachable_budget; ///< for upstreams to which a connection failed
 };
 
 } // namespace sailtiller
--- a/src/libs/routing/engineloads.cpp
+++ b/src/libs/routing/engineloads.cpp
@@ -7,13 +7,19 @@
 
 namespace {
 
-/// Avoids the upstream for `pause`, doubled `doublings` times, up to `longest`.
-void extend_avoidance(engine_load& load, time_point now, duration pause, duration longest, unsigned doublings)
+/// Returns `pause`, doubled `doublings` times, up to `longest`.
+duration double_pause(duration pause, duration longest, unsigned doublings)
 {
     for (unsigned turn = 0; turn < doublings && pause < longest; ++turn) {
         pause *= 2;
     }
-    load.unwilling_until = now + std::min(pause, longest);
+    return std::min(pause, longest);
+}
+
+/// Avoids the upstream for `pause`, doubled `doublings` times, up to `longest`.
+void extend_avoidance(engine_load& load, time_point now, duration pause, duration longest, unsigned doublings)
+{
+    load.unwilling_until = now + double_pause(pause, longest, doublings);
     load.avoided_until = std::max(load.avoided_until, load.unwilling_until);
 }
 
@@ -26,7 +32,7 @@
 
 bool engine_load::accepts_requests(time_point now) const
 {
-    return !this->has_failed(now) && this->avoided_until <= now;
+    return !this->has_failed(now) && this->avoided_until <= now && this->unreachable_until <= now;
 }
 
 const engine_load& engine_loads::of(const upstream_id& id) const
@@ -83,11 +89,42 @@
     ++load.failure_count;
 }
 
+void engine_loads::note_unreachable(const upstream_id& id, time_point now, duration pause, duration longest)
+{
+    engine_load& load = this->loads[id];
+    load.unreachable_since = now;
+    if (load.unreachable_until > now) {
+        return;
+    }
+    load.unreachable_until = now + double_pause(pause, longest, load.unreachable_count);
+    ++load.unreachable_count;
+}
+
+void engine_loads::note_alive(const upstream_id& id, time_point at)
+{
+    const auto found = this->loads.find(id);
+    if (found != this->loads.end() && found->second.unreachable_since < at) {
+        found->second.unreachable_until = {};
+    }
+}
+
+void engine_loads::forget_unreachable(const upstream_id& id)
+{
+    const auto found = this->loads.find(id);
+    if (found != this->loads.end()) {
+        found->second.unreachable_until = {};
+        found->second.unreachable_since = {};
+        found->second.unreachable_count = 0;
+    }
+}
+
 void engine_loads::note_served(const upstream_id& id)
 {
     const auto found = this->loads.find(id);
     if (found != this->loads.end()) {
         found->second.failure_count = 0;
+        found->second.unreachable_until = {};
+        found->second.unreachable_count = 0;
     }
 }
 
@@ -134,6 +171,8 @@
     load.unwilling_until = {};
     load.unwilling_count = 0;
     load.failure_count = 0;
+    load.unreachable_until = {};
+    load.unreachable_count = 0;
 }
 
 void engine_loads::forget_idle(const std::function<bool(const upstream_id&)>& is_known)
--- a/src/libs/routing/engineloads.h
+++ b/src/libs/routing/engineloads.h
@@ -23,6 +23,9 @@
     time_point unwilling_until{}; ///< avoided after a refusal despite free capacity
     unsigned unwilling_count = 0; ///< number of such refusals since it last accepted a request
     unsigned failure_count = 0; ///< requests of this host that it ran and failed since it last served one
+    time_point unreachable_until{}; ///< gets no new requests, as a connection failed
+    time_point unreachable_since{}; ///< last failed connection
+    unsigned unreachable_count = 0; ///< such periods since it last served a request
     double pace = 1; ///< observed slowdown relative to the profile of its card
 
     /// Returns whether this host or another one suspects the upstream to be dead or unreachable.
@@ -60,6 +63,16 @@
     /// Notes a request that the upstream ran and failed. From the second failure in a row on, it is avoided
     /// as in `note_unwilling`; the first may be caused by the request itself.
     void note_failure(const upstream_id& id, time_point now, duration pause, duration longest);
+    /// Notes that this host got no connection to the upstream, of which it has no other sign of life. It gets
+    /// no new requests for `pause`, or until a sign of life. The time doubles up to `longest` with each
+    /// period after which it can't be connected either. Connections that fail within a period belong to it.
+    /// Other hosts are not informed, as the connection may have failed for a reason of this host.
+    void note_unreachable(const upstream_id& id, time_point now, duration pause, duration longest);
+    /// Notes a sign of life given at `at`, to this host or another one. It ends a period without new requests
+    /// that a connection failed before it began.
+    void note_alive(const upstream_id& id, time_point at);
+    /// Forgets failed connections to an upstream, as this host has lost or found its way to its whole group.
+    void forget_unreachable(const upstream_id& id);
     /// Notes that the upstream serves a request, which ends a run of failures.
     void note_served(const upstream_id& id);
     /// As `suspend`, by the report of another host. It is not reported further.
--- a/tests/auto/delivery/deliveryfixture.cpp
+++ b/tests/auto/delivery/deliveryfixture.cpp
@@ -59,6 +59,8 @@
     };
     hooks.find_other = [](const upstream_id&) { return std::nullopt; };
     hooks.is_assigned_prober = [](const upstream_id&) { return true; };
+    hooks.on_dead = [](const std::vector<upstream_id>&) {};
+    hooks.on_alive = [](const upstream_id&, double) {};
     this->watch = std::make_unique<stall_detector>(stall_detector_settings{}, hooks);
     this->bundle->pools.push_back({service_id("llm"), "", 0, make_sample_profile()});
     this->bundle->pools.push_back({service_id("plain"), "", 0, std::nullopt});
