Delivery: bounds of events and bodies of upstreams' answers

Cause: an event of a stream, the body of an answer that is no stream, and the body of a plain service's answer were collected for as long as bytes came, until the request's time limit. What stood between two blank lines of a stream was passed on whatever it was.

Change: an event is at most 1 MiB and, while bytes come, 2.5 s long; its lines are fields or comments. Bodies other than streams are at most 1 MiB (engines) and 64 MiB (plain services). Past a bound the call is ended, and handled as if its upstream had broken it off, so the request counts as run and goes on elsewhere if its kind allows. The end of an event is searched once in the same bytes; a read of many small events took a search of the whole rest for each.

--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -116,6 +116,14 @@
     }
 }
 
+std::string note_answer_fault(const delivery_context& context, answer_fault fault)
+{
+    if (context.count_answer_fault) {
+        context.count_answer_fault(fault);
+    }
+    return "malformed answer, " + std::string(name_of(fault));
+}
+
 void avoid_after_refusal(const delivery_context& context, const upstream_id& id)
 {
     context.loads.avoid(id, context.timers.now() + context.settings.refusal_pause);
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/answerfault.h>
 #include <base/eventtype.h>
 #include <base/httpcallhandlers.h>
 #include <base/plannedstop.h>
@@ -158,6 +159,8 @@
     std::function<std::optional<duration>(const service_id&, bool may_repeat)> retry_after_if_unreachable;
     /// Counts requests that were refused because of a suspect of this kind; optional.
     std::function<void(suspect_kind)> count_suspect_refusal;
+    /// Counts answers that were broken off as their bytes are none; optional.
+    std::function<void(answer_fault)> count_answer_fault{};
 };
 
 /// Request with its settings from the bundle.
@@ -200,6 +203,8 @@
 /// Records the time from the reading of the request until now.
 void measure_since_arrival(
     const delivery_context& context, const delivery_order& order, request_moment moment);
+/// Counts an answer that is broken off as its bytes are none. Returns the reason for the log.
+std::string note_answer_fault(const delivery_context& context, answer_fault fault);
 /// Suspends new requests to an upstream that refused one, for `refusal_pause`.
 void avoid_after_refusal(const delivery_context& context, const upstream_id& id);
 /// Suspends new requests to an upstream that refused one despite free capacity, for `unwilling_pause` or
--- a/src/libs/delivery/forwardedevents.cpp
+++ b/src/libs/delivery/forwardedevents.cpp
@@ -3,9 +3,22 @@
 
 namespace sailtiller {
 
+namespace {
+
+/// From the first bytes of an event to its last, if bytes go on coming. An upstream writes an event at once,
+/// so this is for packets that are lost on the way.
+constexpr duration max_event_time = std::chrono::milliseconds(2500);
+
+} // namespace
+
 std::string forwarded_events::take(std::string_view bytes, const layer_path& path)
 {
     const std::vector<stream_event> whole = this->splitter.take(bytes);
+    if (!this->splitter.has_partial_event()) {
+        this->partial_since.reset();
+    } else if (!whole.empty() || !this->partial_since) {
+        this->partial_since = this->context.timers.now();
+    }
     if (whole.empty()) {
         return {};
     }
@@ -19,6 +32,23 @@
     return text;
 }
 
+std::optional<answer_fault> forwarded_events::fault() const
+{
+    if (this->splitter.fault()) {
+        return this->splitter.fault();
+    }
+    // Only asked as bytes come: whether a silent upstream is left is decided by probes.
+    const bool is_late =
+        this->partial_since && this->context.timers.now() - *this->partial_since > max_event_time;
+    return is_late ? std::optional(answer_fault::event_time) : std::nullopt;
+}
+
+void forwarded_events::drop_partial_event()
+{
+    this->splitter.clear();
+    this->partial_since.reset();
+}
+
 void forwarded_events::measure() const
 {
     if (this->timing.event_count() == 0) {
--- a/src/libs/delivery/forwardedevents.h
+++ b/src/libs/delivery/forwardedevents.h
@@ -23,8 +23,10 @@
     /// Appends bytes received over this path and returns the events completed by them, which count as
     /// forwarded.
     std::string take(std::string_view bytes, const layer_path& path);
+    /// Why the bytes that follow the forwarded events of the current answer are none.
+    [[nodiscard]] std::optional<answer_fault> fault() const;
     /// Discards the incomplete event of the current answer; the next answer repeats it from its start.
-    void drop_partial_event() { this->splitter.clear(); }
+    void drop_partial_event();
     /// Returns true if the current answer's bytes end within an event.
     [[nodiscard]] bool has_partial_event() const { return this->splitter.has_partial_event(); }
     /// Id of the last event forwarded to the caller.
@@ -37,6 +39,7 @@
     delivery_context& context;
     const delivery_order& order;
     event_splitter splitter;
+    std::optional<time_point> partial_since; ///< first bytes of the incomplete event
     stream_timing timing;
     std::optional<std::uint64_t> last_event;
 };
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -14,6 +14,9 @@
 /// Share of the latency objective after which a repeatable request is sent to another upstream; the second
 /// answer must still arrive within the objective.
 constexpr double slow_share = 0.6;
+/// Largest body of an answer, which is held whole until its end: far above the largest request that a host
+/// takes.
+constexpr std::size_t max_answer_bytes = std::size_t{64} << 20U;
 
 } // namespace
 
@@ -158,7 +161,7 @@
     const auto self = this->shared_from_this();
     answer_hooks hooks;
     hooks.on_head = [self](int status, const http_headers& headers) { self->handle_head(status, headers); };
-    hooks.on_body = [self](std::string_view bytes) { self->body += bytes; };
+    hooks.on_body = [self](std::string_view bytes) { self->take_body(bytes); };
     hooks.on_end = [self](call_ending ending, const std::string& reason) {
         self->handle_call_end(ending, reason);
     };
@@ -173,6 +176,16 @@
     }
 }
 
+void plain_delivery::take_body(std::string_view bytes)
+{
+    if (bytes.size() <= max_answer_bytes - this->body.size()) {
+        this->body += bytes;
+        return;
+    }
+    this->call.end();
+    this->handle_call_end(call_ending::broken, note_answer_fault(this->context, answer_fault::body_bytes));
+}
+
 void plain_delivery::handle_call_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -38,6 +38,7 @@
     [[nodiscard]] bool is_cleared_to_send();
     [[nodiscard]] answer_hooks make_answer_hooks();
     void handle_head(int status, const http_headers& headers);
+    void take_body(std::string_view bytes);
     void handle_call_end(call_ending ending, const std::string& reason);
     void handle_complete_answer();
     void pass_on();
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -6,6 +6,13 @@
 
 namespace sailtiller {
 
+namespace {
+
+/// Largest body of an answer that is no stream: an engine's refusal or failure, with some text.
+constexpr std::size_t max_non_stream_bytes = std::size_t{1} << 20U;
+
+} // namespace
+
 stream_delivery::stream_delivery(
     delivery_context& context, delivery_order order, caller_hooks caller, std::function<void()> on_done)
     : context(context)
@@ -375,16 +382,29 @@
     this->head_check.cancel(); // it lives
     if (this->state != phase::streaming) {
         this->non_stream_body += bytes;
+        if (this->non_stream_body.size() > max_non_stream_bytes) {
+            this->handle_answer_fault(answer_fault::body_bytes);
+        }
         return;
     }
     const std::string text = this->events.take(bytes, this->path.parts());
-    if (text.empty()) {
-        return;
+    if (!text.empty()) {
+        this->changes.note_progress();
+        this->path.note_progress();
+        this->guard.note_progress();
+        this->caller.send(text);
+    }
+    if (const std::optional<answer_fault> fault = this->events.fault()) {
+        this->handle_answer_fault(*fault);
+    }
+}
+
+/// Ends an answer that has gone on for too long, or isn't one, as if its upstream had broken it off.
+void stream_delivery::handle_answer_fault(answer_fault fault)
+{
+    if (this->is_under_way()) {
+        this->handle_call_end(call_ending::broken, note_answer_fault(this->context, fault));
     }
-    this->changes.note_progress();
-    this->path.note_progress();
-    this->guard.note_progress();
-    this->caller.send(text);
 }
 
 void stream_delivery::handle_call_end(call_ending ending, const std::string& reason)
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -69,6 +69,7 @@
     [[nodiscard]] answer_hooks make_answer_hooks();
     void handle_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
+    void handle_answer_fault(answer_fault fault);
     void handle_call_end(call_ending ending, const std::string& reason);
     void handle_connect_failure(const std::string& reason);
     void handle_refusal();
--- a/tests/auto/delivery/tst_eventsplitter.cpp
+++ b/tests/auto/delivery/tst_eventsplitter.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 namespace sailtiller {
 
 namespace {
@@ -46,6 +48,53 @@
     EXPECT_FALSE(events[1].id.has_value());
 }
 
+TEST(event_splitter, stops_at_an_event_that_is_too_large)
+{
+    event_splitter splitter;
+    const std::string largest = "data: " + std::string(max_event_bytes - 8, 'x') + "\n\n";
+    EXPECT_EQ(splitter.take(largest).size(), 1U);
+    EXPECT_FALSE(splitter.fault().has_value());
+    EXPECT_EQ(splitter.take("id: 1\n\ndata: " + std::string(max_event_bytes, 'x')).size(), 1U);
+    EXPECT_EQ(splitter.fault(), answer_fault::event_bytes);
+    EXPECT_TRUE(splitter.take("\n\nid: 2\n\n").empty());
+    splitter.clear();
+    EXPECT_EQ(splitter.take("id: 2\n\n").size(), 1U);
+    EXPECT_TRUE(splitter.take("x" + largest).empty()) << "also if its end has come";
+    EXPECT_EQ(splitter.fault(), answer_fault::event_bytes);
+}
+
+TEST(event_splitter, stops_at_what_is_no_event)
+{
+    for (const char* bytes : {"no event at all\n\n", "{\"a\": 1}\n\n", "id: 2\n\x01\x02\n\n"}) {
+        event_splitter splitter;
+        EXPECT_EQ(splitter.take(std::string("id: 1\ndata: x\n\n") + bytes + "id: 3\n\n").size(), 1U) << bytes;
+        EXPECT_EQ(splitter.fault(), answer_fault::event_form) << bytes;
+    }
+}
+
+TEST(event_splitter, accepts_every_field_and_comment)
+{
+    event_splitter splitter;
+    EXPECT_EQ(
+        splitter.take("\xEF\xBB\xBFid: 1\n\n: comment, with words\n\nversions: 7\ndata\nx-a_B2:\n\n").size(),
+        3U);
+    EXPECT_EQ(splitter.take("data: {\"a b\": \"\xC3\xA4\"}\r\nretry: 1\r\n\r\n\n\n").size(), 2U);
+    EXPECT_FALSE(splitter.fault().has_value());
+}
+
+TEST(event_splitter, takes_many_small_events_at_once)
+{
+    constexpr std::size_t count = 100'000;
+    std::string text;
+    for (std::size_t number = 0; number < count; ++number) {
+        text += "data: x\n\n";
+    }
+    event_splitter splitter;
+    const auto start = std::chrono::steady_clock::now();
+    EXPECT_EQ(splitter.take(text).size(), count);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(2));
+}
+
 } // namespace
 
 } // namespace sailtiller
