Runtime: bounds of what a connection brings for an answer

Cause: a call over HTTP/1.1 read heads before the final one without end, and waited for the rest of a head for as long as its request; whole calls (probes, reports, orders, path changes) collected any body within their time. A connection between hosts whose bytes were no HTTP/2, or belonged to no message, was read on for as long as bytes came.

Change: bounds of the bytes, number and time of heads for every call; of the body for each kind of whole call, declared where it is made (upstream link, store client, engine client); of the bytes between whole messages of a connection between hosts, which is closed once HTTP/2 wants no more of it. Calls of a client may have a time limit of their own; the release of a step attempt has one now. Malformed answers of upstreams are counted by cause (sailtiller_malformed_answers_total). Texts of refusals are cut in errors.

Seen before, with the new tests on the former code: a call with endless interim heads never ended (61 s, the test's watchdog), nor one with a slow head (61 s for the status line; its other forms weren't run); whole calls read an endless body to their limit of 10 s; those to a service of the platform to 64 MiB or 10 s. Connections between hosts read 3.6, 10 and 86 GB within 1 and 31 s and stayed open. Endless heads, chunk heads and trailers ended at 80 KiB, the parser's own bound.

Result: all tests of the library pass; among them a sound body of 32 MiB and one of a byte each 100 ms.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -95,6 +95,8 @@
           "kind")
     , relay_losses("sailtiller_relayed_calls_lost_total",
           "Calls by way of other hosts that were lost with these hosts, by how the loss showed.", "cause")
+    , answer_faults("sailtiller_malformed_answers_total",
+          "Answers of upstreams that were broken off as their bytes are none, by why.", "cause")
     , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
           "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
           "source", source_labels)
@@ -246,6 +248,7 @@
     this->rejections.write(out);
     this->connections.write(out);
     this->relay_losses.write(out);
+    this->answer_faults.write(out);
     const auto seconds = [](const std::optional<duration>& age) {
         return age ? std::chrono::duration<double>(*age).count() : -1;
     };
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -55,6 +55,8 @@
     void count_connection(bool is_made) { this->connections.add(is_made ? "made" : "failed"); }
     /// A call was lost with the host by way of which it went.
     void count_relay_loss(relay_loss cause) { this->relay_losses.add(std::string(name_of(cause))); }
+    /// Counts an answer of an upstream that was broken off as its bytes are none.
+    void count_answer_fault(answer_fault fault) { this->answer_faults.add(std::string(name_of(fault))); }
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
     /// Takes the age that the word on the bundle had reached when this source confirmed it anew.
@@ -87,6 +89,7 @@
     counter_family connections;
     counter_family suspect_refusals;
     counter_family relay_losses;
+    counter_family answer_faults;
     time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -121,7 +121,8 @@
         [this](const service_id& service, bool may_repeat) {
             return this->retry_after_if_unreachable(service, may_repeat);
         },
-        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); }};
+        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); }};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -143,6 +144,7 @@
             this->peers.note_unreachable_group(id, group);
         },
         [this](relay_loss cause) { this->admin.count_relay_loss(cause); },
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); },
         [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; },
         [this](const delivery_event& event) { this->log_call(event); }};
 }
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -36,6 +36,11 @@
 constexpr duration order_answer_limit = milliseconds(800);
 /// An answer that comes after the verdict still revives the upstream; beyond this, nothing is waited for.
 constexpr duration probe_limit = milliseconds(1000);
+/// Largest report of an engine, in answer to a probe: some kilobytes, and a line for each request that stands
+/// still.
+constexpr std::size_t max_report_bytes = std::size_t{1} << 20U;
+/// Largest answer to a change of path or an order: a status, and the address of a stage at most.
+constexpr std::size_t max_order_answer_bytes = max_small_answer_bytes;
 
 } // namespace
 
@@ -195,6 +200,7 @@
     options.pool = may_repeat ? &this->connections : nullptr;
     options.source = this->source;
     options.on_connection = std::move(observer);
+    options.on_fault = this->hooks.on_fault;
     const std::shared_ptr<http_call> call =
         http_call::start(this->loop, target.address, request, options, std::move(handlers));
     return [call] { call->cancel(); };
@@ -307,8 +313,13 @@
     for (std::size_t count = 0; count < max_kept_checks && !kept.empty(); ++count) {
         const auto chosen = kept.begin() + static_cast<std::ptrdiff_t>(this->hooks.random() % kept.size());
         send_whole(this->loop,
-            {chosen->address, this->orders.encode_probe(chosen->address, chosen->id), kept_check_limit,
-                &this->connections, this->source},
+            {.target = chosen->address,
+                .request = this->orders.encode_probe(chosen->address, chosen->id),
+                .limit = kept_check_limit,
+                .pool = &this->connections,
+                .source = this->source,
+                .max_body_bytes = max_report_bytes,
+                .on_fault = this->hooks.on_fault},
             [this, group](const whole_call_result& result) {
                 if (result.response) {
                     this->answered[group] = this->loop.now();
@@ -341,20 +352,22 @@
     http_call::start(this->loop, entry->upstream.address, unsent, options, std::move(handlers));
 }
 
-void upstream_link::send_small(const upstream_target& target, const http_request& request, duration limit,
-    connection_pool* pool, const std::function<void(const whole_call_result&)>& on_end)
+void upstream_link::send_small(const upstream_target& target, const http_request& request,
+    const whole_answer_limits& limits, connection_pool* pool,
+    const std::function<void(const whole_call_result&)>& on_end)
 {
     const std::optional<upstream_group> group = this->find_group(target.id);
     if (!group || !this->uses_other_hosts(*group)) {
+        const duration connect_time = std::min(limits.time, connect_limit);
         send_whole(this->loop,
-            {target.address, request, limit, pool, this->source,
-                this->make_observer(target.id, std::min(limit, connect_limit)),
-                std::min(limit, connect_limit)},
+            {target.address, request, limits.time, pool, this->source,
+                this->make_observer(target.id, connect_time), connect_time, limits.max_body_bytes,
+                limits.on_fault},
             on_end);
         return;
     }
     collect_whole(
-        this->loop, limit,
+        this->loop, limits,
         [this, &target, &group, &request](http_call_handlers handlers) {
             return this->relay.send(target, *group, request, true, std::move(handlers));
         },
@@ -365,7 +378,8 @@
     const path_change& change, const std::function<void(const path_change_answer&)>& on_answer)
 {
     this->send_small({change.head, change.address, {}}, this->requests.encode_path_change(change),
-        change.limit, &this->connections, [this, on_answer](const whole_call_result& result) {
+        {change.limit, max_order_answer_bytes, this->hooks.on_fault}, &this->connections,
+        [this, on_answer](const whole_call_result& result) {
             on_answer(result.response
                     ? this->requests.decode_path_change(*result.response)
                     : path_change_answer{path_change_result::failed, std::nullopt, result.failure});
@@ -400,7 +414,8 @@
 void upstream_link::send_probe(const upstream_target& target, duration limit, connection_pool* pool,
     const std::shared_ptr<probe_race>& race)
 {
-    this->send_small(target, this->orders.encode_probe(target.address, target.id), limit, pool,
+    this->send_small(target, this->orders.encode_probe(target.address, target.id),
+        {limit, max_report_bytes, this->hooks.on_fault}, pool,
         [this, target, race](const whole_call_result& result) {
             const std::optional<http_response>& answer = result.response;
             --race->left;
@@ -419,7 +434,8 @@
     // Not by way of another host: the duty to give orders passes to a host that reaches the engines.
     send_whole(this->loop,
         {order.address, this->orders.encode_order(order), order_answer_limit, nullptr, this->source,
-            this->make_observer(order.id, order_answer_limit)},
+            this->make_observer(order.id, order_answer_limit), std::nullopt, max_order_answer_bytes,
+            this->hooks.on_fault},
         [this, on_result](const whole_call_result& result) {
             on_result(result.response ? this->orders.decode_result(result.response->status)
                                       : order_result::unanswered);
--- a/src/app/sailtillerd/upstreamlink.h
+++ b/src/app/sailtillerd/upstreamlink.h
@@ -34,6 +34,8 @@
     std::function<void(const host_id&, const upstream_group&)> on_no_way;
     /// A call was lost with the host by way of which it went.
     std::function<void(relay_loss)> on_relay_lost;
+    /// What came for an answer, over a connection of this host's own, is none, and was broken off.
+    std::function<void(answer_fault)> on_fault;
     /// True while this host hears any other one.
     std::function<bool()> hears_other_hosts;
     /// Logs a decision about a request.
@@ -122,8 +124,10 @@
     void check_kept_connections();
     void check_kept_connections_to(const upstream_group& group);
     void check_connection(const upstream_id& id, duration limit, const connection_observer& on_end);
-    void send_small(const upstream_target& target, const http_request& request, duration limit,
-        connection_pool* pool, const std::function<void(const whole_call_result&)>& on_end);
+    /// Sends a request with a small answer, directly or by way of another host.
+    void send_small(const upstream_target& target, const http_request& request,
+        const whole_answer_limits& limits, connection_pool* pool,
+        const std::function<void(const whole_call_result&)>& on_end);
     void send_probe(const upstream_target& target, duration limit, connection_pool* pool,
         const std::shared_ptr<probe_race>& race);
     [[nodiscard]] engine_report read_report(const endpoint& target, const http_response& answer) const;
--- a/src/libs/engines/engineclient.cpp
+++ b/src/libs/engines/engineclient.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+/// An engine's answer to a release says nothing that is used, and is not waited for.
+constexpr http_response_limits release_limits{
+    .max_body_bytes = std::size_t{4} << 10U, .time = std::chrono::seconds(1)};
+/// Of the body of a failure, for the log.
+constexpr std::size_t max_quoted_bytes = 200;
+
 http_request make_request(const std::string& path, std::string body)
 {
     http_request request;
@@ -34,7 +40,7 @@
     failure.origin = {"run step", peer};
     failure.reason = "status " + std::to_string(response.status);
     if (failure.certainty == send_certainty::ran_and_failed) {
-        failure.reason += ": " + response.body;
+        failure.reason += ": " + response.body.substr(0, max_quoted_bytes);
     }
     failure.retry_after = retry_after_of(response);
     return failure;
@@ -81,7 +87,7 @@
     json::to_cbor({{"stream", stream.value()}, {"attempt", attempt.value()}}, body);
     this->client.send(
         stage.address, make_request("/engine/v1/release", std::move(body)), [](const http_response&) {},
-        [](const http_failure&) {});
+        [](const http_failure&) {}, release_limits);
 }
 
 } // namespace sailtiller
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/timetext.h>
 #include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpcall.h>
@@ -13,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace sailtiller {
 
@@ -22,6 +24,7 @@
 /// cut says nothing, and the system's own limit is many minutes.
 constexpr unsigned unacknowledged_limit_milliseconds = 2'500;
 constexpr int first_final_status = 200;
+constexpr int switching_protocols = 101;
 
 std::string encode_request(const http_request& request)
 {
@@ -95,6 +98,10 @@
         http_parser_init(&this->native, HTTP_RESPONSE);
         this->native.data = this;
         http_parser_settings_init(&this->settings);
+        this->settings.on_message_begin = [](http_parser* native) {
+            of(native).is_head_open = true;
+            return 0;
+        };
         this->settings.on_header_field = [](http_parser* native, const char* at, std::size_t length) {
             of(native).take_name({at, length});
             return 0;
@@ -130,21 +137,38 @@
     int finish_head()
     {
         this->is_in_name = false;
-        if (static_cast<int>(this->native.status_code) >= first_final_status) {
+        this->is_head_open = false;
+        const int status = static_cast<int>(this->native.status_code);
+        if (status >= first_final_status) {
             for (http_header& header : this->headers) {
                 header.name = lower_case(header.name);
             }
             this->has_head = true;
-            this->owner.handlers.on_head(static_cast<int>(this->native.status_code), this->headers);
+            this->owner.handlers.on_head(status, this->headers);
         }
         this->headers.clear();
-        if (this->owner.has_ended) {
+        if (!this->has_head) {
+            this->note_interim_head(status);
+        }
+        if (this->owner.has_ended || this->fault) {
             return -1;
         }
         constexpr int skip_body = 1;
         return this->is_head_request ? skip_body : 0;
     }
 
+    void note_interim_head(int status)
+    {
+        const unsigned max_interim = this->owner.options.head.max_interim;
+        if (status == switching_protocols) {
+            this->fault = answer_fault::not_http;
+            this->fault_reason = "it changes to a protocol that was not asked for";
+        } else if (++this->interim_heads > max_interim) {
+            this->fault = answer_fault::interim_heads;
+            this->fault_reason = "more than " + std::to_string(max_interim) + " heads precede the final one";
+        }
+    }
+
     int take_body(std::string_view bytes)
     {
         this->owner.handlers.on_body(bytes);
@@ -169,7 +193,12 @@
     http_headers headers;
     bool is_head_request = false;
     bool is_in_name = false;
-    bool has_head = false;
+    bool is_head_open = false; ///< a head has begun and not ended
+    bool has_head = false; ///< the final one
+    std::size_t head_bytes = 0; ///< so far, with those of heads before the final one
+    unsigned interim_heads = 0;
+    std::optional<answer_fault> fault; ///< found in a head that follows the protocol
+    std::string fault_reason;
     bool is_whole = false;
     bool is_reusable = false; ///< the peer keeps the connection
 };
@@ -328,6 +357,27 @@
 }
 
 void http_call::parse(std::string_view bytes)
+{
+    if (!this->incoming->has_head) {
+        // A body may follow in the same bytes, so no more than what a head may still be is given at once.
+        const std::size_t max_bytes = this->options.head.max_bytes;
+        const std::string_view part = bytes.substr(0, max_bytes - this->incoming->head_bytes);
+        bytes.remove_prefix(part.size());
+        this->incoming->head_bytes += part.size();
+        this->incoming->is_head_open = true;
+        this->parse_part(part, bytes.empty());
+        if (!this->has_ended && !this->incoming->has_head && this->incoming->head_bytes >= max_bytes) {
+            this->fail_answer(
+                answer_fault::head_bytes, "the head exceeds " + std::to_string(max_bytes) + " bytes");
+        }
+        this->watch_head();
+    }
+    if (!this->has_ended && !bytes.empty()) {
+        this->parse_part(bytes, true);
+    }
+}
+
+void http_call::parse_part(std::string_view bytes, bool is_last)
 {
     const std::size_t used =
         http_parser_execute(&this->incoming->native, &this->incoming->settings, bytes.data(), bytes.size());
@@ -336,14 +386,37 @@
     }
     if (this->incoming->is_whole) {
         // Bytes beyond the answer belong to no request.
-        this->incoming->is_reusable = this->incoming->is_reusable && used == bytes.size();
+        this->incoming->is_reusable = this->incoming->is_reusable && is_last && used == bytes.size();
         this->end(call_ending::whole, "");
         return;
     }
-    const auto fault = static_cast<http_errno>(this->incoming->native.http_errno);
-    if (fault != HPE_OK) {
-        this->end(call_ending::broken, http_errno_description(fault));
+    const auto error = static_cast<http_errno>(this->incoming->native.http_errno);
+    if (this->incoming->fault) {
+        this->fail_answer(*this->incoming->fault, this->incoming->fault_reason);
+    } else if (error != HPE_OK) {
+        this->fail_answer(answer_fault::not_http, http_errno_description(error));
+    }
+}
+
+void http_call::watch_head()
+{
+    if (this->has_ended || !this->incoming->is_head_open) {
+        this->loop.cancel(std::exchange(this->head_timer, 0));
+    } else if (this->head_timer == 0) {
+        this->head_timer = this->loop.schedule_after(this->options.head.time, [this] {
+            this->head_timer = 0;
+            this->fail_answer(answer_fault::head_time,
+                "the head has not ended within " + write_milliseconds(this->options.head.time) + " ms");
+        });
+    }
+}
+
+void http_call::fail_answer(answer_fault fault, const std::string& reason)
+{
+    if (this->options.on_fault) {
+        this->options.on_fault(fault);
     }
+    this->end(call_ending::broken, reason);
 }
 
 void http_call::end(call_ending ending, const std::string& reason)
@@ -395,6 +468,7 @@
 {
     this->has_ended = true;
     this->loop.cancel(this->connect_timer);
+    this->loop.cancel(this->head_timer);
     this->release_socket(keeps_socket);
     // The parser may be on the stack above this call.
     this->loop.post([keep = std::move(this->self)] {});
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <base/answerfault.h>
 #include <base/httpcallhandlers.h>
 #include <runtime/connectionpool.h>
 
@@ -9,7 +10,20 @@
 
 namespace sailtiller {
 
-/// How a call gets its connection.
+/// Bounds of what comes before the body of an answer, for calls of any kind. An answer beyond one of them
+/// ends its call as broken.
+struct answer_head_limits
+{
+    /// Of the final head and those before it: more than servers send, and less than costs a host anything.
+    std::size_t max_bytes = std::size_t{64} << 10U;
+    /// Heads before the final one. Requests ask for none; a proxy in between may send some unasked.
+    unsigned max_interim = 8;
+    /// From the first byte of a head to its last. A server writes a head at once, so this is for packets that
+    /// are lost on the way: as long as bytes of this host's may stay unacknowledged.
+    duration time = std::chrono::milliseconds(2500);
+};
+
+/// How a call gets its connection, and what it takes for an answer.
 struct http_call_options
 {
     /// A connection that is not there after this counts as not made.
@@ -20,6 +34,9 @@
     std::optional<endpoint> source{};
     /// Told once a new connection was made, or could not be made; optional.
     std::function<void(bool is_made)> on_connection{};
+    answer_head_limits head{};
+    /// Told why the bytes that came are no answer, before the call ends as broken; optional.
+    std::function<void(answer_fault)> on_fault{};
 };
 
 /// One request over HTTP/1.1, its answer passed on as it comes. Unlike h2o's client it tells
@@ -54,6 +71,12 @@
     [[nodiscard]] bool may_start_again() const;
     void take_bytes(const char* failure);
     void parse(std::string_view bytes);
+    /// Gives bytes to the parser, and ends the call if they complete the answer or are none. `is_last` is
+    /// false if more bytes have come.
+    void parse_part(std::string_view bytes, bool is_last);
+    /// Bounds the time for the rest of a head that has begun.
+    void watch_head();
+    void fail_answer(answer_fault fault, const std::string& reason);
     void end(call_ending ending, const std::string& reason);
     void release_socket(bool keeps_it);
     void close(bool keeps_socket = false);
@@ -66,6 +89,7 @@
     struct st_h2o_socket_t* socket = nullptr;
     std::unique_ptr<parser> incoming;
     timer_id connect_timer = 0;
+    timer_id head_timer = 0;
     time_point began{};
     bool is_head_request = false;
     bool is_reused = false; ///< the connection has carried other requests
--- a/src/libs/runtime/httpclient.cpp
+++ b/src/libs/runtime/httpclient.cpp
@@ -21,6 +21,8 @@
     http_response response;
     response_handler on_response;
     failure_handler on_failure;
+    std::size_t max_body_bytes = 0;
+    timer_id timer = 0;
 };
 
 struct http_client::state
@@ -36,6 +38,8 @@
     /// Takes a call out; null if it has ended or was cancelled.
     std::shared_ptr<call> take(call_id id);
     void take_body(call_id id, std::string_view bytes);
+    /// Ends a call whose response is past one of its limits.
+    void fail(call_id id, const std::string& reason);
     void finish(call_id id, call_ending ending, const std::string& reason);
 
     event_loop& loop;
@@ -53,6 +57,7 @@
     }
     std::shared_ptr<call> item = found->second;
     this->calls.erase(found);
+    this->loop.cancel(item->timer);
     return item;
 }
 
@@ -63,15 +68,18 @@
         return;
     }
     std::string& body = found->second->response.body;
-    body += bytes;
-    if (body.size() > this->settings.most_response_bytes) {
-        const std::shared_ptr<call> item = this->take(id);
-        item->exchange->cancel();
-        this->loop.post([item] {
-            item->on_failure(
-                {http_progress::sent, "read response", "the body is larger than this host takes"});
-        });
+    if (bytes.size() <= found->second->max_body_bytes - body.size()) {
+        body += bytes;
+        return;
     }
+    this->fail(id, "the body exceeds " + std::to_string(found->second->max_body_bytes) + " bytes");
+}
+
+void http_client::state::fail(call_id id, const std::string& reason)
+{
+    const std::shared_ptr<call> item = this->take(id);
+    item->exchange->give_up();
+    this->loop.post([item, reason] { item->on_failure({http_progress::sent, "read response", reason}); });
 }
 
 void http_client::state::finish(call_id id, call_ending ending, const std::string& reason)
@@ -114,18 +122,24 @@
 http_client::~http_client()
 {
     for (auto& [id, item] : this->inner->calls) {
+        this->inner->loop.cancel(item->timer);
         item->exchange->cancel();
     }
 }
 
 http_client::call_id http_client::send(const endpoint& target, const http_request& request,
-    response_handler on_response, failure_handler on_failure)
+    response_handler on_response, failure_handler on_failure, const http_response_limits& limits)
 {
     state& owner = *this->inner;
     const call_id id = ++owner.last_call;
     const auto item = std::make_shared<call>();
     item->on_response = std::move(on_response);
     item->on_failure = std::move(on_failure);
+    item->max_body_bytes = limits.max_body_bytes;
+    if (limits.time) {
+        item->timer = owner.loop.schedule_after(
+            *limits.time, [&owner, id] { owner.fail(id, "no response within the time limit"); });
+    }
     owner.calls.emplace(id, item);
     http_request message = request;
     const std::string& host = request.authority.empty() ? target.value() : request.authority;
--- a/src/libs/runtime/httpclient.h
+++ b/src/libs/runtime/httpclient.h
@@ -5,6 +5,7 @@
 #include <runtime/eventloop.h>
 
 #include <memory>
+#include <optional>
 
 namespace sailtiller {
 
@@ -22,12 +23,23 @@
     std::string reason;
 };
 
+/// Largest body of a response that a client holds, of calls that name no other bound. Those to engines carry
+/// the activations of a prompt.
+constexpr std::size_t max_response_bytes = std::size_t{64} << 20U;
+
+/// What a client takes for a response.
+struct http_response_limits
+{
+    std::size_t max_body_bytes = max_response_bytes; ///< a larger body is a failure
+    /// To the end of the response, the connection included; without it, until the call is given up.
+    std::optional<duration> time{};
+};
+
 /// Settings of a client.
 struct http_client_settings
 {
     duration connect_time = std::chrono::seconds(2); ///< to make a connection
     duration idle_time = std::chrono::seconds(30); ///< a kept connection is closed after this
-    std::size_t most_response_bytes = 64U << 20U;
 };
 
 /// A client over HTTP/1.1 with kept connections for each endpoint. Whole requests and whole responses;
@@ -48,7 +60,7 @@
     /// address is named as the host. Exactly one handler runs, unless the
     /// call is cancelled first. A request is never sent twice.
     call_id send(const endpoint& target, const http_request& request, response_handler on_response,
-        failure_handler on_failure);
+        failure_handler on_failure, const http_response_limits& limits = {});
     /// Gives a call up; its connection is closed. Calls that have ended are ignored.
     void cancel(call_id call);
     /// Gives a call up that has no answer within its time, see `http_call::give_up`.
--- a/src/libs/runtime/peersession.cpp
+++ b/src/libs/runtime/peersession.cpp
@@ -16,6 +16,8 @@
 /// Flow-control window of a stream and of a connection: a whole bundle of the largest expected size fits.
 constexpr std::int32_t window_bytes = 8 << 20;
 constexpr std::size_t most_message_bytes = 64U << 20U;
+/// Bytes over a connection without a whole message; frames that belong to none have no bound of their own.
+constexpr std::uint64_t most_bytes_without_message = most_message_bytes;
 /// What a session keeps of the buffer of a message that it sent: more than a usual report, far less than a
 /// list of all upstreams. A host has two sessions with each other one, and each kept the size of its largest
 /// message.
@@ -78,6 +80,7 @@
         const std::int32_t stream = frame->hd.stream_id;
         stream_state& state = session.state_of(stream);
         state.is_whole = true;
+        session.received_before_message = session.received_bytes;
         session.loop.post([&session, held = std::weak_ptr<bool>(session.alive), stream,
                               message = std::move(state.incoming)]() mutable {
             if (!held.expired()) {
@@ -136,6 +139,10 @@
         }
         h2o_buffer_consume(&socket->input, static_cast<std::size_t>(used));
         release_input(socket);
+        if (session.received_bytes - session.received_before_message > most_bytes_without_message) {
+            session.end("no whole message within " + std::to_string(most_bytes_without_message) + " bytes");
+            return;
+        }
         session.flush();
     }
 
@@ -249,6 +256,10 @@
     }
     if (this->sending.empty()) {
         this->release_output();
+        // nghttp2 answers bytes that are no HTTP/2 with a last frame, and passes over what follows them.
+        if (nghttp2_session_want_read(this->session) == 0 && nghttp2_session_want_write(this->session) == 0) {
+            this->end("the connection's bytes don't follow HTTP/2");
+        }
         return;
     }
     this->is_sending = true;
--- a/src/libs/runtime/peersession.h
+++ b/src/libs/runtime/peersession.h
@@ -75,6 +75,7 @@
     bool is_sending = false;
     std::uint64_t sent_bytes = 0;
     std::uint64_t received_bytes = 0;
+    std::uint64_t received_before_message = 0; ///< up to the last whole message
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/libs/runtime/timedcall.cpp
+++ b/src/libs/runtime/timedcall.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Of the body of a refusal, for the log.
+constexpr std::size_t max_quoted_bytes = 200;
+
 /// What stays of a call until it ends by one of three ways.
 struct pending_call
 {
@@ -20,7 +23,9 @@
 {
     try {
         if (std::find(accepted.begin(), accepted.end(), response.status) == accepted.end()) {
-            throw error(origin, "status " + std::to_string(response.status) + ": " + response.body);
+            throw error(origin,
+                "status " + std::to_string(response.status) + ": "
+                    + response.body.substr(0, max_quoted_bytes));
         }
         on_answer(response);
     } catch (const error& failure) {
@@ -49,7 +54,8 @@
         [&loop, pending, origin, on_failure](const http_failure& failure) {
             loop.cancel(pending->timer);
             on_failure(error(origin, failure.step + ": " + failure.reason));
-        });
+        },
+        {call.max_body_bytes});
 }
 
 } // namespace sailtiller
--- a/src/libs/runtime/timedcall.h
+++ b/src/libs/runtime/timedcall.h
@@ -16,6 +16,7 @@
     error_origin origin;
     /// Statuses that are answers; any other one is a failure.
     std::vector<int> accepted = {http_status::ok, http_status::not_modified};
+    std::size_t max_body_bytes = max_response_bytes; ///< a larger body is no answer
 };
 
 /// Sends a call; gives an answer of an accepted status, or an error for anything else. An `error` that
--- a/src/libs/store/storeclient.cpp
+++ b/src/libs/store/storeclient.cpp
@@ -28,7 +28,8 @@
 {
     ++this->calls;
     send_timed(this->loop, this->client,
-        {this->settings.address, std::move(request), limit, {step, this->settings.address.value()}, accepted},
+        {this->settings.address, std::move(request), limit, {step, this->settings.address.value()}, accepted,
+            this->settings.max_answer_bytes},
         on_answer, on_failure);
 }
 
--- a/src/libs/store/storeclient.h
+++ b/src/libs/store/storeclient.h
@@ -15,6 +15,9 @@
     /// The store writes the records of a topic one after the other: those of 1,000 hosts that start together
     /// take two seconds.
     duration write_limit = std::chrono::milliseconds(3000);
+    /// Largest body of an answer. The store gives a megabyte of records to a read, and one record more, which
+    /// their encoding makes a third longer; stores of other deployments may be set to give more.
+    std::size_t max_answer_bytes = std::size_t{8} << 20U;
 };
 
 /// Calls to the platform's store, each bounded in time. Failures are `error`s with step and peer.
