Relay: bounds of a relaying host's refusal

Cause: the text of a refusal was collected without end. The head of an upstream's answer, each byte of which takes up to six as text, could exceed the bound of a line, which counted as the loss of the sound relaying host.

Change: a refusal is at most 64 KiB; a line 512 KiB, above any head that a host takes from an upstream.

Seen before: the call with the endless refusal ended after 10 s, its time limit, with its connection open; a head of 60,000 bytes that are no text did not pass. Result: both pass, and an upstream's endless head is the upstream's loss on the asking host, an endless body ends all connections.

--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -147,7 +147,7 @@
         }
         this->heard = this->owner.watched;
         if (this->refusal) {
-            *this->refusal += bytes;
+            this->take_refusal(bytes);
             return;
         }
         try {
@@ -162,12 +162,25 @@
                 this->upstream_end = part.end;
             }
         } catch (const error& malformed) {
-            log_event(log_level::warning, event_type::peer_answer_malformed,
-                {{"step", malformed.step()}, {"peer", this->host.value()}, {"reason", malformed.reason()}});
-            this->lose_host(relay_loss::ended, "malformed answer of " + this->host.value());
+            this->lose_malformed_host(malformed);
         }
     }
 
+    void take_refusal(std::string_view bytes)
+    {
+        *this->refusal += bytes;
+        if (this->refusal->size() > this->owner.settings.max_refusal_bytes) {
+            this->lose_malformed_host(error({"read refusal", this->host.value()}, "it is too long"));
+        }
+    }
+
+    void lose_malformed_host(const error& malformed)
+    {
+        log_event(log_level::warning, event_type::peer_answer_malformed,
+            {{"step", malformed.step()}, {"peer", this->host.value()}, {"reason", malformed.reason()}});
+        this->lose_host(relay_loss::ended, "malformed answer of " + this->host.value());
+    }
+
     void take_head(const relay_head& head)
     {
         if (head.failure) {
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -52,6 +52,8 @@
     /// The same for a host of a hall in which another one has no way; often the hosts of a hall lose it
     /// together.
     unsigned doubtful_hall_calls = 64;
+    /// Largest refusal of a host, which is a line of text.
+    std::size_t max_refusal_bytes = std::size_t{64} << 10U;
 };
 
 /// Why a call counts as lost with its relaying host.
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -23,8 +23,9 @@
 /// Headers of the connection between the hosts, and those that each sender writes anew.
 constexpr std::array<std::string_view, 6> connection_headers = {
     "connection", "content-length", "host", "keep-alive", "te", "transfer-encoding"};
-/// Guards against a peer that sends no line end.
-constexpr std::size_t max_line_bytes = 256U << 10U;
+/// Guards against a peer that sends no line end. The longest line holds the head of an upstream's answer,
+/// each byte of which takes up to six in JSON.
+constexpr std::size_t max_line_bytes = std::size_t{512} << 10U;
 
 bool is_for_this_connection(const http_header& header)
 {
