--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -122,7 +122,8 @@
             return this->retry_after_if_unreachable(service, may_repeat);
         },
         [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
-        [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); }};
+        [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); },
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); }};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -144,6 +145,7 @@
             this->peers.note_unreachable_group(id, group);
         },
         [this](relay_loss cause) { this->admin.count_relay_loss(cause); },
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); },
         [this] { return this->peers.hosts().live_count(this->loop.now()) > 1; },
         [this](const delivery_event& event) { this->log_call(event); }};
 }
