Placement: heads with layers of their own where request slots bind

The first engine of a path is bounded by request slots, the engines behind by cache memory alone. The plain layout made as many heads as copies, so half of the memory could not be used and each lost head cost a sixth of the room. plan_heads now chooses how many engines hold only the first layers, how many layers, and which cards, from the slots, the cache and the losses to be borne; whole copies of the other layers follow behind. Empty engines replace missing heads, high use of slots turns engines behind into heads, and balancing leaves heads in place. Where slots don't bind, the plan is the plain one.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -491,6 +491,10 @@
     hooks.used_share = [this](const engine_profile& profile, const discovered_upstream& upstream) {
         return upstream.held.is_empty() ? 0 : token_utilization_of(profile, this->loads, upstream);
     };
+    hooks.used_slot_share = [this](const engine_profile& profile, const discovered_upstream& upstream) {
+        const double requests = this->loads.total_requests(this->loads.of(upstream.id));
+        return profile.request_slots == 0 || !upstream.held.holds(0) ? 0 : requests / profile.request_slots;
+    };
     hooks.is_dead = [this](const upstream_id& id) { return this->loads.of(id).has_failed(this->loop.now()); };
     hooks.on_result = [this](const layer_order& order, order_result result) {
         log_event(log_level::info, event_type::order,
--- a/src/libs/placement/grouprate.cpp
+++ b/src/libs/placement/grouprate.cpp
@@ -55,16 +55,6 @@
     return cost;
 }
 
-/// Prompts per second that a pipe between two halls can carry.
-double predict_pipe_rate(const engine_profile& profile)
-{
-    const double prompt_bits = profile.crossing_bits(profile.usual_prompt_tokens);
-    if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
-        return std::numeric_limits<double>::infinity();
-    }
-    return most_pipe_share * profile.pipe_bits_per_s() / prompt_bits;
-}
-
 } // namespace
 
 unsigned count_placeable_layers(const engine_profile& profile, const placeable_engine& engine, double tokens)
@@ -119,4 +109,13 @@
     return hall_count > 1 ? std::min(rate, predict_pipe_rate(profile)) : rate;
 }
 
+double predict_pipe_rate(const engine_profile& profile)
+{
+    const double prompt_bits = profile.crossing_bits(profile.usual_prompt_tokens);
+    if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return most_pipe_share * profile.pipe_bits_per_s() / prompt_bits;
+}
+
 } // namespace sailtiller
--- a/src/libs/placement/grouprate.h
+++ b/src/libs/placement/grouprate.h
@@ -27,4 +27,7 @@
 /// halls. 0 if the engines cannot hold the model.
 double predict_group_rate(const engine_profile& profile, const engine_list& engines, unsigned hall_count);
 
+/// Prompts of usual size per second that a pipe between two halls can carry; infinite if it has no bound.
+double predict_pipe_rate(const engine_profile& profile);
+
 } // namespace sailtiller
--- a/src/libs/placement/layercoverage.cpp
+++ b/src/libs/placement/layercoverage.cpp
@@ -68,15 +68,16 @@
         + (layer == 0 && holder_count <= 1 ? first_layer_value : 0);
 }
 
-layer_span layer_coverage::find_most_valuable(unsigned size, double cost) const
+layer_span layer_coverage::find_most_valuable(unsigned size, double cost, unsigned first) const
 {
+    const unsigned earliest = std::min(first, this->count() - size);
     double sum = 0;
-    for (unsigned layer = 0; layer < size; ++layer) {
+    for (unsigned layer = earliest; layer < earliest + size; ++layer) {
         sum += this->value_of(layer, cost);
     }
-    layer_span best{0, size};
+    layer_span best{earliest, earliest + size};
     double most = sum;
-    for (unsigned begin = 1; begin + size <= this->count(); ++begin) {
+    for (unsigned begin = earliest + 1; begin + size <= this->count(); ++begin) {
         sum += this->value_of(begin + size - 1, cost) - this->value_of(begin - 1, cost);
         if (sum > most + value_margin) {
             most = sum;
--- a/src/libs/placement/layercoverage.h
+++ b/src/libs/placement/layercoverage.h
@@ -19,8 +19,9 @@
     void remove_holder(const layer_span& span);
     /// True if no layer loses its last holder when a holder of `from` moves to `to`.
     [[nodiscard]] bool keeps_coverage(const layer_span& from, const layer_span& to) const;
-    /// Span of `size` layers for which one more holder with this cost per layer has the highest value.
-    [[nodiscard]] layer_span find_most_valuable(unsigned size, double cost) const;
+    /// Span of `size` layers, from `first` on, for which one more holder with this cost per layer has the
+    /// highest value.
+    [[nodiscard]] layer_span find_most_valuable(unsigned size, double cost, unsigned first = 0) const;
     /// First coverage gap at or after `begin`; empty if there is none.
     [[nodiscard]] layer_span find_coverage_gap(unsigned begin) const;
     [[nodiscard]] bool has_coverage_gap() const;
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <placement/hallgroups.h>
+#include <placement/headplan.h>
 #include <placement/layercost.h>
 #include <placement/layercoverage.h>
 #include <placement/layerplan.h>
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <map>
 #include <set>
 #include <tuple>
 
@@ -15,6 +17,11 @@
 
 namespace {
 
+/// A layer that one of three holders of whole copies has left carries two thirds of the mean rate; another
+/// holder there raises the overall rate of 80 layers by one in a hundred.
+constexpr double uneven_share_behind_heads = 0.75;
+constexpr double min_gain_behind_heads = 0.01;
+
 /// Plan for one group of halls.
 class group_plan
 {
@@ -31,6 +38,12 @@
             this->coverage.add_holder(engine->held, this->cost_on(*engine));
         }
         this->token_capacity = this->choose_token_capacity();
+        if (this->needs_heads()) {
+            this->heads = plan_heads(profile, this->engines, aim, this->token_capacity);
+        }
+        if (this->heads.applies()) {
+            this->token_capacity = this->heads.token_capacity;
+        }
     }
 
     std::vector<placement_step> run()
@@ -49,8 +62,8 @@
         }
         if (this->coverage.has_coverage_gap() && this->phase != observation_phase::begun) {
             this->lay_out_in_place();
-        } else if (this->has_high_usage() && this->phase == observation_phase::stable) {
-            return balance_layout(this->profile, this->engines, this->token_capacity, {});
+        } else if (this->phase == observation_phase::stable) {
+            return this->balance();
         }
         return this->steps;
     }
@@ -104,16 +117,76 @@
             });
     }
 
+    /// True if the request slots of some head are nearly used up.
+    [[nodiscard]] bool has_high_slot_usage() const
+    {
+        return std::any_of(
+            this->engines.begin(), this->engines.end(), [this](const placeable_engine* engine) {
+                return engine->used_slot_share >= this->aim.high_usage_share;
+            });
+    }
+
+    /// True if this run may place layers, for which it needs to know the heads.
+    [[nodiscard]] bool needs_heads() const
+    {
+        const bool has_empty = std::any_of(this->engines.begin(), this->engines.end(),
+            [](const placeable_engine* engine) { return engine->held.is_empty() && !engine->is_absent; });
+        const bool may_balance = this->phase == observation_phase::stable
+            && (this->has_high_usage() || this->has_high_slot_usage());
+        return has_empty || may_balance || this->coverage.has_coverage_gap();
+    }
+
+    /// Steps for a layout without gaps whose memory or slots are nearly used up.
+    [[nodiscard]] std::vector<placement_step> balance() const
+    {
+        const bool has_full_memory = this->has_high_usage();
+        if (has_full_memory || this->has_high_slot_usage()) {
+            const auto converted = convert_to_heads(this->profile, this->heads, this->engines);
+            if (!converted.empty()) {
+                return converted;
+            }
+        }
+        if (!has_full_memory) {
+            return {};
+        }
+        balance_limits limits;
+        if (this->heads.applies()) {
+            // Behind such heads the copies are whole, so one layer that lacks a holder bounds all.
+            limits.min_gain_when_uneven = min_gain_behind_heads;
+            limits.uneven_share = uneven_share_behind_heads;
+            limits.head_slots = this->profile.request_slots;
+        }
+        return balance_layout(this->profile, this->engines, this->token_capacity, limits);
+    }
+
+    [[nodiscard]] bool is_own_head(const placeable_engine& engine) const
+    {
+        return this->heads.applies() && engine.held.holds(0);
+    }
+
     /// Closes a gap that no single step closes: lays out one copy of the layers over the engines, in the
     /// order of their spans, with each span as close to the held one as the coverage allows. Most spans move
-    /// by a few layers.
+    /// by a few layers. Heads with layers of their own keep them if the other engines can hold the rest.
     void lay_out_in_place()
+    {
+        unsigned led = 0;
+        for (const placeable_engine* engine : this->engines) {
+            led = this->is_own_head(*engine) ? std::max(led, engine->held.end) : led;
+        }
+        if (led == 0 || !this->lay_out_in_place(led)) {
+            this->lay_out_in_place(0);
+        }
+    }
+
+    /// Lays out the layers from `covered` on, over the engines that are no heads if there are such layers.
+    /// Returns whether the engines can hold them.
+    bool lay_out_in_place(unsigned covered)
     {
         engine_list in_order;
         unsigned left = 0; // upper bound of the layers on the current and the following engines
         for (const placeable_engine* engine : this->engines) {
             const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            if (size > 0) {
+            if (size > 0 && (covered == 0 || !engine->held.holds(0))) {
                 in_order.push_back(engine);
                 left += size;
             }
@@ -122,11 +195,10 @@
             [](const placeable_engine* first, const placeable_engine* second) {
                 return first->held.begin + first->held.end < second->held.begin + second->held.end;
             });
-        if (left < this->profile.layers) {
-            return; // no layout covers all layers
+        if (left < this->profile.layers - covered) {
+            return false; // no layout covers all layers
         }
         std::vector<engine_move> wanted;
-        unsigned covered = 0;
         for (const placeable_engine* engine : in_order) {
             const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
             const unsigned open = this->profile.layers - covered;
@@ -141,6 +213,7 @@
             left -= size;
         }
         this->add_steps_towards(wanted);
+        return true;
     }
 
     /// Adds the steps that release no last holder. If there are none, adds all steps, as no path crosses the
@@ -171,36 +244,79 @@
         this->moved.insert(engine.id);
     }
 
-    /// Lays out empty engines: one copy after the other, from layer 0, as many layers per engine as fit.
+    /// Lays out empty engines: the heads, if they have layers of their own, then one copy after the other of
+    /// the layers behind, as many layers per engine as fit.
     void lay_out_all()
     {
-        unsigned next = 0;
+        engine_list present;
         for (const placeable_engine* engine : this->engines) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            if (size == 0 || engine->is_absent) {
-                continue;
+            if (!engine->is_absent) {
+                present.push_back(engine);
             }
-            const unsigned begin = std::min(next, this->profile.layers - size);
-            this->place(*engine, {begin, begin + size});
-            next = begin + size >= this->profile.layers ? 0 : begin + size;
         }
+        if (this->heads.applies() && present.size() == this->engines.size()) {
+            this->place_all(this->heads.layout);
+            return;
+        }
+        std::erase_if(present, [this](const placeable_engine* engine) {
+            const engine_list& chosen = this->heads.heads;
+            const bool is_head = std::find(chosen.begin(), chosen.end(), engine) != chosen.end();
+            if (is_head) {
+                this->place(*engine, {0, this->heads.span});
+            }
+            return is_head;
+        });
+        // Without a head that is present, the others hold whole copies.
+        const unsigned first = this->steps.empty() ? 0 : this->heads.span;
+        this->place_all(
+            lay_out_copies(this->profile, size_engines(this->profile, present, this->token_capacity), first));
     }
 
-    void assign_empty_engines()
+    void place_all(const std::vector<placed_span>& layout)
     {
-        engine_list empty;
+        for (const placed_span& placed : layout) {
+            this->place(*placed.engine, placed.span);
+        }
+    }
+
+    /// Places the empty engines that replace missing heads, unless a gap elsewhere needs them. Returns the
+    /// other empty engines.
+    engine_list assign_missing_heads()
+    {
+        engine_list others;
+        std::map<const placeable_engine*, layer_span> leading;
+        const std::vector<placed_span> missing =
+            choose_missing_heads(this->profile, this->heads, this->engines);
+        for (const placed_span& placed : missing) {
+            leading[placed.engine] = placed.span;
+        }
+        const layer_span gap = this->coverage.find_coverage_gap(this->heads.span);
         for (const placeable_engine* engine : this->engines) {
-            if (engine->held.is_empty() && !engine->is_absent) {
-                empty.push_back(engine);
+            if (!engine->held.is_empty() || engine->is_absent) {
+                continue;
+            }
+            const auto found = leading.find(engine);
+            if (found != leading.end() && gap.is_empty()) {
+                this->place(*engine, found->second);
+            } else {
+                others.push_back(engine);
             }
         }
+        return others;
+    }
+
+    void assign_empty_engines()
+    {
+        const engine_list empty = this->assign_missing_heads();
         const unsigned share = this->aim.balances ? this->gap_layers_per_engine(empty.size()) : 0;
         for (const placeable_engine* engine : empty) {
             const unsigned most = count_placeable_layers(this->profile, *engine, this->token_capacity);
             const unsigned size =
                 share > 0 && this->coverage.has_coverage_gap() ? std::min(most, share) : most;
             if (size > 0) {
-                this->place(*engine, this->coverage.find_most_valuable(size, this->cost_on(*engine)));
+                const bool has_head = this->coverage.holder_count(0) > 0;
+                const unsigned first = has_head ? this->heads.span : 0;
+                this->place(*engine, this->coverage.find_most_valuable(size, this->cost_on(*engine), first));
             }
         }
     }
@@ -224,20 +340,24 @@
         unsigned begin = 0;
         for (layer_span gap = this->coverage.find_coverage_gap(begin); !gap.is_empty();
              gap = this->coverage.find_coverage_gap(begin)) {
-            this->extend_into(gap);
+            // More layers leave a head less cache than its request slots need.
+            if (!this->extend_into(gap, !this->heads.applies()) && this->heads.applies()) {
+                this->extend_into(gap, true);
+            }
             begin = gap.end;
         }
     }
 
-    /// Closes a gap from both sides, each by about half, or from one side if the other cannot.
-    void extend_into(const layer_span& gap)
+    /// Closes a gap from both sides, each by about half, or from one side if the other cannot. Returns
+    /// whether the engines can.
+    bool extend_into(const layer_span& gap, bool with_heads)
     {
-        const placeable_engine* left = this->find_neighbour(gap, true);
-        const placeable_engine* right = this->find_neighbour(gap, false);
+        const placeable_engine* left = this->find_neighbour(gap, true, with_heads);
+        const placeable_engine* right = this->find_neighbour(gap, false, with_heads);
         const unsigned left_most = left == nullptr ? 0 : this->spare_layers(*left, true);
         const unsigned right_most = right == nullptr ? 0 : this->spare_layers(*right, false);
         if (left_most + right_most < gap.count()) {
-            return; // a smaller gap still stops all paths
+            return false; // a smaller gap still stops all paths
         }
         const unsigned half = gap.count() / 2;
         const unsigned from_left = std::clamp(
@@ -248,15 +368,18 @@
         if (from_left < gap.count()) {
             this->place(*right, this->extend(*right, false, gap.count() - from_left));
         }
+        return true;
     }
 
     /// Engine whose span ends or begins at the gap and that can take most of it.
-    [[nodiscard]] const placeable_engine* find_neighbour(const layer_span& gap, bool is_left) const
+    [[nodiscard]] const placeable_engine* find_neighbour(
+        const layer_span& gap, bool is_left, bool with_heads) const
     {
         const placeable_engine* best = nullptr;
         for (const placeable_engine* engine : this->engines) {
             const bool is_beside = is_left ? engine->held.end == gap.begin : engine->held.begin == gap.end;
-            if (!is_beside || engine->held.is_empty() || this->moved.count(engine->id) != 0) {
+            const bool is_spared = !with_heads && engine->held.holds(0);
+            if (!is_beside || is_spared || engine->held.is_empty() || this->moved.count(engine->id) != 0) {
                 continue;
             }
             if (best == nullptr
@@ -366,6 +489,7 @@
     observation_phase phase;
     layer_coverage coverage;
     double token_capacity = 0;
+    head_plan heads; ///< applies only if request slots bind before memory
     std::vector<placement_step> steps;
     std::set<upstream_id> moved;
 };
--- a/src/libs/placement/layerplan.h
+++ b/src/libs/placement/layerplan.h
@@ -19,6 +19,7 @@
     bool is_absent = false;
     bool is_loading = false; ///< it has an unfinished order
     double used_share = 0; ///< share of its token capacity in use by the requests of all hosts
+    double used_slot_share = 0; ///< share of its request slots in use, if it may be the first of a path
 };
 
 /// Assigns a span of layers to an engine.
@@ -50,8 +51,9 @@
     double min_requests_at_coverage_gap = 24;
     /// Layouts without a coverage gap are balanced; see `balance_layout`.
     bool balances = true;
-    /// Used share of the capacity of an engine from which on the layout is balanced. New requests avoid
-    /// engines with this share.
+    /// Used share of the capacity of an engine from which on the layout is balanced, and of the request slots
+    /// of a head from which on missing heads are taken from the engines behind. New requests avoid engines
+    /// with this share.
     double high_usage_share = 0.85;
 };
 
@@ -65,7 +67,7 @@
 /// Returns the next layers to load. Empty engines get the layers with the least coverage in their group. A
 /// coverage gap is closed by the holders of adjacent layers, which keep serving while they load a few more;
 /// what they cannot take goes to an engine whose layers all have another holder. For the groups see
-/// `split_into_hall_groups`.
+/// `split_into_hall_groups`, for groups whose request slots bind before their memory `plan_heads`.
 std::vector<placement_step> plan_layers(const engine_profile& profile,
     const std::vector<placeable_engine>& engines, const placement_aim& aim,
     observation_phase phase = observation_phase::stable);
--- a/src/libs/placement/layoutbalance.cpp
+++ b/src/libs/placement/layoutbalance.cpp
@@ -44,7 +44,7 @@
         , limits(limits)
         , capacity(capacity)
         , engines(engines)
-        , rates(profile, engines, predict_residence_ms(profile, engines, capacity))
+        , rates(profile, engines, predict_residence_ms(profile, engines, capacity), limits.head_slots)
         , coverage(profile.layers)
     {
         for (const placeable_engine* engine : engines) {
@@ -94,6 +94,7 @@
             if (this->may_move(*engine)) {
                 this->try_relief(*engine, best);
                 this->try_takeover(*engine, best);
+                this->try_handover(*engine, best);
             }
         }
         return best;
@@ -101,7 +102,9 @@
 
     [[nodiscard]] bool may_move(const placeable_engine& engine) const
     {
-        return !this->held.at(&engine).is_empty() && this->moved.count(&engine) == 0;
+        const layer_span& own = this->held.at(&engine);
+        const bool is_fixed_head = this->limits.head_slots > 0 && own.holds(0);
+        return !own.is_empty() && !is_fixed_head && this->moved.count(&engine) == 0;
     }
 
     /// Tries to take layers over from a neighbour in the path, which then releases them. Only both steps
@@ -167,6 +170,37 @@
         }
     }
 
+    /// Tries to hold one more layer, so that another holder of it may move to the layers with the lowest
+    /// rates. Behind heads with layers of their own the copies are whole, and no engine is free to move.
+    void try_handover(const placeable_engine& engine, candidate& best) const
+    {
+        const layer_span& own = this->held.at(&engine);
+        if (this->limits.head_slots == 0) {
+            return;
+        }
+        for (const placeable_engine* other : this->engines) {
+            const layer_span& theirs = this->held.at(other);
+            if (other == &engine || !this->may_move(*other)) {
+                continue;
+            }
+            for (const layer_span& grown :
+                {layer_span{own.begin - 1, own.end}, layer_span{own.begin, own.end + 1}}) {
+                const unsigned added = grown.begin < own.begin ? grown.begin : own.end;
+                if (grown.begin == 0 || grown.end > this->profile.layers || !theirs.holds(added)) {
+                    continue;
+                }
+                layout_rates after = this->rates;
+                after.move(engine, own, grown);
+                this->visit_spans(*other, [&](const layer_span& span) {
+                    const double overall = after.overall_after(*other, theirs, span);
+                    if (overall > best.overall && this->coverage.keeps_coverage(theirs, span)) {
+                        best = {&engine, grown, overall};
+                    }
+                });
+            }
+        }
+    }
+
     /// Smallest span that contains the layers without another holder; empty if all have one.
     [[nodiscard]] layer_span find_only_held(const layer_span& span) const
     {
@@ -187,7 +221,8 @@
         const unsigned most = count_placeable_layers(this->profile, engine, this->capacity);
         const auto least = static_cast<unsigned>(std::ceil(most * this->limits.min_fill_share));
         for (unsigned size = std::max(least, 1U); size <= most; ++size) {
-            for (unsigned begin = 0; begin + size <= this->profile.layers; ++begin) {
+            const unsigned first = this->limits.head_slots > 0 ? 1 : 0;
+            for (unsigned begin = first; begin + size <= this->profile.layers; ++begin) {
                 visit(layer_span{begin, begin + size});
             }
         }
@@ -238,13 +273,15 @@
 
 } // namespace
 
-layout_rates::layout_rates(const engine_profile& profile, const engine_list& engines, double residence_ms)
+layout_rates::layout_rates(
+    const engine_profile& profile, const engine_list& engines, double residence_ms, unsigned head_slots)
     : profile(profile)
     , residence_ms(std::max(residence_ms, 1.0))
+    , head_slots(head_slots)
     , rates(profile.layers, 0)
 {
     for (const placeable_engine* engine : engines) {
-        this->add_rate(engine->held, this->rate_of(*engine, engine->held.count()));
+        this->add_holder(engine->held, this->rate_of(*engine, engine->held.count()), 1);
     }
     this->sum_weights();
 }
@@ -266,15 +303,22 @@
 
 void layout_rates::move(const placeable_engine& engine, const layer_span& from, const layer_span& to)
 {
-    this->add_rate(from, -this->rate_of(engine, from.count()));
-    this->add_rate(to, this->rate_of(engine, to.count()));
+    this->add_holder(from, this->rate_of(engine, from.count()), -1);
+    this->add_holder(to, this->rate_of(engine, to.count()), 1);
     this->sum_weights();
 }
 
-void layout_rates::add_rate(const layer_span& span, double rate)
+double layout_rates::bound_rate(unsigned layer, double rate) const
+{
+    return layer > 0 || this->head_slots == 0
+        ? rate
+        : std::min(rate, this->head_slots * milliseconds_per_second / this->residence_ms);
+}
+
+void layout_rates::add_holder(const layer_span& span, double rate, double sign)
 {
     for (unsigned layer = span.begin; layer < span.end; ++layer) {
-        this->rates[layer] += rate;
+        this->rates[layer] += sign * this->bound_rate(layer, rate);
     }
 }
 
@@ -299,8 +343,8 @@
     double sum = this->parts;
     const auto visit = [&](unsigned layer) {
         const double before = this->rates[layer];
-        const double after =
-            before - (from.holds(layer) ? rate_before : 0) + (to.holds(layer) ? rate_after : 0);
+        const double after = before - (from.holds(layer) ? this->bound_rate(layer, rate_before) : 0)
+            + (to.holds(layer) ? this->bound_rate(layer, rate_after) : 0);
         sum += weigh(after) - weigh(before);
     };
     for (unsigned layer = from.begin; layer < from.end; ++layer) {
--- a/src/libs/placement/layoutbalance.h
+++ b/src/libs/placement/layoutbalance.h
@@ -13,8 +13,10 @@
 class layout_rates
 {
 public:
-    /// `residence_ms`: residence time of a usual request.
-    layout_rates(const engine_profile& profile, const engine_list& engines, double residence_ms);
+    /// `residence_ms`: residence time of a usual request. `head_slots`: requests at once that bound what a
+    /// holder of layer 0 contributes to that layer; 0 is no bound.
+    layout_rates(const engine_profile& profile, const engine_list& engines, double residence_ms,
+        unsigned head_slots = 0);
 
     /// Power mean of the rates of the layers, dominated by the lowest ones.
     [[nodiscard]] double overall() const;
@@ -31,11 +33,15 @@
 private:
     /// Contribution in requests per second to each layer of an engine that holds `layers` layers.
     [[nodiscard]] double rate_of(const placeable_engine& engine, unsigned layers) const;
-    void add_rate(const layer_span& span, double rate);
+    /// Contribution to this layer of a holder with this rate.
+    [[nodiscard]] double bound_rate(unsigned layer, double rate) const;
+    /// Adds the rate of a holder, or takes it away.
+    void add_holder(const layer_span& span, double rate, double sign);
     void sum_weights();
 
     const engine_profile& profile;
     double residence_ms;
+    unsigned head_slots;
     std::vector<double> rates; ///< requests per second of each layer
     double parts = 0; ///< sum of the weights of the layers in the power mean
 };
@@ -56,6 +62,9 @@
     /// Minimum share of the layers that fit on an engine. Fewer layers carry more requests each, but lead to
     /// paths of more stages.
     double min_fill_share = 0.75;
+    /// Request slots of a head if the group has heads with layers of their own; 0 otherwise. Such heads don't
+    /// move, and no engine becomes one: `convert_to_heads` does that.
+    unsigned head_slots = 0;
 };
 
 /// Returns steps that raise the rate of a layout without coverage gaps, best first. An engine with too many
--- a/src/libs/placement/placementcontroller.cpp
+++ b/src/libs/placement/placementcontroller.cpp
@@ -126,6 +126,9 @@
         if (this->hooks.used_share && entry != nullptr) {
             engine.used_share = this->hooks.used_share(profile, entry->upstream);
         }
+        if (this->hooks.used_slot_share && entry != nullptr) {
+            engine.used_slot_share = this->hooks.used_slot_share(profile, entry->upstream);
+        }
     }
 }
 
--- a/src/libs/placement/placementcontroller.h
+++ b/src/libs/placement/placementcontroller.h
@@ -51,6 +51,9 @@
     std::function<void(const layer_order&, order_result)> on_result;
     /// Share of the token capacity of an engine that the requests of all hosts use. Optional.
     std::function<double(const engine_profile&, const discovered_upstream&)> used_share = nullptr;
+    /// Share of the request slots of an engine that holds layer 0 which the requests of all hosts use.
+    /// Optional.
+    std::function<double(const engine_profile&, const discovered_upstream&)> used_slot_share = nullptr;
     /// True for an engine that does not respond although its entry is still present.
     std::function<bool(const upstream_id&)> is_dead;
 };
@@ -105,7 +108,7 @@
     /// Phase by the time since this host got the duty and by current activity.
     [[nodiscard]] observation_phase determine_phase(
         const std::vector<placeable_engine>& absent, time_point now);
-    /// Sets `used_share` of the engines.
+    /// Sets `used_share` and `used_slot_share` of the engines.
     void update_used_shares(const engine_profile& profile, std::vector<placeable_engine>& engines) const;
     /// True while engines still appear before the first plan, or if there are none.
     [[nodiscard]] bool must_wait_for_discovery(const engine_view& view, time_point now);
