--- a/src/libs/placement/grouprate.cpp
+++ b/src/libs/placement/grouprate.cpp
@@ -86,6 +86,20 @@
     return low;
 }
 
+double choose_token_capacity(
+    const engine_profile& profile, const engine_list& engines, const placement_aim& aim)
+{
+    const double least = aim.min_requests * usual_request_tokens(profile);
+    const auto count = static_cast<double>(engines.size());
+    const double copies = std::max(aim.copies, count / aim.max_stages);
+    const double wanted = find_max_token_capacity(profile, engines, copies).value_or(0);
+    if (wanted >= least) {
+        return wanted;
+    }
+    const std::optional<double> single = find_max_token_capacity(profile, engines, 1);
+    return std::min(least, single.value_or(least));
+}
+
 double predict_residence_ms(const engine_profile& profile, const engine_list& engines, double tokens)
 {
     return predict_cost(profile, engines, tokens).residence_ms;
--- a/src/libs/placement/grouprate.h
+++ b/src/libs/placement/grouprate.h
@@ -18,6 +18,12 @@
 std::optional<double> find_max_token_capacity(
     const engine_profile& profile, const engine_list& engines, double copies);
 
+/// Largest token capacity that the engines can keep with the wanted copies, or with fewer copies if the cards
+/// cannot hold them with the minimum capacity. Cards that hold the model only with less capacity get the
+/// capacity that one copy leaves.
+double choose_token_capacity(
+    const engine_profile& profile, const engine_list& engines, const placement_aim& aim);
+
 /// Residence time of a usual request in milliseconds, from its first engine to its last token, if each engine
 /// holds as many layers as it can with capacity for `tokens` tokens.
 double predict_residence_ms(const engine_profile& profile, const engine_list& engines, double tokens);
--- a/src/libs/placement/headplan.cpp
+++ b/src/libs/placement/headplan.cpp
@@ -26,19 +26,6 @@
 /// Bisection steps of the capacity of a layout; they narrow the range to a few tokens.
 constexpr int capacity_search_steps = 16;
 constexpr double milliseconds_per_second = 1000;
-constexpr double tokens_per_thousand = 1000;
-
-/// Streams of usual size that the cache of the engine holds beside the weights of this many layers.
-double count_cached_streams(const engine_profile& profile, const placeable_engine& engine, unsigned layers)
-{
-    const card_kind* card = profile.find_card(engine.card);
-    if (card == nullptr || layers == 0) {
-        return 0;
-    }
-    const double cache_mb = card->memory_mb - layers * profile.layer_mb;
-    const double stream_mb = usual_request_tokens(profile) * profile.token_layer_mb() * layers;
-    return std::max(0.0, cache_mb / std::max(stream_mb, 1e-9));
-}
 
 /// Memory in MB per stream and layer that an engine with this span uses beside the cache of its streams, as
 /// weights or not at all. The lower, the better the span suits the card.
@@ -64,36 +51,6 @@
     return span;
 }
 
-/// Sums per layer over its holders.
-struct layer_sums
-{
-    double streams = 0;
-    double largest = 0; ///< streams of the largest holder
-    double holders = 0;
-    double fixed_ms = 0; ///< cost of the layer for one request without others, added over its holders
-    double shared_ms = 0; ///< added by each other stream at the same holder, added over its holders
-};
-
-layer_sums add_holder(layer_sums sums, const engine_profile& profile, const placed_span& placed)
-{
-    const card_kind& card = *profile.find_card(placed.engine->card);
-    const unsigned count = placed.span.count();
-    const double streams = count_cached_streams(profile, *placed.engine, count);
-    const double answer = profile.usual_answer_tokens;
-    const double context = usual_request_tokens(profile) / tokens_per_thousand;
-    sums.streams += streams;
-    sums.largest = std::max(sums.largest, streams);
-    ++sums.holders;
-    sums.fixed_ms +=
-        (predict_prompt_ms(profile, card) + answer * profile.step_ms * card.step_factor) / profile.layers
-        + answer * engine_hop_ms / count;
-    sums.shared_ms += answer
-        * (profile.step_ms_per_request * card.prompt_factor
-            + profile.context_ms_per_thousand * context * card.step_factor)
-        / profile.layers;
-    return sums;
-}
-
 /// Searches the heads of one group of halls.
 class head_search
 {
@@ -325,91 +282,6 @@
 
 } // namespace
 
-bool layout_room::has_enough_heads() const
-{
-    return this->head_streams >= this->streams_behind && this->heads_left >= this->streams() / 2;
-}
-
-double layout_room::worth() const
-{
-    const double left = std::min({this->heads_left, this->behind_left, this->streams() / 2});
-    return this->residence_ms <= 0 ? 0
-                                   : (this->streams() + left) * milliseconds_per_second / this->residence_ms;
-}
-
-double count_head_streams(const engine_profile& profile, const placeable_engine& engine, unsigned layers)
-{
-    return std::min<double>(profile.request_slots, count_cached_streams(profile, engine, layers));
-}
-
-layout_room measure_room(const engine_profile& profile, const std::vector<placed_span>& layout)
-{
-    layout_room room;
-    std::vector<layer_sums> layers(profile.layers);
-    std::vector<double> heads;
-    for (const placed_span& placed : layout) {
-        if (placed.span.is_empty() || profile.find_card(placed.engine->card) == nullptr) {
-            continue;
-        }
-        const layer_sums one = add_holder({}, profile, placed);
-        for (unsigned layer = placed.span.begin; layer < std::min(placed.span.end, profile.layers); ++layer) {
-            layer_sums& sums = layers[layer];
-            sums.streams += one.streams;
-            sums.largest = std::max(sums.largest, one.streams);
-            sums.holders += 1;
-            sums.fixed_ms += one.fixed_ms;
-            sums.shared_ms += one.shared_ms;
-        }
-        if (placed.span.holds(0)) {
-            heads.push_back(count_head_streams(profile, *placed.engine, placed.span.count()));
-        }
-    }
-    std::sort(heads.begin(), heads.end());
-    for (std::size_t index = 0; index < heads.size(); ++index) {
-        room.head_streams += heads[index];
-        room.heads_left += index + borne_head_losses < heads.size() ? heads[index] : 0;
-    }
-    room.streams_behind = std::numeric_limits<double>::infinity();
-    room.behind_left = room.streams_behind;
-    for (unsigned layer = 1; layer < profile.layers; ++layer) {
-        room.streams_behind = std::min(room.streams_behind, layers[layer].streams);
-        room.behind_left = std::min(room.behind_left, layers[layer].streams - layers[layer].largest);
-    }
-    for (const layer_sums& sums : layers) {
-        const double holders = std::max(sums.holders, 1.0);
-        const double batch = room.streams() / holders;
-        room.residence_ms += (sums.fixed_ms + batch * sums.shared_ms) / holders;
-    }
-    return room;
-}
-
-std::vector<sized_engine> size_engines(
-    const engine_profile& profile, const engine_list& engines, double tokens)
-{
-    std::vector<sized_engine> sized;
-    for (const placeable_engine* engine : engines) {
-        sized.push_back({engine, count_placeable_layers(profile, *engine, tokens)});
-    }
-    return sized;
-}
-
-std::vector<placed_span> lay_out_copies(
-    const engine_profile& profile, const std::vector<sized_engine>& engines, unsigned first)
-{
-    std::vector<placed_span> layout;
-    unsigned next = first;
-    for (const sized_engine& item : engines) {
-        const unsigned size = std::min(item.layers, profile.layers - first);
-        if (size == 0) {
-            continue;
-        }
-        const unsigned begin = std::min(next, profile.layers - size);
-        layout.push_back({item.engine, {begin, begin + size}});
-        next = begin + size >= profile.layers ? first : begin + size;
-    }
-    return layout;
-}
-
 head_plan plan_heads(
     const engine_profile& profile, const engine_list& engines, const placement_aim& aim, double plain_tokens)
 {
--- a/src/libs/placement/layercoverage.cpp
+++ b/src/libs/placement/layercoverage.cpp
@@ -105,6 +105,11 @@
     return this->has_coverage_gap_within({0, this->count()});
 }
 
+unsigned layer_coverage::count_uncovered() const
+{
+    return static_cast<unsigned>(std::count(this->holders.begin(), this->holders.end(), 0U));
+}
+
 bool layer_coverage::has_coverage_gap_within(const layer_span& span) const
 {
     const auto end = this->holders.begin() + std::min(span.end, this->count());
--- a/src/libs/placement/layercoverage.h
+++ b/src/libs/placement/layercoverage.h
@@ -25,6 +25,8 @@
     /// First coverage gap at or after `begin`; empty if there is none.
     [[nodiscard]] layer_span find_coverage_gap(unsigned begin) const;
     [[nodiscard]] bool has_coverage_gap() const;
+    /// Number of layers without a holder.
+    [[nodiscard]] unsigned count_uncovered() const;
     /// True if some layer of the span has no holder.
     [[nodiscard]] bool has_coverage_gap_within(const layer_span& span) const;
     [[nodiscard]] unsigned holder_count(unsigned layer) const { return this->holders[layer]; }
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -37,7 +37,7 @@
         for (const placeable_engine* engine : this->engines) {
             this->coverage.add_holder(engine->held, this->cost_on(*engine));
         }
-        this->token_capacity = this->choose_token_capacity();
+        this->token_capacity = choose_token_capacity(profile, this->engines, aim);
         if (this->needs_heads()) {
             this->heads = plan_heads(profile, this->engines, aim, this->token_capacity);
         }
@@ -69,13 +69,6 @@
     }
 
 private:
-    /// Assignment of a span to an engine.
-    struct engine_move
-    {
-        const placeable_engine* engine = nullptr;
-        layer_span span;
-    };
-
     [[nodiscard]] double cost_on(const placeable_engine& engine) const
     {
         const card_kind* card = this->profile.find_card(engine.card);
@@ -83,22 +76,6 @@
                                : predict_layer_cost(this->profile, *card, this->aim);
     }
 
-    /// Largest token capacity that all engines can keep with the wanted copies, or with fewer copies if the
-    /// cards cannot hold them with the minimum capacity. Cards that hold the model only with less capacity
-    /// get the capacity that one copy leaves.
-    [[nodiscard]] double choose_token_capacity() const
-    {
-        const double least = this->aim.min_requests * usual_request_tokens(this->profile);
-        const auto count = static_cast<double>(this->engines.size());
-        const double copies = std::max(this->aim.copies, count / this->aim.max_stages);
-        const double wanted = find_max_token_capacity(this->profile, this->engines, copies).value_or(0);
-        if (wanted >= least) {
-            return wanted;
-        }
-        const std::optional<double> single = find_max_token_capacity(this->profile, this->engines, 1);
-        return std::min(least, single.value_or(least));
-    }
-
     /// True if the layout is about to change: a layout under repair does not show what it will carry.
     [[nodiscard]] bool is_changing() const
     {
@@ -107,23 +84,12 @@
                 [](const placeable_engine* engine) { return engine->is_loading || engine->is_absent; });
     }
 
-    /// True if the capacity of some engine is nearly used up, so that callers benefit from a better layout.
-    /// Otherwise balancing only costs the streams that each step moves.
-    [[nodiscard]] bool has_high_usage() const
+    /// True if the capacity of some engine, or the request slots, are nearly used up, so that callers benefit
+    /// from a better layout. Otherwise balancing only costs the streams that each step moves.
+    [[nodiscard]] bool is_nearly_used_up(double placeable_engine::*used) const
     {
-        return std::any_of(
-            this->engines.begin(), this->engines.end(), [this](const placeable_engine* engine) {
-                return engine->used_share >= this->aim.high_usage_share;
-            });
-    }
-
-    /// True if the request slots of some head are nearly used up.
-    [[nodiscard]] bool has_high_slot_usage() const
-    {
-        return std::any_of(
-            this->engines.begin(), this->engines.end(), [this](const placeable_engine* engine) {
-                return engine->used_slot_share >= this->aim.high_usage_share;
-            });
+        return std::any_of(this->engines.begin(), this->engines.end(),
+            [&](const placeable_engine* engine) { return engine->*used >= this->aim.high_usage_share; });
     }
 
     /// True if this run may place layers, for which it needs to know the heads.
@@ -132,15 +98,16 @@
         const bool has_empty = std::any_of(this->engines.begin(), this->engines.end(),
             [](const placeable_engine* engine) { return engine->held.is_empty() && !engine->is_absent; });
         const bool may_balance = this->phase == observation_phase::stable
-            && (this->has_high_usage() || this->has_high_slot_usage());
+            && (this->is_nearly_used_up(&placeable_engine::used_share)
+                || this->is_nearly_used_up(&placeable_engine::used_slot_share));
         return has_empty || may_balance || this->coverage.has_coverage_gap();
     }
 
     /// Steps for a layout without gaps whose memory or slots are nearly used up.
     [[nodiscard]] std::vector<placement_step> balance() const
     {
-        const bool has_full_memory = this->has_high_usage();
-        if (has_full_memory || this->has_high_slot_usage()) {
+        const bool has_full_memory = this->is_nearly_used_up(&placeable_engine::used_share);
+        if (has_full_memory || this->is_nearly_used_up(&placeable_engine::used_slot_share)) {
             const auto converted = convert_to_heads(this->profile, this->heads, this->engines);
             if (!converted.empty()) {
                 return converted;
@@ -159,69 +126,34 @@
         return balance_layout(this->profile, this->engines, this->token_capacity, limits);
     }
 
-    [[nodiscard]] bool is_own_head(const placeable_engine& engine) const
-    {
-        return this->heads.applies() && engine.held.holds(0);
-    }
-
-    /// Closes a gap that no single step closes: lays out one copy of the layers over the engines, in the
-    /// order of their spans, with each span as close to the held one as the coverage allows. Most spans move
-    /// by a few layers. Heads with layers of their own keep them if the other engines can hold the rest.
+    /// Closes a gap that no single step closes with a new layout near the present one. Heads with layers of
+    /// their own keep them if the other engines can hold the rest.
     void lay_out_in_place()
     {
         unsigned led = 0;
+        engine_list others;
         for (const placeable_engine* engine : this->engines) {
-            led = this->is_own_head(*engine) ? std::max(led, engine->held.end) : led;
-        }
-        if (led == 0 || !this->lay_out_in_place(led)) {
-            this->lay_out_in_place(0);
-        }
-    }
-
-    /// Lays out the layers from `covered` on, over the engines that are no heads if there are such layers.
-    /// Returns whether the engines can hold them.
-    bool lay_out_in_place(unsigned covered)
-    {
-        engine_list in_order;
-        unsigned left = 0; // upper bound of the layers on the current and the following engines
-        for (const placeable_engine* engine : this->engines) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            if (size > 0 && (covered == 0 || !engine->held.holds(0))) {
-                in_order.push_back(engine);
-                left += size;
+            if (this->heads.applies() && engine->held.holds(0)) {
+                led = std::max(led, engine->held.end);
+            } else {
+                others.push_back(engine);
             }
         }
-        std::stable_sort(in_order.begin(), in_order.end(),
-            [](const placeable_engine* first, const placeable_engine* second) {
-                return first->held.begin + first->held.end < second->held.begin + second->held.end;
-            });
-        if (left < this->profile.layers - covered) {
-            return false; // no layout covers all layers
+        auto wanted = lay_out_nearby(this->profile, others, this->token_capacity, led);
+        if (!wanted && led > 0) {
+            wanted = lay_out_nearby(this->profile, this->engines, this->token_capacity, 0);
         }
-        std::vector<engine_move> wanted;
-        for (const placeable_engine* engine : in_order) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            const unsigned open = this->profile.layers - covered;
-            const unsigned spare = left > open ? left - open : 0;
-            const unsigned earliest = covered > spare ? covered - spare : 0;
-            const unsigned nearest = std::clamp(engine->held.begin, earliest, covered);
-            const unsigned begin = std::min(nearest, this->profile.layers - size);
-            if (layer_span{begin, begin + size} != engine->held) {
-                wanted.push_back({engine, {begin, begin + size}});
-            }
-            covered = std::max(covered, begin + size);
-            left -= size;
+        if (wanted) {
+            this->add_steps_towards(*wanted);
         }
-        this->add_steps_towards(wanted);
-        return true;
     }
 
     /// Adds the steps that release no last holder. If there are none, adds all steps, as no path crosses the
     /// gap anyway.
-    void add_steps_towards(const std::vector<engine_move>& wanted)
+    void add_steps_towards(const std::vector<placed_span>& wanted)
     {
         layer_coverage left = this->coverage;
-        for (const engine_move& move : wanted) {
+        for (const placed_span& move : wanted) {
             if (left.keeps_coverage(move.engine->held, move.span)) {
                 left.remove_holder(move.engine->held);
                 this->place(*move.engine, move.span);
@@ -230,7 +162,7 @@
         if (!this->steps.empty()) {
             return;
         }
-        for (const engine_move& move : wanted) {
+        for (const placed_span& move : wanted) {
             this->place(*move.engine, move.span);
         }
     }
@@ -326,11 +258,7 @@
     /// assigned more layers later.
     [[nodiscard]] unsigned gap_layers_per_engine(std::size_t engine_count) const
     {
-        unsigned open = 0;
-        for (layer_span gap = this->coverage.find_coverage_gap(0); !gap.is_empty();
-             gap = this->coverage.find_coverage_gap(gap.end)) {
-            open += gap.count();
-        }
+        const unsigned open = this->coverage.count_uncovered();
         const auto count = static_cast<unsigned>(engine_count);
         return count == 0 ? 0 : (open + count - 1) / count;
     }
