Placement: a replaced head ends where the engines behind go on

A planned span can be one layer longer than the cache of all slots allows; a replacement stopped one layer short of the engines behind, and its paths went through another head for that layer.

--- a/src/libs/placement/headplan.cpp
+++ b/src/libs/placement/headplan.cpp
@@ -17,6 +17,8 @@
 constexpr double min_gain = 0.05;
 /// Engines that become heads in one run, as many as a balancing run moves.
 constexpr std::size_t max_conversions = 4;
+/// Least share of its request slots that a head fills with a span that is longer than its cache allows.
+constexpr double least_slot_share = 0.5;
 /// Fewest whole copies behind several heads: a single chain would stop all of them with one loss.
 constexpr unsigned min_copies_behind = 2;
 /// Copies tried beyond the fewest that keep to the wanted number of stages.
@@ -258,8 +260,8 @@
 
 /// Span of an engine that becomes a head: it ends where most engines behind the heads go on, and suits the
 /// card.
-layer_span choose_head_span(
-    const engine_profile& profile, const engine_list& engines, const placeable_engine& head)
+layer_span choose_head_span(const engine_profile& profile, const head_plan& plan, const engine_list& engines,
+    const placeable_engine& head)
 {
     const auto followers = [&engines, &head](unsigned layer) {
         return std::count_if(engines.begin(), engines.end(), [&](const placeable_engine* engine) {
@@ -268,7 +270,9 @@
     };
     unsigned best = 0;
     auto best_rank = std::make_tuple(std::ptrdiff_t{0}, 0.0);
-    const unsigned longest = find_matching_span(profile, head);
+    const bool bears_planned_span =
+        count_head_streams(profile, head, plan.span) >= least_slot_share * profile.request_slots;
+    const unsigned longest = std::max(find_matching_span(profile, head), bears_planned_span ? plan.span : 0);
     for (unsigned span = 1; span <= longest; ++span) {
         const double overhead = head_overhead(profile, head, span);
         const auto rank = std::make_tuple(followers(span), -overhead);
@@ -306,7 +310,7 @@
     std::vector<placed_span> suited;
     for (const placeable_engine* engine : engines) {
         const bool may_lead = missing > 0 && engine->held.is_empty();
-        const layer_span span = may_lead ? choose_head_span(profile, engines, *engine) : layer_span();
+        const layer_span span = may_lead ? choose_head_span(profile, plan, engines, *engine) : layer_span();
         if (!span.is_empty()) {
             suited.push_back({engine, span});
         }
@@ -339,7 +343,7 @@
         layer_span best_span;
         for (placed_span& placed : layout) {
             const layer_span own = placed.span;
-            const layer_span span = choose_head_span(profile, engines, *placed.engine);
+            const layer_span span = choose_head_span(profile, plan, engines, *placed.engine);
             if (own.is_empty() || own.holds(0) || span.is_empty() || !coverage.keeps_coverage(own, span)) {
                 continue;
             }
