--- a/src/libs/placement/grouprate.cpp
+++ b/src/libs/placement/grouprate.cpp
@@ -55,16 +55,6 @@
     return cost;
 }
 
-/// Prompts per second that a pipe between two halls can carry.
-double predict_pipe_rate(const engine_profile& profile)
-{
-    const double prompt_bits = profile.crossing_bits(profile.usual_prompt_tokens);
-    if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
-        return std::numeric_limits<double>::infinity();
-    }
-    return most_pipe_share * profile.pipe_bits_per_s() / prompt_bits;
-}
-
 } // namespace
 
 unsigned count_placeable_layers(const engine_profile& profile, const placeable_engine& engine, double tokens)
@@ -96,6 +86,20 @@
     return low;
 }
 
+double choose_token_capacity(
+    const engine_profile& profile, const engine_list& engines, const placement_aim& aim)
+{
+    const double least = aim.min_requests * usual_request_tokens(profile);
+    const auto count = static_cast<double>(engines.size());
+    const double copies = std::max(aim.copies, count / aim.max_stages);
+    const double wanted = find_max_token_capacity(profile, engines, copies).value_or(0);
+    if (wanted >= least) {
+        return wanted;
+    }
+    const std::optional<double> single = find_max_token_capacity(profile, engines, 1);
+    return std::min(least, single.value_or(least));
+}
+
 double predict_residence_ms(const engine_profile& profile, const engine_list& engines, double tokens)
 {
     return predict_cost(profile, engines, tokens).residence_ms;
@@ -119,4 +123,13 @@
     return hall_count > 1 ? std::min(rate, predict_pipe_rate(profile)) : rate;
 }
 
+double predict_pipe_rate(const engine_profile& profile)
+{
+    const double prompt_bits = profile.crossing_bits(profile.usual_prompt_tokens);
+    if (profile.hall_pipe_mbps <= 0 || prompt_bits <= 0) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return most_pipe_share * profile.pipe_bits_per_s() / prompt_bits;
+}
+
 } // namespace sailtiller
--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <placement/hallgroups.h>
+#include <placement/headplan.h>
 #include <placement/layercost.h>
 #include <placement/layercoverage.h>
 #include <placement/layerplan.h>
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <map>
 #include <set>
 #include <tuple>
 
@@ -15,6 +17,11 @@
 
 namespace {
 
+/// A layer that one of three holders of whole copies has left carries two thirds of the mean rate; another
+/// holder there raises the overall rate of 80 layers by one in a hundred.
+constexpr double uneven_share_behind_heads = 0.75;
+constexpr double min_gain_behind_heads = 0.01;
+
 /// Plan for one group of halls.
 class group_plan
 {
@@ -30,7 +37,13 @@
         for (const placeable_engine* engine : this->engines) {
             this->coverage.add_holder(engine->held, this->cost_on(*engine));
         }
-        this->token_capacity = this->choose_token_capacity();
+        this->token_capacity = choose_token_capacity(profile, this->engines, aim);
+        if (this->needs_heads()) {
+            this->heads = plan_heads(profile, this->engines, aim, this->token_capacity);
+        }
+        if (this->heads.applies()) {
+            this->token_capacity = this->heads.token_capacity;
+        }
     }
 
     std::vector<placement_step> run()
@@ -49,20 +62,13 @@
         }
         if (this->coverage.has_coverage_gap() && this->phase != observation_phase::begun) {
             this->lay_out_in_place();
-        } else if (this->has_high_usage() && this->phase == observation_phase::stable) {
-            return balance_layout(this->profile, this->engines, this->token_capacity, {});
+        } else if (this->phase == observation_phase::stable) {
+            return this->balance();
         }
         return this->steps;
     }
 
 private:
-    /// Assignment of a span to an engine.
-    struct engine_move
-    {
-        const placeable_engine* engine = nullptr;
-        layer_span span;
-    };
-
     [[nodiscard]] double cost_on(const placeable_engine& engine) const
     {
         const card_kind* card = this->profile.find_card(engine.card);
@@ -70,22 +76,6 @@
                                : predict_layer_cost(this->profile, *card, this->aim);
     }
 
-    /// Largest token capacity that all engines can keep with the wanted copies, or with fewer copies if the
-    /// cards cannot hold them with the minimum capacity. Cards that hold the model only with less capacity
-    /// get the capacity that one copy leaves.
-    [[nodiscard]] double choose_token_capacity() const
-    {
-        const double least = this->aim.min_requests * usual_request_tokens(this->profile);
-        const auto count = static_cast<double>(this->engines.size());
-        const double copies = std::max(this->aim.copies, count / this->aim.max_stages);
-        const double wanted = find_max_token_capacity(this->profile, this->engines, copies).value_or(0);
-        if (wanted >= least) {
-            return wanted;
-        }
-        const std::optional<double> single = find_max_token_capacity(this->profile, this->engines, 1);
-        return std::min(least, single.value_or(least));
-    }
-
     /// True if the layout is about to change: a layout under repair does not show what it will carry.
     [[nodiscard]] bool is_changing() const
     {
@@ -94,61 +84,76 @@
                 [](const placeable_engine* engine) { return engine->is_loading || engine->is_absent; });
     }
 
-    /// True if the capacity of some engine is nearly used up, so that callers benefit from a better layout.
-    /// Otherwise balancing only costs the streams that each step moves.
-    [[nodiscard]] bool has_high_usage() const
+    /// True if the capacity of some engine, or the request slots, are nearly used up, so that callers benefit
+    /// from a better layout. Otherwise balancing only costs the streams that each step moves.
+    [[nodiscard]] bool is_nearly_used_up(double placeable_engine::*used) const
     {
-        return std::any_of(
-            this->engines.begin(), this->engines.end(), [this](const placeable_engine* engine) {
-                return engine->used_share >= this->aim.high_usage_share;
-            });
+        return std::any_of(this->engines.begin(), this->engines.end(),
+            [&](const placeable_engine* engine) { return engine->*used >= this->aim.high_usage_share; });
     }
 
-    /// Closes a gap that no single step closes: lays out one copy of the layers over the engines, in the
-    /// order of their spans, with each span as close to the held one as the coverage allows. Most spans move
-    /// by a few layers.
+    /// True if this run may place layers, for which it needs to know the heads.
+    [[nodiscard]] bool needs_heads() const
+    {
+        const bool has_empty = std::any_of(this->engines.begin(), this->engines.end(),
+            [](const placeable_engine* engine) { return engine->held.is_empty() && !engine->is_absent; });
+        const bool may_balance = this->phase == observation_phase::stable
+            && (this->is_nearly_used_up(&placeable_engine::used_share)
+                || this->is_nearly_used_up(&placeable_engine::used_slot_share));
+        return has_empty || may_balance || this->coverage.has_coverage_gap();
+    }
+
+    /// Steps for a layout without gaps whose memory or slots are nearly used up.
+    [[nodiscard]] std::vector<placement_step> balance() const
+    {
+        const bool has_full_memory = this->is_nearly_used_up(&placeable_engine::used_share);
+        if (has_full_memory || this->is_nearly_used_up(&placeable_engine::used_slot_share)) {
+            const auto converted = convert_to_heads(this->profile, this->heads, this->engines);
+            if (!converted.empty()) {
+                return converted;
+            }
+        }
+        if (!has_full_memory) {
+            return {};
+        }
+        balance_limits limits;
+        if (this->heads.applies()) {
+            // Behind such heads the copies are whole, so one layer that lacks a holder bounds all.
+            limits.min_gain_when_uneven = min_gain_behind_heads;
+            limits.uneven_share = uneven_share_behind_heads;
+            limits.head_slots = this->profile.request_slots;
+        }
+        return balance_layout(this->profile, this->engines, this->token_capacity, limits);
+    }
+
+    /// Closes a gap that no single step closes with a new layout near the present one. Heads with layers of
+    /// their own keep them if the other engines can hold the rest.
     void lay_out_in_place()
     {
-        engine_list in_order;
-        unsigned left = 0; // upper bound of the layers on the current and the following engines
+        unsigned led = 0;
+        engine_list others;
         for (const placeable_engine* engine : this->engines) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            if (size > 0) {
-                in_order.push_back(engine);
-                left += size;
+            if (this->heads.applies() && engine->held.holds(0)) {
+                led = std::max(led, engine->held.end);
+            } else {
+                others.push_back(engine);
             }
         }
-        std::stable_sort(in_order.begin(), in_order.end(),
-            [](const placeable_engine* first, const placeable_engine* second) {
-                return first->held.begin + first->held.end < second->held.begin + second->held.end;
-            });
-        if (left < this->profile.layers) {
-            return; // no layout covers all layers
+        auto wanted = lay_out_nearby(this->profile, others, this->token_capacity, led);
+        if (!wanted && led > 0) {
+            wanted = lay_out_nearby(this->profile, this->engines, this->token_capacity, 0);
         }
-        std::vector<engine_move> wanted;
-        unsigned covered = 0;
-        for (const placeable_engine* engine : in_order) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            const unsigned open = this->profile.layers - covered;
-            const unsigned spare = left > open ? left - open : 0;
-            const unsigned earliest = covered > spare ? covered - spare : 0;
-            const unsigned nearest = std::clamp(engine->held.begin, earliest, covered);
-            const unsigned begin = std::min(nearest, this->profile.layers - size);
-            if (layer_span{begin, begin + size} != engine->held) {
-                wanted.push_back({engine, {begin, begin + size}});
-            }
-            covered = std::max(covered, begin + size);
-            left -= size;
+        if (wanted) {
+            this->add_steps_towards(*wanted);
         }
-        this->add_steps_towards(wanted);
     }
 
     /// Adds the steps that release no last holder. If there are none, adds all steps, as no path crosses the
     /// gap anyway.
-    void add_steps_towards(const std::vector<engine_move>& wanted)
+    void add_steps_towards(const std::vector<placed_span>& wanted)
     {
         layer_coverage left = this->coverage;
-        for (const engine_move& move : wanted) {
+        for (const placed_span& move : wanted) {
             if (left.keeps_coverage(move.engine->held, move.span)) {
                 left.remove_holder(move.engine->held);
                 this->place(*move.engine, move.span);
@@ -157,7 +162,7 @@
         if (!this->steps.empty()) {
             return;
         }
-        for (const engine_move& move : wanted) {
+        for (const placed_span& move : wanted) {
             this->place(*move.engine, move.span);
         }
     }
@@ -171,36 +176,79 @@
         this->moved.insert(engine.id);
     }
 
-    /// Lays out empty engines: one copy after the other, from layer 0, as many layers per engine as fit.
+    /// Lays out empty engines: the heads, if they have layers of their own, then one copy after the other of
+    /// the layers behind, as many layers per engine as fit.
     void lay_out_all()
     {
-        unsigned next = 0;
+        engine_list present;
         for (const placeable_engine* engine : this->engines) {
-            const unsigned size = count_placeable_layers(this->profile, *engine, this->token_capacity);
-            if (size == 0 || engine->is_absent) {
-                continue;
+            if (!engine->is_absent) {
+                present.push_back(engine);
             }
-            const unsigned begin = std::min(next, this->profile.layers - size);
-            this->place(*engine, {begin, begin + size});
-            next = begin + size >= this->profile.layers ? 0 : begin + size;
         }
+        if (this->heads.applies() && present.size() == this->engines.size()) {
+            this->place_all(this->heads.layout);
+            return;
+        }
+        std::erase_if(present, [this](const placeable_engine* engine) {
+            const engine_list& chosen = this->heads.heads;
+            const bool is_head = std::find(chosen.begin(), chosen.end(), engine) != chosen.end();
+            if (is_head) {
+                this->place(*engine, {0, this->heads.span});
+            }
+            return is_head;
+        });
+        // Without a head that is present, the others hold whole copies.
+        const unsigned first = this->steps.empty() ? 0 : this->heads.span;
+        this->place_all(
+            lay_out_copies(this->profile, size_engines(this->profile, present, this->token_capacity), first));
     }
 
-    void assign_empty_engines()
+    void place_all(const std::vector<placed_span>& layout)
     {
-        engine_list empty;
+        for (const placed_span& placed : layout) {
+            this->place(*placed.engine, placed.span);
+        }
+    }
+
+    /// Places the empty engines that replace missing heads, unless a gap elsewhere needs them. Returns the
+    /// other empty engines.
+    engine_list assign_missing_heads()
+    {
+        engine_list others;
+        std::map<const placeable_engine*, layer_span> leading;
+        const std::vector<placed_span> missing =
+            choose_missing_heads(this->profile, this->heads, this->engines);
+        for (const placed_span& placed : missing) {
+            leading[placed.engine] = placed.span;
+        }
+        const layer_span gap = this->coverage.find_coverage_gap(this->heads.span);
         for (const placeable_engine* engine : this->engines) {
-            if (engine->held.is_empty() && !engine->is_absent) {
-                empty.push_back(engine);
+            if (!engine->held.is_empty() || engine->is_absent) {
+                continue;
+            }
+            const auto found = leading.find(engine);
+            if (found != leading.end() && gap.is_empty()) {
+                this->place(*engine, found->second);
+            } else {
+                others.push_back(engine);
             }
         }
+        return others;
+    }
+
+    void assign_empty_engines()
+    {
+        const engine_list empty = this->assign_missing_heads();
         const unsigned share = this->aim.balances ? this->gap_layers_per_engine(empty.size()) : 0;
         for (const placeable_engine* engine : empty) {
             const unsigned most = count_placeable_layers(this->profile, *engine, this->token_capacity);
             const unsigned size =
                 share > 0 && this->coverage.has_coverage_gap() ? std::min(most, share) : most;
             if (size > 0) {
-                this->place(*engine, this->coverage.find_most_valuable(size, this->cost_on(*engine)));
+                const bool has_head = this->coverage.holder_count(0) > 0;
+                const unsigned first = has_head ? this->heads.span : 0;
+                this->place(*engine, this->coverage.find_most_valuable(size, this->cost_on(*engine), first));
             }
         }
     }
@@ -210,11 +258,7 @@
     /// assigned more layers later.
     [[nodiscard]] unsigned gap_layers_per_engine(std::size_t engine_count) const
     {
-        unsigned open = 0;
-        for (layer_span gap = this->coverage.find_coverage_gap(0); !gap.is_empty();
-             gap = this->coverage.find_coverage_gap(gap.end)) {
-            open += gap.count();
-        }
+        const unsigned open = this->coverage.count_uncovered();
         const auto count = static_cast<unsigned>(engine_count);
         return count == 0 ? 0 : (open + count - 1) / count;
     }
@@ -224,20 +268,24 @@
         unsigned begin = 0;
         for (layer_span gap = this->coverage.find_coverage_gap(begin); !gap.is_empty();
              gap = this->coverage.find_coverage_gap(begin)) {
-            this->extend_into(gap);
+            // More layers leave a head less cache than its request slots need.
+            if (!this->extend_into(gap, !this->heads.applies()) && this->heads.applies()) {
+                this->extend_into(gap, true);
+            }
             begin = gap.end;
         }
     }
 
-    /// Closes a gap from both sides, each by about half, or from one side if the other cannot.
-    void extend_into(const layer_span& gap)
+    /// Closes a gap from both sides, each by about half, or from one side if the other cannot. Returns
+    /// whether the engines can.
+    bool extend_into(const layer_span& gap, bool with_heads)
     {
-        const placeable_engine* left = this->find_neighbour(gap, true);
-        const placeable_engine* right = this->find_neighbour(gap, false);
+        const placeable_engine* left = this->find_neighbour(gap, true, with_heads);
+        const placeable_engine* right = this->find_neighbour(gap, false, with_heads);
         const unsigned left_most = left == nullptr ? 0 : this->spare_layers(*left, true);
         const unsigned right_most = right == nullptr ? 0 : this->spare_layers(*right, false);
         if (left_most + right_most < gap.count()) {
-            return; // a smaller gap still stops all paths
+            return false; // a smaller gap still stops all paths
         }
         const unsigned half = gap.count() / 2;
         const unsigned from_left = std::clamp(
@@ -248,15 +296,18 @@
         if (from_left < gap.count()) {
             this->place(*right, this->extend(*right, false, gap.count() - from_left));
         }
+        return true;
     }
 
     /// Engine whose span ends or begins at the gap and that can take most of it.
-    [[nodiscard]] const placeable_engine* find_neighbour(const layer_span& gap, bool is_left) const
+    [[nodiscard]] const placeable_engine* find_neighbour(
+        const layer_span& gap, bool is_left, bool with_heads) const
     {
         const placeable_engine* best = nullptr;
         for (const placeable_engine* engine : this->engines) {
             const bool is_beside = is_left ? engine->held.end == gap.begin : engine->held.begin == gap.end;
-            if (!is_beside || engine->held.is_empty() || this->moved.count(engine->id) != 0) {
+            const bool is_spared = !with_heads && engine->held.holds(0);
+            if (!is_beside || is_spared || engine->held.is_empty() || this->moved.count(engine->id) != 0) {
                 continue;
             }
             if (best == nullptr
@@ -366,6 +417,7 @@
     observation_phase phase;
     layer_coverage coverage;
     double token_capacity = 0;
+    head_plan heads; ///< applies only if request slots bind before memory
     std::vector<placement_step> steps;
     std::set<upstream_id> moved;
 };
