Tests: endless answers are told by their bounds, not by how long they take

Cause: on a machine with a load of 33 for 7 cores, the answer in chunks of one byte took 1.3 s to reach its bound of 1 MiB, and the test allowed 1 s. What it is to show is that the bound ended the call, and that the connection was closed soon after.

Change: the reason of each failure must name the bound of bytes or heads, and limits of time are far off (60 s). The bounds of what the server sent, and of 1 s from the call's end to the close, stay.

--- a/tests/auto/relay/tst_endlessanswers.cpp
+++ b/tests/auto/relay/tst_endlessanswers.cpp
@@ -62,7 +62,7 @@
     {
         std::optional<whole_call_result> result;
         collect_whole(
-            this->loop, {.time = 10s},
+            this->loop, {.time = 60s},
             [&](http_call_handlers handlers) {
                 handlers.on_end = [this, told = handlers.on_end](
                                       call_ending ending, const std::string& reason) {
@@ -77,12 +77,11 @@
                     {service_id("llm"), data_hall_id("x")}, request, true, std::move(handlers));
             },
             [&result](const whole_call_result& told) { result = told; });
-        const time_point start = this->loop.now();
         run_until(this->loop, [&] {
             server.pump();
             return result.has_value();
         });
-        EXPECT_LE(this->loop.now() - start, close_limit);
+        EXPECT_EQ(result->failure.find("no answer within"), std::string::npos) << "ended by its time alone";
         const time_point end = this->loop.now();
         run_until(this->loop, [&] {
             server.pump();
--- a/tests/auto/runtime/tst_endlessanswers.cpp
+++ b/tests/auto/runtime/tst_endlessanswers.cpp
@@ -7,6 +7,8 @@
 #include <support/endlessserver.h>
 #include <support/looprunner.h>
 
+#include <ostream>
+
 namespace sailtiller {
 
 namespace {
@@ -16,7 +18,7 @@
 using tests::run_until;
 using tests::system_buffer_bytes;
 
-/// Within this the connection of an answer past its bounds must be closed.
+/// Within this the connection of an answer must be closed once it is past its bounds.
 constexpr duration close_limit = 1s;
 /// Between two bytes of a slow answer.
 constexpr duration byte_pause = 100ms;
@@ -33,9 +35,9 @@
     std::string filler;
 };
 
-void PrintTo(const endless_answer& answer, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const endless_answer& answer)
 {
-    *out << answer.name;
+    return out << answer.name;
 }
 
 std::string name_of_parameter(const testing::TestParamInfo<endless_answer>& info)
@@ -43,6 +45,12 @@
     return info.param.name;
 }
 
+/// True if the reason names a bound of bytes, or of heads, and not one of time.
+bool names_room(const std::string& reason)
+{
+    return reason.find("exceeds") != std::string::npos || reason.find("more than") != std::string::npos;
+}
+
 http_request make_request()
 {
     http_request request;
@@ -108,10 +116,9 @@
 TEST_P(endless_heads_test, the_call_is_broken_off_at_the_bound)
 {
     endless_server server(GetParam().beginning, GetParam().filler);
-    const time_point start = this->loop.now();
     const call_record record = this->call(server);
-    EXPECT_LE(this->loop.now() - start, close_limit);
     EXPECT_EQ(record.ending, call_ending::broken);
+    EXPECT_TRUE(names_room(record.reason)) << record.reason;
     EXPECT_EQ(record.status, 0);
     this->expect_closed(server);
     EXPECT_LE(server.sent_bytes(), largest_head_bytes + system_buffer_bytes);
@@ -194,13 +201,12 @@
 TEST_P(endless_bodies_test, a_small_call_fails_at_the_bound)
 {
     endless_server server(GetParam().beginning, GetParam().filler);
-    const time_point start = this->loop.now();
     std::optional<whole_call_result> result;
-    send_whole(this->loop, {server.address(), make_request(), 10s},
+    send_whole(this->loop, {server.address(), make_request(), 60s},
         [&result](const whole_call_result& told) { result = told; });
     this->run_with(server, [&result] { return result.has_value(); });
-    EXPECT_LE(this->loop.now() - start, close_limit);
     EXPECT_FALSE(result->response.has_value());
+    EXPECT_TRUE(names_room(result->failure)) << result->failure;
     this->expect_closed(server);
     EXPECT_LE(server.sent_bytes(), system_buffer_bytes);
 }
@@ -209,15 +215,14 @@
 {
     endless_server server(GetParam().beginning, GetParam().filler);
     http_client client(this->loop, {});
-    const time_point start = this->loop.now();
-    int failures = 0;
-    timed_call call{server.address(), make_request(), 10s, {"test", ""}};
+    std::string failure;
+    timed_call call{server.address(), make_request(), 60s, {"test", ""}};
     call.max_body_bytes = std::size_t{1} << 20U;
     send_timed(
         this->loop, client, call, [](const http_response&) { ADD_FAILURE() << "it has no end"; },
-        [&failures](const error&) { ++failures; });
-    this->run_with(server, [&failures] { return failures > 0; });
-    EXPECT_LE(this->loop.now() - start, close_limit);
+        [&failure](const error& told) { failure = told.reason(); });
+    this->run_with(server, [&failure] { return !failure.empty(); });
+    EXPECT_TRUE(names_room(failure)) << failure;
     this->expect_closed(server);
     EXPECT_LE(server.sent_bytes(), 2 * system_buffer_bytes);
 }
