Runtime: bounds of what waits for a caller

Cause: what an upstream sent for a caller that reads nothing, or a byte now and then, was kept whole, and a whole answer for as long as the caller's connection stayed.

Change: of a started answer at most 8 MiB wait; beyond it what waits is dropped, the connection closed (HTTP/1.1), and the caller counts as gone, so that the delivery ends its call to the upstream within its next look (100 ms). A connection whose caller takes nothing of what waits for it is closed after 60 s. What is sent for a caller that is gone isn't kept.

Seen before: 60 MiB of 64 waited for a caller that read nothing or single bytes, which was never left; a whole answer of 16 MiB kept its connection. Result: 8 MiB at most, closed; an answer of 8 MiB that is read late, and one of 16 MiB that is read slowly, come whole, as before.

--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpexchange.h>
 #include <runtime/socketaddress.h>
@@ -126,10 +127,30 @@
 
 void http_exchange::send(std::string_view bytes)
 {
+    if (this->native == nullptr || this->is_cut) {
+        return;
+    }
+    if (this->pending.size() + bytes.size() > max_unread_bytes) {
+        this->cut();
+        return;
+    }
     this->pending += bytes;
     this->flush();
 }
 
+void http_exchange::cut()
+{
+    this->is_cut = true;
+    std::string().swap(this->pending); // an assignment keeps the memory
+    log_event(log_level::info, event_type::caller_left,
+        {{"step", "send answer"}, {"peer", this->incoming.peer.value()},
+            {"reason", "more than " + std::to_string(max_unread_bytes) + " bytes of it are unread"}});
+    if (this->native->version < first_http2_version) {
+        h2o_socket_t* socket = this->native->conn->callbacks->get_socket(this->native->conn);
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+}
+
 void http_exchange::finish()
 {
     this->is_ending = true;
@@ -185,7 +206,7 @@
 
 bool http_exchange::has_caller_left() const
 {
-    if (this->native == nullptr) {
+    if (this->native == nullptr || this->is_cut) {
         return true;
     }
     if (this->native->version >= first_http2_version) {
--- a/src/libs/runtime/httpexchange.h
+++ b/src/libs/runtime/httpexchange.h
@@ -11,6 +11,10 @@
 
 namespace sailtiller {
 
+/// Most of a started answer that waits for its caller. Answers that are streamed are far smaller, so a caller
+/// that reads one late gets it whole; beyond this, the answer is cut.
+constexpr std::size_t max_unread_bytes = std::size_t{8} << 20U;
+
 /// One request of a caller and the answer to it, over HTTP/1.1 or HTTP/2. Kept by whoever answers; when the
 /// caller goes away first, the exchange stays valid and drops what is sent to it.
 class http_exchange : public std::enable_shared_from_this<http_exchange>
@@ -30,7 +34,7 @@
     void respond(const http_response& response);
     /// Begins an answer of unknown length.
     void start(int status, const http_headers& headers);
-    /// Sends a part of the body; parts are queued while the caller is slow.
+    /// Sends a part of the body; parts are queued while the caller is slow, up to `max_unread_bytes`.
     void send(std::string_view bytes);
     /// Ends the body.
     void finish();
@@ -39,7 +43,8 @@
 
     /// Calls `action` once if the caller goes away before the answer is finished.
     void when_abandoned(std::function<void()> action) { this->on_abandoned = std::move(action); }
-    /// True if the caller has closed its side. Over HTTP/1.1 h2o doesn't watch for that, so it is asked here.
+    /// True if the caller has closed its side, or was cut as it reads too slowly. Over HTTP/1.1 h2o doesn't
+    /// watch for that, so it is asked here.
     [[nodiscard]] bool has_caller_left() const;
     [[nodiscard]] bool is_started() const { return this->started; }
     /// Bytes queued for a slow caller.
@@ -52,6 +57,9 @@
     /// The connection takes no further request after this answer (HTTP/1.1).
     void close_connection_after();
     void flush();
+    /// Drops what waits for a caller that reads too slowly, and closes its connection (HTTP/1.1) or leaves
+    /// the end of the stream to `abort` (HTTP/2).
+    void cut();
     void detach();
 
     http_request incoming;
@@ -65,6 +73,7 @@
     bool is_ending = false;
     bool is_aborting = false;
     bool is_done = false;
+    bool is_cut = false;
     std::function<void()> on_abandoned;
 };
 
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
 #include <set>
@@ -75,6 +77,7 @@
     static int handle(h2o_handler_t* self, h2o_req_t* request);
     static void filter(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
     static void log(h2o_logger_t* self, h2o_req_t* request);
+    void limit_unread_time(h2o_socket_t* socket) const;
     static void accept(h2o_socket_t* listener, const char* failure);
     static void forget(void* data);
 
@@ -259,6 +262,16 @@
     server->on_rejected({request->res.status, connection.peer, "refused while it was read"});
 }
 
+/// The system closes a connection whose peer takes nothing, or acknowledges nothing, of what waits for it for
+/// so long.
+void http_server::state::limit_unread_time(h2o_socket_t* socket) const
+{
+    const auto limit = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.unread_time).count());
+    // A refusal by the system leaves what waits bounded in bytes.
+    setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
 void http_server::state::accept(h2o_socket_t* listener, const char* failure)
 {
     if (failure != nullptr) {
@@ -276,6 +289,7 @@
         entry->peer = peer_of(socket);
         entry->rests_since = server->loop.now();
         server->connections.insert(socket);
+        server->limit_unread_time(socket);
         socket->on_close.cb = &state::forget;
         socket->on_close.data = entry;
         h2o_accept(&server->accept_context, socket);
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -15,6 +15,9 @@
     std::optional<duration> header_time = std::nullopt;
     /// A kept connection without a request is closed after this; without it, after `request_time`.
     std::optional<duration> idle_time = std::nullopt;
+    /// A connection whose caller takes nothing of what waits for it is closed after this. Callers that have
+    /// lost their way for a while come back within seconds.
+    duration unread_time = std::chrono::seconds(60);
 };
 
 /// Paths of a certificate chain and its key, in PEM form.
