Routing: heads are chosen by their free slots, shared among the hosts

Cause: the slots of heads were only a cost that grows with the 8th power of their use, and all hosts saw the same least loaded head for up to two seconds: 319 of 772 sends of a second went to one of them.

Change: while half of the slots or more are in use, headroom gives each host a share of the room of the heads (free slots, and those that end within the age of reports) by its share of the requests, takes own sends off, rounds fractions at random and lets heads take turns in proportion to their room, own hall first. Without a slot left a request is held as for full engines, then refused with a retry-after time. New and returned heads are filled over a second. Reports carry how many requests of a host an engine leads; hosts of other releases read each other's.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -11,6 +11,7 @@
 #include <platform/wirerequest.h>
 #include <platform/wirestore.h>
 #include <platform/wireupstream.h>
+#include <routing/headlist.h>
 #include <runtime/programsettings.h>
 
 #include <algorithm>
@@ -64,6 +65,7 @@
           this->loop, this->peers, this->settings.self, [this] { return this->stop.is_under_way(); },
           [this](event_type event) { this->admin.note_belief(event); })
     , retries(this->settings.store->retries)
+    , heads(this->random)
     , link(this->loop, this->settings.store->upstream_source, this->make_link_hooks())
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
           delivery_settings().death_suspension, this->make_health_hooks())
@@ -122,7 +124,8 @@
             return this->retry_after_if_unreachable(service, may_repeat);
         },
         [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
-        [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); }};
+        [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); },
+        &this->heads};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -394,7 +397,7 @@
 {
     for (const auto& [id, load] : this->loads.all()) {
         if (load.requests > 0) {
-            report.work.push_back({id, load.token_layers, load.requests});
+            report.work.push_back({id, load.token_layers, load.requests, load.led});
         }
     }
 }
@@ -404,14 +407,17 @@
     const time_point now = this->loop.now();
     this->retries.set_sharing_hosts(hosts.recently_present_count(now, this->retries.window()));
     std::vector<host_id> present = hosts.present_ids(now);
-    this->pipes.set_live_hosts(present.size());
+    const std::size_t live = present.size();
+    this->pipes.set_live_hosts(live);
     this->health.set_live_hosts(std::move(present));
     std::map<upstream_id, upstream_usage> shares;
     for (const auto& [id, work] : hosts.sum_work(now)) {
-        shares[id] = {work.token_layers, work.requests};
+        shares[id] = {work.token_layers, work.requests, work.led};
     }
     this->loads.set_remote_usage(shares);
     this->loads.set_unreported_hosts(hosts.pending_host_count(now));
+    this->heads.set_live_hosts(live, hosts.present_share_of_own_hall(now));
+    this->note_heads();
     this->take_place(hosts);
     if (hosts.live_count(now) <= 1) {
         this->reading.record_no_peers(now);
@@ -420,6 +426,18 @@
     this->look_at_history();
 }
 
+void site_host::note_heads()
+{
+    const std::shared_ptr<const site_bundle>& bundle = this->gateway.current_bundle();
+    const upstream_pool* pool = bundle ? bundle->engine_pool() : nullptr;
+    if (pool != nullptr && pool->engine && pool->engine->request_slots > 0) {
+        const time_point now = this->loop.now();
+        this->heads.note_round(list_heads(*pool->engine, pool->name, this->knowledge.upstreams(), this->loads,
+                                   this->settings.data_hall, now),
+            now);
+    }
+}
+
 void site_host::look_at_history()
 {
     const std::optional<log_offset>& end = this->knowledge.upstreams_end();
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -80,6 +80,8 @@
     [[nodiscard]] std::map<service_id, double> list_retries_left();
     site_admin_view make_admin_view();
     /// Writes again what this host keeps in the store, once that has come back from a copy.
+    /// Notes the engines that may lead requests, with their slots.
+    void note_heads();
     void look_at_history();
     void run_turn();
     void take_signal(int number);
@@ -103,6 +105,7 @@
     site_peers peers;
     site_limits limits;
     retry_allowance retries;
+    headroom heads;
     pipe_meter pipes;
     upstream_link link;
     upstream_health health;
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -12,6 +12,7 @@
 #include <fleet/crashsuspects.h>
 #include <fleet/limitclient.h>
 #include <health/stalldetector.h>
+#include <routing/headroom.h>
 #include <routing/layerpath.h>
 #include <routing/pipemeter.h>
 #include <routing/retryallowance.h>
@@ -164,6 +165,8 @@
     /// Returns false while this host can connect to none of the upstream's group, so that a failed connection
     /// says nothing about the upstream; optional.
     std::function<bool(const upstream_id&)> is_group_reachable = {};
+    /// Chooses the heads of new requests while request slots are scarce; optional.
+    headroom* heads = nullptr;
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <delivery/pathchooser.h>
 
+#include <routing/headlist.h>
+
 #include <algorithm>
 
 namespace sailtiller {
@@ -33,6 +35,35 @@
 
 std::optional<layer_path> path_chooser::find(
     const std::set<upstream_id>& avoided, const layer_path& present) const
+{
+    return this->find_led_by(avoided, present, std::nullopt);
+}
+
+std::optional<layer_path> path_chooser::find_to_send(const std::set<upstream_id>& avoided, bool has_started)
+{
+    this->has_no_slot = false;
+    if (this->context.heads == nullptr || this->profile()->request_slots == 0) {
+        return this->find(avoided);
+    }
+    const time_point now = this->context.timers.now();
+    std::vector<head_slots> heads = list_heads(*this->profile(), this->order.service, this->context.directory,
+        this->context.loads, this->context.data_hall, now);
+    const bool is_gate_open = this->gate.is_open();
+    std::erase_if(heads, [&](const head_slots& head) {
+        return avoided.contains(head.id) || (!is_gate_open && !this->gate.may_send(head.id));
+    });
+    const head_choice choice = this->context.heads->choose(heads, now, has_started);
+    this->has_no_slot = choice.is_bound && !choice.head && !has_started;
+    if (this->has_no_slot) {
+        return std::nullopt;
+    }
+    std::optional<layer_path> found = this->find_led_by(avoided, {}, choice.head);
+    // With that head alone, a path may have more stages than engines accept.
+    return found || !choice.head ? std::move(found) : this->find(avoided);
+}
+
+std::optional<layer_path> path_chooser::find_led_by(const std::set<upstream_id>& avoided,
+    const layer_path& present, const std::optional<upstream_id>& head) const
 {
     path_query question;
     question.service = this->order.service;
@@ -46,7 +77,9 @@
     question.pipe_utilization = [this, now = question.now](const data_hall_id& from, const data_hall_id& to) {
         return this->pipe_share(from, to, now);
     };
-    if (!this->gate.is_open()) {
+    if (head) {
+        question.may_be_head = [&head](const upstream_id& id) { return id == *head; };
+    } else if (!this->gate.is_open()) {
         question.may_be_head = [this](const upstream_id& id) { return this->gate.may_send(id); };
     }
     return find_layer_path(*this->profile(), this->context.directory, this->context.loads, question);
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -23,6 +23,13 @@
     /// a profile.
     [[nodiscard]] std::optional<layer_path> find(
         const std::set<upstream_id>& avoided, const layer_path& present = {}) const;
+    /// As `find` for a request that is to be sent. While request slots are scarce, its head is the one whose
+    /// turn it is; nothing is found if no head has a slot left for this host. A request whose answer has
+    /// begun gets a slot all the same, as its caller can't be asked to retry.
+    [[nodiscard]] std::optional<layer_path> find_to_send(
+        const std::set<upstream_id>& avoided, bool has_started);
+    /// Returns true if the last `find_to_send` found no head with a slot left for this host.
+    [[nodiscard]] bool is_short_of_slots() const { return this->has_no_slot; }
     /// Returns the retry-after time if no engine can start the request for as long as it is held; empty
     /// otherwise.
     [[nodiscard]] std::optional<duration> retry_after_if_closed(const std::set<upstream_id>& avoided) const;
@@ -39,12 +46,15 @@
     [[nodiscard]] double crossing_bits() const;
 
 private:
+    [[nodiscard]] std::optional<layer_path> find_led_by(const std::set<upstream_id>& avoided,
+        const layer_path& present, const std::optional<upstream_id>& head) const;
     [[nodiscard]] double expected_answer_tokens() const;
     [[nodiscard]] double pipe_share(const data_hall_id& from, const data_hall_id& to, time_point now) const;
 
     const delivery_context& context;
     const delivery_order& order;
     upstream_gate gate;
+    bool has_no_slot = false;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/pathuse.cpp
+++ b/src/libs/delivery/pathuse.cpp
@@ -8,6 +8,8 @@
 void path_use::begin(layer_path next)
 {
     this->path = std::move(next);
+    this->sent = this->context.timers.now();
+    this->is_served = false;
     this->add_work();
     this->watch_key = this->context.watch.add(this->list_ids(), this->chooser.expect(this->path));
 }
@@ -22,6 +24,7 @@
 
 void path_use::note_begun()
 {
+    this->is_served = true;
     for (const path_stage& part : this->path) {
         this->context.loads.resume(part.id);
     }
@@ -39,6 +42,9 @@
 
 void path_use::release()
 {
+    if (this->is_served && !this->path.empty() && this->context.heads != nullptr) {
+        this->context.heads->note_ended(this->context.timers.now() - this->sent);
+    }
     this->subtract_work();
     this->path.clear();
     if (this->watch_key) {
@@ -86,7 +92,7 @@
 {
     const double tokens = this->chooser.expected_tokens();
     for (const path_stage& part : this->path) {
-        this->context.loads.add(part.id, tokens * part.span.count());
+        this->context.loads.add(part.id, tokens * part.span.count(), &part == &this->path.front());
     }
     const double bits = this->chooser.crossing_bits();
     const time_point now = this->context.timers.now();
@@ -100,7 +106,7 @@
 {
     const double tokens = this->chooser.expected_tokens();
     for (const path_stage& part : this->path) {
-        this->context.loads.subtract(part.id, tokens * part.span.count());
+        this->context.loads.subtract(part.id, tokens * part.span.count(), &part == &this->path.front());
     }
 }
 
--- a/src/libs/delivery/pathuse.h
+++ b/src/libs/delivery/pathuse.h
@@ -53,6 +53,8 @@
     const path_chooser& chooser;
     layer_path path;
     std::optional<stall_detector::stream_key> watch_key;
+    time_point sent{}; ///< time at which the path was taken
+    bool is_served = false; ///< its head serves the request
 };
 
 /// Returns the stages of a path in their wire form.
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -51,7 +51,8 @@
         return;
     }
     const time_point now = this->context.timers.now();
-    std::optional<layer_path> found = this->chooser.find(this->avoided);
+    std::optional<layer_path> found = this->chooser.find_to_send(this->avoided, this->has_started);
+    const bool is_full = found || this->chooser.is_short_of_slots();
     if (found && (this->has_started || this->chooser.has_room(*found))) {
         this->send_over(std::move(*found));
         return;
@@ -65,14 +66,14 @@
     }
     const time_point hold_end = this->order.hold_end(this->context.settings);
     if (now >= hold_end && !this->has_started) {
-        this->refuse_with_retry_after(found
+        this->refuse_with_retry_after(is_full
                 ? "the engines that hold some layer, or the pipes between halls, are full"
                 : "no engines hold every layer of the model",
             this->context.settings.retry_after);
         return;
     }
     this->schedule_search(
-        found ? search_obstacle::room : search_obstacle::path, this->context.settings.search_pause);
+        is_full ? search_obstacle::room : search_obstacle::path, this->context.settings.search_pause);
 }
 
 bool stream_delivery::is_cleared_to_send()
@@ -111,6 +112,9 @@
         measure_since_arrival(this->context, this->order, request_moment::sent);
     }
     this->path.begin(std::move(found));
+    if (this->context.heads != nullptr) {
+        this->context.heads->note_sent();
+    }
     this->sends.note_sent();
     this->guard.note_sent();
     this->search_check.cancel();
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -32,6 +32,7 @@
             upstream_work& sum = this->heard_work[item.id];
             sum.token_layers += item.token_layers;
             sum.requests += item.requests;
+            sum.led += item.led;
         }
     }
 
@@ -43,6 +44,7 @@
             sum.id = id;
             sum.token_layers += factor * work.token_layers;
             sum.requests += static_cast<unsigned>(std::lround(factor * work.requests));
+            sum.led += static_cast<unsigned>(std::lround(factor * work.led));
         }
     }
 };
@@ -522,6 +524,19 @@
     return present;
 }
 
+double host_table::present_share_of_own_hall(time_point now) const
+{
+    double near = 1; // this host
+    double all = 1;
+    for (const auto& [id, known] : this->members.others()) {
+        if (this->is_present(id, known, now)) {
+            ++all;
+            near += known.state.host.data_hall == this->own().data_hall ? 1 : 0;
+        }
+    }
+    return near / all;
+}
+
 std::size_t host_table::present_count(time_point now) const
 {
     const std::map<host_id, member>& all = this->members.others();
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -84,6 +84,8 @@
     /// Hosts that are up, this one included, also those that this host doesn't hear directly; nearly the same
     /// on all hosts whatever the size of the fleet.
     [[nodiscard]] std::vector<host_id> present_ids(time_point now) const;
+    /// Returns the share of these hosts that is in this host's data hall.
+    [[nodiscard]] double present_share_of_own_hall(time_point now) const;
     [[nodiscard]] std::size_t present_count(time_point now) const;
     /// Returns another host, or null if it is unknown.
     [[nodiscard]] const known_host* find(const host_id& id) const;
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -32,8 +32,8 @@
     json list = json::array();
     for (const upstream_work& item : report.work) {
         // Whole numbers are shorter in CBOR, and fractions of a token are negligible.
-        list.push_back(
-            json::array({item.id.value(), static_cast<std::uint64_t>(item.token_layers), item.requests}));
+        list.push_back(json::array(
+            {item.id.value(), static_cast<std::uint64_t>(item.token_layers), item.requests, item.led}));
     }
     return list;
 }
@@ -230,8 +230,11 @@
         report.changes.push_back({change.at(0).get<std::string>(), read_optional<std::string>(change.at(1))});
     }
     for (const json& work : item.at("work")) {
+        // Older releases don't tell which requests an upstream leads.
+        constexpr std::size_t fields_of_older_releases = 3;
+        const std::size_t led_at = work.size() > fields_of_older_releases ? 3 : 2;
         report.work.push_back({upstream_id(work.at(0).get<std::string>()), work.at(1).get<double>(),
-            work.at(2).get<unsigned>()});
+            work.at(2).get<unsigned>(), work.at(led_at).get<unsigned>()});
     }
     report.suspicions = read_suspicions(item.at("suspicions"));
     // Absent in reports of older releases.
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -43,6 +43,7 @@
     upstream_id id;
     double token_layers = 0;
     unsigned requests = 0;
+    unsigned led = 0; ///< requests that the upstream leads; all of them in reports of older releases
 };
 
 /// An upstream that failed a host's requests, and for how much longer it gets no new ones.
--- a/src/libs/routing/engineloads.cpp
+++ b/src/libs/routing/engineloads.cpp
@@ -42,14 +42,15 @@
     return found == this->loads.end() ? empty_load : found->second;
 }
 
-void engine_loads::add(const upstream_id& id, double token_layers)
+void engine_loads::add(const upstream_id& id, double token_layers, bool is_head)
 {
     engine_load& load = this->loads[id];
     load.token_layers += token_layers;
     ++load.requests;
+    load.led += is_head ? 1 : 0;
 }
 
-void engine_loads::subtract(const upstream_id& id, double token_layers)
+void engine_loads::subtract(const upstream_id& id, double token_layers, bool is_head)
 {
     const auto found = this->loads.find(id);
     if (found == this->loads.end() || found->second.requests == 0) {
@@ -57,6 +58,7 @@
     }
     engine_load& load = found->second;
     --load.requests;
+    load.led -= is_head && load.led > 0 ? 1 : 0;
     // Avoids an accumulated rounding error on an idle upstream.
     load.token_layers = load.requests == 0 ? 0 : std::max(0.0, load.token_layers - token_layers);
 }
@@ -139,11 +141,13 @@
     for (auto& [id, load] : this->loads) {
         load.remote_token_layers = 0;
         load.remote_requests = 0;
+        load.remote_led = 0;
     }
     for (const auto& [id, share] : shares) {
         engine_load& load = this->loads[id];
         load.remote_token_layers = share.token_layers;
         load.remote_requests = share.requests;
+        load.remote_led = share.led;
     }
 }
 
@@ -157,6 +161,11 @@
     return load.requests * (1 + this->unreported_hosts) + load.remote_requests;
 }
 
+double engine_loads::total_led(const engine_load& load) const
+{
+    return load.led * (1 + this->unreported_hosts) + load.remote_led;
+}
+
 void engine_loads::set_pace(const upstream_id& id, double pace)
 {
     this->loads[id].pace = pace;
--- a/src/libs/routing/engineloads.h
+++ b/src/libs/routing/engineloads.h
@@ -15,8 +15,10 @@
 {
     double token_layers = 0; ///< cache that this host's requests use there, in tokens times layers
     unsigned requests = 0; ///< requests of this host that pass through it
+    unsigned led = 0; ///< of these, requests that it leads; they use its slots
     double remote_token_layers = 0; ///< cache used by the other hosts, by their latest reports
     unsigned remote_requests = 0;
+    unsigned remote_led = 0;
     time_point failed_until{}; ///< suspected by this host until then; gets no new requests
     time_point reported_until{}; ///< the same by the report of another host
     time_point avoided_until{}; ///< avoided after a refusal for a temporary reason
@@ -39,6 +41,7 @@
 {
     double token_layers = 0;
     unsigned requests = 0;
+    unsigned led = 0; ///< requests that it leads
 };
 
 /// Loads of the upstreams, from this host's own counts and the reports of the other hosts.
@@ -47,10 +50,10 @@
 public:
     /// Returns the load of an upstream; an empty load if it is unknown.
     [[nodiscard]] const engine_load& of(const upstream_id& id) const;
-    /// Adds one request of this host that uses `token_layers` tokens times layers.
-    void add(const upstream_id& id, double token_layers);
-    /// Removes one request. `token_layers` is the value given to `add`.
-    void subtract(const upstream_id& id, double token_layers);
+    /// Adds one request of this host that uses `token_layers` tokens times layers. Its head leads it.
+    void add(const upstream_id& id, double token_layers, bool is_head = false);
+    /// Removes one request. The values are those given to `add`.
+    void subtract(const upstream_id& id, double token_layers, bool is_head = false);
     /// Suspects an upstream that failed this host's requests: it gets no new requests before `until`, or
     /// before a later time set earlier. The suspicion is reported to other hosts.
     void suspend(const upstream_id& id, time_point until);
@@ -85,6 +88,8 @@
     [[nodiscard]] double total_token_layers(const engine_load& load) const;
     /// Returns the number of requests of all hosts that pass through an upstream.
     [[nodiscard]] double total_requests(const engine_load& load) const;
+    /// Returns the number of requests of all hosts that an upstream leads.
+    [[nodiscard]] double total_led(const engine_load& load) const;
     /// Sets the slowdown of an upstream relative to the profile of its card.
     void set_pace(const upstream_id& id, double pace);
     /// Ends suspicions and avoidance of an upstream that has answered.
--- a/tests/auto/fleet/tst_hosttable.cpp
+++ b/tests/auto/fleet/tst_hosttable.cpp
@@ -281,6 +281,20 @@
     }
 }
 
+TEST(peer_report, work_of_hosts_of_other_releases_is_read)
+{
+    peer_report report = make_report(make_host("a"));
+    report.work = {{upstream_id("u"), 1000, 4, 3}};
+    json item = json::from_cbor(encode_peer_report(report));
+    const json& work = item.at("work").at(0);
+    EXPECT_EQ(work.at(2).get<unsigned>(), 4U) << "at the place at which older releases read it";
+    EXPECT_EQ(decode_peer_report(encode_peer_report(report)).work.at(0).led, 3U);
+    item["work"] = json::array({json::array({"u", 1000, 4})});
+    const std::vector<std::uint8_t> bytes = json::to_cbor(item);
+    const peer_report older = decode_peer_report(std::string(bytes.begin(), bytes.end()));
+    EXPECT_EQ(older.work.at(0).led, 4U) << "an older release may lead all of them there";
+}
+
 TEST(peer_report, malformed_bytes_are_an_error)
 {
     EXPECT_THROW(decode_peer_report("nonsense"), error);
