--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -13,6 +13,7 @@
 #include <fleet/crashsuspects.h>
 #include <fleet/limitclient.h>
 #include <health/stalldetector.h>
+#include <routing/headroom.h>
 #include <routing/layerpath.h>
 #include <routing/pipemeter.h>
 #include <routing/retryallowance.h>
@@ -167,6 +168,8 @@
     std::function<bool(const upstream_id&)> is_group_reachable = {};
     /// Counts answers that were broken off as their bytes are none; optional.
     std::function<void(answer_fault)> count_answer_fault{};
+    /// Chooses the heads of new requests while request slots are scarce; optional.
+    headroom* heads = nullptr;
 };
 
 /// Request with its settings from the bundle.
