Admission: predicted times, shares by class and a queue decide about first sends

Nothing at the hosts refused a request that could only be late. With more demand than room, heads queued work that was late before it started.

A host now forecasts the first event over a path, estimates with the reports of all hosts what the engines start in time, and divides that among the classes of requests. Held requests wait in one ordered queue. It decides only for services with request slots and routes of several priorities.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -38,6 +38,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+double to_seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 json write_age(const std::optional<duration>& age)
 {
     return age ? json(to_milliseconds(*age)) : json();
@@ -277,6 +282,7 @@
     for (const auto& [service, left] : this->view.retries_left()) {
         out += "sailtiller_retries_left{service=\"" + service.value() + "\"} " + std::to_string(left) + "\n";
     }
+    this->write_admission(out);
     this->write_missing_layers(out);
     this->write_reachability(out);
     this->confirmation_ages.write(out, std::nullopt);
@@ -321,6 +327,31 @@
     }
 }
 
+void site_admin::write_admission(std::string& out) const
+{
+    admission_control& admission = this->view.admission;
+    if (!admission.is_on()) {
+        return;
+    }
+    write_gauge(out, "sailtiller_admitted_share",
+        "Share of the demand that the fleet admits to the engines; 1 without an overload.",
+        admission.admitted_share());
+    write_gauge(out, "sailtiller_held_requests", "Requests that wait at this host for room at the engines.",
+        static_cast<double>(admission.queue.size()));
+    const admission_counters& counters = admission.counters;
+    out += "# HELP sailtiller_admission_total Requests for engines, by priority and what became of them.\n"
+           "# TYPE sailtiller_admission_total counter\n";
+    for (const auto& [key, count] : counters.all()) {
+        out += "sailtiller_admission_total{priority=\"" + std::to_string(key.first) + "\",outcome=\""
+            + std::string(name_of(key.second)) + "\"} " + std::to_string(count) + "\n";
+    }
+    write_gauge(out, "sailtiller_first_event_predicted_seconds_sum",
+        "Sum of the predicted times to the first event.", to_seconds(counters.predicted_sum()));
+    write_gauge(out, "sailtiller_first_event_observed_seconds_sum",
+        "Sum of the observed times to the first event of the same requests.",
+        to_seconds(counters.observed_sum()));
+}
+
 void site_admin::write_missing_layers(std::string& out) const
 {
     const std::shared_ptr<const site_bundle>& bundle = this->view.knowledge.bundle();
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/json.h>
+#include <admission/admissioncontrol.h>
 #include <bundle/sitebundle.h>
 #include <delivery/decisionlog.h>
 #include <delivery/deliverycontext.h>
@@ -21,6 +22,7 @@
     const data_hall_id& data_hall;
     const site_state& knowledge;
     const engine_loads& loads;
+    admission_control& admission;
     const host_table& hosts;
     const crash_suspects& suspects;
     const upstream_limits& limits;
@@ -70,6 +72,7 @@
     [[nodiscard]] http_response explain(const http_request& request) const;
     [[nodiscard]] std::string write_metrics() const;
     void write_known_upstreams(std::string& out) const;
+    void write_admission(std::string& out) const;
     void write_missing_layers(std::string& out) const;
     void write_reachability(std::string& out) const;
     [[nodiscard]] json list_unreachable() const;
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -67,6 +67,7 @@
     , link(this->loop, this->settings.store->upstream_source, this->make_link_hooks())
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
           delivery_settings().death_suspension, this->make_health_hooks())
+    , admission(this->loop.hooks(), this->random)
     , context(this->make_delivery_context())
     , gateway(this->context)
     , lost_connections(this->loop, this->link, this->gateway)
@@ -121,7 +122,7 @@
         [this](const service_id& service, bool may_repeat) {
             return this->retry_after_if_unreachable(service, may_repeat);
         },
-        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); }};
+        [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); }, &this->admission};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -395,6 +396,7 @@
             report.work.push_back({id, load.token_layers, load.requests});
         }
     }
+    report.load = this->admission.own_load();
 }
 
 void site_host::take_round(const host_table& hosts)
@@ -409,6 +411,7 @@
         shares[id] = {work.token_layers, work.requests};
     }
     this->loads.set_remote_usage(shares);
+    this->admission.set_peer_load(hosts.sum_load(now));
     this->loads.set_unreported_hosts(hosts.pending_host_count(now));
     this->take_place(hosts);
     if (hosts.live_count(now) <= 1) {
@@ -555,7 +558,8 @@
 
 site_admin_view site_host::make_admin_view()
 {
-    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
+    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->admission,
+        this->peers.hosts(),
         this->suspects.records(), this->limits.records(), this->pauses,
         [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
         [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -14,6 +14,7 @@
 #include "upstreamhealth.h"
 #include "upstreamlink.h"
 
+#include <admission/admissioncontrol.h>
 #include <gateway/gatewayservice.h>
 #include <placement/placementcontroller.h>
 #include <runtime/httpclient.h>
@@ -106,6 +107,7 @@
     pipe_meter pipes;
     upstream_link link;
     upstream_health health;
+    admission_control admission;
     delivery_context context;
     gateway_service gateway;
     lost_connection_watch lost_connections;
--- /dev/null
+++ b/src/libs/admission/loadmeter.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <admission/decayingsum.h>
+#include <base/loadsummary.h>
+
+namespace sailtiller {
+
+/// Measures the load of a service by this host's own requests.
+class load_meter
+{
+public:
+    void note_arrival(const request_class& kind, time_point now);
+    /// Notes that a request sent at `now` waits for its first event.
+    void begin_wait(time_point now);
+    /// Ends the wait of a request sent at `sent`; `has_event` tells whether its first event has come.
+    void end_wait(time_point sent, bool has_event, time_point now);
+    [[nodiscard]] load_summary summary(time_point now) const;
+
+private:
+    std::map<request_class, decaying_sum> arrivals;
+    decaying_sum first_events;
+    decaying_sum first_event_delays;
+    std::size_t waiting = 0;
+    duration waiting_since{}; ///< sum of the times at which these were sent
+};
+
+} // namespace sailtiller
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -104,6 +104,8 @@
         return "finished_late";
     case event_type::held_at_entry:
         return "held_at_entry";
+    case event_type::held_for_room:
+        return "held_for_room";
     case event_type::path_change_refused:
         return "path_change_refused";
     case event_type::path_changed:
--- /dev/null
+++ b/src/libs/base/loadsummary.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <base/clock.h>
+
+#include <compare>
+#include <cstddef>
+#include <map>
+
+namespace sailtiller {
+
+/// Requests that admission treats alike; a lesser class is served first.
+struct request_class
+{
+    int priority = 0; ///< 0 is the highest
+    bool is_first_try = true; ///< false: the caller was refused before and gives up when refused again
+
+    auto operator<=>(const request_class&) const = default;
+};
+
+/// Classes of one service that reports hold; priorities go from 0 to 9.
+inline constexpr std::size_t most_request_classes = 20;
+
+/// Load of a service as one host sees it, or several hosts together.
+struct load_summary
+{
+    std::map<request_class, double> arrivals; ///< callers' requests per second
+    double first_events = 0; ///< per second
+    double first_event_delays = 0; ///< sum of the delays of these, in seconds per second
+    double waiting = 0; ///< requests that were sent and have no event yet
+    double waiting_ages = 0; ///< sum of the times since these were sent, in seconds
+
+    /// Adds `factor` times the load that others see.
+    void add(const load_summary& other, double factor = 1);
+    /// Returns whether nothing was seen.
+    [[nodiscard]] bool is_empty() const;
+    /// Returns the requests per second of all classes.
+    [[nodiscard]] double demand() const;
+    /// Returns the time in which the service starts what waits now (Little's law); it leads the delays that
+    /// are seen.
+    [[nodiscard]] duration predicted_delay() const;
+    /// Returns the mean delay of recent first events and of the requests that wait for theirs.
+    [[nodiscard]] duration observed_delay() const;
+};
+
+} // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -21,6 +21,8 @@
 
 namespace sailtiller {
 
+class admission_control;
+
 /// Callbacks that write the answer to one caller's request.
 struct caller_hooks
 {
@@ -158,6 +160,8 @@
     std::function<std::optional<duration>(const service_id&, bool may_repeat)> retry_after_if_unreachable;
     /// Counts requests that were refused because of a suspect of this kind; optional.
     std::function<void(suspect_kind)> count_suspect_refusal;
+    /// Admission to the engines; optional.
+    admission_control* admission = nullptr;
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -101,4 +101,26 @@
     return this->profile()->crossing_bits(this->order.request.prompt_tokens);
 }
 
+std::unique_ptr<request_admission> path_chooser::start_admission() const
+{
+    admission_control* control = this->context.admission;
+    if (control == nullptr || !control->apply_terms(*this->order.bundle, this->order.service)) {
+        return nullptr;
+    }
+    const service_route& route = *this->order.route;
+    admission_request request;
+    request.service = this->order.service;
+    request.kind = {this->order.priority.value_or(route.priority), !this->order.is_returning_caller()};
+    request.objective = route.latency_objective;
+    request.arrived = this->order.arrived;
+    request.deadline = this->order.deadline();
+    request.hold_end = this->order.hold_end(this->context.settings);
+    request.prompt_tokens = this->order.request.prompt_tokens;
+    request.work = this->expected_tokens();
+    admission_view view{*this->profile(), this->context.directory, this->context.loads,
+        this->context.timers.now, [this](const std::set<upstream_id>& avoided) { return this->find(avoided); },
+        [this](const layer_path& path) { return this->has_room(path); }};
+    return std::make_unique<request_admission>(*control, std::move(view), request);
+}
+
 } // namespace sailtiller
--- a/src/libs/delivery/pathchooser.h
+++ b/src/libs/delivery/pathchooser.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <admission/requestadmission.h>
 #include <delivery/upstreamgate.h>
 
 namespace sailtiller {
@@ -37,6 +38,8 @@
     [[nodiscard]] double expected_tokens() const;
     /// Returns the number of bits that the prompt moves through each pipe on the path.
     [[nodiscard]] double crossing_bits() const;
+    /// Starts the admission of the request; empty if admission doesn't decide for its service.
+    [[nodiscard]] std::unique_ptr<request_admission> start_admission() const;
 
 private:
     [[nodiscard]] double expected_answer_tokens() const;
--- a/src/libs/delivery/searchobstacles.h
+++ b/src/libs/delivery/searchobstacles.h
@@ -27,6 +27,10 @@
 public:
     /// Starts timing this obstacle, in place of the current one.
     void note(search_obstacle obstacle, time_point now);
+    [[nodiscard]] bool is_present(search_obstacle obstacle) const
+    {
+        return this->present && this->present->what == obstacle;
+    }
     /// Ends the current obstacle.
     void end(time_point now);
     /// Returns the times for the log, such as "retry allowance 812 ms, configuration 25 ms", or "nothing".
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -32,6 +32,7 @@
     this->caller_monitor.start(
         this->order, this->caller.has_left, [self] { self->end_at_limit(); }, [self] { self->abandon(); });
     this->context.retries.note_request(this->order.service, this->context.timers.now());
+    this->admission = this->chooser.start_admission();
     this->search();
 }
 
@@ -50,29 +51,87 @@
         this->wait_for_connection(*until_return);
         return;
     }
-    const time_point now = this->context.timers.now();
+    if (this->admission && !this->has_started && this->sends.runs() == 0) {
+        this->search_admitted();
+        return;
+    }
     std::optional<layer_path> found = this->chooser.find(this->avoided);
-    if (found && (this->has_started || this->chooser.has_room(*found))) {
+    if (!found) {
+        this->wait_for_path();
+        return;
+    }
+    if (this->has_started || this->chooser.has_room(*found)) {
         this->send_over(std::move(*found));
         return;
     }
-    if (!found && !this->has_started) {
+    if (this->context.timers.now() >= this->order.hold_end(this->context.settings)) {
+        this->refuse_with_retry_after("the engines that hold some layer, or the pipes between halls, are full",
+            this->context.settings.retry_after);
+        return;
+    }
+    this->schedule_search(search_obstacle::room, this->context.settings.search_pause);
+}
+
+void stream_delivery::wait_for_path()
+{
+    if (!this->has_started) {
         if (const std::optional<duration> until_return = this->chooser.retry_after_if_closed(this->avoided)) {
             this->refuse_with_retry_after(
                 "the engines that could start the request accept no more requests now", *until_return);
             return;
         }
+        if (this->context.timers.now() >= this->order.hold_end(this->context.settings)) {
+            this->refuse_with_retry_after(
+                "no engines hold every layer of the model", this->context.settings.retry_after);
+            return;
+        }
     }
-    const time_point hold_end = this->order.hold_end(this->context.settings);
-    if (now >= hold_end && !this->has_started) {
-        this->refuse_with_retry_after(found
-                ? "the engines that hold some layer, or the pipes between halls, are full"
-                : "no engines hold every layer of the model",
-            this->context.settings.retry_after);
+    this->schedule_search(search_obstacle::path, this->context.settings.search_pause);
+}
+
+void stream_delivery::search_admitted()
+{
+    admission_verdict verdict = this->admission->decide(this->avoided);
+    switch (verdict.what) {
+    case admission_verdict::action::send:
+        this->send_over(std::move(verdict.path));
+        return;
+    case admission_verdict::action::hold:
+        this->hold_for_admission(verdict.reason);
+        return;
+    case admission_verdict::action::refuse:
+        this->refuse_for_admission(verdict);
+        return;
+    case admission_verdict::action::no_path:
+        this->wait_for_path();
+        return;
+    }
+}
+
+void stream_delivery::hold_for_admission(const std::string& reason)
+{
+    const auto self = this->shared_from_this();
+    const auto try_again = [self] {
+        if (self->state == phase::searching) {
+            self->search();
+        }
+    };
+    const auto leave = [self] { self->refuse_for_admission(self->admission->displace()); };
+    const time_point now = this->context.timers.now();
+    if (!this->obstacles.is_present(search_obstacle::room)) {
+        this->log(event_type::held_for_room, reason);
+    }
+    if (!this->admission->hold(try_again, leave)) {
+        this->refuse_for_admission(this->admission->displace());
         return;
     }
-    this->schedule_search(
-        found ? search_obstacle::room : search_obstacle::path, this->context.settings.search_pause);
+    // The queue tries it in its turn; this try is the last one.
+    this->schedule_search(search_obstacle::room, this->order.hold_end(this->context.settings) - now);
+}
+
+void stream_delivery::refuse_for_admission(const admission_verdict& verdict)
+{
+    this->refuse_with_retry_after(verdict.reason, verdict.retry_after);
 }
 
 bool stream_delivery::is_cleared_to_send()
@@ -112,6 +171,9 @@
     }
     this->path.begin(std::move(found));
     this->sends.note_sent();
+    if (this->admission) {
+        this->admission->note_sent(this->path.parts());
+    }
     this->guard.note_sent();
     this->search_check.cancel();
     this->obstacles.end(now);
@@ -384,6 +446,9 @@
     this->changes.note_progress();
     this->path.note_progress();
     this->guard.note_progress();
+    if (this->admission) {
+        this->admission->note_event();
+    }
     this->caller.send(text);
 }
 
@@ -600,6 +665,9 @@
         this->events.pace().describe() + ", sends " + std::to_string(this->sends.count())
             + (is_late ? " on " + this->events.pace().slowest_path() : ""));
     this->guard.note_completed();
+    if (this->admission) {
+        this->admission->note_complete(this->events.pace().event_count());
+    }
     this->caller.finish();
     this->end();
 }
@@ -668,6 +736,9 @@
     }
     this->state = phase::done;
     measure_since_arrival(this->context, this->order, request_moment::ended);
+    if (this->admission) {
+        this->admission->end();
+    }
     this->release_call();
     this->caller_monitor.stop();
     this->search_check.cancel();
--- a/src/libs/delivery/streamdelivery.h
+++ b/src/libs/delivery/streamdelivery.h
@@ -48,6 +48,12 @@
     enum class phase { searching, waiting, streaming, done };
 
     void search();
+    /// Sends, holds or refuses a request that has not run, as admission decides.
+    void search_admitted();
+    void hold_for_admission(const std::string& reason);
+    void refuse_for_admission(const admission_verdict& verdict);
+    /// Continues the search for a request for which there is no path.
+    void wait_for_path();
     [[nodiscard]] bool is_under_way() const;
     void fail_over_from_head();
     void change_path();
@@ -105,6 +111,7 @@
     upstream_call call;
     phase state = phase::searching;
     path_chooser chooser;
+    std::unique_ptr<request_admission> admission; ///< null if admission doesn't decide for the service
     path_use path;
     upstream_answer answer; ///< of the current call
     std::string non_stream_body; ///< body of an answer that is not a stream
--- a/src/libs/fleet/hosttable.cpp
+++ b/src/libs/fleet/hosttable.cpp
@@ -18,16 +18,28 @@
     return stable_hash(id.value());
 }
 
+/// Counts the hosts of one kind, to estimate the sum of all from those that were heard.
+struct host_count
+{
+    double heard = 0;
+    double awaited = 0; ///< hosts that are up and did not report recently
+
+    /// Returns the factor from the sum of the hosts that were heard to that of all.
+    [[nodiscard]] double factor() const
+    {
+        return this->heard == 0 ? 1 : (this->heard + this->awaited) / this->heard;
+    }
+};
+
 /// Work of the hosts of one kind at each upstream.
 struct work_sum
 {
     std::map<upstream_id, upstream_work> heard_work;
-    double heard = 0; ///< hosts
-    double awaited = 0; ///< hosts that are up and did not report recently
+    host_count hosts;
 
     void add(const std::vector<upstream_work>& work)
     {
-        ++this->heard;
+        ++this->hosts.heard;
         for (const upstream_work& item : work) {
             upstream_work& sum = this->heard_work[item.id];
             sum.token_layers += item.token_layers;
@@ -37,7 +49,7 @@
 
     void add_to(std::map<upstream_id, upstream_work>& total) const
     {
-        const double factor = this->heard == 0 ? 1 : (this->heard + this->awaited) / this->heard;
+        const double factor = this->hosts.factor();
         for (const auto& [id, work] : this->heard_work) {
             upstream_work& sum = total[id];
             sum.id = id;
@@ -156,6 +168,7 @@
     item.is_leaving = report.is_leaving;
     item.reads_store = report.reads_store;
     item.work = report.work;
+    item.load = report.load;
     item.relay_address = report.relay_address;
     item.relayed_calls = report.relayed_calls;
     item.unreachable = report.unreachable;
@@ -635,27 +648,56 @@
     return this->is_live_by_turns(item, now) && !this->is_live(item, now) && !is_unanswered;
 }
 
-std::map<upstream_id, upstream_work> host_table::sum_work(time_point now) const
+void host_table::visit_up_hosts(
+    const std::function<void(const known_host&, const entry* heard)>& visit, time_point now) const
 {
-    work_sum near;
-    work_sum far;
-    const auto sum_of = [this, &near, &far](const known_host& host) -> work_sum& {
-        return host.data_hall == this->own().data_hall ? near : far;
-    };
     for (const auto& [id, known] : this->members.others()) {
         const auto found = this->others.find(id);
         const bool is_heard = found != this->others.end() && found->second.heard
             && now - *found->second.heard < this->settings.heartbeat_timeout;
         if (is_heard) {
-            sum_of(found->second.host).add(found->second.work);
+            visit(found->second.host, &found->second);
         } else if (this->is_present(id, known, now)) {
-            ++sum_of(known.state.host).awaited;
+            visit(known.state.host, nullptr);
         }
     }
+}
+
+std::map<upstream_id, upstream_work> host_table::sum_work(time_point now) const
+{
+    work_sum near;
+    work_sum far;
+    const auto take = [this, &near, &far](const known_host& host, const entry* heard) {
+        work_sum& sum = host.data_hall == this->own().data_hall ? near : far;
+        if (heard == nullptr) {
+            ++sum.hosts.awaited;
+        } else {
+            sum.add(heard->work);
+        }
+    };
+    this->visit_up_hosts(take, now);
     std::map<upstream_id, upstream_work> total;
     near.add_to(total);
     far.add_to(total);
     return total;
 }
 
+load_summary host_table::sum_load(time_point now) const
+{
+    load_summary heard_load;
+    host_count hosts;
+    const auto take = [&heard_load, &hosts](const known_host&, const entry* heard) {
+        if (heard == nullptr) {
+            ++hosts.awaited;
+        } else {
+            ++hosts.heard;
+            heard_load.add(heard->load);
+        }
+    };
+    this->visit_up_hosts(take, now);
+    load_summary total;
+    total.add(heard_load, hosts.factor());
+    return total;
+}
+
 } // namespace sailtiller
--- a/src/libs/fleet/hosttable.h
+++ b/src/libs/fleet/hosttable.h
@@ -107,6 +107,8 @@
     /// heartbeat timeout. The others, unless they left a query unanswered, are estimated by the average of
     /// those that reported, separately for this host's own hall and for the other halls.
     [[nodiscard]] std::map<upstream_id, upstream_work> sum_work(time_point now) const;
+    /// Load of the engines' service by the requests of the other hosts, estimated like their work.
+    [[nodiscard]] load_summary sum_load(time_point now) const;
     /// Returns the hosts that relay requests to the group and reach it, as far as this host hears them or, in
     /// a large fleet, as others tell it.
     [[nodiscard]] std::vector<relaying_host> list_relaying_hosts(
@@ -151,12 +153,17 @@
         bool is_leaving = false;
         bool reads_store = true;
         std::vector<upstream_work> work;
+        load_summary load;
         std::optional<endpoint> relay_address;
         unsigned relayed_calls = 0;
         std::vector<upstream_group> unreachable;
     };
     using member = membership::member;
 
+    /// Calls `visit` for each other host that is up, with its entry if it reported recently, otherwise null.
+    void visit_up_hosts(
+        const std::function<void(const known_host&, const entry* heard)>& visit, time_point now) const;
+
     /// What is known of a relaying host, without a copy.
     struct relaying_host_view
     {
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -186,6 +186,43 @@
     }
 }
 
+/// Writes the load seen by the sender, if it controls admission.
+void write_load(const load_summary& load, json& item)
+{
+    if (load.is_empty()) {
+        return;
+    }
+    json arrivals = json::array();
+    for (const auto& [kind, per_second] : load.arrivals) {
+        arrivals.push_back(json::array({kind.priority, kind.is_first_try, per_second}));
+    }
+    item["load"] = json::array(
+        {arrivals, load.first_events, load.first_event_delays, load.waiting, load.waiting_ages});
+}
+
+load_summary read_load(const json& item)
+{
+    load_summary load;
+    if (!item.contains("load")) {
+        return load;
+    }
+    const json& fields = item.at("load");
+    for (const json& arrivals : fields.at(0)) {
+        if (load.arrivals.size() < most_request_classes) {
+            load.arrivals[{arrivals.at(0).get<int>(), arrivals.at(1).get<bool>()}] =
+                std::max(0.0, arrivals.at(2).get<double>());
+        }
+    }
+    const auto read_amount = [&fields](std::size_t index) {
+        return std::max(0.0, fields.at(index).get<double>());
+    };
+    load.first_events = read_amount(1);
+    load.first_event_delays = read_amount(2);
+    load.waiting = read_amount(3);
+    load.waiting_ages = read_amount(4);
+    return load;
+}
+
 crash_record read_crash(const json& item)
 {
     crash_record record;
@@ -295,6 +332,7 @@
         // Required by older releases.
         {"hosts", json::array()}};
     write_relaying(report, item);
+    write_load(report.load, item);
     return to_cbor(item);
 }
 
@@ -319,6 +357,7 @@
         report.hosts_digest = item.value("hosts_digest", std::uint64_t{0});
         read_lists(item, report);
         read_relaying(item, report);
+        report.load = read_load(item);
         return report;
     });
 }
--- a/src/libs/fleet/peerreport.h
+++ b/src/libs/fleet/peerreport.h
@@ -3,6 +3,7 @@
 
 #include <base/clock.h>
 #include <base/ids.h>
+#include <base/loadsummary.h>
 #include <base/upstreamgroup.h>
 #include <fleet/crashsuspects.h>
 #include <fleet/upstreamlimits.h>
@@ -104,6 +105,7 @@
     bool are_entries_whole = false; ///< the changes contain all entries, and missing ones were removed
     std::vector<entry_change> changes; ///< only for a receiver that knows fewer changes
     std::vector<upstream_work> work;
+    load_summary load; ///< of the engines' service by the sender's requests; empty without admission control
     std::vector<upstream_suspicion> suspicions;
     std::vector<upstream_suspicion> unwilling; ///< upstreams that refused the sender despite free capacity
     /// Of upstreams that were dead or are slow; only the latest result.
