Admission: classes keep ordered parts, the gate holds while a rate binds

In the load test the two lower kinds kept the same part at heavy overload, and the one with the longer objective came in time more often. The forecast also let everything through whenever the backlog was gone for a moment.

Kept parts now fall with the class, and the forecast refuses while less than the demand is admitted.

--- a/src/libs/admission/admissioncontrol.cpp
+++ b/src/libs/admission/admissioncontrol.cpp
@@ -17,8 +17,8 @@
 constexpr double confirmed_pressure = 0.5;
 /// Predicted wait, relative to the time that the objective leaves for it, from which and up to which
 /// admission is drawn. Hosts with the same old reports would otherwise stop and start together.
-constexpr double drawn_from = 0.7;
-constexpr double drawn_to = 1.2;
+constexpr double drawn_from = 0.1;
+constexpr double drawn_to = 0.7;
 /// Part of the objective that counts as left for waiting if the request itself takes longer.
 constexpr double min_wait_share = 0.25;
 /// Age of the reports that show a head's load; shares of a head's slots are kept for arrivals of this time.
@@ -99,33 +99,34 @@
     return this->estimate.admitted_share();
 }
 
-double admission_control::share_of(const admission_request& request)
+class_share admission_control::share_of(const admission_request& request)
 {
     const double mean_share = this->admitted_share();
     if (mean_share >= 1) {
-        return 1;
+        return {1, 1};
     }
-    const std::map<request_class, double> shares = divide_admissions(this->load.arrivals, mean_share);
+    const std::map<request_class, class_share> shares = divide_admissions(this->load.arrivals, mean_share);
     const auto found = shares.find(request.kind);
-    return weigh_share(
-        found == shares.end() ? mean_share : found->second, request.work, this->mean_work);
+    class_share share = found == shares.end() ? class_share{0, mean_share} : found->second;
+    share.kept = weigh_share(share.kept, request.work, this->mean_work);
+    share.admitted = weigh_share(share.admitted, request.work, this->mean_work);
+    return share;
 }
 
 admission_draw admission_control::draw(const admission_request& request)
 {
-    const double share = this->share_of(request);
+    const class_share share = this->share_of(request);
     const double number = this->draw_number();
-    if (number >= share) {
+    if (number >= share.admitted) {
         return admission_draw::refused;
     }
-    return number < kept_part * this->estimate.admitted_share() ? admission_draw::kept
-                                                                : admission_draw::admitted;
+    return number < share.kept ? admission_draw::kept : admission_draw::admitted;
 }
 
 bool admission_control::is_in_time(const admission_request& request, const path_forecast& forecast)
 {
     this->refresh();
-    if (this->estimate.pressure() < confirmed_pressure) {
+    if (!this->estimate.is_binding() && this->estimate.pressure() < confirmed_pressure) {
         return true;
     }
     // A longer wait of any request delays those of the strictest objective behind it.
--- a/src/libs/admission/admissioncontrol.h
+++ b/src/libs/admission/admissioncontrol.h
@@ -73,7 +73,7 @@
     admission_counters counters;
 
 private:
-    [[nodiscard]] double share_of(const admission_request& request);
+    [[nodiscard]] class_share share_of(const admission_request& request);
     /// Brings the estimate up to date.
     void refresh();
     /// Returns a random number of [0, 1).
--- a/src/libs/admission/capacityestimate.cpp
+++ b/src/libs/admission/capacityestimate.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 /// Share of the objective that the mean delay may take: delays of single requests spread around the mean.
-constexpr double delay_share = 0.5;
+constexpr double delay_share = 0.4;
 /// Part of the capacity that is withheld for each unit of excess pressure: a backlog of one objective is
 /// gone after about two seconds, the age that reports of other hosts may have.
-constexpr double drain_gain = 0.25;
+constexpr double drain_gain = 0.12;
 constexpr double max_drain = 0.7;
 /// Admission adapts to an overload within this time, less than that after which callers return.
 constexpr double tightening_seconds = 0.25;
--- a/src/libs/admission/classshares.cpp
+++ b/src/libs/admission/classshares.cpp
@@ -8,25 +8,33 @@
 
 namespace {
 
+/// Parts of the mean share that the lowest and the highest class keep: no kind of request may be served less
+/// than a quarter as often as the mean, and a higher kind not less often than a lower one.
+constexpr double min_kept_part = 0.3;
+constexpr double max_kept_part = 0.7;
 constexpr double min_work_factor = 2.0 / 3;
 constexpr double max_work_factor = 4.0 / 3;
 
 } // namespace
 
-std::map<request_class, double> divide_admissions(
+std::map<request_class, class_share> divide_admissions(
     const std::map<request_class, double>& arrivals, double admitted_share)
 {
-    double demand = 0;
+    const double mean = std::clamp(admitted_share, 0.0, 1.0);
+    const double step = (max_kept_part - min_kept_part) / static_cast<double>(std::max<std::size_t>(arrivals.size(), 2) - 1);
+    std::map<request_class, class_share> shares;
+    double left = 0; // requests per second that may be admitted and that no class keeps
+    double part = max_kept_part;
     for (const auto& [kind, per_second] : arrivals) {
-        demand += per_second;
+        shares[kind].kept = mean * part;
+        left += per_second * mean * (1 - part);
+        part -= step;
     }
-    const double kept = std::clamp(admitted_share, 0.0, 1.0) * kept_part;
-    double left = demand * (std::clamp(admitted_share, 0.0, 1.0) - kept);
-    std::map<request_class, double> shares;
     for (const auto& [kind, per_second] : arrivals) {
-        const double more = per_second <= 0 ? 1 - kept : std::min(1 - kept, left / per_second);
+        class_share& share = shares[kind];
+        const double more = per_second <= 0 ? 1 - share.kept : std::min(1 - share.kept, left / per_second);
         left -= more * per_second;
-        shares[kind] = kept + more;
+        share.admitted = share.kept + more;
     }
     return shares;
 }
--- a/src/libs/admission/classshares.h
+++ b/src/libs/admission/classshares.h
@@ -5,13 +5,16 @@
 
 namespace sailtiller {
 
-/// Part of the mean share that each class keeps: no kind of request may be served less than a quarter as
-/// often as the mean, with a margin for random deviations.
-inline constexpr double kept_part = 0.35;
+/// Admission of the requests of one class, as shares of these.
+struct class_share
+{
+    double kept = 0; ///< admitted whatever the demand of higher classes
+    double admitted = 0; ///< in all
+};
 
-/// Returns the share of each class's requests to admit, if `admitted_share` of all is to be admitted. Each
-/// class keeps a part of the mean share; the rest goes to the classes in their order.
-std::map<request_class, double> divide_admissions(
+/// Divides what is admitted, if `admitted_share` of all requests is. Each class keeps a part of the mean
+/// share, the higher ones more; the rest goes to the classes in their order.
+std::map<request_class, class_share> divide_admissions(
     const std::map<request_class, double>& arrivals, double admitted_share);
 
 /// Returns the share of a class to admit for a request of `work` tokens where the mean is `mean_work`: small
