--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -69,6 +69,7 @@
     , link(this->loop, this->settings.store->upstream_source, this->make_link_hooks())
     , health(this->loop, this->link, this->knowledge.upstreams(), this->loads, this->settings.self,
           delivery_settings().death_suspension, this->make_health_hooks())
+    , admission(this->loop.hooks(), this->random)
     , context(this->make_delivery_context())
     , gateway(this->context)
     , lost_connections(this->loop, this->link, this->gateway)
@@ -125,8 +126,8 @@
         },
         [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
         [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); },
-        [this](answer_fault fault) { this->admin.count_answer_fault(fault); },
-        &this->heads};
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); }, &this->heads,
+        &this->admission};
 }
 
 void site_host::log_call(const delivery_event& event)
@@ -402,6 +403,7 @@
             report.work.push_back({id, load.token_layers, load.requests, load.led});
         }
     }
+    report.load = this->admission.own_load();
 }
 
 void site_host::take_round(const host_table& hosts)
@@ -417,6 +419,7 @@
         shares[id] = {work.token_layers, work.requests, work.led};
     }
     this->loads.set_remote_usage(shares);
+    this->admission.set_peer_load(hosts.sum_load(now));
     this->loads.set_unreported_hosts(hosts.pending_host_count(now));
     this->heads.set_live_hosts(live, hosts.present_share_of_own_hall(now));
     this->note_heads();
@@ -581,8 +584,8 @@
 
 site_admin_view site_host::make_admin_view()
 {
-    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->peers.hosts(),
-        this->suspects.records(), this->limits.records(), this->pauses,
+    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->admission,
+        this->peers.hosts(), this->suspects.records(), this->limits.records(), this->pauses,
         [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
         [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
         [this] { return this->link.unreachable_groups(); },
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -23,6 +23,8 @@
 
 namespace sailtiller {
 
+class admission_control;
+
 /// Callbacks that write the answer to one caller's request.
 struct caller_hooks
 {
@@ -170,6 +172,8 @@
     std::function<void(answer_fault)> count_answer_fault{};
     /// Chooses the heads of new requests while request slots are scarce; optional.
     headroom* heads = nullptr;
+    /// Admission to the engines; optional.
+    admission_control* admission = nullptr;
 };
 
 /// Request with its settings from the bundle.
