--- a/src/libs/placement/layerplan.cpp
+++ b/src/libs/placement/layerplan.cpp
@@ -108,7 +108,8 @@
     {
         const bool has_full_memory = this->is_nearly_used_up(&placeable_engine::used_share);
         if (has_full_memory || this->is_nearly_used_up(&placeable_engine::used_slot_share)) {
-            const auto converted = convert_to_heads(this->profile, this->heads, this->engines);
+            std::vector<placement_step> converted =
+                convert_to_heads(this->profile, this->heads, this->engines);
             if (!converted.empty()) {
                 return converted;
             }
