--- a/src/libs/placement/headplan.cpp
+++ b/src/libs/placement/headplan.cpp
@@ -259,7 +259,7 @@
 }
 
 /// Span of an engine that becomes a head: it ends where most engines behind the heads go on, and suits the
-/// card.
+/// card. Empty if none goes on there: the paths of such a head would use the cache of other heads.
 layer_span choose_head_span(const engine_profile& profile, const head_plan& plan, const engine_list& engines,
     const placeable_engine& head)
 {
@@ -276,7 +276,7 @@
     for (unsigned span = 1; span <= longest; ++span) {
         const double overhead = head_overhead(profile, head, span);
         const auto rank = std::make_tuple(followers(span), -overhead);
-        if (std::isfinite(overhead) && (best == 0 || rank > best_rank)) {
+        if (std::isfinite(overhead) && std::get<0>(rank) > 0 && (best == 0 || rank > best_rank)) {
             best = span;
             best_rank = rank;
         }
