--- a/tests/auto/placement/tst_layoutbalance.cpp
+++ b/tests/auto/placement/tst_layoutbalance.cpp
@@ -144,6 +144,32 @@
     FAIL() << "the steps do not end";
 }
 
+TEST_F(layout_balance_test, request_slots_bound_the_rate_of_layer_0_alone)
+{
+    this->profile.layers = 8;
+    this->add("a", "big", {0, 8});
+    const double unbounded = this->weakest();
+    const layout_rates rates(this->profile, this->list(), residence_ms, 1);
+    EXPECT_NEAR(rates.weakest(), 1, 1e-9) << "one request a second";
+    EXPECT_GT(unbounded, 1);
+    EXPECT_NEAR(rates.mean(), (1 + 7 * unbounded) / 8, 1e-9);
+}
+
+TEST_F(layout_balance_test, heads_with_layers_of_their_own_stay_and_get_no_company)
+{
+    for (const char* id : {"a", "b", "c", "d"}) {
+        this->add(id, "small", {0, 2});
+    }
+    this->add("crowded", "big", {2, 11});
+    this->add("weak", "small", {11, 16});
+    this->add("spare", "big", {2, 9});
+    this->limits.head_slots = 1;
+    this->balance_to_the_end();
+    for (const placeable_engine& engine : this->engines) {
+        EXPECT_EQ(engine.held.holds(0), engine.held == (layer_span{0, 2})) << engine.id;
+    }
+}
+
 } // namespace
 
 } // namespace sailtiller
