Delivery: refused first sends leave retries to requests that have run

Change: of what exceeds two retries of a window, half is kept for requests that have run. A request that engines have only refused is refused to its caller once its part is used up.

--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -92,7 +92,7 @@
 void stream_delivery::send_over(layer_path found)
 {
     const time_point now = this->context.timers.now();
-    if (!this->sends.has_allowance()) {
+    if (!this->sends.has_allowance(this->has_started)) {
         this->wait_for_allowance();
         return;
     }
--- a/src/libs/delivery/streamsends.cpp
+++ b/src/libs/delivery/streamsends.cpp
@@ -13,14 +13,22 @@
 
 bool stream_sends::may_send_now(bool has_started) const
 {
-    return this->may_send_again(has_started) && this->context.may_send() && this->has_allowance();
+    return this->may_send_again(has_started) && this->context.may_send() && this->has_allowance(has_started);
 }
 
-bool stream_sends::has_allowance() const
+bool stream_sends::has_allowance(bool has_started) const
 {
+    if (this->is_only_refused(has_started)) {
+        return this->context.retries.left_for_refused(this->order.service, this->context.timers.now()) >= 1;
+    }
     return has_retry_allowance(this->context, this->order, this->arrivals());
 }
 
+bool stream_sends::is_only_refused(bool has_started) const
+{
+    return !has_started && this->runs() == 0 && this->arrivals() > 0;
+}
+
 duration stream_sends::pause_before_next() const
 {
     const delivery_settings& settings = this->context.settings;
--- a/src/libs/delivery/streamsends.h
+++ b/src/libs/delivery/streamsends.h
@@ -39,8 +39,9 @@
     [[nodiscard]] bool may_send_again(bool has_started) const;
     /// Returns true if the request could be sent again at once.
     [[nodiscard]] bool may_send_now(bool has_started) const;
-    /// Returns true if the fleet's retry allowance permits the next send.
-    [[nodiscard]] bool has_allowance() const;
+    /// Returns true if the fleet's retry allowance permits the next send. A part of it is kept from requests
+    /// that upstreams have only refused: their callers can be asked to return.
+    [[nodiscard]] bool has_allowance(bool has_started) const;
     /// Returns the pause before the next send after a refusal or a failed connection.
     [[nodiscard]] duration pause_before_next() const;
     /// Returns the number of runs and the route's maximum for the log.
@@ -49,6 +50,9 @@
     [[nodiscard]] std::string describe_arrivals() const;
 
 private:
+    /// Returns true if upstreams have got the request, and each refused it without running it.
+    [[nodiscard]] bool is_only_refused(bool has_started) const;
+
     const delivery_context& context;
     const delivery_order& order;
     unsigned sent = 0;
--- a/src/libs/routing/retryallowance.h
+++ b/src/libs/routing/retryallowance.h
@@ -42,6 +42,9 @@
     [[nodiscard]] bool take(const service_id& service, time_point now);
     /// Returns the number of retries available now; negative if the allowance is exceeded.
     [[nodiscard]] double left(const service_id& service, time_point now);
+    /// Returns the number of retries available now to requests that engines have only refused, so that their
+    /// callers may be asked to return. A part of the allowance is kept for requests that have run.
+    [[nodiscard]] double left_for_refused(const service_id& service, time_point now);
 
 private:
     /// Sends to one service within the last window.
@@ -52,6 +55,8 @@
     };
 
     recent_sends& recent(const service_id& service, time_point now);
+    /// Returns the retries that this host may send within the window.
+    [[nodiscard]] double total(const recent_sends& sends, time_point now) const;
 
     retry_allowance_settings settings;
     std::size_t sharing_hosts = 1;
--- a/tests/auto/delivery/tst_headchoice.cpp
+++ b/tests/auto/delivery/tst_headchoice.cpp
@@ -70,6 +70,32 @@
     EXPECT_EQ(this->sends.size(), 1U);
 }
 
+// Guards against streams cut midway that wait for retries used up by first sends that full engines refused.
+TEST_F(stream_delivery_fixture, refused_first_sends_leave_retries_to_streams_that_have_begun)
+{
+    this->retries.set_settings({.ratio = 0, .slack = 10, .window = 10s}); // 8 retries, 3 of them kept
+    this->put_engine("other", 3, {0, 8});
+    const auto begun = this->start_streaming(2);
+    const std::shared_ptr<fake_send> stream = this->sends.back();
+    std::vector<std::shared_ptr<stream_delivery>> refused;
+    std::size_t retried = 0;
+    for (int count = 0; count < 10; ++count) {
+        const std::size_t before = this->sends.size();
+        refused.push_back(this->start());
+        for (std::size_t answered = before; answered < this->sends.size(); ++answered) {
+            give_head(*this->sends[answered], 429, {{"id", "r1"}, {"not-run", "1"}});
+            end(*this->sends[answered]);
+        }
+        retried += this->sends.size() - before - 1;
+        this->pass(255ms); // engines that refused are avoided for 250 ms
+    }
+    EXPECT_EQ(retried, 5U);
+    EXPECT_EQ(this->caller.answer->status, 503);
+    const std::size_t before = this->sends.size();
+    end(*stream, call_ending::broken);
+    EXPECT_EQ(this->sends.size(), before + 1);
+}
+
 } // namespace
 
 } // namespace sailtiller::tests
--- a/tests/auto/routing/tst_retryallowance.cpp
+++ b/tests/auto/routing/tst_retryallowance.cpp
@@ -81,6 +81,35 @@
     EXPECT_TRUE(allowance.take(service_id("a"), now + 10s));
 }
 
+TEST(retry_allowance, requests_that_were_only_refused_leave_a_part_to_those_that_have_run)
+{
+    const service_id service("s");
+    const time_point now{100s};
+    retry_allowance allowance({.ratio = 0.2, .slack = 0, .window = 10s});
+    for (int count = 0; count < 75; ++count) {
+        allowance.note_request(service, now); // 0.8 * 0.2 * 75 = 12 retries
+    }
+    int refused = 0;
+    while (allowance.left_for_refused(service, now) >= 1) {
+        ASSERT_TRUE(allowance.take(service, now));
+        ++refused;
+    }
+    EXPECT_EQ(refused, 7) << "half of what exceeds two is kept";
+    int run = 0;
+    while (allowance.take(service, now)) {
+        ++run;
+    }
+    EXPECT_EQ(run, 5);
+}
+
+TEST(retry_allowance, a_small_allowance_is_for_all)
+{
+    const service_id service("s");
+    const time_point now{100s};
+    retry_allowance allowance({.ratio = 0, .slack = 2.5, .window = 10s});
+    EXPECT_EQ(allowance.left_for_refused(service, now), allowance.left(service, now));
+}
+
 } // namespace
 
 } // namespace sailtiller
