Admission: requests of one account priority are ordered by their route's

Where every account has the same priority, all requests were of one class and no kind went before another. A class now also holds the priority of the route; metrics count by it.

--- a/src/libs/admission/admissioncontrol.cpp
+++ b/src/libs/admission/admissioncontrol.cpp
@@ -141,7 +141,7 @@
 {
     double per_second = 0;
     for (const auto& [other, arrivals] : this->load.arrivals) {
-        per_second += other.priority < kind.priority ? arrivals : 0;
+        per_second += other.is_more_urgent_than(kind) ? arrivals : 0;
     }
     if (heads == 0) {
         return 0;
@@ -149,6 +149,19 @@
     return reserved_deviations * std::sqrt(per_second * report_age_seconds / static_cast<double>(heads));
 }
 
+double admission_control::urgent_share(int priority)
+{
+    const auto shares = divide_admissions(this->load.arrivals, this->estimate.admitted_share());
+    double urgent = 0;
+    double all = 0;
+    for (const auto& [kind, per_second] : this->load.arrivals) {
+        const double admitted = per_second * shares.at(kind).admitted;
+        all += admitted;
+        urgent += kind.priority < priority ? admitted : 0;
+    }
+    return all <= 0 ? 0 : urgent / all;
+}
+
 duration admission_control::retry_after(const admission_request& request)
 {
     const double excess = std::clamp(1 / this->admitted_share() - 1, min_excess, max_excess);
--- a/src/libs/admission/admissioncontrol.h
+++ b/src/libs/admission/admissioncontrol.h
@@ -54,6 +54,8 @@
     /// Returns the slots of one head to keep for requests of higher priorities: as many as may arrive in
     /// excess of their mean before this host hears of them.
     [[nodiscard]] double reserved_slots(const request_class& kind, std::size_t heads);
+    /// Returns the share of the admitted requests that have higher priorities at the engines.
+    [[nodiscard]] double urgent_share(int priority);
     /// Returns the time after which a refused caller should return: until the backlog has gone, spread over a
     /// time that grows with the excess demand, and later for lower classes.
     [[nodiscard]] duration retry_after(const admission_request& request);
--- a/src/libs/admission/admissioncounters.h
+++ b/src/libs/admission/admissioncounters.h
@@ -23,7 +23,7 @@
 /// Text used as a metric label.
 std::string_view name_of(admission_outcome outcome);
 
-/// Counts outcomes by priority, and sums up predicted and observed first events.
+/// Counts outcomes by the priority of the route, and sums up predicted and observed first events.
 class admission_counters
 {
 public:
--- a/src/libs/admission/capacityestimate.cpp
+++ b/src/libs/admission/capacityestimate.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 /// Share of the objective that the mean delay may take: delays of single requests spread around the mean.
-constexpr double delay_share = 0.4;
-/// Part of the capacity that is withheld for each unit of excess pressure: a backlog of one objective is
-/// gone after about two seconds, the age that reports of other hosts may have.
-constexpr double drain_gain = 0.12;
+constexpr double delay_share = 0.3;
+/// Part of the capacity that is withheld for each unit of excess pressure. The backlog then falls with a time
+/// constant of nearly three seconds; with reports up to two seconds old, a faster one oscillates.
+constexpr double drain_gain = 0.06;
 constexpr double max_drain = 0.7;
 /// Admission adapts to an overload within this time, less than that after which callers return.
 constexpr double tightening_seconds = 0.25;
@@ -21,7 +21,7 @@
 constexpr double fast_growth = 0.4;
 /// Growth beyond the known capacity at first; it increases by as much with each second without an overload,
 /// as the capacity rises when engines return.
-constexpr double slow_growth = 0.05;
+constexpr double slow_growth = 0.03;
 constexpr double known_share = 0.9; ///< of the known capacity, up to which growth is fast
 /// Nothing binds once so many times the demand may be admitted.
 constexpr double unbound_ratio = 1.3;
--- a/src/libs/admission/pathforecast.cpp
+++ b/src/libs/admission/pathforecast.cpp
@@ -11,6 +11,9 @@
 /// time, and the requests counted there already show a part of it.
 constexpr double max_prompt_utilization = 0.95;
 
+/// Bounds the predicted wait of a request while nearly all others are more urgent.
+constexpr double max_urgent_share = 0.9;
+
 /// Returns the time for which a usual request occupies its slot.
 duration residence_of(const forecast_query& query, const layer_path& path, duration token_time)
 {
@@ -59,7 +62,9 @@
         const double slots = query.profile.request_slots;
         const double wanted =
             query.loads.total_requests(query.loads.of(path.front().id)) + query.reserved_slots + 1;
-        result.slot_wait = scale(residence, std::max(0.0, wanted - slots) / slots);
+        // Requests that arrive later and are more urgent are admitted first.
+        const double usable = slots * (1 - std::min(query.urgent_share, max_urgent_share));
+        result.slot_wait = scale(residence, std::max(0.0, wanted - slots) / usable);
     }
     if (result.slot_wait > longest) {
         result.binding = path.front().id;
--- a/src/libs/admission/pathforecast.h
+++ b/src/libs/admission/pathforecast.h
@@ -28,6 +28,7 @@
     const forecast_corrections& corrections;
     double prompt_tokens = 0;
     double reserved_slots = 0; ///< slots of the head that are kept for other requests
+    double urgent_share = 0; ///< of the head's slots that go to requests that it admits before this one
     time_point now{};
 };
 
--- a/src/libs/admission/requestadmission.cpp
+++ b/src/libs/admission/requestadmission.cpp
@@ -43,7 +43,7 @@
         : this->control.reserved_slots(this->request.kind, this->count_heads());
     return predict_path_times({this->view.profile, this->view.directory, this->view.loads,
                                   this->control.corrections, this->request.prompt_tokens, reserved,
-                                  this->view.now()},
+                                  this->control.urgent_share(this->request.kind.priority), this->view.now()},
         path);
 }
 
@@ -75,7 +75,7 @@
         path_forecast predicted = this->forecast(*found);
         if (this->control.is_in_time(this->request, predicted)) {
             if (!this->is_admitted) {
-                this->control.counters.count(this->request.kind.priority, admission_outcome::admitted);
+                this->control.counters.count(this->request.kind.route_priority, admission_outcome::admitted);
             }
             this->is_admitted = true;
             return {admission_verdict::action::send, std::move(*found), {}, {}};
@@ -114,9 +114,10 @@
 
 admission_verdict request_admission::refuse(admission_outcome cause, const std::string& reason)
 {
-    this->control.counters.count(this->request.kind.priority, cause);
+    this->control.counters.count(this->request.kind.route_priority, cause);
     return {admission_verdict::action::refuse, {},
-        reason + ", priority " + std::to_string(this->request.kind.priority)
+        reason + ", priority " + std::to_string(this->request.kind.priority) + ", of its route "
+            + std::to_string(this->request.kind.route_priority)
             + (this->request.kind.is_first_try ? "" : ", returned") + ", own objective "
             + write_milliseconds(this->request.objective) + " ms, " + this->control.describe(),
         this->control.retry_after(this->request)};
@@ -175,7 +176,7 @@
     this->control.own.end_wait(*this->sent, true, now);
     this->control.counters.record_first_event(this->predicted.first_event, delay);
     const bool is_late = now - this->request.arrived > this->request.objective;
-    this->control.counters.count(this->request.kind.priority,
+    this->control.counters.count(this->request.kind.route_priority,
         is_late ? admission_outcome::first_event_late : admission_outcome::first_event_in_time);
     if (this->sends == 1) {
         this->control.corrections.first_event.note(
--- a/src/libs/base/loadsummary.h
+++ b/src/libs/base/loadsummary.h
@@ -6,20 +6,28 @@
 #include <compare>
 #include <cstddef>
 #include <map>
+#include <utility>
 
 namespace sailtiller {
 
 /// Requests that admission treats alike; a lesser class is served first.
 struct request_class
 {
-    int priority = 0; ///< 0 is the highest
+    int priority = 0; ///< 0 is the highest; an account's goes before its route's, and engines are told this
+    int route_priority = 0; ///< decides between requests of one priority
     bool is_first_try = true; ///< false: the caller was refused before and gives up when refused again
 
     auto operator<=>(const request_class&) const = default;
+    /// Returns whether requests of this class go before those of the other, whoever has returned.
+    [[nodiscard]] bool is_more_urgent_than(const request_class& other) const
+    {
+        return std::pair(this->priority, this->route_priority)
+            < std::pair(other.priority, other.route_priority);
+    }
 };
 
-/// Classes of one service that reports hold; priorities go from 0 to 9.
-inline constexpr std::size_t most_request_classes = 20;
+/// Classes of one service that a report may hold. A few are usual; the bound is for malformed reports.
+inline constexpr std::size_t most_request_classes = 64;
 
 /// Load of a service as one host sees it, or several hosts together.
 struct load_summary
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -110,7 +110,8 @@
     const service_route& route = *this->order.route;
     admission_request request;
     request.service = this->order.service;
-    request.kind = {this->order.priority.value_or(route.priority), !this->order.is_returning_caller()};
+    request.kind = {
+        this->order.priority.value_or(route.priority), route.priority, !this->order.is_returning_caller()};
     request.objective = route.latency_objective;
     request.arrived = this->order.arrived;
     request.deadline = this->order.deadline();
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -194,7 +194,8 @@
     }
     json arrivals = json::array();
     for (const auto& [kind, per_second] : load.arrivals) {
-        arrivals.push_back(json::array({kind.priority, kind.is_first_try, per_second}));
+        arrivals.push_back(
+            json::array({kind.priority, kind.route_priority, kind.is_first_try, per_second}));
     }
     item["load"] = json::array(
         {arrivals, load.first_events, load.first_event_delays, load.waiting, load.waiting_ages});
@@ -209,8 +210,9 @@
     const json& fields = item.at("load");
     for (const json& arrivals : fields.at(0)) {
         if (load.arrivals.size() < most_request_classes) {
-            load.arrivals[{arrivals.at(0).get<int>(), arrivals.at(1).get<bool>()}] =
-                std::max(0.0, arrivals.at(2).get<double>());
+            const request_class kind{
+                arrivals.at(0).get<int>(), arrivals.at(1).get<int>(), arrivals.at(2).get<bool>()};
+            load.arrivals[kind] = std::max(0.0, arrivals.at(3).get<double>());
         }
     }
     const auto read_amount = [&fields](std::size_t index) {
--- a/tests/auto/admission/tst_admissionload.cpp
+++ b/tests/auto/admission/tst_admissionload.cpp
@@ -226,7 +226,7 @@
                 const std::set<upstream_id>& avoided) { return this->choose_path(*host, avoided); },
             [](const layer_path&) { return true; }};
         request->admission = std::make_unique<request_admission>(request->host->control, std::move(view),
-            admission_request{service_id("llm"), {terms.priority, is_first_try}, terms.objective, this->now,
+            admission_request{service_id("llm"), {terms.priority, terms.priority, is_first_try}, terms.objective, this->now,
                 this->now + 20s, this->now + hold, 800, 860});
         this->after(hold, [this, request] {
             if (request->is_held) {
@@ -236,7 +236,7 @@
         this->decide(request);
     }
 
-    /// Draws a head by its free slots, as the host knows them.
+    /// Draws a head by the slots that are free, as the host knows, or become free before its next report.
     std::optional<layer_path> choose_path(const model_host& host, const std::set<upstream_id>& avoided)
     {
         std::map<double, unsigned> choices; // by the sum of the weights up to each
@@ -244,7 +244,8 @@
         for (unsigned number = 0; number < head_count; ++number) {
             if (!this->heads[number].is_lost && avoided.count(head_id(number)) == 0) {
                 const double requests = host.loads.total_requests(host.loads.of(head_id(number)));
-                sum += std::max(1.0, head_slots - requests);
+                const double ending = room / head_count * std::chrono::duration<double>(this->report_age).count();
+                sum += std::max(0.0, head_slots - requests) + ending;
                 choices.emplace(sum, number);
             }
         }
