Admission: an overload is confirmed by the share of slow first events

Hosts now report how many first events and waiting requests are slow, and a fifth of them confirms an overload.

--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -339,7 +339,8 @@
     write_gauge(out, "sailtiller_held_requests", "Requests that wait at this host for room at the engines.",
         static_cast<double>(admission.queue.size()));
     const admission_counters& counters = admission.counters;
-    out += "# HELP sailtiller_admission_total Requests for engines, by the priority of their route and what became of them.\n"
+    out += "# HELP sailtiller_admission_total Requests for engines, by the priority of their route and what "
+           "became of them.\n"
            "# TYPE sailtiller_admission_total counter\n";
     for (const auto& [key, count] : counters.all()) {
         out += "sailtiller_admission_total{priority=\"" + std::to_string(key.first) + "\",outcome=\""
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <base/json.h>
 #include <admission/admissioncontrol.h>
+#include <base/json.h>
 #include <bundle/sitebundle.h>
 #include <delivery/decisionlog.h>
 #include <delivery/deliverycontext.h>
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -559,8 +559,7 @@
 site_admin_view site_host::make_admin_view()
 {
     return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->admission,
-        this->peers.hosts(),
-        this->suspects.records(), this->limits.records(), this->pauses,
+        this->peers.hosts(), this->suspects.records(), this->limits.records(), this->pauses,
         [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
         [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
         [this] { return this->link.unreachable_groups(); },
--- a/src/libs/admission/admissioncontrol.cpp
+++ b/src/libs/admission/admissioncontrol.cpp
@@ -13,6 +13,8 @@
 constexpr duration hold_turn = std::chrono::milliseconds(25);
 /// Weight of one request in the mean work.
 constexpr double work_weight = 0.05;
+/// Part of the objective after which a first event is slow: early enough to act before it is late.
+constexpr double slow_share_of_objective = 0.5;
 /// Pressure from which forecasts may refuse requests.
 constexpr double confirmed_pressure = 0.5;
 /// Predicted wait, relative to the time that the objective leaves for it, from which and up to which
@@ -68,6 +70,7 @@
     this->terms_of = {bundle.version, service};
     this->has_ranks = has_slots && priorities && priorities->first < priorities->second;
     this->objective = strictest.value_or(duration::zero());
+    this->own.set_slow_delay(scale(this->objective, slow_share_of_objective));
     return this->has_ranks;
 }
 
@@ -185,7 +188,7 @@
 {
     this->refresh();
     const auto percent = [](double share) { return std::to_string(std::lround(share * 100)); };
-    return "first events after " + write_milliseconds(this->load.observed_delay()) + " ms, predicted "
+    return percent(this->load.slow_share()) + " % of the first events slow, predicted after "
         + write_milliseconds(this->load.predicted_delay()) + " ms, objective "
         + write_milliseconds(this->objective) + " ms, " + percent(this->estimate.admitted_share())
         + " % of the demand admitted";
--- a/src/libs/admission/capacityestimate.cpp
+++ b/src/libs/admission/capacityestimate.cpp
@@ -9,9 +9,12 @@
 
 /// Share of the objective that the mean delay may take: delays of single requests spread around the mean.
 constexpr double delay_share = 0.3;
+/// Share of slow first events from which the service as a whole is overloaded: more than the streams that one
+/// dead engine of several keeps waiting.
+constexpr double overloaded_slow_share = 0.2;
 /// Part of the capacity that is withheld for each unit of excess pressure. The backlog then falls with a time
 /// constant of nearly three seconds; with reports up to two seconds old, a faster one oscillates.
-constexpr double drain_gain = 0.06;
+constexpr double drain_gain = 0.1;
 constexpr double max_drain = 0.7;
 /// Admission adapts to an overload within this time, less than that after which callers return.
 constexpr double tightening_seconds = 0.25;
@@ -34,15 +37,16 @@
 
 void capacity_estimate::update(const load_summary& load, duration objective, time_point now)
 {
-    const double seconds = std::min(std::chrono::duration<double>(now - this->updated).count(), max_step_seconds);
+    const double seconds =
+        std::min(std::chrono::duration<double>(now - this->updated).count(), max_step_seconds);
     this->updated = now;
     this->demand = load.demand();
     const double target = static_cast<double>(std::max<duration::rep>(objective.count(), 1)) * delay_share;
-    // The prediction leads but errs after a sudden rise of the demand, as first events come later; what was
-    // observed confirms it.
+    // The prediction leads but errs after a sudden rise of the demand, as first events come later, and while
+    // requests wait at a dead engine; what was observed confirms it.
     const double predicted = static_cast<double>(load.predicted_delay().count()) / target;
-    const double observed = static_cast<double>(load.observed_delay().count()) / target;
-    this->last_pressure = std::min(predicted, 2 * observed);
+    const double confirmed = load.slow_share() / overloaded_slow_share;
+    this->last_pressure = confirmed >= 1 ? predicted : std::min(predicted, confirmed);
     if (this->last_pressure > 1) {
         this->overloaded_at = now;
         this->tighten(load, seconds);
@@ -57,9 +61,8 @@
     const double wanted = load.first_events * (1 - drain);
     const double present = std::min(this->allowed.value_or(this->demand), this->demand);
     this->allowed = present + (wanted - present) * std::min(1.0, seconds / tightening_seconds);
-    this->known_capacity = this->known_capacity <= 0
-        ? load.first_events
-        : this->known_capacity
+    this->known_capacity = this->known_capacity <= 0 ? load.first_events
+                                                     : this->known_capacity
             + (load.first_events - this->known_capacity) * std::min(1.0, seconds / capacity_seconds);
 }
 
--- a/src/libs/admission/capacityestimate.h
+++ b/src/libs/admission/capacityestimate.h
@@ -20,7 +20,8 @@
     void update(const load_summary& load, duration objective, time_point now);
     /// Returns the share of the demand that may be admitted; 1 while nothing binds.
     [[nodiscard]] double admitted_share() const;
-    /// Returns whether less than an unlimited rate is admitted, during an overload and for some time after it.
+    /// Returns whether less than an unlimited rate is admitted, during an overload and for some time after
+    /// it.
     [[nodiscard]] bool is_binding() const { return this->allowed.has_value(); }
     /// Returns the delay of first events relative to the highest one at which the service is in time; above 1
     /// while the service is overloaded.
--- a/src/libs/admission/classshares.cpp
+++ b/src/libs/admission/classshares.cpp
@@ -21,7 +21,8 @@
     const std::map<request_class, double>& arrivals, double admitted_share)
 {
     const double mean = std::clamp(admitted_share, 0.0, 1.0);
-    const double step = (max_kept_part - min_kept_part) / static_cast<double>(std::max<std::size_t>(arrivals.size(), 2) - 1);
+    const double step =
+        (max_kept_part - min_kept_part) / static_cast<double>(std::max<std::size_t>(arrivals.size(), 2) - 1);
     std::map<request_class, class_share> shares;
     double left = 0; // requests per second that may be admitted and that no class keeps
     double part = max_kept_part;
@@ -45,8 +46,8 @@
         return share;
     }
     const double factor = std::clamp(2 * mean_work / (mean_work + work), min_work_factor, max_work_factor);
-    return std::clamp(std::pow(share, 1 / factor), share * min_work_factor,
-        std::min(1.0, share * max_work_factor));
+    return std::clamp(
+        std::pow(share, 1 / factor), share * min_work_factor, std::min(1.0, share * max_work_factor));
 }
 
 } // namespace sailtiller
--- a/src/libs/admission/forecastcorrection.cpp
+++ b/src/libs/admission/forecastcorrection.cpp
@@ -38,8 +38,8 @@
 
 void forecast_corrections::note_residence(duration observed)
 {
-    this->residence = this->residence ? *this->residence + scale(observed - *this->residence, stream_weight)
-                                      : observed;
+    this->residence =
+        this->residence ? *this->residence + scale(observed - *this->residence, stream_weight) : observed;
 }
 
 } // namespace sailtiller
--- a/src/libs/admission/loadmeter.cpp
+++ b/src/libs/admission/loadmeter.cpp
@@ -3,15 +3,6 @@
 
 namespace sailtiller {
 
-namespace {
-
-double to_seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-} // namespace
-
 void load_meter::note_arrival(const request_class& kind, time_point now)
 {
     this->arrivals[kind].add(1, now);
@@ -19,17 +10,18 @@
 
 void load_meter::begin_wait(time_point now)
 {
-    ++this->waiting;
-    this->waiting_since += now.time_since_epoch();
+    this->waiting.insert(now);
 }
 
 void load_meter::end_wait(time_point sent, bool has_event, time_point now)
 {
-    --this->waiting;
-    this->waiting_since -= sent.time_since_epoch();
+    const auto found = this->waiting.find(sent);
+    if (found != this->waiting.end()) {
+        this->waiting.erase(found);
+    }
     if (has_event) {
         this->first_events.add(1, now);
-        this->first_event_delays.add(to_seconds(now - sent), now);
+        this->slow_first_events.add(now - sent > this->slow_delay ? 1 : 0, now);
     }
 }
 
@@ -40,10 +32,14 @@
         result.arrivals[kind] = count.at(now);
     }
     result.first_events = this->first_events.at(now);
-    result.first_event_delays = this->first_event_delays.at(now);
-    result.waiting = static_cast<double>(this->waiting);
-    const auto waiting_count = static_cast<duration::rep>(this->waiting);
-    result.waiting_ages = to_seconds(now.time_since_epoch() * waiting_count - this->waiting_since);
+    result.slow_first_events = this->slow_first_events.at(now);
+    result.waiting = static_cast<double>(this->waiting.size());
+    for (const time_point& sent : this->waiting) {
+        if (now - sent <= this->slow_delay) {
+            break;
+        }
+        ++result.slow_waiting;
+    }
     return result;
 }
 
--- a/src/libs/admission/loadmeter.h
+++ b/src/libs/admission/loadmeter.h
@@ -4,12 +4,16 @@
 #include <admission/decayingsum.h>
 #include <base/loadsummary.h>
 
+#include <set>
+
 namespace sailtiller {
 
 /// Measures the load of a service by this host's own requests.
 class load_meter
 {
 public:
+    /// Sets the delay from which a first event is slow.
+    void set_slow_delay(duration delay) { this->slow_delay = delay; }
     void note_arrival(const request_class& kind, time_point now);
     /// Notes that a request sent at `now` waits for its first event.
     void begin_wait(time_point now);
@@ -20,9 +24,9 @@
 private:
     std::map<request_class, decaying_sum> arrivals;
     decaying_sum first_events;
-    decaying_sum first_event_delays;
-    std::size_t waiting = 0;
-    duration waiting_since{}; ///< sum of the times at which these were sent
+    decaying_sum slow_first_events;
+    std::multiset<time_point> waiting; ///< times at which these were sent
+    duration slow_delay = duration::max();
 };
 
 } // namespace sailtiller
--- a/src/libs/admission/pathforecast.cpp
+++ b/src/libs/admission/pathforecast.cpp
@@ -28,9 +28,9 @@
 duration prompt_wait_of(const forecast_query& query, const path_stage& stage, duration residence)
 {
     const engine_load& load = query.loads.of(stage.id);
-    const duration prompt = scale(
-        predict_prompt_time(query.profile, query.directory, {stage}, query.profile.usual_prompt_tokens),
-        load.pace);
+    const duration prompt =
+        scale(predict_prompt_time(query.profile, query.directory, {stage}, query.profile.usual_prompt_tokens),
+            load.pace);
     const double prompts_at_once = query.loads.total_requests(load) * static_cast<double>(prompt.count())
         / static_cast<double>(std::max<duration::rep>(residence.count(), 1));
     const double utilization = std::min(prompts_at_once, max_prompt_utilization);
@@ -69,8 +69,7 @@
     if (result.slot_wait > longest) {
         result.binding = path.front().id;
     }
-    const duration prompt =
-        predict_prompt_time(query.profile, query.directory, path, query.prompt_tokens);
+    const duration prompt = predict_prompt_time(query.profile, query.directory, path, query.prompt_tokens);
     result.idle_time = scale(prompt + token_time, correction);
     result.pause = scale(token_time, query.corrections.pause.at(query.now));
     return result;
--- a/src/libs/admission/requestadmission.cpp
+++ b/src/libs/admission/requestadmission.cpp
@@ -118,7 +118,8 @@
     return {admission_verdict::action::refuse, {},
         reason + ", priority " + std::to_string(this->request.kind.priority) + ", of its route "
             + std::to_string(this->request.kind.route_priority)
-            + (this->request.kind.is_first_try ? "" : ", returned") + ", own objective "
+            + (this->request.kind.is_first_try ? "" : ", returned") + ", "
+            + write_milliseconds(this->request.deadline - this->view.now()) + " ms left, own objective "
             + write_milliseconds(this->request.objective) + " ms, " + this->control.describe(),
         this->control.retry_after(this->request)};
 }
@@ -132,8 +133,9 @@
 bool request_admission::hold(std::function<void()> try_again, std::function<void()> leave)
 {
     if (!this->place) {
-            this->place = this->control.queue.hold({this->request.kind, this->request.deadline, this->request.work},
-            std::move(try_again), std::move(leave));
+        this->place =
+            this->control.queue.hold({this->request.kind, this->request.deadline, this->request.work},
+                std::move(try_again), std::move(leave));
     }
     return this->place.has_value();
 }
--- a/src/libs/base/loadsummary.cpp
+++ b/src/libs/base/loadsummary.cpp
@@ -10,11 +10,6 @@
 /// Bounds the predicted delay of a service that starts nothing.
 constexpr double least_first_events = 0.1;
 
-duration make_duration(double seconds)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 void load_summary::add(const load_summary& other, double factor)
@@ -23,9 +18,9 @@
         this->arrivals[kind] += factor * per_second;
     }
     this->first_events += factor * other.first_events;
-    this->first_event_delays += factor * other.first_event_delays;
+    this->slow_first_events += factor * other.slow_first_events;
     this->waiting += factor * other.waiting;
-    this->waiting_ages += factor * other.waiting_ages;
+    this->slow_waiting += factor * other.slow_waiting;
 }
 
 bool load_summary::is_empty() const
@@ -44,14 +39,15 @@
 
 duration load_summary::predicted_delay() const
 {
-    return make_duration(this->waiting / std::max(this->first_events, least_first_events));
+    const std::chrono::duration<double> time(
+        this->waiting / std::max(this->first_events, least_first_events));
+    return std::chrono::duration_cast<duration>(time);
 }
 
-duration load_summary::observed_delay() const
+double load_summary::slow_share() const
 {
     const double count = this->first_events + this->waiting;
-    return count <= 0 ? duration::zero()
-                      : make_duration((this->first_event_delays + this->waiting_ages) / count);
+    return count <= 0 ? 0 : (this->slow_first_events + this->slow_waiting) / count;
 }
 
 } // namespace sailtiller
--- a/src/libs/base/loadsummary.h
+++ b/src/libs/base/loadsummary.h
@@ -34,9 +34,9 @@
 {
     std::map<request_class, double> arrivals; ///< callers' requests per second
     double first_events = 0; ///< per second
-    double first_event_delays = 0; ///< sum of the delays of these, in seconds per second
+    double slow_first_events = 0; ///< those of them that took more than a part of the objective
     double waiting = 0; ///< requests that were sent and have no event yet
-    double waiting_ages = 0; ///< sum of the times since these were sent, in seconds
+    double slow_waiting = 0; ///< those of them that have waited for longer than that part
 
     /// Adds `factor` times the load that others see.
     void add(const load_summary& other, double factor = 1);
@@ -47,8 +47,9 @@
     /// Returns the time in which the service starts what waits now (Little's law); it leads the delays that
     /// are seen.
     [[nodiscard]] duration predicted_delay() const;
-    /// Returns the mean delay of recent first events and of the requests that wait for theirs.
-    [[nodiscard]] duration observed_delay() const;
+    /// Returns the share of slow ones among the recent first events and the requests that wait for theirs. It
+    /// is small if only some engines are slow or dead.
+    [[nodiscard]] double slow_share() const;
 };
 
 } // namespace sailtiller
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -119,7 +119,8 @@
     request.prompt_tokens = this->order.request.prompt_tokens;
     request.work = this->expected_tokens();
     admission_view view{*this->profile(), this->context.directory, this->context.loads,
-        this->context.timers.now, [this](const std::set<upstream_id>& avoided) { return this->find(avoided); },
+        this->context.timers.now,
+        [this](const std::set<upstream_id>& avoided) { return this->find(avoided); },
         [this](const layer_path& path) { return this->has_room(path); }};
     return std::make_unique<request_admission>(*control, std::move(view), request);
 }
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -65,7 +65,8 @@
         return;
     }
     if (this->context.timers.now() >= this->order.hold_end(this->context.settings)) {
-        this->refuse_with_retry_after("the engines that hold some layer, or the pipes between halls, are full",
+        this->refuse_with_retry_after(
+            "the engines that hold some layer, or the pipes between halls, are full",
             this->context.settings.retry_after);
         return;
     }
--- a/src/libs/fleet/peerreport.cpp
+++ b/src/libs/fleet/peerreport.cpp
@@ -194,11 +194,10 @@
     }
     json arrivals = json::array();
     for (const auto& [kind, per_second] : load.arrivals) {
-        arrivals.push_back(
-            json::array({kind.priority, kind.route_priority, kind.is_first_try, per_second}));
+        arrivals.push_back(json::array({kind.priority, kind.route_priority, kind.is_first_try, per_second}));
     }
-    item["load"] = json::array(
-        {arrivals, load.first_events, load.first_event_delays, load.waiting, load.waiting_ages});
+    item["load"] =
+        json::array({arrivals, load.first_events, load.slow_first_events, load.waiting, load.slow_waiting});
 }
 
 load_summary read_load(const json& item)
@@ -215,13 +214,12 @@
             load.arrivals[kind] = std::max(0.0, arrivals.at(3).get<double>());
         }
     }
-    const auto read_amount = [&fields](std::size_t index) {
-        return std::max(0.0, fields.at(index).get<double>());
-    };
+    const auto read_amount = [&fields](
+                                 std::size_t index) { return std::max(0.0, fields.at(index).get<double>()); };
     load.first_events = read_amount(1);
-    load.first_event_delays = read_amount(2);
+    load.slow_first_events = read_amount(2);
     load.waiting = read_amount(3);
-    load.waiting_ages = read_amount(4);
+    load.slow_waiting = read_amount(4);
     return load;
 }
 
