--- a/src/libs/admission/admissioncontrol.cpp
+++ b/src/libs/admission/admissioncontrol.cpp
@@ -13,6 +13,8 @@
 constexpr duration hold_turn = std::chrono::milliseconds(25);
 /// Weight of one request in the mean work.
 constexpr double work_weight = 0.05;
+/// Part of the objective after which a first event is slow: early enough to act before it is late.
+constexpr double slow_share_of_objective = 0.5;
 /// Pressure from which forecasts may refuse requests.
 constexpr double confirmed_pressure = 0.5;
 /// Predicted wait, relative to the time that the objective leaves for it, from which and up to which
@@ -68,6 +70,7 @@
     this->terms_of = {bundle.version, service};
     this->has_ranks = has_slots && priorities && priorities->first < priorities->second;
     this->objective = strictest.value_or(duration::zero());
+    this->own.set_slow_delay(scale(this->objective, slow_share_of_objective));
     return this->has_ranks;
 }
 
@@ -141,7 +144,7 @@
 {
     double per_second = 0;
     for (const auto& [other, arrivals] : this->load.arrivals) {
-        per_second += other.priority < kind.priority ? arrivals : 0;
+        per_second += other.is_more_urgent_than(kind) ? arrivals : 0;
     }
     if (heads == 0) {
         return 0;
@@ -149,6 +152,19 @@
     return reserved_deviations * std::sqrt(per_second * report_age_seconds / static_cast<double>(heads));
 }
 
+double admission_control::urgent_share(int priority)
+{
+    const auto shares = divide_admissions(this->load.arrivals, this->estimate.admitted_share());
+    double urgent = 0;
+    double all = 0;
+    for (const auto& [kind, per_second] : this->load.arrivals) {
+        const double admitted = per_second * shares.at(kind).admitted;
+        all += admitted;
+        urgent += kind.priority < priority ? admitted : 0;
+    }
+    return all <= 0 ? 0 : urgent / all;
+}
+
 duration admission_control::retry_after(const admission_request& request)
 {
     const double excess = std::clamp(1 / this->admitted_share() - 1, min_excess, max_excess);
@@ -172,7 +188,7 @@
 {
     this->refresh();
     const auto percent = [](double share) { return std::to_string(std::lround(share * 100)); };
-    return "first events after " + write_milliseconds(this->load.observed_delay()) + " ms, predicted "
+    return percent(this->load.slow_share()) + " % of the first events slow, predicted after "
         + write_milliseconds(this->load.predicted_delay()) + " ms, objective "
         + write_milliseconds(this->objective) + " ms, " + percent(this->estimate.admitted_share())
         + " % of the demand admitted";
--- a/src/libs/admission/capacityestimate.cpp
+++ b/src/libs/admission/capacityestimate.cpp
@@ -8,10 +8,13 @@
 namespace {
 
 /// Share of the objective that the mean delay may take: delays of single requests spread around the mean.
-constexpr double delay_share = 0.4;
-/// Part of the capacity that is withheld for each unit of excess pressure: a backlog of one objective is
-/// gone after about two seconds, the age that reports of other hosts may have.
-constexpr double drain_gain = 0.12;
+constexpr double delay_share = 0.3;
+/// Share of slow first events from which the service as a whole is overloaded: more than the streams that one
+/// dead engine of several keeps waiting.
+constexpr double overloaded_slow_share = 0.2;
+/// Part of the capacity that is withheld for each unit of excess pressure. The backlog then falls with a time
+/// constant of nearly three seconds; with reports up to two seconds old, a faster one oscillates.
+constexpr double drain_gain = 0.1;
 constexpr double max_drain = 0.7;
 /// Admission adapts to an overload within this time, less than that after which callers return.
 constexpr double tightening_seconds = 0.25;
@@ -21,7 +24,7 @@
 constexpr double fast_growth = 0.4;
 /// Growth beyond the known capacity at first; it increases by as much with each second without an overload,
 /// as the capacity rises when engines return.
-constexpr double slow_growth = 0.05;
+constexpr double slow_growth = 0.03;
 constexpr double known_share = 0.9; ///< of the known capacity, up to which growth is fast
 /// Nothing binds once so many times the demand may be admitted.
 constexpr double unbound_ratio = 1.3;
@@ -39,11 +42,11 @@
     this->updated = now;
     this->demand = load.demand();
     const double target = static_cast<double>(std::max<duration::rep>(objective.count(), 1)) * delay_share;
-    // The prediction leads but errs after a sudden rise of the demand, as first events come later; what was
-    // observed confirms it.
+    // The prediction leads but errs after a sudden rise of the demand, as first events come later, and while
+    // requests wait at a dead engine; what was observed confirms it.
     const double predicted = static_cast<double>(load.predicted_delay().count()) / target;
-    const double observed = static_cast<double>(load.observed_delay().count()) / target;
-    this->last_pressure = std::min(predicted, 2 * observed);
+    const double confirmed = load.slow_share() / overloaded_slow_share;
+    this->last_pressure = confirmed >= 1 ? predicted : std::min(predicted, confirmed);
     if (this->last_pressure > 1) {
         this->overloaded_at = now;
         this->tighten(load, seconds);
