--- a/src/libs/admission/admissioncontrol.cpp
+++ b/src/libs/admission/admissioncontrol.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <admission/admissioncontrol.h>
+#include <base/randomfraction.h>
 #include <base/timetext.h>
 
 #include <algorithm>
@@ -89,13 +90,6 @@
     this->estimate.update(this->load, this->objective, now);
 }
 
-double admission_control::draw_number() const
-{
-    constexpr unsigned fraction_bits = 53;
-    return static_cast<double>(this->random() >> (64U - fraction_bits))
-        / static_cast<double>(std::uint64_t{1} << fraction_bits);
-}
-
 double admission_control::admitted_share()
 {
     this->refresh();
@@ -119,7 +113,7 @@
 admission_draw admission_control::draw(const admission_request& request)
 {
     const class_share share = this->share_of(request);
-    const double number = this->draw_number();
+    const double number = draw_fraction(this->random);
     if (number >= share.admitted) {
         return admission_draw::refused;
     }
@@ -137,7 +131,7 @@
         request.objective - forecast.idle_time, scale(this->objective, min_wait_share), this->objective);
     const double share = static_cast<double>(forecast.wait().count())
         / static_cast<double>(std::max<duration::rep>(left.count(), 1));
-    return share < drawn_from + (drawn_to - drawn_from) * this->draw_number();
+    return share < drawn_from + (drawn_to - drawn_from) * draw_fraction(this->random);
 }
 
 double admission_control::reserved_slots(const request_class& kind, std::size_t heads)
@@ -178,8 +172,8 @@
     const duration drain_time = this->estimate.pressure() > 1
         ? std::min(this->load.predicted_delay(), max_drain_time)
         : duration::zero();
-    const duration wanted =
-        std::max(min_retry_after, drain_time) + scale(return_spread, excess * part * this->draw_number());
+    const duration wanted = std::max(min_retry_after, drain_time)
+        + scale(return_spread, excess * part * draw_fraction(this->random));
     const duration time_left = request.deadline - this->timers.now();
     return std::max(min_retry_after, std::min(wanted, scale(time_left, max_retry_share)));
 }
--- a/src/libs/admission/admissioncontrol.h
+++ b/src/libs/admission/admissioncontrol.h
@@ -78,8 +78,6 @@
     [[nodiscard]] class_share share_of(const admission_request& request);
     /// Brings the estimate up to date.
     void refresh();
-    /// Returns a random number of [0, 1).
-    [[nodiscard]] double draw_number() const;
 
     timer_hooks timers;
     random_function random;
--- a/src/libs/routing/headroom.cpp
+++ b/src/libs/routing/headroom.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/randomfraction.h>
 #include <routing/headroom.h>
 
 #include <algorithm>
@@ -114,7 +115,7 @@
 void headroom::accrue(double room, time_point now)
 {
     if (!this->drawn || now - *this->drawn >= this->settings.spread_time) {
-        this->threshold = this->draw();
+        this->threshold = draw_fraction(this->random);
         this->drawn = now;
     }
     const double assumed = this->settings.assumed_requests;
@@ -145,8 +146,8 @@
             continue;
         }
         const auto [found, is_new] = this->due.try_emplace(heads[index].id);
-        found->second =
-            is_new ? this->draw() : found->second + share * rooms[index] / (is_near ? near_room : far_room);
+        found->second = is_new ? draw_fraction(this->random)
+                               : found->second + share * rooms[index] / (is_near ? near_room : far_room);
         if (best == nullptr || found->second > most_due) {
             best = &heads[index].id;
             most_due = found->second;
@@ -168,11 +169,4 @@
     this->mean_use = std::max(duration(1), before + (use_time - before) / this->ended_count);
 }
 
-double headroom::draw()
-{
-    constexpr unsigned fraction_bits = 53;
-    return static_cast<double>(this->random() >> (64U - fraction_bits))
-        / static_cast<double>(std::uint64_t{1} << fraction_bits);
-}
-
 } // namespace sailtiller
--- a/src/libs/routing/headroom.h
+++ b/src/libs/routing/headroom.h
@@ -110,7 +110,6 @@
     [[nodiscard]] double room_of(const head_slots& head, time_point now) const;
     void accrue(double room, time_point now);
     [[nodiscard]] upstream_id pick(const std::vector<head_slots>& heads, const std::vector<double>& rooms);
-    [[nodiscard]] double draw();
 
     headroom_settings settings;
     random_function random;
--- a/src/libs/routing/layerpath.cpp
+++ b/src/libs/routing/layerpath.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/randomfraction.h>
 #include <routing/layerpath.h>
 
 #include <algorithm>
@@ -57,9 +58,8 @@
     if (!random) {
         return 1;
     }
-    constexpr unsigned fraction_bits = 53;
-    const double share = (static_cast<double>(random() >> (64U - fraction_bits)) + 0.5)
-        / static_cast<double>(std::uint64_t{1} << fraction_bits);
+    constexpr double half_step = 0x1p-54; // keeps the logarithm finite
+    const double share = draw_fraction(random) + half_step;
     // With this distribution, the probability to be the cheapest is inverse to the square of the cost.
     return std::sqrt(-std::log(share));
 }
