Admission: kept parts respect half of the reserve for more urgent requests

Requests of the kept parts were sent to heads that filled with more urgent ones before they got a slot. With 9 hosts at twice the room, priority 1 came in time less often than priority 2, whose objective is longer.

--- a/src/libs/admission/classshares.cpp
+++ b/src/libs/admission/classshares.cpp
@@ -10,7 +10,7 @@
 
 /// Parts of the mean share that the lowest and the highest class keep: no kind of request may be served less
 /// than a quarter as often as the mean, and a higher kind not less often than a lower one.
-constexpr double min_kept_part = 0.3;
+constexpr double min_kept_part = 0.36;
 constexpr double max_kept_part = 0.7;
 constexpr double min_work_factor = 2.0 / 3;
 constexpr double max_work_factor = 4.0 / 3;
--- a/src/libs/admission/requestadmission.cpp
+++ b/src/libs/admission/requestadmission.cpp
@@ -10,6 +10,9 @@
 
 /// Paths that are looked at for one request, each without the stage that made the last one late.
 constexpr unsigned max_paths = 3;
+/// Part of the reserve for more urgent requests that a request of its class's kept part respects, which would
+/// otherwise wait behind these.
+constexpr double kept_reserve_part = 0.5;
 
 } // namespace
 
@@ -38,9 +41,8 @@
 
 path_forecast request_admission::forecast(const layer_path& path) const
 {
-    const double reserved = this->draw == admission_draw::kept
-        ? 0
-        : this->control.reserved_slots(this->request.kind, this->count_heads());
+    const double part = this->draw == admission_draw::kept ? kept_reserve_part : 1;
+    const double reserved = part * this->control.reserved_slots(this->request.kind, this->count_heads());
     return predict_path_times({this->view.profile, this->view.directory, this->view.loads,
                                   this->control.corrections, this->request.prompt_tokens, reserved,
                                   this->control.urgent_share(this->request.kind.priority), this->view.now()},
