--- a/src/libs/admission/admissioncontrol.h
+++ b/src/libs/admission/admissioncontrol.h
@@ -28,7 +28,7 @@
 enum class admission_draw {
     refused,
     admitted,
-    kept ///< admitted by the part that each class keeps, for which nothing is reserved for higher classes
+    kept ///< admitted by the part that each class keeps, which respects less of what is reserved for others
 };
 
 /// Decides at one host which requests the engines of a service get while they can't serve all in time. All
