--- a/src/libs/admission/requestadmission.h
+++ b/src/libs/admission/requestadmission.h
@@ -33,11 +33,11 @@
     clock_function now;
     /// Returns a path without the avoided upstreams, if there is one with a request slot for this host.
     std::function<std::optional<layer_path>(const std::set<upstream_id>& avoided)> find_path;
-    /// Returns whether the last search found no path as this host has no share of a free slot left. Optional.
-    std::function<bool()> is_short_of_slots;
     /// Returns whether the engines of the path have memory, and the pipes between its halls time, for the
     /// request.
     std::function<bool(const layer_path&)> has_room;
+    /// Returns whether the last search found no path as this host has no share of a free slot left. Optional.
+    std::function<bool()> is_short_of_slots = {};
 };
 
 /// Admission of one request at this host, and what its stream shows about the load of the service.
--- a/src/libs/delivery/pathchooser.cpp
+++ b/src/libs/delivery/pathchooser.cpp
@@ -154,8 +154,8 @@
     admission_view view{*this->profile(), this->context.directory, this->context.loads,
         this->context.timers.now,
         [this](const std::set<upstream_id>& avoided) { return this->find_to_send(avoided, false); },
-        [this] { return this->is_short_of_slots(); },
-        [this](const layer_path& path) { return this->has_room(path); }};
+        [this](const layer_path& path) { return this->has_room(path); },
+        [this] { return this->is_short_of_slots(); }};
     return std::make_unique<request_admission>(*control, std::move(view), request);
 }
 
