--- a/tests/auto/admission/tst_admissionload.cpp
+++ b/tests/auto/admission/tst_admissionload.cpp
@@ -377,7 +377,7 @@
     fleet_model::results play_steady(double load)
     {
         this->fleet.play(5s, {load, load, load});
-        const auto results = this->fleet.play(10s, {load, load, load});
+        auto results = this->fleet.play(10s, {load, load, load});
         this->fleet.play(5s, {load, load, load});
         this->fleet.play(15s, {0.1, 0.1, 0.1});
         return results;
--- a/tests/auto/routing/tst_headroom.cpp
+++ b/tests/auto/routing/tst_headroom.cpp
@@ -49,8 +49,8 @@
                 this->exchange_reports();
             }
             this->arrive(rate * std::chrono::duration<double>(step).count());
-            for (std::size_t head = 0; head < this->heads.size(); ++head) {
-                const double load = static_cast<double>(this->heads[head].streams());
+            for (const head_state& head : this->heads) {
+                const double load = static_cast<double>(head.streams());
                 this->busiest = std::max(this->busiest, load);
                 this->load_sum += load;
             }
