Settings: times take fractions and units, and an unusable figure of the file no longer ends a start

What callers saw: after the platform's time for a stop was changed from 8 to 7.5 s, no host that was restarted came up, and nothing was served. Cause: the template multiplied seconds by writing "000" behind them, the program took whole numbers only, and a start was ended by whatever value of the file it couldn't use, although a running host survives the same file at a reload. Numbers and times of the file that can't be used are replaced (by the value in use at a reload; at a start by the nearest accepted one or the default), logged and counted. Flags, variables, addresses, names, keys and words stay strict. Same cause: "nan" passed every range; a limit of a stop below the grace was passed over, so that the host was killed while it still took requests.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -125,10 +125,12 @@
 
 } // namespace
 
-daemon_settings read_daemon_settings(const std::vector<std::string>& arguments)
+daemon_settings read_daemon_settings(
+    const std::vector<std::string>& arguments, const std::map<std::string, std::string>& earlier)
 {
     program_settings flags("sailtillerd", "sailtillerd: one entry host of a sailtiller fleet.");
     declare_all(flags);
+    flags.set_replacements(earlier);
     flags.parse(arguments);
     daemon_settings settings;
     settings.arguments = arguments;
@@ -168,7 +170,17 @@
         flags.add_fault("", extra, "no arguments besides flags");
     }
     flags.require_sound();
+    settings.replaced = flags.replaced();
+    settings.used_texts = flags.used_texts();
     return settings;
 }
 
+void log_replaced_settings(const daemon_settings& settings)
+{
+    for (const replaced_setting& item : settings.replaced) {
+        log_event(log_level::failure, event_type::setting_replaced,
+            {{"setting", item.name}, {"reason", item.reason}});
+    }
+}
+
 } // namespace sailtiller
--- a/src/app/sailtillerd/daemonsettings.h
+++ b/src/app/sailtillerd/daemonsettings.h
@@ -5,6 +5,7 @@
 #include <routing/retryallowance.h>
 #include <runtime/eventlog.h>
 #include <runtime/httpserver.h>
+#include <runtime/programsettings.h>
 #include <site/storereadschedule.h>
 
 namespace sailtiller {
@@ -42,9 +43,16 @@
     duration longest_stop{};
     std::optional<store_settings> store; ///< without it, bundles come from the log service
     log_settings log;
+    std::vector<replaced_setting> replaced; ///< of the file
+    std::map<std::string, std::string> used_texts; ///< numbers and times in use, by name
 };
 
-/// Reads flags and environment. Throws `settings_stop` with every fault at once.
-daemon_settings read_daemon_settings(const std::vector<std::string>& arguments);
+/// Reads flags, environment and file. Numbers and times of the file that can't be used are replaced, by those
+/// of `earlier` if it is given. Throws `settings_stop` with all other faults at once.
+daemon_settings read_daemon_settings(
+    const std::vector<std::string>& arguments, const std::map<std::string, std::string>& earlier = {});
+
+/// Writes a line for each setting that was replaced.
+void log_replaced_settings(const daemon_settings& settings);
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -7,6 +7,7 @@
 #include <logservice/logclient.h>
 #include <runtime/programsettings.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace sailtiller {
@@ -267,11 +268,12 @@
     }
     this->is_stopping = true;
     this->callers.close_after_answers();
-    this->entry.begin_stop(this->settings.stop_grace);
+    const duration grace = std::min(this->settings.stop_grace, this->settings.longest_stop);
+    this->entry.begin_stop(grace);
     this->stop_limit = this->loop.now() + this->settings.longest_stop;
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->entry.requests_in_flight())}});
-    this->loop.schedule_after(this->settings.stop_grace, [this] {
+    this->loop.schedule_after(grace, [this] {
         this->callers.close_listeners();
         this->finish_stop_when_idle();
     });
--- a/src/app/sailtillerd/main.cpp
+++ b/src/app/sailtillerd/main.cpp
@@ -31,6 +31,7 @@
     try {
         const daemon_settings settings = read_daemon_settings({argv + 1, argv + argc});
         set_up_log(settings.log);
+        log_replaced_settings(settings);
         if (settings.store) {
             return end_process(site_host(settings).run());
         }
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -279,6 +279,9 @@
     write_gauge(out, "sailtiller_paused_upstreams",
         "Upstreams that asked this host to send them nothing for a while.",
         static_cast<double>(this->view.pauses.paused_count(this->view.now())));
+    write_gauge(out, "sailtiller_replaced_settings",
+        "Numbers and times of the settings file that can't be used and were replaced.",
+        static_cast<double>(this->view.replaced_settings()));
     write_gauge(out, "sailtiller_requests_in_flight", "Requests under way on this host.",
         static_cast<double>(this->view.requests_in_flight()));
     write_gauge_header(out, "sailtiller_retries_left", "Repeated sends that this host may still make.");
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -36,6 +36,7 @@
     std::function<std::size_t()> relayed_calls; ///< of other hosts
     std::function<std::size_t()> requests_in_flight;
     std::function<std::map<service_id, double>()> retries_left; ///< of each service of the bundle
+    std::function<std::size_t()> replaced_settings; ///< values of the file that can't be used
     clock_function now;
 };
 
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -592,7 +592,7 @@
         [this] { return this->link.calls_by_other_hosts(); },
         [this] { return this->relay.calls_in_progress(); },
         [this] { return this->gateway.requests_in_flight(); }, [this] { return this->list_retries_left(); },
-        [this] { return this->loop.now(); }};
+        [this] { return this->settings.replaced.size(); }, [this] { return this->loop.now(); }};
 }
 
 void site_host::run_turn()
@@ -652,7 +652,8 @@
 void site_host::reload()
 {
     try {
-        const daemon_settings next = read_daemon_settings(this->settings.arguments);
+        const daemon_settings next =
+            read_daemon_settings(this->settings.arguments, this->settings.used_texts);
         if (!next.store) {
             throw error(
                 {"reload settings", "store-address"}, "it can't be taken away while the process runs");
@@ -665,6 +666,9 @@
         this->link.set_source(next.store->upstream_source);
         this->settings.stop_grace = next.stop_grace;
         this->settings.longest_stop = next.longest_stop;
+        this->settings.replaced = next.replaced;
+        this->settings.used_texts = next.used_texts;
+        log_replaced_settings(next);
         const bool needs_restart = next.listen != this->settings.listen
             || next.admin_listen != this->settings.admin_listen
             || next.store->address != this->settings.store->address || next.self != this->settings.self;
--- a/src/app/sailtillerd/sitestop.cpp
+++ b/src/app/sailtillerd/sitestop.cpp
@@ -4,6 +4,8 @@
 #include <runtime/eventlog.h>
 #include <runtime/programsettings.h>
 
+#include <algorithm>
+
 namespace sailtiller {
 
 namespace {
@@ -40,7 +42,9 @@
     }
     this->has_begun = true;
     this->callers.close_after_answers();
-    this->limit = this->loop.now() + longest - stop_margin;
+    const duration answering = std::max(longest - stop_margin, duration::zero());
+    this->limit = this->loop.now() + answering;
+    grace = std::min(grace, answering);
     this->gateway.begin_stop(grace);
     this->relay.begin_stop();
     log_event(log_level::info, event_type::stopping,
--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -14,6 +14,8 @@
         return "stopped";
     case event_type::reload:
         return "reload";
+    case event_type::setting_replaced:
+        return "setting_replaced";
     case event_type::settings_file_unreadable:
         return "settings_file_unreadable";
     case event_type::internal_error:
--- a/src/libs/runtime/programsettings.cpp
+++ b/src/libs/runtime/programsettings.cpp
@@ -4,7 +4,9 @@
 #include <runtime/socketaddress.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 
 namespace sailtiller {
@@ -54,6 +56,39 @@
     return parts;
 }
 
+std::string write_number(double number)
+{
+    std::array<char, 32> text{};
+    const auto result = std::to_chars(text.data(), text.data() + text.size(), number);
+    return {text.data(), result.ptr};
+}
+
+std::optional<double> read_number(std::string_view text)
+{
+    double number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data(), end, number);
+    const bool is_number = failure == std::errc() && stop == end && std::isfinite(number);
+    return is_number ? std::optional(number) : std::nullopt;
+}
+
+std::optional<double> read_whole_number(std::string_view text)
+{
+    const std::optional<double> number = read_number(text);
+    return number && *number == std::floor(*number) ? number : std::nullopt;
+}
+
+std::optional<double> read_milliseconds(std::string_view text)
+{
+    constexpr double milliseconds_per_second = 1000;
+    if (!text.ends_with('s')) {
+        return read_number(text);
+    }
+    text.remove_suffix(1);
+    const std::optional<double> seconds = read_number(text);
+    return seconds ? std::optional(*seconds * milliseconds_per_second) : std::nullopt;
+}
+
 } // namespace
 
 program_settings::program_settings(std::string program, std::string summary)
@@ -72,6 +107,7 @@
 {
     const std::string text = help + " [" + variable_of_flag(name) + "]";
     if (fallback) {
+        this->fallbacks[name] = *fallback;
         this->options.add_options()(
             name.c_str(), po::value<std::string>()->default_value(*fallback), text.c_str());
         return;
@@ -121,6 +157,11 @@
             return is_known ? flag : std::string();
         };
         po::store(po::parse_environment(this->options, name_of), this->values);
+        for (const auto& [name, value] : this->values) {
+            if (!value.defaulted()) {
+                this->given_directly.insert(name);
+            }
+        }
         this->read_file();
     } catch (const po::error& wrong) {
         throw settings_stop{std::string(wrong.what()) + "; --help lists the flags\n", exit_bad_usage};
@@ -199,44 +240,63 @@
     return split_at_commas(this->values[name].as<std::vector<std::string>>());
 }
 
-std::int64_t program_settings::integer(const std::string& name, std::int64_t least, std::int64_t most)
+double program_settings::bounded_number(
+    const std::string& name, double least, double most, number_reader read, const std::string& accepted)
 {
-    const std::optional<std::string> value = this->optional_text(name);
-    if (!value) {
+    if (this->values.count(name) == 0) {
         return least;
     }
-    std::int64_t number = 0;
-    const char* end = value->data() + value->size();
-    const auto [stop, failure] = std::from_chars(value->data(), end, number);
-    if (failure != std::errc() || stop != end || number < least || number > most) {
-        this->add_fault(
-            name, *value, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    const auto text = this->values[name].as<std::string>();
+    const std::optional<double> number = read(text);
+    if (number && *number >= least && *number <= most) {
+        this->used[name] = text;
+        return *number;
+    }
+    if (this->given_directly.contains(name)) {
+        this->add_fault(name, text, accepted);
         return least;
     }
-    return number;
+    const std::string replacement = this->replacement_of(name, number, least, most);
+    this->used[name] = replacement;
+    this->replaced_settings.push_back(
+        {name, "'" + text + "' can't be used; accepted: " + accepted + "; used instead: " + replacement});
+    return std::clamp(read(replacement).value_or(least), least, most);
 }
 
-double program_settings::number(const std::string& name, double least, double most)
+std::string program_settings::replacement_of(
+    const std::string& name, std::optional<double> unusable, double least, double most) const
 {
-    const std::optional<std::string> value = this->optional_text(name);
-    if (!value) {
-        return least;
+    const auto given = this->replacements.find(name);
+    if (given != this->replacements.end()) {
+        return given->second;
     }
-    double number = 0;
-    const char* end = value->data() + value->size();
-    const auto [stop, failure] = std::from_chars(value->data(), end, number);
-    if (failure != std::errc() || stop != end || number < least || number > most) {
-        std::ostringstream accepted;
-        accepted << "a number from " << least << " to " << most;
-        this->add_fault(name, *value, accepted.str());
-        return least;
+    if (unusable) {
+        return write_number(std::clamp(*unusable, least, most));
     }
-    return number;
+    const auto fallback = this->fallbacks.find(name);
+    return fallback == this->fallbacks.end() ? write_number(least) : fallback->second;
+}
+
+std::int64_t program_settings::integer(const std::string& name, std::int64_t least, std::int64_t most)
+{
+    return static_cast<std::int64_t>(
+        this->bounded_number(name, static_cast<double>(least), static_cast<double>(most), &read_whole_number,
+            "a whole number from " + std::to_string(least) + " to " + std::to_string(most)));
+}
+
+double program_settings::number(const std::string& name, double least, double most)
+{
+    return this->bounded_number(name, least, most, &read_number,
+        "a number from " + write_number(least) + " to " + write_number(most));
 }
 
 duration program_settings::milliseconds(const std::string& name, std::int64_t least, std::int64_t most)
 {
-    return std::chrono::milliseconds(this->integer(name, least, most));
+    const double milliseconds =
+        this->bounded_number(name, static_cast<double>(least), static_cast<double>(most), &read_milliseconds,
+            "a number of milliseconds from " + std::to_string(least) + " to " + std::to_string(most)
+                + ", or of seconds as in 7.5s");
+    return std::chrono::round<duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
 endpoint program_settings::check_address(const std::string& name, const std::string& value)
--- a/tests/auto/runtime/tst_programsettings.cpp
+++ b/tests/auto/runtime/tst_programsettings.cpp
@@ -127,6 +127,88 @@
     EXPECT_THROW(flags.require_sound(), settings_stop);
 }
 
+TEST(program_settings, times_are_milliseconds_or_seconds_with_fractions)
+{
+    const std::vector<std::pair<std::string, duration>> times = {{"2000", std::chrono::milliseconds(2000)},
+        {"2000.0", std::chrono::milliseconds(2000)}, {"0.5", std::chrono::microseconds(500)},
+        {"1e3", std::chrono::seconds(1)}, {"7.5s", std::chrono::milliseconds(7500)},
+        {"8s", std::chrono::seconds(8)}, {"0s", duration::zero()}, {"1e1s", std::chrono::seconds(10)}};
+    for (const auto& [text, expected] : times) {
+        program_settings flags = make_settings();
+        flags.parse({"--name", "a", "--count", text});
+        EXPECT_EQ(flags.milliseconds("count", 0, 10'000), expected) << text;
+        EXPECT_NO_THROW(flags.require_sound()) << text;
+    }
+}
+
+TEST(program_settings, whole_numbers_may_be_written_with_a_point_or_an_exponent)
+{
+    for (const char* text : {"2000", "2000.0", "2e3"}) {
+        program_settings flags = make_settings();
+        flags.parse({"--name", "a", "--count", text});
+        EXPECT_EQ(flags.integer("count", 0, 10'000), 2000) << text;
+        EXPECT_NO_THROW(flags.require_sound());
+    }
+}
+
+TEST(program_settings, an_unusable_number_of_a_flag_or_a_variable_is_a_fault)
+{
+    for (const char* text : {"soon", "", "s", "nan", "inf", "-1", "10001", "1e400", "2 s", "0.5"}) {
+        const auto read = [text] {
+            program_settings flags = make_settings();
+            flags.parse({"--name", "a", "--count=" + std::string(text)});
+            flags.integer("count", 0, 10'000);
+            EXPECT_TRUE(flags.replaced().empty()) << text;
+            flags.require_sound();
+        };
+        EXPECT_THROW(read(), settings_stop) << text;
+    }
+    setenv("SAILTILLER_COUNT", "soon", 1);
+    program_settings flags = make_settings();
+    flags.parse({"--name", "a"});
+    flags.milliseconds("count", 0, 10);
+    EXPECT_THROW(flags.require_sound(), settings_stop);
+    unsetenv("SAILTILLER_COUNT");
+}
+
+// Guards against programs that don't start again because the platform wrote a figure that they can't use.
+TEST_F(settings_file, an_unusable_number_is_replaced_and_told)
+{
+    const std::vector<std::pair<std::string, int>> replacements = {
+        {"soon", 5}, {"", 5}, {"s", 5}, {"nan", 5}, {"1e400", 5}, {"-1", 1}, {"0", 1}, {"1e300", 10}};
+    for (const auto& [text, expected] : replacements) {
+        this->write("name=a\ncount=" + text + "\n");
+        program_settings flags = make_settings();
+        flags.parse({"--config", this->path});
+        EXPECT_EQ(flags.milliseconds("count", 1, 10), std::chrono::milliseconds(expected)) << text;
+        EXPECT_NO_THROW(flags.require_sound()) << text;
+        ASSERT_EQ(flags.replaced().size(), 1U) << text;
+        EXPECT_EQ(flags.replaced()[0].name, "count");
+        const std::string& reason = flags.replaced()[0].reason;
+        for (const std::string& part :
+            {"'" + text + "'", std::string("from 1 to 10"), std::to_string(expected)}) {
+            EXPECT_NE(reason.find(part), std::string::npos) << part << " in " << reason;
+        }
+    }
+}
+
+TEST_F(settings_file, an_unusable_number_gives_way_to_the_one_that_was_used_before)
+{
+    this->write("name=a\ncount=7.5s\n");
+    program_settings first = make_settings();
+    first.parse({"--config", this->path});
+    EXPECT_EQ(first.milliseconds("count", 0, 10'000), std::chrono::milliseconds(7500));
+    for (const char* text : {"soon", "1e300"}) {
+        this->write("name=a\ncount=" + std::string(text) + "\n");
+        program_settings again = make_settings();
+        again.set_replacements(first.used_texts());
+        again.parse({"--config", this->path});
+        EXPECT_EQ(again.milliseconds("count", 0, 10'000), std::chrono::milliseconds(7500)) << text;
+        EXPECT_EQ(again.replaced().size(), 1U);
+        EXPECT_EQ(again.used_texts(), first.used_texts());
+    }
+}
+
 TEST(program_settings, unknown_flags_and_help_stop_the_program)
 {
     program_settings flags = make_settings();
