Bundle: only a configuration without the list of accounts requires no key

What callers saw: once the list of accounts was empty, every host served every request, with a key that had been taken away or was never held. Cause: the decoder put accounts into a list that is empty by default, and the entry asked whether it is empty, so a list without accounts and no list were one state. The decoder also walked over whatever stood in place of a list. Change: the list is optional in the bundle. What of it can't be read (an object, null, one entry) lets nobody in, is logged and counted, and the rest takes force: the bundle before it may name withdrawn keys. Routes, services and weighted targets must be lists, routes and services must be there, weights not negative. Same cause: a route whose weights are all zero was sent to its last target; a route without target got 404, which callers don't retry. Both get 503 as not run now.

--- a/src/libs/base/eventtype.cpp
+++ b/src/libs/base/eventtype.cpp
@@ -26,6 +26,8 @@
         return "bundle_in_force";
     case event_type::bundle_unusable:
         return "bundle_unusable";
+    case event_type::bundle_accounts_unusable:
+        return "bundle_accounts_unusable";
     case event_type::bundle_refused:
         return "bundle_refused";
     case event_type::carry_failed:
--- a/src/libs/bundle/sitebundle.cpp
+++ b/src/libs/bundle/sitebundle.cpp
@@ -51,8 +51,16 @@
             return this->routes[left].path_prefix.size() > this->routes[right].path_prefix.size();
         });
     }
-    for (std::size_t index = 0; index < this->accounts.size(); ++index) {
-        for (const std::string& key : this->accounts[index].keys) {
+    this->index_accounts();
+}
+
+void site_bundle::index_accounts()
+{
+    if (!this->accounts) {
+        return;
+    }
+    for (std::size_t index = 0; index < this->accounts->size(); ++index) {
+        for (const std::string& key : this->accounts->at(index).keys) {
             this->account_by_key.emplace(key, index);
         }
     }
@@ -75,7 +83,7 @@
 const account_entry* site_bundle::find_account(const std::string& key) const
 {
     const auto found = this->account_by_key.find(key);
-    return found == this->account_by_key.end() ? nullptr : &this->accounts[found->second];
+    return found == this->account_by_key.end() ? nullptr : &this->accounts->at(found->second);
 }
 
 const upstream_pool* site_bundle::find_pool(const service_id& name) const
--- a/src/libs/bundle/sitebundle.h
+++ b/src/libs/bundle/sitebundle.h
@@ -133,23 +133,29 @@
     bundle_version version;
     std::vector<service_route> routes;
     std::vector<upstream_pool> pools;
-    std::vector<account_entry> accounts;
+    /// Accounts whose keys let callers in. Without a list no route requires a key; an empty list lets none
+    /// in.
+    std::optional<std::vector<account_entry>> accounts;
+    /// Parts of the list of accounts that can't be read. The keys that they may have named let nobody in.
+    std::vector<std::string> account_faults;
     caller_limits limits;
 
     /// Builds the look-ups below; called once, after the fields are set.
     void build_index();
     /// The route of that host whose prefix begins the path and is longest.
     [[nodiscard]] const service_route* find_route(std::string_view host, std::string_view path) const;
+    [[nodiscard]] bool requires_key() const { return this->accounts.has_value(); }
     /// The account that holds a key.
     [[nodiscard]] const account_entry* find_account(const std::string& key) const;
     [[nodiscard]] const upstream_pool* find_pool(const service_id& name) const;
     /// The pool that runs a model by layers, if there is one.
     [[nodiscard]] const upstream_pool* engine_pool() const;
-    [[nodiscard]] bool has_accounts() const { return !this->accounts.empty(); }
 
 private:
+    void index_accounts();
+
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host; ///< longest prefix first
-    std::unordered_map<std::string, std::size_t> account_by_key;
+    std::unordered_map<std::string, std::size_t> account_by_key; ///< index in the list of accounts
 };
 
 } // namespace sailtiller
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -96,7 +96,7 @@
     this->log_unreadable_headers(request);
     order.bundle = this->bundle;
     order.route = this->bundle->find_route(order.request.host, exchange->request().route());
-    if (order.route == nullptr || order.route->targets.empty()) {
+    if (order.route == nullptr) {
         this->refuse(exchange, order.request, http_status::not_found, "no route for this host and path");
         return;
     }
@@ -105,7 +105,12 @@
         this->refuse(exchange, order.request, http_status::unauthorized, "unknown API key");
         return;
     }
-    order.service = this->choose_service(*order.route);
+    const std::optional<service_id> service = this->choose_service(*order.route);
+    if (!service) {
+        this->refuse(exchange, order.request, http_status::unavailable, "the route names no service to use");
+        return;
+    }
+    order.service = *service;
     this->deliver(exchange, std::move(order));
 }
 
@@ -123,7 +128,7 @@
 
 bool gateway_service::admit(delivery_order& order) const
 {
-    if (!order.bundle->has_accounts() || order.route->is_public) {
+    if (!order.bundle->requires_key() || order.route->is_public) {
         return true;
     }
     const std::optional<std::string>& key = order.request.key;
@@ -136,11 +141,13 @@
     return true;
 }
 
-service_id gateway_service::choose_service(const service_route& route) const
+std::optional<service_id> gateway_service::choose_service(const service_route& route) const
 {
     double sum = 0;
+    std::optional<service_id> last;
     for (const route_target& target : route.targets) {
         sum += target.weight;
+        last = target.weight > 0 ? target.service : last;
     }
     constexpr double steps = 1e6;
     double left =
@@ -151,7 +158,7 @@
             return target.service;
         }
     }
-    return route.targets.back().service;
+    return last; // also where rounding leaves a remainder
 }
 
 caller_hooks gateway_service::make_caller_hooks(const std::shared_ptr<http_exchange>& exchange)
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -70,8 +70,8 @@
     [[nodiscard]] bool admit(delivery_order& order) const;
     void deliver(const std::shared_ptr<http_exchange>& exchange, delivery_order order);
     [[nodiscard]] static caller_hooks make_caller_hooks(const std::shared_ptr<http_exchange>& exchange);
-    /// Chooses one of the route's targets at random by weight.
-    [[nodiscard]] service_id choose_service(const service_route& route) const;
+    /// Chooses one of the route's targets at random by weight; nothing if none has any.
+    [[nodiscard]] std::optional<service_id> choose_service(const service_route& route) const;
     /// Calls `action` for each stream in progress; `action` may end streams.
     void visit_streams(const std::function<void(stream_delivery&)>& action) const;
     void refuse(const std::shared_ptr<http_exchange>& exchange, const caller_request& request, int status,
--- a/src/libs/site/sitestate.cpp
+++ b/src/libs/site/sitestate.cpp
@@ -77,6 +77,10 @@
         this->bundle_text = text;
         this->hooks.on_event(event_type::bundle_in_force, std::to_string(next->version.value()),
             describe_bundle_source(source, this->bundle_age()));
+        for (const std::string& fault : next->account_faults) {
+            this->hooks.on_event(
+                event_type::bundle_accounts_unusable, std::to_string(next->version.value()), fault);
+        }
         this->hooks.on_bundle(this->current);
     } catch (const error& malformed) {
         this->hooks.on_event(event_type::bundle_unusable, malformed.peer(), malformed.reason());
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -72,6 +72,80 @@
     EXPECT_FALSE(bundle.find_route("a.example", "/chat/deep/x")->may_repeat());
 }
 
+std::string make_configuration(const std::string& more)
+{
+    return R"({"version": 1, "routes": [], "services": [])" + (more.empty() ? "" : ", " + more) + "}";
+}
+
+// Guards against routes that are open to everyone because the list of accounts is empty or can't be read.
+TEST(wire_configuration, only_a_configuration_without_the_list_of_accounts_requires_no_key)
+{
+    EXPECT_FALSE(decode_site_bundle(make_configuration("")).requires_key());
+    EXPECT_TRUE(decode_site_bundle(make_configuration(R"("tenants": [])")).requires_key());
+    EXPECT_TRUE(decode_site_bundle(make_configuration(R"("tenants": [])")).account_faults.empty());
+    for (const char* list : {"{}", "null", R"("")", R"("one")", "0", "false",
+             R"({"name": "one", "api-keys": ["k"]})", R"({"one": {"name": "one", "api-keys": ["k"]}})"}) {
+        const site_bundle bundle =
+            decode_site_bundle(make_configuration(std::string(R"("tenants": )") + list));
+        EXPECT_TRUE(bundle.requires_key()) << list;
+        EXPECT_EQ(bundle.find_account("k"), nullptr) << list;
+        EXPECT_EQ(bundle.account_faults.size(), 1U) << list;
+    }
+}
+
+TEST(wire_configuration, an_account_that_can_not_be_read_lets_nobody_in)
+{
+    for (const char* entry : {"null", "7", "{}", R"({"name": "bad"})", R"({"name": "bad", "api-keys": null})",
+             R"({"name": "bad", "api-keys": "k2"})", R"({"name": "bad", "api-keys": ["k2", 3]})",
+             R"({"name": "bad", "api-keys": {"a": "k2"}})",
+             R"({"name": "bad", "api-keys": ["k2"], "priority": "x"})"}) {
+        const site_bundle bundle = decode_site_bundle(make_configuration(
+            R"("tenants": [{"name": "one", "api-keys": ["k1"]}, )" + std::string(entry) + "]"));
+        ASSERT_NE(bundle.find_account("k1"), nullptr) << entry;
+        EXPECT_EQ(bundle.find_account("k2"), nullptr) << entry;
+        ASSERT_EQ(bundle.account_faults.size(), 1U) << entry;
+        EXPECT_TRUE(bundle.account_faults[0].starts_with("/tenants/1: ")) << bundle.account_faults[0];
+    }
+}
+
+TEST(wire_configuration, other_lists_must_be_there_and_be_lists)
+{
+    EXPECT_NO_THROW(decode_site_bundle(make_configuration("")));
+    EXPECT_THROW(decode_site_bundle(R"({"version": 1, "routes": []})"), error);
+    EXPECT_THROW(decode_site_bundle(R"({"version": 1, "services": []})"), error);
+    for (const char* list : {"{}", "null", R"("")", "0"}) {
+        EXPECT_THROW(
+            decode_site_bundle(R"({"version": 1, "services": [], "routes": )" + std::string(list) + "}"),
+            error);
+        EXPECT_THROW(
+            decode_site_bundle(R"({"version": 1, "routes": [], "services": )" + std::string(list) + "}"),
+            error);
+        const std::string route =
+            R"({"name": "a", "host": "h", "path-prefix": "/", "kind": "safe", "traffic-split": )";
+        EXPECT_THROW(
+            decode_site_bundle(R"({"version": 1, "services": [], "routes": [)" + route + list + "}]}"),
+            error);
+    }
+}
+
+TEST(wire_configuration, malformed_limits_and_weights_are_errors)
+{
+    EXPECT_NO_THROW(decode_site_bundle(make_configuration(R"("limits": {})")));
+    for (const char* limits : {"[]", "null", R"("")", "0"}) {
+        EXPECT_THROW(decode_site_bundle(make_configuration(R"("limits": )" + std::string(limits))), error)
+            << limits;
+    }
+    for (const char* weight : {"-1", "null", R"("1")"}) {
+        const std::string route =
+            R"({"name": "a", "host": "h", "path-prefix": "/", "kind": "safe", "traffic-split":
+            [{"service": "s", "weight": )"
+            + std::string(weight) + "}]}";
+        EXPECT_THROW(
+            decode_site_bundle(R"({"version": 1, "services": [], "routes": [)" + route + "]}"), error)
+            << weight;
+    }
+}
+
 TEST(wire_configuration, faults_name_their_place)
 {
     try {
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -49,6 +49,11 @@
 }
 
 void site_bed::write_configuration(std::uint64_t version, const std::vector<std::string>& keys)
+{
+    this->write_accounts(version, json::array({{{"name", "one"}, {"api-keys", keys}}}).dump());
+}
+
+void site_bed::write_accounts(std::uint64_t version, const std::string& accounts)
 {
     const json chat = {{"name", "chat"}, {"host", "a.example"}, {"path-prefix", "/chat/"},
         {"kind", "streaming"}, {"timeout-ms", 20000}, {"target-latency-ms", 500}, {"max-attempts", 2},
@@ -61,9 +66,11 @@
         {"step_ms", 1.0}, {"read_per_s", 100000.0}, {"usual", {{"prompt", 80}, {"answer", 20}}},
         {"layers", this->world.layers}, {"layer_mb", 1000.0}, {"act_bytes", 1000}, {"pipe_mbps", 10000.0},
         {"kinds", {{{"name", "card"}, {"mb", 6500.0}}}}};
-    const json configuration = {{"version", version}, {"routes", {chat, submit}},
-        {"services", {{{"name", "llm"}, {"engine", engine}}, {{"name", "plain"}}}},
-        {"tenants", {{{"name", "one"}, {"api-keys", keys}}}}};
+    json configuration = {{"version", version}, {"routes", {chat, submit}},
+        {"services", {{{"name", "llm"}, {"engine", engine}}, {{"name", "plain"}}}}};
+    if (!accounts.empty()) {
+        configuration["tenants"] = json::parse(accounts);
+    }
     this->store.put("keyed.op", "config", configuration.dump());
 }
 
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -46,6 +46,8 @@
         const std::string& name, const std::vector<std::string>& more_flags = {}, bool is_gate_open = true);
     /// Puts the configuration in force at the store; accounts are "one" with these keys.
     void write_configuration(std::uint64_t version, const std::vector<std::string>& keys);
+    /// The same with this list of accounts, as it stands in the configuration; without one if it is empty.
+    void write_accounts(std::uint64_t version, const std::string& accounts);
     std::shared_ptr<site_answer> ask(const site_host_process& host, const std::string& id,
         const std::string& path = "/chat/x", const std::string& key = "key-1",
         const std::string& body = "ask", const http_headers& more_headers = {});
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -163,6 +163,61 @@
     EXPECT_EQ(old->status, 401) << "an older version never comes back";
 }
 
+// Guards against routes that are open to every key once the last account is taken away.
+TEST_F(site, without_any_account_no_key_is_taken)
+{
+    site_host_process& host = this->start_host("a");
+    site_host_process& cut_off = this->start_host("b");
+    const auto status_of = [this](const site_host_process& asked, const std::string& key) {
+        const auto answer = this->ask(asked, "r" + std::to_string(this->probes++), "/submit/x", key);
+        this->wait_for(answer);
+        return answer->status;
+    };
+    for (const site_host_process* asked : {&host, &cut_off}) {
+        run_until(this->loop, [&] { return status_of(*asked, "key-1") == 200; });
+    }
+    this->shut_gate(cut_off);
+    std::uint64_t version = 5;
+    for (const char* accounts : {"[]", "{}", "null", R"([{"name": "one", "api-keys": "key-1"}])"}) {
+        this->write_accounts(++version, accounts);
+        for (const site_host_process* asked : {&host, &cut_off}) {
+            run_until(this->loop, [&] { return status_of(*asked, "key-1") == 401; });
+            EXPECT_EQ(status_of(*asked, "never-held"), 401) << accounts;
+        }
+        this->write_configuration(++version, {"key-1"});
+        for (const site_host_process* asked : {&host, &cut_off}) {
+            run_until(this->loop, [&] { return status_of(*asked, "key-1") == 200; });
+        }
+    }
+    EXPECT_TRUE(has_logged(host, "bundle_accounts_unusable"));
+    this->write_accounts(++version, "");
+    run_until(this->loop, [&] { return status_of(host, "never-held") == 200; });
+}
+
+// Guards against requests that go to a service to which no configuration sends any.
+TEST_F(site, a_route_without_a_service_to_use_refuses_its_requests_as_not_run)
+{
+    const site_host_process& host = this->start_host("a");
+    std::uint64_t version = 5;
+    for (const char* targets : {R"([{"service": "plain", "weight": 0}])", "[]",
+             R"([{"service": "plain", "weight": 0}, {"service": "gone", "weight": 0}])"}) {
+        json route = {
+            {"name", "submit"}, {"host", "a.example"}, {"path-prefix", "/submit/"}, {"kind", "unsafe"}};
+        route["traffic-split"] = json::parse(targets);
+        const json bundle = {{"version", ++version}, {"routes", json::array({route})},
+            {"services", json::array({{{"name", "plain"}}})}};
+        this->store.put("keyed.op", "config", bundle.dump());
+        std::string id;
+        run_until(this->loop, [&] {
+            id = "r" + std::to_string(this->probes++);
+            const auto answer = this->ask(host, id, "/submit/x");
+            this->wait_for(answer);
+            return answer->status == 503;
+        });
+        EXPECT_EQ(this->world.runs.count(id), 0U) << targets;
+    }
+}
+
 TEST_F(site, unknown_routes_and_a_host_without_a_configuration_say_so)
 {
     this->start_engines(1);
