Daemon: fields of the view of the operators' pages are named

They were filled by position, so that a further one could take another one's place unseen. No change of behaviour; tst_site_system's tests of the pages pass.

--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -584,15 +584,28 @@
 
 site_admin_view site_host::make_admin_view()
 {
-    return {this->settings.self, this->settings.data_hall, this->knowledge, this->loads, this->admission,
-        this->peers.hosts(), this->suspects.records(), this->limits.records(), this->pauses,
-        [this] { return this->duties.order_token(); }, [this] { return this->reading.reads_store(); },
-        [this] { return this->is_ready(); }, [this] { return this->stop.is_under_way(); },
-        [this] { return this->link.unreachable_groups(); },
-        [this] { return this->link.calls_by_other_hosts(); },
-        [this] { return this->relay.calls_in_progress(); },
-        [this] { return this->gateway.requests_in_flight(); }, [this] { return this->list_retries_left(); },
-        [this] { return this->settings.replaced.size(); }, [this] { return this->loop.now(); }};
+    return {
+        .self = this->settings.self,
+        .data_hall = this->settings.data_hall,
+        .knowledge = this->knowledge,
+        .loads = this->loads,
+        .admission = this->admission,
+        .hosts = this->peers.hosts(),
+        .suspects = this->suspects.records(),
+        .limits = this->limits.records(),
+        .pauses = this->pauses,
+        .order_token = [this] { return this->duties.order_token(); },
+        .reads_store = [this] { return this->reading.reads_store(); },
+        .is_ready = [this] { return this->is_ready(); },
+        .is_stopping = [this] { return this->stop.is_under_way(); },
+        .unreachable_groups = [this] { return this->link.unreachable_groups(); },
+        .calls_by_other_hosts = [this] { return this->link.calls_by_other_hosts(); },
+        .relayed_calls = [this] { return this->relay.calls_in_progress(); },
+        .requests_in_flight = [this] { return this->gateway.requests_in_flight(); },
+        .retries_left = [this] { return this->list_retries_left(); },
+        .replaced_settings = [this] { return this->settings.replaced.size(); },
+        .now = [this] { return this->loop.now(); },
+    };
 }
 
 void site_host::run_turn()
