--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t most_body_bytes = 1LL << 30;
 constexpr std::int64_t most_request_time = 600'000;
 constexpr std::int64_t most_stop_time = 86'400'000;
+/// Each request of the window is remembered.
+constexpr std::int64_t most_retry_window = 3'600'000;
 constexpr std::int64_t most_retention = 366LL * 86'400'000;
 
 void declare_all(program_settings& flags)
@@ -107,7 +109,7 @@
     store.upstream_source = flags.optional_address("upstream-source");
     store.retries.ratio = flags.number("retry-ratio", 0, most_ratio);
     store.retries.slack = flags.number("retry-slack", 0, most_slack);
-    store.retries.window = flags.milliseconds("retry-window-ms", least_limit, most_stop_time);
+    store.retries.window = flags.milliseconds("retry-window-ms", least_limit, most_retry_window);
     return store;
 }
 
