Soak: settings in forms that mean the defaults, and a key that nobody holds

Hosts start and reload with fractions, units, exponents and unusable figures that stand for the defaults, and each step asks once with a key that is in no configuration; no such request may run.

--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t crashes_until_known = 5;
 constexpr std::size_t most_late_sends = 3;
 constexpr const char* fatal_part = "91bd3f06";
+/// In no configuration; no request with it may run.
+constexpr const char* unknown_key = "key-of-nobody";
 
 bool promises_not_run(int status)
 {
@@ -49,6 +51,7 @@
     this->random.seed(seed);
     this->way_random.seed(seed ^ 0x5a5aU);
     this->part_random.seed(seed ^ 0xa5a5U);
+    this->settings_random.seed(seed ^ 0x3c3cU);
     this->start_engines(4);
     constexpr unsigned letters = 26;
     for (unsigned number = 0; number < host_count; ++number) {
@@ -204,6 +207,10 @@
             : this->keys[this->draw(static_cast<unsigned>(this->keys.size()))];
         this->ask_one(slot, this->draw(2) == 0 ? "/chat/x" : "/submit/x", key);
     }
+    const std::size_t slot = this->settings_random() % this->slots.size();
+    if (this->is_taking(this->slots[slot])) {
+        this->ask_one(slot, "/submit/x", unknown_key);
+    }
 }
 
 void soak_bed::ask_one(std::size_t slot, const std::string& path, const std::string& key)
@@ -319,15 +326,22 @@
 
 site_host_process& soak_bed::start_slot(host_slot& slot)
 {
-    this->write_source(slot);
+    this->write_settings(slot);
     return this->start_host(slot.name, {"--config", slot.settings_file, "--relay-listen", "127.0.0.1:0"});
 }
 
-void soak_bed::write_source(const host_slot& slot)
+void soak_bed::write_settings(const host_slot& slot)
 {
+    const auto draw = [this](const std::vector<const char*>& forms) {
+        return forms[this->settings_random() % forms.size()];
+    };
     // No connection can be made from an address of documentation (RFC 5737).
     std::ofstream(slot.settings_file)
-        << "upstream-source=" << (slot.way_back_at ? "203.0.113.1:0" : "127.0.0.1:0") << "\n";
+        << "upstream-source=" << (slot.way_back_at ? "203.0.113.1:0" : "127.0.0.1:0") << "\n"
+        << "longest-stop-ms=" << draw({"3600s", "3600000.0", "3.6e6", "soon", ""}) << "\n"
+        << "revoke-limit-ms=" << draw({"5s", "5000.0", "5e3", "soon", "", "nan"}) << "\n"
+        << "apply-limit-ms=" << draw({"2.0s", "2000", "2e3", "true"}) << "\n"
+        << "retry-window-ms=" << draw({"10s", "10000.0", "s"}) << "\n";
 }
 
 void soak_bed::set_way(host_slot& slot, bool is_open)
@@ -337,7 +351,7 @@
         ? std::nullopt
         : std::optional(this->loop.now() + std::chrono::milliseconds(300 + this->way_random() % 5000));
     slot.way_changed = this->loop.now();
-    this->write_source(slot);
+    this->write_settings(slot);
     if (!slot.is_ended) {
         slot.host->process->send_signal(SIGHUP);
     }
@@ -520,6 +534,7 @@
         EXPECT_TRUE(status != -1 || item.was_host_disturbed || !are_engines_sound)
             << "nothing but a fault cuts a stream: " << what;
     }
+    EXPECT_TRUE(item.key != unknown_key || (status != 200 && runs == 0)) << "nobody's key: " << what;
     const auto taken = this->withdrawn.find(item.key);
     if (taken != this->withdrawn.end() && item.sent > taken->second + revoke_limit) {
         EXPECT_NE(status, 200) << "a withdrawn key is refused: " << what;
--- a/tests/soak/soakbed.h
+++ b/tests/soak/soakbed.h
@@ -86,7 +86,8 @@
     /// Some hosts lose their way to the upstreams, and get it back; connections that are open live on.
     void change_ways();
     void set_way(host_slot& slot, bool is_open);
-    static void write_source(const host_slot& slot);
+    /// Writes the slot's settings: the way to the upstreams, and figures in forms that mean the defaults.
+    void write_settings(const host_slot& slot);
     /// Another host, to whom nothing has happened of late, could relay for this one.
     [[nodiscard]] bool has_relaying_host(const host_slot& slot) const;
     void shut_store(host_slot& slot);
@@ -126,6 +127,7 @@
     std::map<std::string, std::size_t> slots_of_fatal; ///< places that requests with the fatal part went to
     std::mt19937 way_random; ///< as the one for limits
     std::mt19937 limit_random; ///< apart from that of the other faults
+    std::mt19937 settings_random; ///< as the one for limits
     unsigned count = 0;
 };
 
