--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -32,7 +32,7 @@
 
 class settings : public site_bed
 {
-protected:
+public:
     settings()
     {
         const auto pid = static_cast<unsigned>(getpid());
@@ -55,6 +55,7 @@
     settings(const settings&) = delete;
     settings& operator=(const settings&) = delete;
 
+protected:
     void write_file() const
     {
         std::ofstream(this->path) << fill_template(read_text_file(SETTINGS_TEMPLATE_PATH), this->fields);
