Site tests: each list of targets is judged by a bundle of its own

a_route_without_a_service_to_use_refuses_its_requests_as_not_run waited for any 503, which a host that has just started gives as well, and so does the bundle of the round before; so only the first list was asked for, and not surely. Each round begins with a bundle that serves now. With the program of the test fails at the first list: no 503 within 60 s, and the request ran. A comment of path_engine stood above the wrong function.

--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -198,22 +198,27 @@
 TEST_F(site, a_route_without_a_service_to_use_refuses_its_requests_as_not_run)
 {
     const site_host_process& host = this->start_host("a");
+    std::string id;
+    const auto wait_for_status = [&](int status) {
+        run_until(this->loop, [&] {
+            id = "r" + std::to_string(this->probes++);
+            const auto answer = this->ask(host, id, "/submit/x");
+            this->wait_for(answer);
+            return answer->status == status;
+        });
+    };
     std::uint64_t version = 5;
     for (const char* targets : {R"([{"service": "plain", "weight": 0}])", "[]",
              R"([{"service": "plain", "weight": 0}, {"service": "gone", "weight": 0}])"}) {
+        this->write_configuration(++version, {"key-1"});
+        wait_for_status(200);
         json route = {
             {"name", "submit"}, {"host", "a.example"}, {"path-prefix", "/submit/"}, {"kind", "unsafe"}};
         route["traffic-split"] = json::parse(targets);
         const json bundle = {{"version", ++version}, {"routes", json::array({route})},
             {"services", json::array({{{"name", "plain"}}})}};
         this->store.put("keyed.op", "config", bundle.dump());
-        std::string id;
-        run_until(this->loop, [&] {
-            id = "r" + std::to_string(this->probes++);
-            const auto answer = this->ask(host, id, "/submit/x");
-            this->wait_for(answer);
-            return answer->status == 503;
-        });
+        wait_for_status(503);
         EXPECT_EQ(this->world.runs.count(id), 0U) << targets;
     }
 }
--- a/tests/standins/pathengine.h
+++ b/tests/standins/pathengine.h
@@ -122,9 +122,9 @@
     void start_stream(const std::shared_ptr<http_exchange>& exchange, const std::string& path);
     /// The first part that can't run; nothing if all can.
     [[nodiscard]] const engine_part* find_fault(const std::vector<engine_part>& path) const;
-    /// True if the stream can make no event now, though it may later.
     /// Index of the event with that id within its stream.
     [[nodiscard]] unsigned index_of(const std::string& event_id) const;
+    /// True if the stream can make no event now, though it may later.
     [[nodiscard]] bool is_held_up(const std::vector<engine_part>& path) const;
     /// Returns true if the stream has all its events and was ended.
     bool finish_if_whole(const std::string& request);
