Soak: logs of each start of a host are kept, and the last lines of a stop that failed

Each start has a log of its own now, what hosts write is read in each step, and the message of the failure holds the last 8 KB of it. No check is changed.

--- a/tests/auto/system/childprocess.cpp
+++ b/tests/auto/system/childprocess.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "childprocess.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr int signal_base = 128;
+/// Room for a report of the sanitizers behind the last lines of the log.
+constexpr std::size_t last_output_bytes = 8192;
 
 } // namespace
 
@@ -56,6 +59,12 @@
     return this->text;
 }
 
+std::string child_process::last_output()
+{
+    const std::string& all = this->output();
+    return all.substr(all.size() - std::min(all.size(), last_output_bytes));
+}
+
 std::optional<int> child_process::exit_code()
 {
     int status = 0;
--- a/tests/auto/system/childprocess.h
+++ b/tests/auto/system/childprocess.h
@@ -19,6 +19,8 @@
 
     /// What it has written to its output and error streams so far.
     const std::string& output();
+    /// The last lines of that, for the message of a failure.
+    std::string last_output();
     /// Its exit code once it has ended; 128 and the signal's number if a signal ended it.
     std::optional<int> exit_code();
     void send_signal(int number) const;
--- a/tests/auto/system/sitebed.cpp
+++ b/tests/auto/system/sitebed.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <unistd.h>
 
 namespace sailtiller::tests {
@@ -40,9 +41,10 @@
     }
     std::string test = testing::UnitTest::GetInstance()->current_test_info()->name();
     std::replace(test.begin(), test.end(), '/', '-'); // before a parameter
+    std::map<std::string, unsigned> starts;
     for (const auto& host : this->hosts) {
-        const std::string path =
-            testing::TempDir() + test + "-" + std::to_string(getpid()) + "-" + host->name + ".log";
+        const std::string path = testing::TempDir() + test + "-" + std::to_string(getpid()) + "-" + host->name
+            + "-" + std::to_string(++starts[host->name]) + ".log";
         std::ofstream(path) << host->process->output();
         std::cout << "log of host " << host->name << ": " << path << "\n";
     }
--- a/tests/auto/system/sitebed.h
+++ b/tests/auto/system/sitebed.h
@@ -37,7 +37,7 @@
 {
 protected:
     site_bed();
-    /// Keeps the hosts' logs of a test that failed.
+    /// Keeps the hosts' logs of a test that failed, one for each start of a host.
     void TearDown() override;
 
     /// Starts engines in two halls, each of which can hold the model.
--- a/tests/soak/soakbed.cpp
+++ b/tests/soak/soakbed.cpp
@@ -186,6 +186,9 @@
         this->loop.run_once(20ms);
         this->note_answers();
     }
+    for (const host_slot& slot : this->slots) {
+        slot.host->process->output(); // a host leaves lines out while nobody reads its output
+    }
 }
 
 bool soak_bed::is_taking(const host_slot& slot) const
@@ -259,7 +262,8 @@
         const bool may_start = now >= slot.back_at && now - this->store_disturbed > restore_calm;
         if (has_ended && may_start) {
             if (slot.is_planned) {
-                EXPECT_EQ(slot.host->process->exit_code(), 0) << slot.name << " after" << this->series;
+                EXPECT_EQ(slot.host->process->exit_code(), 0) << slot.name << " after" << this->series << "\n"
+                                                              << slot.host->process->last_output();
             }
             slot.is_ended = false;
             slot.unsettled.push_back(now);
