Delivery: a started stream goes on over engines that failed it, if no others come

Cause: a stream never uses an engine again that has failed it, also where the failure was its relaying host's or a connection that wasn't made. Once it had avoided the last head, no path was left, and a started stream waits for one. Change: after three seconds without a path the stream uses all engines again. One that is dead is known to be by then.

--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -86,6 +86,9 @@
     double max_idle_load = 0.5;
     /// Interval between path searches while some layer has no holder.
     duration search_pause = std::chrono::milliseconds(25);
+    /// Time without a path after which a started stream uses upstreams again that have failed it. One that is
+    /// dead is known to be dead by then.
+    duration avoidance_limit = std::chrono::seconds(3);
     /// Share of the latency objective for which a request without a path is held before it is refused.
     double max_hold_share = 0.2;
     /// Hold share for a returning caller, which gives up when refused again, and leaves after four objectives
--- a/src/libs/delivery/searchobstacles.h
+++ b/src/libs/delivery/searchobstacles.h
@@ -31,6 +31,11 @@
     {
         return this->present && this->present->what == obstacle;
     }
+    /// Returns for how long this obstacle has been the current one; zero if it isn't.
+    [[nodiscard]] duration time_present(search_obstacle obstacle, time_point now) const
+    {
+        return this->is_present(obstacle) ? now - this->present->since : duration::zero();
+    }
     /// Ends the current obstacle.
     void end(time_point now);
     /// Returns the times for the log, such as "retry allowance 812 ms, configuration 25 ms", or "nothing".
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -94,6 +94,11 @@
             return;
         }
     }
+    const duration without_path =
+        this->obstacles.time_present(search_obstacle::path, this->context.timers.now());
+    if (without_path >= this->context.settings.avoidance_limit) {
+        this->avoided.clear();
+    }
     this->schedule_search(search_obstacle::path, this->context.settings.search_pause);
 }
 
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -133,6 +133,32 @@
     EXPECT_TRUE(this->caller.is_finished);
 }
 
+// Guards against streams that wait for their time limit because every head has failed them once.
+TEST_F(stream_delivery_test, goes_on_over_a_head_that_has_failed_it_if_no_other_one_comes)
+{
+    this->put_engine("other", 3, {0, 8});
+    const delivery_order order = this->make_order(route_kind::stream);
+    this->bundle->routes.front().time_limit = 20s;
+    const auto delivery = std::make_shared<stream_delivery>(
+        *this->context, order, this->make_caller(), [this] { ++this->done; });
+    delivery->start();
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(0, 3));
+    end(this->last_send(), call_ending::relay_lost);
+    ASSERT_EQ(this->sends.size(), 2U);
+    end(this->last_send(), call_ending::not_connected);
+    this->pass(2s);
+    EXPECT_EQ(this->sends.size(), 2U) << "until a dead head would be known to be dead";
+    this->pass(2s);
+    ASSERT_EQ(this->sends.size(), 3U);
+    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(events(3, 5));
+    end(this->last_send());
+    EXPECT_EQ(this->caller.body, events(0, 5));
+    EXPECT_TRUE(this->caller.is_finished);
+}
+
 TEST_F(stream_delivery_test, a_clean_close_within_an_event_is_not_the_end_of_the_stream)
 {
     this->put_engine("other", 3, {0, 8});
