Relay: a host whose connection ended gets no request until it would refuse connections

Cause: the next request was sent by way of the lost host at once. For some milliseconds a killed process still takes connections that it never serves, and what was sent over one may have run. Change: such a host is left out for 100 ms, as hosts that failed otherwise are for a second. A killed one refuses connections by then, which uses up no run.

--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -206,7 +206,7 @@
         } else if (this->is_held_back) {
             this->end(call_ending::not_connected, reason);
         } else if (ending == call_ending::not_connected) {
-            this->owner.avoid(this->host);
+            this->owner.avoid(this->host, this->owner.settings.avoid_time);
             this->try_next(from + reason);
         } else if (ending == call_ending::whole && this->refusal) {
             this->failed_upstream_connections += this->is_accepted ? 1 : 0;
@@ -215,10 +215,8 @@
             }
             this->try_next(from + *this->refusal);
         } else {
-            if (!this->is_accepted) {
-                this->owner.avoid(
-                    this->host); // another request finds out what became of one that has accepted
-            }
+            this->owner.avoid(this->host,
+                this->is_accepted ? this->owner.settings.pause_after_loss : this->owner.settings.avoid_time);
             this->lose_host(relay_loss::ended, from + (reason.empty() ? "no answer" : reason));
         }
     }
@@ -241,7 +239,7 @@
 
     void miss_acceptance()
     {
-        this->owner.avoid(this->host);
+        this->owner.avoid(this->host, this->owner.settings.avoid_time);
         if (this->call) {
             this->call->give_up(); // kept connections to the host may be as silent
             this->call.reset();
@@ -372,9 +370,10 @@
     return best;
 }
 
-void relay_client::avoid(const host_id& host)
+void relay_client::avoid(const host_id& host, duration time)
 {
-    this->avoided_until[host] = this->loop.now() + this->settings.avoid_time;
+    time_point& until = this->avoided_until[host];
+    until = std::max(until, this->loop.now() + time);
 }
 
 std::map<host_id, unsigned> relay_client::count_calls() const
@@ -405,7 +404,7 @@
         }
     }
     for (const std::shared_ptr<relayed_call>& call : silent) {
-        this->avoid(call->current_host());
+        this->avoid(call->current_host(), this->settings.avoid_time);
         call->lose_host(relay_loss::silent, call->current_host().value() + " has fallen silent");
     }
     this->is_check_scheduled = false;
--- a/src/libs/relay/relayclient.h
+++ b/src/libs/relay/relayclient.h
@@ -38,6 +38,9 @@
     duration check_interval = std::chrono::milliseconds(50);
     /// Time without new requests for a host that failed one.
     duration avoid_time = std::chrono::milliseconds(1000);
+    /// The same for a host whose connection ended after it had accepted a request. One that was killed
+    /// refuses new connections after this time; before, it may still take a request that it doesn't pass on.
+    duration pause_after_loss = std::chrono::milliseconds(100);
     /// Hosts that are tried for one call while nothing of it has reached an upstream, but for those that
     /// answer at once that they have no way to it themselves.
     std::size_t max_hosts = 3;
@@ -113,7 +116,7 @@
 
     [[nodiscard]] std::optional<relay_candidate> choose(
         const upstream_group& group, const tried_hosts& tried) const;
-    void avoid(const host_id& host);
+    void avoid(const host_id& host, duration time);
     void schedule_check();
     /// Ends the calls by way of hosts that have fallen silent, as lost with them.
     void end_silent_calls();
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -377,6 +377,20 @@
     run_until(this->loop, [&peer] { return peer.server->connection_count() == 0; });
 }
 
+// Guards against a second run that is lost because it is sent to a host that is just ending.
+TEST_F(relay_test, a_host_whose_connection_ended_gets_no_request_until_it_would_refuse_connections)
+{
+    relaying_peer& peer = this->add_peer("p");
+    this->send(false);
+    this->run_to_arrival();
+    peer.service->end_for_stop();
+    this->run_to_end();
+    EXPECT_EQ(this->ending, call_ending::relay_lost);
+    EXPECT_FALSE(this->client->has_candidate(group));
+    this->pass(relay_client_settings().pause_after_loss);
+    EXPECT_TRUE(this->client->has_candidate(group)) << "only its connection may have been lost";
+}
+
 TEST_F(relay_test, calls_by_way_of_a_silent_host_end_as_lost_with_it)
 {
     relaying_peer& peer = this->add_peer("p");
