Runtime: calls that are under way at the end of a host are cancelled

Cause: a call keeps itself until its end, and the destructor of the event loop turns h2o's loop once. A connection that was made or refused in that turn ran its handler on objects that were gone; one that had shown nothing was leaked. The program as it is built for users destroys no objects at its end, so that callers saw nothing of it. Change: the loop knows the calls under way; a host cancels them once its loop has stopped, and the loop's destructor what is left. The new test failed on both counts before.

--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -250,6 +250,7 @@
     while (!this->loop.is_stopped()) {
         this->run_turn();
     }
+    this->loop.cancel_work(); // while all that its handlers hold is there
     return this->exit_code;
 }
 
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -650,6 +650,7 @@
     while (!this->loop.is_stopped()) {
         this->run_turn();
     }
+    this->loop.cancel_work(); // while all that its handlers hold is there
     return this->stop.exit_code();
 }
 
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -61,6 +61,7 @@
 
 event_loop::~event_loop()
 {
+    this->cancel_work();
     if (h2o_linklist_is_empty(&this->loop->_timeouts) != 0) {
         // h2o frees a closed socket in the loop's next turn and fails if the loop goes before that.
         h2o_evloop_run(this->loop, 0);
@@ -119,6 +120,21 @@
     this->posted.push_back(std::move(action));
 }
 
+work_id event_loop::add_work(std::function<void()> cancel)
+{
+    this->work.emplace(++this->last_work, std::move(cancel));
+    return this->last_work;
+}
+
+void event_loop::cancel_work()
+{
+    while (!this->work.empty()) {
+        const std::function<void()> cancel = std::move(this->work.begin()->second);
+        this->work.erase(this->work.begin());
+        cancel();
+    }
+}
+
 timer_hooks event_loop::hooks()
 {
     timer_hooks hooks;
--- a/src/libs/runtime/eventloop.h
+++ b/src/libs/runtime/eventloop.h
@@ -3,12 +3,17 @@
 
 #include <base/timerqueue.h>
 
+#include <cstdint>
 #include <deque>
+#include <map>
 
 struct st_h2o_evloop_t;
 
 namespace sailtiller {
 
+/// Names work that an event loop cancels at its end.
+using work_id = std::uint64_t;
+
 /// The one loop on the one thread: h2o's sockets and our timers.
 class event_loop
 {
@@ -31,6 +36,12 @@
     void cancel(timer_id timer) { this->timers.cancel(timer); }
     /// Runs `action` after the present turn, outside of any callback of h2o's.
     void post(std::function<void()> action);
+    /// Adds work that lives by itself, such as a call over a connection of its own; `cancel` ends it without
+    /// running its handlers.
+    work_id add_work(std::function<void()> cancel);
+    void remove_work(work_id id) { this->work.erase(id); }
+    /// Cancels all work that is still there, as its handlers may refer to objects that go before the loop.
+    void cancel_work();
     /// This loop as the hooks that the core takes.
     [[nodiscard]] timer_hooks hooks();
 
@@ -42,6 +53,8 @@
     st_h2o_evloop_t* loop;
     timer_queue timers;
     std::deque<std::function<void()>> posted;
+    std::map<work_id, std::function<void()>> work; ///< how to cancel each
+    work_id last_work = 0;
     bool is_stopping = false;
 };
 
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -219,6 +219,7 @@
 {
     std::shared_ptr<http_call> call(new http_call(loop, target, options, std::move(handlers)));
     call->self = call;
+    call->work = loop.add_work([started = call.get()] { started->cancel(); });
     call->began = loop.now();
     call->outgoing = encode_request(request);
     call->is_head_request = request.method == "HEAD";
@@ -467,6 +468,7 @@
 void http_call::close(bool keeps_socket)
 {
     this->has_ended = true;
+    this->loop.remove_work(this->work);
     this->loop.cancel(this->connect_timer);
     this->loop.cancel(this->head_timer);
     this->release_socket(keeps_socket);
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -90,6 +90,7 @@
     std::unique_ptr<parser> incoming;
     timer_id connect_timer = 0;
     timer_id head_timer = 0;
+    work_id work = 0; ///< this call, as the loop knows it
     time_point began{};
     bool is_head_request = false;
     bool is_reused = false; ///< the connection has carried other requests
--- a/tests/auto/runtime/tst_httpcall.cpp
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -374,6 +374,22 @@
     EXPECT_EQ(this->lose_kept_connection(false, [] {}), call_ending::broken);
 }
 
+// Guards against callbacks of a connection into objects that have gone before the loop.
+TEST(http_call_at_the_end_of_its_loop, is_cancelled_without_running_a_handler)
+{
+    const raw_peer peer;
+    auto loop = std::make_unique<event_loop>();
+    bool has_run = false;
+    http_call_options options;
+    options.on_connection = [&has_run](bool) { has_run = true; };
+    http_call_handlers handlers;
+    handlers.on_end = [&has_run](call_ending, const std::string&) { has_run = true; };
+    const std::weak_ptr<http_call> call = http_call::start(*loop, peer.address, {}, options, handlers);
+    loop.reset();
+    EXPECT_FALSE(has_run);
+    EXPECT_TRUE(call.expired());
+}
+
 } // namespace
 
 } // namespace sailtiller
