Runtime: a call that is cancelled at the end of its loop drops its handlers

Its handlers keep what may cancel it, and that keeps the call, so that neither is freed unless the call ends by itself. The test makes such a cycle now, and failed with it before.

--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -219,7 +219,7 @@
 {
     std::shared_ptr<http_call> call(new http_call(loop, target, options, std::move(handlers)));
     call->self = call;
-    call->work = loop.add_work([started = call.get()] { started->cancel(); });
+    call->work = loop.add_work([started = call.get()] { started->abandon(); });
     call->began = loop.now();
     call->outgoing = encode_request(request);
     call->is_head_request = request.method == "HEAD";
@@ -437,6 +437,14 @@
     }
 }
 
+void http_call::abandon()
+{
+    const std::shared_ptr<http_call> keep = this->shared_from_this();
+    this->cancel();
+    this->handlers = {};
+    this->options = {};
+}
+
 void http_call::give_up()
 {
     if (this->has_ended) {
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -78,6 +78,8 @@
     void watch_head();
     void fail_answer(answer_fault fault, const std::string& reason);
     void end(call_ending ending, const std::string& reason);
+    /// Cancels the call and drops its handlers, which may keep it.
+    void abandon();
     void release_socket(bool keeps_it);
     void close(bool keeps_socket = false);
 
--- a/tests/auto/runtime/tst_httpcall.cpp
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -382,9 +382,14 @@
     bool has_run = false;
     http_call_options options;
     options.on_connection = [&has_run](bool) { has_run = true; };
+    // As callers do that may cancel the call.
+    auto held = std::make_shared<std::shared_ptr<http_call>>();
     http_call_handlers handlers;
-    handlers.on_end = [&has_run](call_ending, const std::string&) { has_run = true; };
-    const std::weak_ptr<http_call> call = http_call::start(*loop, peer.address, {}, options, handlers);
+    handlers.on_end = [&has_run, held](call_ending, const std::string&) { has_run = true; };
+    *held = http_call::start(*loop, peer.address, {}, options, handlers);
+    const std::weak_ptr<http_call> call = *held;
+    handlers = {};
+    held.reset();
     loop.reset();
     EXPECT_FALSE(has_run);
     EXPECT_TRUE(call.expired());
