Settings tests: the time of a stop is taken before the sanitizers' check for leaks

a_limit_of_a_stop_below_the_grace_ends_the_stop_in_time failed once in a sanitized run beside load: 1,512 ms of 1,500. Traced: a sanitized host says that it has stopped 1.10 s after the signal, and ends 0.44 to 0.53 s after that (three runs), in which memory is checked for leaks. The bound holds for the host's last line in all builds, and for the end of the process in builds without the check, as before.

--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -132,8 +132,12 @@
     this->wait_until_said(*host, "\"outcome\":\"done\"");
     const time_point told = this->loop.now();
     host->send_signal(SIGTERM);
+    this->wait_until_said(*host, "\"event\":\"stopped\"");
+    EXPECT_LT(this->loop.now() - told, 1500ms);
     run_until(this->loop, [&] { return host->exit_code().has_value(); });
+#ifndef __SANITIZE_ADDRESS__ // whose check for leaks takes about half a second
     EXPECT_LT(this->loop.now() - told, 1500ms);
+#endif
 }
 
 } // namespace
