Delivery tests: the rest of a resumed stream is checked in one place

A test of this change repeated the end of two others, and the start of a stream with an order of its own stood in four tests. Both are functions of the fixture now, with the same checks in each test; a comment of the soak is filled to its width.

--- a/tests/auto/delivery/streamdeliveryfixture.h
+++ b/tests/auto/delivery/streamdeliveryfixture.h
@@ -17,10 +17,12 @@
         this->put_engine("tail", 2, {8, 16});
     }
 
-    std::shared_ptr<stream_delivery> start()
+    std::shared_ptr<stream_delivery> start() { return this->start(this->make_order(route_kind::stream)); }
+
+    std::shared_ptr<stream_delivery> start(const delivery_order& order)
     {
-        auto delivery = std::make_shared<stream_delivery>(*this->context,
-            this->make_order(route_kind::stream), this->make_caller(), [this] { ++this->done; });
+        auto delivery = std::make_shared<stream_delivery>(
+            *this->context, order, this->make_caller(), [this] { ++this->done; });
         delivery->start();
         return delivery;
     }
@@ -40,6 +42,19 @@
         this->last_send().handlers.on_body(events(0, count));
         return delivery;
     }
+
+    /// Checks that the last send resumes a stream of which the caller has three events, and that the caller
+    /// gets the whole stream once the other two have come.
+    void expect_whole_after_resuming()
+    {
+        EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
+        give_head(this->last_send(), 200, signed_head());
+        this->last_send().handlers.on_body(events(3, 5));
+        end(this->last_send());
+        EXPECT_EQ(this->caller.body, events(0, 5));
+        EXPECT_TRUE(this->caller.is_finished);
+    }
+
     /// Refuses the current and all following sends with this status until the time has passed. Returns the
     /// number of refused sends.
     std::size_t refuse_sends_for(duration time, int status)
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -56,12 +56,7 @@
     end(this->last_send(), call_ending::broken);
     ASSERT_EQ(this->sends.size(), 2U);
     EXPECT_NE(path_of(this->last_send()), first) << "not over the same head";
-    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
-    give_head(this->last_send(), 200, signed_head());
-    this->last_send().handlers.on_body(events(3, 5));
-    end(this->last_send());
-    EXPECT_EQ(this->caller.body, events(0, 5));
-    EXPECT_TRUE(this->caller.is_finished);
+    this->expect_whole_after_resuming();
 }
 
 // Guards against pieces that come twice because a large id was dropped or rounded on the way.
@@ -83,9 +78,7 @@
 {
     delivery_order order = this->make_order(route_kind::stream);
     order.request.last_event = event_id("18446744073709551616");
-    const auto delivery = std::make_shared<stream_delivery>(
-        *this->context, order, this->make_caller(), [this] { ++this->done; });
-    delivery->start();
+    this->start(order);
     for (int send = 0; send < 2; ++send) {
         EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "18446744073709551616");
         give_head(this->last_send(), 200, signed_head());
@@ -125,12 +118,7 @@
     this->last_send().handlers.on_body(events(0, 3));
     end(this->last_send(), call_ending::relay_lost);
     ASSERT_EQ(this->sends.size(), 2U) << "over the only head again, which has shown no fault";
-    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
-    give_head(this->last_send(), 200, signed_head());
-    this->last_send().handlers.on_body(events(3, 5));
-    end(this->last_send());
-    EXPECT_EQ(this->caller.body, events(0, 5));
-    EXPECT_TRUE(this->caller.is_finished);
+    this->expect_whole_after_resuming();
 }
 
 // Guards against streams that wait for their time limit because every head has failed them once.
@@ -139,9 +127,7 @@
     this->put_engine("other", 3, {0, 8});
     const delivery_order order = this->make_order(route_kind::stream);
     this->bundle->routes.front().time_limit = 20s;
-    const auto delivery = std::make_shared<stream_delivery>(
-        *this->context, order, this->make_caller(), [this] { ++this->done; });
-    delivery->start();
+    this->start(order);
     give_head(this->last_send(), 200, signed_head());
     this->last_send().handlers.on_body(events(0, 3));
     end(this->last_send(), call_ending::relay_lost);
@@ -151,12 +137,7 @@
     EXPECT_EQ(this->sends.size(), 2U) << "until a dead head would be known to be dead";
     this->pass(2s);
     ASSERT_EQ(this->sends.size(), 3U);
-    EXPECT_EQ(find_header(this->last_send().message.headers, "last-event"), "2");
-    give_head(this->last_send(), 200, signed_head());
-    this->last_send().handlers.on_body(events(3, 5));
-    end(this->last_send());
-    EXPECT_EQ(this->caller.body, events(0, 5));
-    EXPECT_TRUE(this->caller.is_finished);
+    this->expect_whole_after_resuming();
 }
 
 TEST_F(stream_delivery_test, a_clean_close_within_an_event_is_not_the_end_of_the_stream)
@@ -320,9 +301,7 @@
     delivery_order order = this->make_order(route_kind::stream);
     order.request.time_limit = 2s; // the route allows 3 s
     EXPECT_TRUE(order.is_returning_caller());
-    const auto delivery =
-        std::make_shared<stream_delivery>(*this->context, order, this->make_caller(), [] {});
-    delivery->start();
+    const auto delivery = this->start(order);
     this->pass(1450ms);
     EXPECT_FALSE(this->caller.answer.has_value());
     this->pass(100ms);
@@ -805,9 +784,7 @@
 {
     delivery_order order = this->make_order(route_kind::stream);
     this->bundle->routes.front().is_resumable = false;
-    const auto delivery =
-        std::make_shared<stream_delivery>(*this->context, order, this->make_caller(), [] {});
-    delivery->start();
+    const auto delivery = this->start(order);
     this->put_engine("spare", 3, {8, 16});
     delivery->leave_upstreams({upstream_id("tail")});
     const std::vector<duration> pauses = {40ms, 80ms, 160ms, 320ms, 400ms, 400ms, 400ms, 400ms};
--- a/tests/soak/tst_soak.cpp
+++ b/tests/soak/tst_soak.cpp
@@ -19,9 +19,9 @@
 /// At 6126 a host without a way to the upstreams refused its callers, as a service that lost an answer had
 /// made it avoid the only host that could relay. At 7117 two hosts that had restarted around a restore asked
 /// each other at their former addresses only. At 8034 an engine's stand-in gave a stream that was resumed
-/// after its last event one more. At 9018 and 78005 hosts that had restarted together read
-/// only the first page of the hosts' records, which lacked one that lived on, so that it couldn't relay for
-/// them. At 78018 streams were cut whose relaying host was killed: they were sent by way of it again, or
+/// after its last event one more. At 9018 and 78005 hosts that had restarted together
+/// read only the first page of the hosts' records, which lacked one that lived on, so that it couldn't relay
+/// for them. At 78018 streams were cut whose relaying host was killed: they were sent by way of it again, or
 /// waited for a head that had not failed them.
 constexpr std::array seeds_in_ci = {1U, 2U, 3U, 111U, 131U, 6126U, 7117U, 8034U, 9018U, 78005U, 78018U};
 
