Daemon: the check for hosts that are known by their records only has clearer names

A newcomer had to read the condition twice to see when the next page of records is read. No change of behaviour; the test of hosts that restart together passes.

--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -44,11 +44,11 @@
 constexpr duration connection_idle_limit = std::chrono::seconds(20);
 /// After a failed call to the store.
 constexpr duration record_retry = milliseconds(700);
-/// Between two looks whether further hosts have to be found by their records: some rounds of reports, in
-/// which known hosts tell of others.
-constexpr duration record_look_interval = std::chrono::seconds(1);
-/// A host that hears nobody reads the others' records again this often.
-constexpr duration lonely_interval = std::chrono::seconds(3);
+/// Interval between checks whether more records have to be read: a few rounds of reports, in which known
+/// hosts name others.
+constexpr duration record_check_interval = std::chrono::seconds(1);
+/// A host that hears no other one reads the records again this often.
+constexpr duration isolated_read_interval = std::chrono::seconds(3);
 
 std::string write_record(const known_host& host)
 {
@@ -81,7 +81,7 @@
     this->write_own_record();
     this->table.note_start(this->loop.now());
     this->run_round();
-    this->look_for_further_hosts();
+    this->check_records();
     return this->table.own().address;
 }
 
@@ -132,19 +132,20 @@
         });
 }
 
-void site_peers::look_for_further_hosts()
+void site_peers::check_records()
 {
-    this->loop.schedule_after(record_look_interval, [this] { this->look_for_further_hosts(); });
+    this->loop.schedule_after(record_check_interval, [this] { this->check_records(); });
     const time_point now = this->loop.now();
-    if (this->is_reading_records || !this->records_read || now - *this->records_read < record_look_interval) {
+    if (this->is_reading_records || !this->records_read
+        || now - *this->records_read < record_check_interval) {
         return;
     }
-    // A page is enough while its hosts tell of those that it lacks. They tell of nobody if they are gone, or
-    // have started together with this host and read the same page.
-    const bool is_nobody_told_of = this->table.known_count() <= 1 + this->recorded_hosts;
-    if (this->further_records && is_nobody_told_of) {
+    // The hosts of a page normally report those that the page lacks. They can't if they are gone, or if they
+    // started together with this host and read the same page.
+    const bool has_learned_of_others = this->table.known_count() > 1 + this->recorded_hosts;
+    if (this->further_records && !has_learned_of_others) {
         this->read_records(this->further_records);
-    } else if (this->table.live_count(now) <= 1 && now - *this->records_read >= lonely_interval) {
+    } else if (this->table.live_count(now) <= 1 && now - *this->records_read >= isolated_read_interval) {
         this->read_first_records();
     }
 }
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -90,8 +90,9 @@
     void read_first_records();
     void read_records(const std::optional<std::string>& after);
     void add_recorded_hosts(const std::vector<keyed_record>& records);
-    /// Reads the next page of records while nobody tells of hosts that the pages read so far don't name.
-    void look_for_further_hosts();
+    /// Reads the next page of records if no host is known besides those of the pages read so far, and the
+    /// first one again if no other host is heard.
+    void check_records();
 
     event_loop& loop;
     store_client& store;
@@ -100,9 +101,9 @@
     peer_client client;
     peer_server server;
     bool is_reading_records = false;
-    std::optional<time_point> records_read; ///< the last page
-    std::optional<std::string> further_records; ///< there are more, after this key
-    std::size_t recorded_hosts = 0; ///< other hosts that the pages read so far name
+    std::optional<time_point> records_read; ///< time at which the last page was read
+    std::optional<std::string> further_records; ///< key after which there are more records
+    std::size_t recorded_hosts = 0; ///< other hosts in the pages read so far
 };
 
 } // namespace sailtiller
