--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -434,6 +434,7 @@
         self.memory_ends = []  # times at which it was killed for its memory
         self.most_memory_mb = 0
         self.starts = 0
+        self.starting = None
         self.stopping = False
 
     def fields(self):
@@ -461,6 +462,9 @@
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=REPOSITORY, env=environment, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         log.close()
+        if self.bed.is_over:
+            self.process.kill()
+            return
         self.bed.note("start", host=self.name)
         asyncio.create_task(self.watch(self.process))
 
@@ -477,7 +481,9 @@
             self.bed.note("end", host=self.name, code=code, why=kind)
             await asyncio.sleep(RESTART_DELAY_S)
             if not self.bed.is_over:
-                await self.start()
+                # Shielded, so that the end of the case can't leave a process that nobody knows.
+                self.starting = asyncio.ensure_future(self.start())
+                await asyncio.shield(self.starting)
 
     def kill(self, why):
         self.bed.killed[self.process] = why
@@ -640,6 +646,8 @@
         self.is_over = True
         for host in self.hosts:
             host.stopping = True
+            if host.starting:
+                await host.starting
             if host.process and host.process.returncode is None:
                 host.process.kill()
                 await host.process.wait()
@@ -653,7 +661,10 @@
     """Runs a case. `scenario` returns the findings: a list of texts, empty if the rule held."""
 
     async def whole():
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(scenario(bed), 115)
         finally:
@@ -664,7 +675,7 @@
         findings = asyncio.run(whole())
         code = 1 if findings else 0
         verdict = "BROKEN: " + "; ".join(findings) if findings else "the rule held"
-    except (CannotRun, asyncio.TimeoutError, OSError) as fault:
+    except (Exception, asyncio.CancelledError) as fault:  # whatever it is, it shows nothing of the rule
         verdict = f"could not run: {type(fault).__name__} {fault}"
     record = "\n".join([f"TROUBLE={int(bed.trouble)}"] + bed.lines + [verdict]) + "\n"
     (bed.case / "record.txt").write_text(record)
