Base: JSON and CBOR of any origin are parsed with a bound on depth

Cause: read_start and read_count wrote the rejected value into the error's text, which recurses a level at a time; nothing bounded the depth of what comes from outside. Copies, comparisons and the parser of CBOR recurse too.

Change: parse_json and parse_cbor stop at 100 levels with an ordinary error and are the only way to the library's parsers.

Before: wire_entries.a_field_nested_too_deep_names_none_to_use ends by a signal (and takes the list under an unread field for sound), wire_entries.an_odd_number_or_a_long_text_names_none_to_use fails.

--- a/src/app/sailtiller/bundlecommands.cpp
+++ b/src/app/sailtiller/bundlecommands.cpp
@@ -131,7 +131,7 @@
     std::string last = "not asked";
     for (duration spent{}; spent <= longest; spent += look_interval) {
         try {
-            const json status = json::parse(session.fetch(host, "/status").body);
+            const json status = parse_json(session.fetch(host, "/status").body);
             if (status.at("activation") == id.value()) {
                 return std::nullopt;
             }
@@ -199,7 +199,7 @@
     activation_wish wish;
     wish.manifest = set.manifest.digest;
     for (const std::string& file : flags.texts("sign-off")) {
-        wish.sign_offs.push_back(signature_from_json(json::parse(read_text_file(file), nullptr, false)));
+        wish.sign_offs.push_back(signature_from_json(parse_json(read_text_file(file))));
     }
     const std::string approval = sign_off_message(trust.deployment, wish.manifest);
     const std::size_t signers = count_valid_signers(approval, wish.sign_offs, trust.keys);
--- a/src/app/sailtiller/fleetcommands.cpp
+++ b/src/app/sailtiller/fleetcommands.cpp
@@ -66,7 +66,7 @@
         try {
             const http_response answer = session.fetch(endpoint(host), "/explain?request=" + request);
             if (answer.status == http_status::ok) {
-                print_decisions(json::parse(answer.body));
+                print_decisions(parse_json(answer.body));
                 is_found = true;
             }
         } catch (const error& unreachable) {
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -57,7 +57,7 @@
 
 known_host read_record(const std::string& key, const std::string& value)
 {
-    const json item = json::parse(value);
+    const json item = parse_json(value);
     return {host_id(key), endpoint(item.at("address").get<std::string>()),
         data_hall_id(item.at("data_hall").get<std::string>())};
 }
--- a/src/libs/bundle/activationrecord.cpp
+++ b/src/libs/bundle/activationrecord.cpp
@@ -90,7 +90,7 @@
 activation activation_from_statement(const std::string& statement)
 {
     return decode_or_throw("read activation", [&statement] {
-        const json text = json::parse(statement);
+        const json text = parse_json(statement);
         activation item;
         item.id = activation_id(text.at("id").get<std::string>());
         item.deployment = text.at("deployment").get<std::string>();
@@ -140,7 +140,7 @@
 
 log_record decode_record(std::string_view text)
 {
-    return decode_or_throw("read log record", [text] { return record_from_json(json::parse(text)); });
+    return decode_or_throw("read log record", [text] { return record_from_json(parse_json(text)); });
 }
 
 } // namespace sailtiller
--- a/src/libs/bundle/bundleparts.cpp
+++ b/src/libs/bundle/bundleparts.cpp
@@ -89,7 +89,7 @@
 {
     const error_origin origin{"read manifest", digest_of(body).value()};
     try {
-        const json text = json::parse(body);
+        const json text = parse_json(body);
         if (text.at("format").get<std::uint32_t>() > newest_bundle_format) {
             throw error(origin, "its format is newer than this program reads; upgrade the hosts first");
         }
--- a/src/libs/engines/stepcodec.cpp
+++ b/src/libs/engines/stepcodec.cpp
@@ -41,7 +41,7 @@
         throw error({step, ""}, "malformed: message shorter than its header length");
     }
     const std::string_view head = message.substr(length_bytes, head_size);
-    return {json::from_cbor(head), message.substr(length_bytes + head_size)};
+    return {parse_cbor(head), message.substr(length_bytes + head_size)};
 }
 
 template <typename Decode>
--- a/src/libs/fleet/cbormessage.h
+++ b/src/libs/fleet/cbormessage.h
@@ -22,7 +22,7 @@
 auto decode_cbor(const char* step, const std::string& bytes, const Decode& decode)
 {
     try {
-        return decode(json::from_cbor(bytes));
+        return decode(parse_cbor(bytes));
     } catch (const json::exception& malformed) {
         throw error({step, ""}, std::string("malformed: ") + malformed.what());
     }
--- a/src/libs/logservice/hostlist.cpp
+++ b/src/libs/logservice/hostlist.cpp
@@ -65,7 +65,7 @@
     }
     std::vector<listed_host> entries;
     try {
-        const json document = json::parse(answer.body); // must outlive the loop over a part of it
+        const json document = parse_json(answer.body); // must outlive the loop over a part of it
         for (const json& item : document.at("hosts")) {
             entries.push_back(read_entry(item));
         }
--- a/src/libs/logservice/logclient.cpp
+++ b/src/libs/logservice/logclient.cpp
@@ -10,7 +10,7 @@
 log_page read_page(const std::string& body, const error_origin& origin)
 {
     try {
-        const json text = json::parse(body);
+        const json text = parse_json(body);
         log_page page;
         page.first_retained = log_offset(text.at("first_retained").get<std::uint64_t>());
         page.next = log_offset(text.at("next").get<std::uint64_t>());
@@ -27,7 +27,7 @@
 log_offset read_offset(const std::string& body, const error_origin& origin)
 {
     try {
-        return log_offset(json::parse(body).at("offset").get<std::uint64_t>());
+        return log_offset(parse_json(body).at("offset").get<std::uint64_t>());
     } catch (const json::exception& malformed) {
         throw error(origin, std::string("malformed answer: ") + malformed.what());
     }
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -56,7 +56,7 @@
 json parse_line(std::string_view line)
 {
     try {
-        return json::parse(line);
+        return parse_json(line);
     } catch (const json::exception& malformed) {
         throw malformed_answer(malformed.what());
     }
--- a/src/libs/site/trialclaims.cpp
+++ b/src/libs/site/trialclaims.cpp
@@ -18,7 +18,7 @@
 
 trial_record read_record(const std::string& value)
 {
-    const json item = json::parse(value);
+    const json item = parse_json(value);
     return {item.at("trials").get<unsigned>(), item.at("clearances").get<unsigned>()};
 }
 
--- a/tests/auto/platform/tst_wireentries.cpp
+++ b/tests/auto/platform/tst_wireentries.cpp
@@ -88,6 +88,50 @@
     }
 }
 
+// Guards against one entry of another writer that ends every host which reads it.
+TEST(wire_entries, a_field_nested_too_deep_names_none_to_use)
+{
+    constexpr std::size_t levels = 120'000;
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    std::vector<std::string> fields = {"other", "from", "target-version"};
+    const json sound = make_entry();
+    for (const auto& [field, value] : sound.items()) {
+        fields.push_back(field);
+    }
+    for (const std::string& field : fields) {
+        json entry = make_entry();
+        const bool is_of_layers = entry["layers"].contains(field);
+        (is_of_layers ? entry["layers"][field] : entry[field]) = "DEEP";
+        std::string text = entry.dump();
+        text.replace(text.find("\"DEEP\""), std::string("\"DEEP\"").size(), deep);
+        EXPECT_FALSE(names_an_upstream(text)) << field;
+    }
+}
+
+// Guards against a number that is cut to another one, and against reasons that quote a whole record.
+TEST(wire_entries, an_odd_number_or_a_long_text_names_none_to_use)
+{
+    for (const char* number : {"1e400", "18446744073709551616", "-1", "1000000000000000000000000000000"}) {
+        for (const char* field : {"born", "from", "target-version"}) {
+            json entry = make_entry();
+            (entry["layers"].contains(field) ? entry["layers"][field] : entry[field]) = "ODD";
+            std::string text = entry.dump();
+            text.replace(text.find("\"ODD\""), std::string("\"ODD\"").size(), number);
+            EXPECT_FALSE(names_an_upstream(text)) << field << " " << number;
+        }
+    }
+    for (const char* field : {"service", "address", "zone", "state", "kind"}) {
+        json entry = make_entry();
+        entry[field] = std::string(200'000, '1');
+        try {
+            decode_upstream("i", entry.dump());
+            FAIL() << field;
+        } catch (const error& unusable) {
+            EXPECT_LT(std::string(unusable.what()).size(), 300U) << field;
+        }
+    }
+}
+
 TEST(wire_entries, a_name_that_no_header_can_hold_names_none_to_use)
 {
     for (const char* name : {"", "a b", "a\r\nx: y", "\xff\xfe"}) {
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -143,6 +143,26 @@
     EXPECT_EQ(this->world.order_faults, 0U);
 }
 
+// Guards against one odd entry of another writer that ends every host, at each of its starts.
+TEST_F(site, goes_on_beside_an_odd_entry_and_starts_beside_it)
+{
+    const std::string entry =
+        R"({"service":"submit","address":"127.0.0.1:9","zone":"x","state":"ready","born":)";
+    constexpr std::size_t levels = 100'000;
+    this->store.put(
+        "keyed.servers", "deep", entry + std::string(levels, '[') + std::string(levels, ']') + "}");
+    this->store.put("keyed.servers", "large", entry + "1e400}");
+    this->start_engines(2);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    EXPECT_TRUE(has_logged(host, "upstream_entry_unusable"));
+    this->store.put(
+        "keyed.servers", "late", entry + std::string(levels, '[') + std::string(levels, ']') + "}");
+    this->pass(2s);
+    EXPECT_EQ(host.process->exit_code(), std::nullopt);
+    this->wait_until_served(host);
+}
+
 TEST_F(site, a_withdrawn_key_is_refused_and_a_new_one_taken)
 {
     this->start_engines(3);
