Store: keys are encoded in queries, and a reading whose pages repeat ends

Cause: the key to continue after went into the query as it is, so that the store read another key and gave the first page again; read_pages went on for as long as it was told to, and kept all.

Change: percent_encode for the key, its inverse for queries that are read; page_collector ends a reading whose pages repeat or exceed 32 MB, and the follower tries again after its pause.

Before: store_client_test.reads_all_pages_whatever_signs_stand_in_the_keys didn't end within 60 s.

--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -118,7 +118,8 @@
         [this, after](const newest_page& page) {
             this->is_reading_records = false;
             this->records_read = this->loop.now();
-            this->further_records = page.continue_after;
+            // A page that ends where it began would be read again and again.
+            this->further_records = page.continue_after == after ? std::nullopt : page.continue_after;
             this->add_recorded_hosts(page.records);
             this->ask_peers();
             if (!after) {
--- a/src/libs/base/httpmessage.cpp
+++ b/src/libs/base/httpmessage.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/httpmessage.h>
+#include <base/percentencoding.h>
 
 namespace sailtiller {
 
@@ -26,7 +27,7 @@
         const std::string_view pair = rest.substr(0, rest.find('&'));
         const std::size_t equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-            return std::string(pair.substr(equals + 1));
+            return percent_decode(pair.substr(equals + 1));
         }
         rest.remove_prefix(pair.size());
     }
--- a/src/libs/store/storeclient.cpp
+++ b/src/libs/store/storeclient.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <store/historyoffset.h>
+#include <store/pagecollector.h>
 #include <store/storeclient.h>
 
 namespace sailtiller {
@@ -36,7 +36,8 @@
 void store_client::read_newest(store_topic topic, const std::function<void(const newest_page&)>& on_all,
     const failure_handler& on_failure)
 {
-    this->read_pages(topic, std::make_shared<newest_page>(), on_all, on_failure);
+    this->read_pages(
+        topic, std::make_shared<page_collector>(this->settings.max_newest_bytes), on_all, on_failure);
 }
 
 void store_client::read_newest_page(store_topic topic, const std::optional<std::string>& after,
@@ -48,27 +49,19 @@
         on_failure);
 }
 
-void store_client::read_pages(store_topic topic, const std::shared_ptr<newest_page>& gathered,
+void store_client::read_pages(store_topic topic, const std::shared_ptr<page_collector>& pages,
     const std::function<void(const newest_page&)>& on_all, const failure_handler& on_failure)
 {
-    const bool is_first = !gathered->continue_after;
     this->read_newest_page(
-        topic, gathered->continue_after,
-        [this, topic, gathered, is_first, on_all, on_failure](const newest_page& page) {
-            if (!is_first && era_of(page.end) != era_of(gathered->end)) {
-                on_failure(error({"read newest records", this->settings.address.value()},
-                    "the store began a new history between two pages"));
-                return;
-            }
-            gathered->records.insert(gathered->records.end(), page.records.begin(), page.records.end());
-            // Pages are no snapshot: what changed since the first page follows from the first page's end.
-            gathered->end = is_first ? page.end : gathered->end;
-            gathered->continue_after = page.continue_after;
-            if (page.continue_after) {
-                this->read_pages(topic, gathered, on_all, on_failure);
-                return;
+        topic, pages->continue_after(),
+        [this, topic, pages, on_all, on_failure](const newest_page& page) {
+            if (const std::optional<std::string> fault = pages->add(page)) {
+                on_failure(error({"read newest records", this->settings.address.value()}, *fault));
+            } else if (pages->continue_after()) {
+                this->read_pages(topic, pages, on_all, on_failure);
+            } else {
+                on_all(pages->all());
             }
-            on_all(*gathered);
         },
         on_failure);
 }
--- a/src/libs/store/storeclient.h
+++ b/src/libs/store/storeclient.h
@@ -18,8 +18,13 @@
     /// Largest body of an answer. The store gives a megabyte of records to a read, and one record more, which
     /// their encoding makes a third longer; stores of other deployments may be set to give more.
     std::size_t max_answer_bytes = std::size_t{8} << 20U;
+    /// Largest sum of the keys and values of a topic's newest records. Ten thousand upstreams have entries of
+    /// a few megabytes in all, and a host has 160 MB of memory or more.
+    std::size_t max_newest_bytes = std::size_t{32} << 20U;
 };
 
+class page_collector;
+
 /// Calls to the platform's store, each bounded in time. Failures are `error`s with step and peer.
 class store_client
 {
@@ -28,7 +33,7 @@
 
     store_client(event_loop& loop, http_client& client, store_client_settings settings, store_codec codec);
 
-    /// Reads the newest record of every key, page after page.
+    /// Reads the newest record of every key, page after page. Fails if the pages don't come to an end.
     void read_newest(store_topic topic, const std::function<void(const newest_page&)>& on_all,
         const failure_handler& on_failure);
     /// Reads the newest record of each key of one page, the first one or the one that follows a key.
@@ -56,7 +61,7 @@
     void call(const char* step, http_request request, duration limit,
         const std::function<void(const http_response&)>& on_answer, const failure_handler& on_failure,
         const std::vector<int>& accepted = {http_status::ok});
-    void read_pages(store_topic topic, const std::shared_ptr<newest_page>& gathered,
+    void read_pages(store_topic topic, const std::shared_ptr<page_collector>& pages,
         const std::function<void(const newest_page&)>& on_all, const failure_handler& on_failure);
 
     event_loop& loop;
