Runtime: periodic tasks outlive an exception, and addresses are parsed in one place

Cause: the check at the boundary took addresses that connecting throws for. The loop over the layers scheduled its next run last, so the exception ended it for good, and its host kept the duty.

Change: one strict parser for addresses in numbers; connecting ends a call as not connected; periodic_task for the loops, with the fault logged and counted by task; a host that can't look at the layers leaves the duties.

--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -132,8 +132,8 @@
 
 void host_process::tidy_shares()
 {
-    this->home.drop_unused(this->loop.now());
     this->loop.schedule_after(share_lease, [this] { this->tidy_shares(); });
+    this->home.drop_unused(this->loop.now());
 }
 
 admin_view host_process::make_admin_view()
--- a/src/app/sailtillerd/lostconnectionwatch.cpp
+++ b/src/app/sailtillerd/lostconnectionwatch.cpp
@@ -10,32 +10,25 @@
 } // namespace
 
 lost_connection_watch::lost_connection_watch(event_loop& loop, upstream_link& link, gateway_service& gateway)
-    : loop(loop)
-    , link(link)
+    : link(link)
     , gateway(gateway)
+    , looks(loop, "look for lost connections", look_interval, [this] { this->look(); })
 {
 }
 
 void lost_connection_watch::watch()
 {
-    if (!this->is_watching) {
-        this->is_watching = true;
-        this->schedule_look();
+    if (!this->looks.is_started()) {
+        this->looks.start_after(look_interval);
     }
 }
 
-void lost_connection_watch::schedule_look()
-{
-    this->loop.schedule_after(look_interval, [this] { this->look(); });
-}
-
 void lost_connection_watch::look()
 {
     this->gateway.leave_lost_connections(
         [this](const upstream_id& id) { return this->link.unreachable_since(id); });
-    this->is_watching = !this->link.unreachable_groups().empty();
-    if (this->is_watching) {
-        this->schedule_look();
+    if (this->link.unreachable_groups().empty()) {
+        this->looks.stop();
     }
 }
 
--- a/src/app/sailtillerd/lostconnectionwatch.h
+++ b/src/app/sailtillerd/lostconnectionwatch.h
@@ -4,6 +4,7 @@
 #include "upstreamlink.h"
 
 #include <gateway/gatewayservice.h>
+#include <runtime/periodictask.h>
 
 namespace sailtiller {
 
@@ -17,13 +18,11 @@
     void watch();
 
 private:
-    void schedule_look();
     void look();
 
-    event_loop& loop;
     upstream_link& link;
     gateway_service& gateway;
-    bool is_watching = false;
+    periodic_task looks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/settingswatch.cpp
+++ b/src/app/sailtillerd/settingswatch.cpp
@@ -15,20 +15,19 @@
 } // namespace
 
 settings_watch::settings_watch(event_loop& loop, std::function<void()> on_change)
-    : loop(loop)
-    , on_change(std::move(on_change))
+    : on_change(std::move(on_change))
+    , looks(loop, "look at settings file", settings_look_interval, [this] { this->look(); })
 {
 }
 
 void settings_watch::start(std::string file)
 {
     this->file = std::move(file);
-    this->look();
+    this->looks.start();
 }
 
 void settings_watch::look()
 {
-    this->loop.schedule_after(settings_look_interval, [this] { this->look(); });
     try {
         std::string next = read_text_file(this->file);
         if (next != this->text) {
--- a/src/app/sailtillerd/settingswatch.h
+++ b/src/app/sailtillerd/settingswatch.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <runtime/eventloop.h>
+#include <runtime/periodictask.h>
 
 #include <functional>
 #include <string>
@@ -22,10 +22,10 @@
 private:
     void look();
 
-    event_loop& loop;
     std::function<void()> on_change;
     std::string file;
     std::string text; ///< of the file at the last look; empty at first
+    periodic_task looks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/siteadmin.cpp
+++ b/src/app/sailtillerd/siteadmin.cpp
@@ -102,6 +102,9 @@
           "Calls by way of other hosts that were lost with these hosts, by how the loss showed.", "cause")
     , answer_faults("sailtiller_malformed_answers_total",
           "Answers of upstreams that were broken off as their bytes are none, by why.", "cause")
+    , task_faults("sailtiller_failed_task_runs_total",
+          "Runs of periodic tasks that ended by an exception, by task; the next run came in its time.",
+          "task")
     , confirmation_ages("sailtiller_bundle_confirmation_age_seconds",
           "Age that the last confirmation of the bundle had reached at the next one, by who gave the next.",
           "source", source_labels)
@@ -254,6 +257,7 @@
     this->connections.write(out);
     this->relay_losses.write(out);
     this->answer_faults.write(out);
+    this->task_faults.write(out);
     const auto seconds = [](const std::optional<duration>& age) {
         return age ? std::chrono::duration<double>(*age).count() : -1;
     };
--- a/src/app/sailtillerd/siteadmin.h
+++ b/src/app/sailtillerd/siteadmin.h
@@ -60,6 +60,8 @@
     void count_relay_loss(relay_loss cause) { this->relay_losses.add(std::string(name_of(cause))); }
     /// Counts an answer of an upstream that was broken off as its bytes are none.
     void count_answer_fault(answer_fault fault) { this->answer_faults.add(std::string(name_of(fault))); }
+    /// Counts a run of a periodic task that has ended by an exception.
+    void count_task_fault(const std::string& task) { this->task_faults.add(task); }
     /// Takes one of a request's times into the histograms of its route and its account.
     void measure(const delivery_order& order, request_moment moment, duration time);
     /// Takes the age that the word on the bundle had reached when this source confirmed it anew.
@@ -94,6 +96,7 @@
     counter_family suspect_refusals;
     counter_family relay_losses;
     counter_family answer_faults;
+    counter_family task_faults;
     time_histogram_family confirmation_ages;
     request_times by_route;
     request_times by_account;
--- a/src/app/sailtillerd/siteduties.cpp
+++ b/src/app/sailtillerd/siteduties.cpp
@@ -28,25 +28,22 @@
     , self(std::move(self))
     , is_candidate(std::move(is_candidate))
     , holding(join_silence_limit)
+    , looks(loop, "join group of duties", join_interval, [this] { this->look(); })
 {
 }
 
 void site_duties::start()
 {
-    this->loop.schedule_after(first_join_pause, [this] { this->look(); });
+    this->looks.start_after(first_join_pause);
 }
 
 void site_duties::look()
 {
-    if (this->is_leaving) {
-        return; // joining once more would hold the duties until it is missed
-    }
     if (this->is_candidate()) {
         this->join();
     } else if (this->is_in_group) {
         this->leave_group();
     }
-    this->loop.schedule_after(join_interval, [this] { this->look(); });
 }
 
 void site_duties::join()
@@ -66,6 +63,7 @@
 void site_duties::leave()
 {
     this->is_leaving = true;
+    this->looks.stop(); // joining once more would hold the duties until it is missed
     if (this->is_in_group) {
         this->leave_group();
     }
--- a/src/app/sailtillerd/siteduties.h
+++ b/src/app/sailtillerd/siteduties.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <placement/layerorder.h>
+#include <runtime/periodictask.h>
 #include <store/dutyholding.h>
 #include <store/storeclient.h>
 
@@ -37,6 +38,7 @@
     fencing_token refused_token;
     bool is_in_group = false;
     bool is_leaving = false;
+    periodic_task looks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -39,6 +39,9 @@
     return static_cast<double>(stable_hash(id.value(), 1)) / all_values;
 }
 
+/// After so many failed looks at the layers in a row, one a fifth of a second, another host takes the duty.
+constexpr unsigned max_failed_looks = 5;
+
 /// After the store came back from a copy, hosts write their records again, spread over this time: 400 of them
 /// in one moment are what the store takes in a second.
 constexpr milliseconds record_renewal_time(5000);
@@ -93,7 +96,10 @@
               this->duties.leave();
           })
     , settings_file(this->loop, [this] { this->reload(); })
+    , layer_looks(this->loop, "look at layers", placement_controller_settings().look_interval,
+          [this] { this->look_at_layers(); })
 {
+    this->loop.when_task_fails([this](const std::string& task) { this->admin.count_task_fault(task); });
     this->callers.when_rejected(
         [this](const http_server_event& event) { this->admin.count_rejection(log_rejection(event)); });
 }
@@ -214,7 +220,9 @@
 
 bool site_host::is_fit_for_duties() const
 {
-    return this->reading.reads_store() && this->connects_to_engines();
+    // A host that can't do the work of a duty leaves it to another one.
+    return this->reading.reads_store() && this->connects_to_engines()
+        && this->layer_looks.failures_in_a_row() < max_failed_looks;
 }
 
 upstream_health_hooks site_host::make_health_hooks()
@@ -555,8 +563,6 @@
             this->health.ask(id);
         }
     }
-    this->loop.schedule_after(
-        placement_controller_settings().look_interval, [this] { this->look_at_layers(); });
 }
 
 bool site_host::is_ready() const
@@ -642,7 +648,7 @@
     this->suspects.start();
     this->limits.start();
     this->duties.start();
-    this->look_at_layers();
+    this->layer_looks.start();
     this->health.start();
     if (this->settings.file) {
         this->settings_file.start(*this->settings.file);
--- a/src/app/sailtillerd/sitehost.h
+++ b/src/app/sailtillerd/sitehost.h
@@ -124,6 +124,7 @@
     site_relay relay;
     site_stop stop;
     settings_watch settings_file;
+    periodic_task layer_looks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -6,6 +6,7 @@
 #include <base/compression.h>
 #include <base/error.h>
 #include <base/json.h>
+#include <base/numericaddress.h>
 #include <runtime/eventlog.h>
 #include <site/entryexchange.h>
 
@@ -58,8 +59,11 @@
 known_host read_record(const std::string& key, const std::string& value)
 {
     const json item = parse_json(value);
-    return {host_id(key), endpoint(item.at("address").get<std::string>()),
-        data_hall_id(item.at("data_hall").get<std::string>())};
+    const endpoint address(item.at("address").get<std::string>());
+    if (!names_a_machine(address)) {
+        throw error({"read host record", key}, "its address is none in numbers with a port");
+    }
+    return {host_id(key), address, data_hall_id(item.at("data_hall").get<std::string>())};
 }
 
 } // namespace
@@ -72,6 +76,8 @@
     , client(loop, connect_limit)
     , server(loop,
           [this](const std::string& method, const std::string& body) { return this->answer(method, body); })
+    , rounds(loop, "exchange reports", round_interval, [this] { this->run_round(); })
+    , record_checks(loop, "check host records", record_check_interval, [this] { this->check_records(); })
 {
 }
 
@@ -80,8 +86,8 @@
     this->table.set_own_address(this->server.listen(address));
     this->write_own_record();
     this->table.note_start(this->loop.now());
-    this->run_round();
-    this->check_records();
+    this->rounds.start();
+    this->record_checks.start_after(record_check_interval);
     return this->table.own().address;
 }
 
@@ -135,7 +141,6 @@
 
 void site_peers::check_records()
 {
-    this->loop.schedule_after(record_check_interval, [this] { this->check_records(); });
     const time_point now = this->loop.now();
     if (this->is_reading_records || !this->records_read
         || now - *this->records_read < record_check_interval) {
@@ -161,7 +166,7 @@
             const known_host host = read_record(record.key, *record.value);
             this->recorded_hosts += host.id == this->table.own().id ? 0 : 1;
             this->table.add(host, this->loop.now());
-        } catch (const json::exception& malformed) {
+        } catch (const std::exception& malformed) {
             log_event(log_level::warning, event_type::host_record_unusable,
                 {{"peer", record.key}, {"reason", malformed.what()}});
         }
@@ -187,11 +192,10 @@
 
 void site_peers::run_round()
 {
+    this->rounds.set_interval(this->table.is_new(this->loop.now()) ? new_round_interval : round_interval);
     this->ask_peers();
     this->client.close_idle(connection_idle_limit);
     this->hooks.on_round(this->table);
-    const duration pause = this->table.is_new(this->loop.now()) ? new_round_interval : round_interval;
-    this->loop.schedule_after(pause, [this] { this->run_round(); });
 }
 
 void site_peers::announce_leaving()
--- a/src/app/sailtillerd/sitepeers.h
+++ b/src/app/sailtillerd/sitepeers.h
@@ -6,6 +6,7 @@
 #include <fleet/limitmessages.h>
 #include <runtime/peerclient.h>
 #include <runtime/peerserver.h>
+#include <runtime/periodictask.h>
 #include <store/storeclient.h>
 
 namespace sailtiller {
@@ -104,6 +105,8 @@
     std::optional<time_point> records_read; ///< time at which the last page was read
     std::optional<std::string> further_records; ///< key after which there are more records
     std::size_t recorded_hosts = 0; ///< other hosts in the pages read so far
+    periodic_task rounds;
+    periodic_task record_checks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/sitestop.cpp
+++ b/src/app/sailtillerd/sitestop.cpp
@@ -32,6 +32,8 @@
     , gateway(gateway)
     , relay(relay)
     , announce(std::move(announce))
+    , idle_looks(loop, "end stop", idle_look_interval, [this] { this->finish_when_idle(); })
+    , last_looks(loop, "end stop", last_answer_look, [this] { this->end_when_answers_are_out(); })
 {
 }
 
@@ -51,8 +53,8 @@
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
     this->announce();
     this->loop.schedule_after(grace, [this] {
+        this->idle_looks.start_after(duration::zero());
         this->callers.close_listeners();
-        this->finish_when_idle();
     });
 }
 
@@ -63,26 +65,26 @@
     const bool is_idle = this->gateway.requests_in_flight() == 0 && this->callers.connection_count() == 0
         && this->relay.calls_in_progress() == 0;
     if (!is_idle && this->loop.now() < this->limit) {
-        this->loop.schedule_after(idle_look_interval, [this] { this->finish_when_idle(); });
         return;
     }
+    this->idle_looks.stop();
+    this->last_looks.start_after(duration::zero());
+    this->last_answers_end = this->loop.now() + last_answer_time;
     this->code = is_idle ? exit_ok : exit_failed;
     // What was read is owed an answer: a connection that ends without one doesn't tell its caller whether the
     // request has run, so that one which may run only once is lost.
-    const std::size_t cut_off = this->gateway.end_for_stop() + this->relay.calls_in_progress();
+    this->cut_off = this->gateway.end_for_stop() + this->relay.calls_in_progress();
     this->relay.end_for_stop();
-    this->end_when_answers_are_out(this->loop.now() + last_answer_time, cut_off);
 }
 
-void site_stop::end_when_answers_are_out(time_point end, std::size_t cut_off)
+void site_stop::end_when_answers_are_out()
 {
     this->callers.close_idle_connections();
-    if (this->callers.connection_count() > 0 && this->loop.now() < end) {
-        this->loop.schedule_after(
-            last_answer_look, [this, end, cut_off] { this->end_when_answers_are_out(end, cut_off); });
+    if (this->callers.connection_count() > 0 && this->loop.now() < this->last_answers_end) {
         return;
     }
-    log_event(log_level::info, event_type::stopped, {{"cut_off", std::to_string(cut_off)}});
+    this->last_looks.stop();
+    log_event(log_level::info, event_type::stopped, {{"cut_off", std::to_string(this->cut_off)}});
     this->loop.stop();
 }
 
--- a/src/app/sailtillerd/sitestop.h
+++ b/src/app/sailtillerd/sitestop.h
@@ -5,6 +5,7 @@
 
 #include <gateway/gatewayservice.h>
 #include <runtime/httpserver.h>
+#include <runtime/periodictask.h>
 
 namespace sailtiller {
 
@@ -26,8 +27,8 @@
 
 private:
     void finish_when_idle();
-    /// Stops the loop once every connection has ended, at `end` at the latest.
-    void end_when_answers_are_out(time_point end, std::size_t cut_off);
+    /// Stops the loop once every connection has ended, or the time for it has.
+    void end_when_answers_are_out();
 
     event_loop& loop;
     http_server& callers;
@@ -36,7 +37,11 @@
     std::function<void()> announce;
     bool has_begun = false;
     time_point limit{};
+    time_point last_answers_end{};
+    std::size_t cut_off = 0; ///< answers that the stop didn't wait for
     int code = 0;
+    periodic_task idle_looks;
+    periodic_task last_looks;
 };
 
 } // namespace sailtiller
--- a/src/app/sailtillerd/upstreamhealth.cpp
+++ b/src/app/sailtillerd/upstreamhealth.cpp
@@ -238,6 +238,7 @@
 void upstream_health::decide()
 {
     this->is_decision_scheduled = false;
+    this->schedule_decision();
     std::vector<upstream_id> dead;
     const std::set<upstream_id> silent = this->undecided;
     for (const upstream_id& id : silent) {
@@ -256,7 +257,6 @@
         }
     }
     this->mark_dead(dead);
-    this->schedule_decision();
 }
 
 void upstream_health::probe_again(const upstream_id& id)
--- a/src/app/sailtillerd/upstreamlink.cpp
+++ b/src/app/sailtillerd/upstreamlink.cpp
@@ -283,11 +283,6 @@
 void upstream_link::check_kept_connections()
 {
     const std::vector<upstream_group> groups = this->unreachable_groups();
-    for (const upstream_group& group : groups) {
-        if (!this->connects_to(group.service) && !this->is_relayed(group.service)) {
-            this->check_kept_connections_to(group);
-        }
-    }
     if (!groups.empty() && !this->is_kept_check_scheduled) {
         this->is_kept_check_scheduled = true;
         this->loop.schedule_after(kept_check_interval, [this] {
@@ -295,6 +290,11 @@
             this->check_kept_connections();
         });
     }
+    for (const upstream_group& group : groups) {
+        if (!this->connects_to(group.service) && !this->is_relayed(group.service)) {
+            this->check_kept_connections_to(group);
+        }
+    }
 }
 
 void upstream_link::check_kept_connections_to(const upstream_group& group)
--- a/src/libs/bundle/bundlechecks.cpp
+++ b/src/libs/bundle/bundlechecks.cpp
@@ -1,17 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/numericaddress.h>
 #include <bundle/bundlechecks.h>
 #include <bundle/digest.h>
 
-#include <arpa/inet.h>
-#include <charconv>
 #include <set>
 
 namespace sailtiller {
 
 namespace {
 
-constexpr int highest_port = 65'535;
-
 /// Collects faults against one list of the bundle.
 class list_checker
 {
@@ -138,7 +135,7 @@
     list_checker checker("upstreams", faults);
     for (std::size_t index = 0; index < content.upstreams.size(); ++index) {
         const endpoint& address = content.upstreams[index].address;
-        if (!address.value().empty() && !parse_endpoint(address)) {
+        if (!address.value().empty() && !names_a_machine(address)) {
             checker.add(index, "address", address.value(), "must be a number with a port, as 127.0.0.1:8080");
         }
     }
@@ -171,32 +168,4 @@
     check_services(content, upstreams, faults);
 }
 
-std::optional<numeric_address> parse_endpoint(const endpoint& address)
-{
-    const std::string& text = address.value();
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    numeric_address parsed;
-    parsed.number = text.substr(0, colon);
-    if (parsed.number.size() > 2 && parsed.number.front() == '[' && parsed.number.back() == ']') {
-        parsed.number = parsed.number.substr(1, parsed.number.size() - 2);
-        parsed.is_version_6 = true;
-    }
-    int port = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, failure] = std::from_chars(text.data() + colon + 1, end, port);
-    if (failure != std::errc() || stop != end || port < 1 || port > highest_port) {
-        return std::nullopt;
-    }
-    parsed.port = static_cast<std::uint16_t>(port);
-    in6_addr number{};
-    const int family = parsed.is_version_6 ? AF_INET6 : AF_INET;
-    if (inet_pton(family, parsed.number.c_str(), &number) != 1) {
-        return std::nullopt;
-    }
-    return parsed;
-}
-
 } // namespace sailtiller
--- a/src/libs/bundle/bundlechecks.h
+++ b/src/libs/bundle/bundlechecks.h
@@ -10,14 +10,4 @@
 /// contradict.
 void check_bundle(const bundle& content, std::vector<json_fault>& faults);
 
-/// Splits "127.0.0.1:80" or "[::1]:80"; empty if the text isn't a numeric address with a port from 1 to
-/// 65535.
-struct numeric_address
-{
-    std::string number;
-    std::uint16_t port = 0;
-    bool is_version_6 = false;
-};
-std::optional<numeric_address> parse_endpoint(const endpoint& address);
-
 } // namespace sailtiller
--- a/src/libs/fleet/shareclient.cpp
+++ b/src/libs/fleet/shareclient.cpp
@@ -40,8 +40,8 @@
 void share_client::start()
 {
     this->hooks.timers.schedule_after(renew_interval, [this] {
-        this->renew();
         this->start();
+        this->renew();
     });
 }
 
--- a/src/libs/gateway/startupqueue.cpp
+++ b/src/libs/gateway/startupqueue.cpp
@@ -31,9 +31,10 @@
         return; // all have been refused since
     }
     if (this->is_ready()) {
-        const std::vector<queued_request> held = std::exchange(this->waiting, {});
-        for (const queued_request& item : held) {
-            item.serve();
+        // Each by a timer of its own, so that a fault of one doesn't take the others with it.
+        std::vector<queued_request> held = std::exchange(this->waiting, {});
+        for (queued_request& item : held) {
+            this->timers.schedule_after(duration::zero(), std::move(item.serve));
         }
         return;
     }
--- a/src/libs/health/upstreamreachability.cpp
+++ b/src/libs/health/upstreamreachability.cpp
@@ -268,7 +268,11 @@
 void upstream_reachability::recheck()
 {
     this->is_recheck_scheduled = false;
-    for (const upstream_group& group : this->unreachable_groups()) {
+    const std::vector<upstream_group> unreachable = this->unreachable_groups();
+    if (!unreachable.empty()) {
+        this->schedule_recheck();
+    }
+    for (const upstream_group& group : unreachable) {
         std::vector<upstream_id> members = this->hooks.list_members(group);
         if (members.empty()) {
             this->groups.erase(group); // its upstreams are gone
@@ -281,7 +285,6 @@
             this->start_check(*chosen, group);
             members.erase(chosen);
         }
-        this->schedule_recheck();
     }
 }
 
--- a/src/libs/logservice/hostlist.cpp
+++ b/src/libs/logservice/hostlist.cpp
@@ -44,6 +44,7 @@
 
 void host_list::read()
 {
+    this->loop.schedule_after(this->interval, [this] { this->read(); });
     const error_origin origin{"read host list", this->address.value()};
     http_request request;
     request.method = "GET";
@@ -54,7 +55,6 @@
     send_timed(
         this->loop, this->client, {this->address, request, answer_limit, origin},
         [this](const http_response& answer) { this->take(answer); }, this->on_failure);
-    this->loop.schedule_after(this->interval, [this] { this->read(); });
 }
 
 void host_list::take(const http_response& answer)
--- a/src/libs/relay/relayclient.cpp
+++ b/src/libs/relay/relayclient.cpp
@@ -394,6 +394,10 @@
 
 void relay_client::end_silent_calls()
 {
+    this->is_check_scheduled = false;
+    if (!this->calls.empty()) {
+        this->schedule_check();
+    }
     const time_point now = this->loop.now();
     this->watched += std::min<duration>(now - this->last_check, 2 * this->settings.check_interval);
     this->last_check = now;
@@ -407,10 +411,6 @@
         this->avoid(call->current_host(), this->settings.avoid_time);
         call->lose_host(relay_loss::silent, call->current_host().value() + " has fallen silent");
     }
-    this->is_check_scheduled = false;
-    if (!this->calls.empty()) {
-        this->schedule_check();
-    }
 }
 
 } // namespace sailtiller
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <runtime/eventlog.h>
 #include <runtime/eventloop.h>
 #include <runtime/h2oheaders.h>
 
@@ -135,6 +136,14 @@
     }
 }
 
+void event_loop::report_task_fault(const std::string& task, const std::string& reason) const
+{
+    log_event(log_level::failure, event_type::internal_error, {{"step", task}, {"reason", reason}});
+    if (this->on_task_fault) {
+        this->on_task_fault(task);
+    }
+}
+
 timer_hooks event_loop::hooks()
 {
     timer_hooks hooks;
--- a/src/libs/runtime/eventloop.h
+++ b/src/libs/runtime/eventloop.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 
 struct st_h2o_evloop_t;
 
@@ -42,6 +43,13 @@
     void remove_work(work_id id) { this->work.erase(id); }
     /// Cancels all work that is still there, as its handlers may refer to objects that go before the loop.
     void cancel_work();
+    /// Told the name of a periodic task whose run has ended by an exception.
+    void when_task_fails(std::function<void(const std::string& task)> action)
+    {
+        this->on_task_fault = std::move(action);
+    }
+    /// Logs and tells that a run of a periodic task has ended by an exception; for the task.
+    void report_task_fault(const std::string& task, const std::string& reason) const;
     /// This loop as the hooks that the core takes.
     [[nodiscard]] timer_hooks hooks();
 
@@ -55,6 +63,7 @@
     std::deque<std::function<void()>> posted;
     std::map<work_id, std::function<void()>> work; ///< how to cancel each
     work_id last_work = 0;
+    std::function<void(const std::string&)> on_task_fault;
     bool is_stopping = false;
 };
 
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -237,15 +237,21 @@
 
 void http_call::connect()
 {
-    socket_address address = to_socket_address(this->target);
+    std::optional<socket_address> address = find_socket_address(this->target);
+    if (!address) {
+        this->loop.post([keep = this->shared_from_this()] {
+            keep->fail_connection("the address is no number with a port");
+        });
+        return;
+    }
     this->connect_timer = this->loop.schedule_after(this->options.connect_limit,
         [this] { this->fail_connection("no connection within the time limit"); });
     const auto on_connected = [](h2o_socket_t* native, const char* failure) {
         static_cast<http_call*>(native->data)->guard(&http_call::take_connection, failure);
     };
     this->socket = this->options.source
-        ? connect_from(this->loop, *this->options.source, address, on_connected)
-        : h2o_socket_connect(this->loop.native(), address.pointer(), address.length, on_connected);
+        ? connect_from(this->loop, *this->options.source, *address, on_connected)
+        : h2o_socket_connect(this->loop.native(), address->pointer(), address->length, on_connected);
     if (this->socket == nullptr) {
         this->loop.post(
             [keep = this->shared_from_this()] { keep->fail_connection("the system gave no socket"); });
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -184,8 +184,8 @@
     }
     this->look_timer = this->loop.schedule_after(connection_look_interval, [this] {
         this->look_timer = 0;
-        this->look_at_connections();
         this->schedule_look();
+        this->look_at_connections();
     });
 }
 
--- a/src/libs/runtime/peerclient.cpp
+++ b/src/libs/runtime/peerclient.cpp
@@ -146,12 +146,14 @@
 
 void peer_client::connect(connection& target)
 {
-    socket_address address = to_socket_address(target.peer);
-    target.connecting = h2o_socket_connect(
-        this->loop.native(), address.pointer(), address.length, &peer_client::on_connected);
+    std::optional<socket_address> address = find_socket_address(target.peer);
+    target.connecting = !address ? nullptr
+                                 : h2o_socket_connect(this->loop.native(), address->pointer(),
+                                     address->length, &peer_client::on_connected);
     if (target.connecting == nullptr) {
         this->loop.post([this, &target] {
-            this->fail_all(target, peer_failure_kind::not_sent, "the system refused the connection");
+            this->fail_all(target, peer_failure_kind::not_sent,
+                "the system refused the connection, or the address is none");
         });
         return;
     }
--- a/src/libs/runtime/socketaddress.cpp
+++ b/src/libs/runtime/socketaddress.cpp
@@ -43,6 +43,15 @@
     return result;
 }
 
+std::optional<socket_address> find_socket_address(const endpoint& address)
+{
+    try {
+        return to_socket_address(address);
+    } catch (const error&) {
+        return std::nullopt; // whoever connects tells that no connection was made, and why
+    }
+}
+
 endpoint to_endpoint(const socket_address& address)
 {
     std::array<char, NI_MAXHOST> number{};
--- a/src/libs/runtime/socketaddress.h
+++ b/src/libs/runtime/socketaddress.h
@@ -3,6 +3,7 @@
 
 #include <base/ids.h>
 
+#include <optional>
 #include <sys/socket.h>
 
 namespace sailtiller {
@@ -17,8 +18,10 @@
     [[nodiscard]] const sockaddr* pointer() const { return reinterpret_cast<const sockaddr*>(&this->bytes); }
 };
 
-/// Reads "127.0.0.1:80" or "[::1]:80". Throws `error` if it is something else.
+/// Reads "127.0.0.1:80" or "[::1]:80" of a setting. Throws `error` if it is something else.
 socket_address to_socket_address(const endpoint& address);
+/// The same of an address to connect to, which others may have told; empty if it is something else.
+std::optional<socket_address> find_socket_address(const endpoint& address);
 /// The endpoint in numbers; empty for an address that is no internet address.
 endpoint to_endpoint(const socket_address& address);
 
--- a/src/libs/runtime/timedcall.cpp
+++ b/src/libs/runtime/timedcall.cpp
@@ -30,6 +30,9 @@
         on_answer(response);
     } catch (const error& failure) {
         on_failure(failure);
+    } catch (const std::exception& failure) {
+        // Whoever waits for the answer goes on by one of the two handlers.
+        on_failure(error(origin, failure.what()));
     }
 }
 
--- a/src/libs/store/keyedfollower.cpp
+++ b/src/libs/store/keyedfollower.cpp
@@ -46,8 +46,8 @@
         this->settings.topic,
         [this, asked](const newest_page& page) {
             this->failures = 0;
-            this->next = page.end;
             this->hooks.on_all(page.records, page.end);
+            this->skip_to(page.end); // after the list has been taken: else its changes alone would follow
             this->hooks.on_confirmed(asked);
             this->schedule(this->settings.pause);
         },
--- a/tests/auto/platform/tst_wireentries.cpp
+++ b/tests/auto/platform/tst_wireentries.cpp
@@ -132,6 +132,23 @@
     }
 }
 
+// Guards against an address to which nobody can connect, in whatever way the system reads it.
+TEST(wire_entries, an_address_of_no_machine_names_none_to_use)
+{
+    for (const char* address : {":8080", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999",
+             "10.0.0.1:-1", "10.0.0.1:+1", "10.0.0.1:80 ", "1.2.3:80", "1:80", "010.0.0.1:80", "a.b:80",
+             "0.0.0.0:80", "[::]:80", "::1:80", "[::1]", "[fe80::1%lo]:80", "[]:80", ".:", "[10.0.0.1]:80"}) {
+        json entry = make_entry();
+        entry["address"] = address;
+        EXPECT_FALSE(names_an_upstream(entry.dump())) << address;
+    }
+    for (const char* address : {"10.0.0.1:80", "127.0.0.1:65535", "[::1]:80", "[fe80::1]:80"}) {
+        json entry = make_entry();
+        entry["address"] = address;
+        EXPECT_TRUE(names_an_upstream(entry.dump())) << address;
+    }
+}
+
 TEST(wire_entries, a_name_that_no_header_can_hold_names_none_to_use)
 {
     for (const char* name : {"", "a b", "a\r\nx: y", "\xff\xfe"}) {
--- a/tests/auto/runtime/tst_httpcall.cpp
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -215,6 +215,20 @@
     EXPECT_EQ(ending, call_ending::not_connected);
 }
 
+// Guards against a task that ends for good because one of its calls throws.
+TEST_F(http_call_test, an_address_that_is_none_ends_the_call_as_not_connected)
+{
+    for (const char* address : {":8080", "", "a.example:80", "127.0.0.1", "127.0.0.1:65536"}) {
+        std::optional<call_ending> ending;
+        http_call_handlers handlers;
+        handlers.on_end = [&ending](call_ending how, const std::string&) { ending = how; };
+        http_call::start(this->loop, endpoint(address), {}, {}, std::move(handlers));
+        EXPECT_EQ(ending, std::nullopt) << "told within the start";
+        run_until(this->loop, [&ending] { return ending.has_value(); });
+        EXPECT_EQ(ending, call_ending::not_connected) << address;
+    }
+}
+
 TEST_F(http_call_test, nothing_is_sent_once_it_may_no_longer_be)
 {
     std::optional<call_ending> ending;
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -147,7 +147,7 @@
 TEST_F(site, goes_on_beside_an_odd_entry_and_starts_beside_it)
 {
     const std::string entry =
-        R"({"service":"submit","address":"127.0.0.1:9","zone":"x","state":"ready","born":)";
+        R"({"service":"plain","address":"127.0.0.1:9","zone":"x","state":"ready","born":)";
     constexpr std::size_t levels = 100'000;
     this->store.put(
         "keyed.servers", "deep", entry + std::string(levels, '[') + std::string(levels, ']') + "}");
@@ -163,6 +163,25 @@
     this->wait_until_served(host);
 }
 
+// Guards against layers that are never placed again because an address can't be connected to.
+TEST_F(site, layers_are_placed_again_beside_an_entry_whose_address_names_no_machine)
+{
+    this->start_engines(2);
+    site_host_process& host = this->start_host("a");
+    this->wait_until_served(host);
+    this->store.put("keyed.servers", "inventory",
+        R"({"service":"llm","address":":8080","zone":"x","state":"ready","kind":"card"})");
+    run_until(this->loop, [&host] { return has_logged(host, "upstream_entry_unusable"); });
+    this->engines[0]->kill();
+    this->store.put("keyed.servers", "x0", "");
+    this->engines[2]->kill();
+    this->store.put("keyed.servers", "y0", "");
+    this->engines.push_back(
+        std::make_unique<standins::path_engine>(this->loop, this->store, this->world, "new", "x"));
+    run_until(this->loop, [this] { return this->engines.back()->held_layers() > 0; });
+    this->wait_until_served(host);
+}
+
 TEST_F(site, a_withdrawn_key_is_refused_and_a_new_one_taken)
 {
     this->start_engines(3);
