Runtime: answers are whole only by their own word, and heads follow the protocol

Callers saw: part of an answer as a complete one, when an upstream answered an upload early, without a length, and reset the connection while the upload was written. On other systems: a status of 000, and fields whose names hold blanks or control bytes, as an answer.

Cause: the write was told the reset, and the read that followed saw an orderly close, which ended the answer although its request had not been sent. Heads were left to a parser that lets such things pass.

Change: an answer without a length is whole only after its request has been sent. Each line of a head is checked by RFC 9110 and 9112 first. Broken-off answers over HTTP/1.0 are reset. Relayed heads, and callers' fields and paths, go by the same rules.

--- a/src/libs/base/httpmessage.cpp
+++ b/src/libs/base/httpmessage.cpp
@@ -2,6 +2,8 @@
 #include <base/httpmessage.h>
 #include <base/percentencoding.h>
 
+#include <algorithm>
+
 namespace sailtiller {
 
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name)
@@ -14,6 +16,30 @@
     return std::nullopt;
 }
 
+bool is_field_name(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [marks](char sign) {
+        return (sign >= '0' && sign <= '9') || (sign >= 'a' && sign <= 'z') || (sign >= 'A' && sign <= 'Z')
+            || marks.find(sign) != std::string_view::npos;
+    });
+}
+
+bool is_field_value(std::string_view text)
+{
+    constexpr unsigned char delete_sign = 0x7f;
+    return std::all_of(text.begin(), text.end(), [](char sign) {
+        const auto byte = static_cast<unsigned char>(sign);
+        return (byte >= ' ' && byte != delete_sign) || sign == '\t';
+    });
+}
+
+bool are_fields(const http_headers& headers)
+{
+    return std::all_of(headers.begin(), headers.end(),
+        [](const http_header& header) { return is_field_name(header.name) && is_field_value(header.value); });
+}
+
 std::string_view http_request::route() const
 {
     return std::string_view(this->path).substr(0, this->path.find('?'));
--- a/src/libs/base/httpmessage.h
+++ b/src/libs/base/httpmessage.h
@@ -22,6 +22,13 @@
 /// The value of the first header of that name (in lower case).
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name);
 
+/// True if the text can be the name of a header field: signs of a token (RFC 9110), at least one.
+bool is_field_name(std::string_view text);
+/// True if the text can stand in the value of a header field: no control byte but tabs.
+bool is_field_value(std::string_view text);
+/// True if every name and value can stand in a head, so that no part of one is read as another field.
+bool are_fields(const http_headers& headers);
+
 /// A whole request.
 struct http_request
 {
@@ -35,7 +42,7 @@
 
     /// The path without the query.
     [[nodiscard]] std::string_view route() const;
-    /// The value of a query parameter, without any decoding.
+    /// The value of a query parameter, decoded; a "+" stands for itself.
     [[nodiscard]] std::optional<std::string> query_value(std::string_view name) const;
 };
 
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -27,6 +27,10 @@
 /// each byte of which takes up to six in JSON.
 constexpr std::size_t max_line_bytes = std::size_t{512} << 10U;
 
+/// Of final answers.
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+
 bool is_for_this_connection(const http_header& header)
 {
     return header.name.starts_with(header_prefix)
@@ -74,6 +78,9 @@
         for (const json& header : item.at("headers")) {
             head.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
         }
+        if (!are_fields(head.headers) || head.status < first_final_status || head.status > last_status) {
+            throw malformed_answer("the head of the upstream's answer is none");
+        }
         return head;
     } catch (const json::exception& malformed) {
         throw malformed_answer(malformed.what());
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/timetext.h>
+#include <runtime/answerheadcheck.h>
 #include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpcall.h>
@@ -190,6 +191,7 @@
     http_call& owner;
     http_parser native{};
     http_parser_settings settings{};
+    answer_head_check check;
     http_headers headers;
     bool is_head_request = false;
     bool is_in_name = false;
@@ -352,8 +354,9 @@
         this->connect();
         return;
     }
-    if (failure == h2o_socket_error_closed) {
-        // An orderly close ends an answer that has no length.
+    // An orderly close ends an answer that has no length. A reset looks like one if a write has met it first,
+    // as the system tells it once; so an answer that ends before its request is sent isn't whole.
+    if (failure == h2o_socket_error_closed && this->is_sent) {
         http_parser_execute(&this->incoming->native, &this->incoming->settings, nullptr, 0);
         if (this->incoming->is_whole) {
             this->end(call_ending::whole, "");
@@ -372,6 +375,10 @@
         bytes.remove_prefix(part.size());
         this->incoming->head_bytes += part.size();
         this->incoming->is_head_open = true;
+        if (const std::optional<std::string> fault = this->incoming->check.take(part)) {
+            this->fail_answer(answer_fault::not_http, *fault);
+            return;
+        }
         this->parse_part(part, bytes.empty());
         if (!this->has_ended && !this->incoming->has_head && this->incoming->head_bytes >= max_bytes) {
             this->fail_answer(
--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int first_http2_version = 0x200;
+constexpr int first_version_with_chunks = 0x101;
 
 std::string to_string(h2o_iovec_t text)
 {
@@ -146,11 +147,22 @@
         {{"step", "send answer"}, {"peer", this->incoming.peer.value()},
             {"reason", "more than " + std::to_string(max_unread_bytes) + " bytes of it are unread"}});
     if (this->native->version < first_http2_version) {
-        h2o_socket_t* socket = this->native->conn->callbacks->get_socket(this->native->conn);
-        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        this->break_connection();
     }
 }
 
+void http_exchange::break_connection()
+{
+    const int descriptor = h2o_socket_get_fd(this->native->conn->callbacks->get_socket(this->native->conn));
+    if (this->native->version < first_version_with_chunks) {
+        // An orderly close would be the end of the body; to connect to no address resets the connection.
+        const sockaddr no_address{AF_UNSPEC, {}};
+        connect(descriptor, &no_address, sizeof(no_address));
+        return;
+    }
+    shutdown(descriptor, SHUT_RDWR);
+}
+
 void http_exchange::finish()
 {
     this->is_ending = true;
@@ -186,8 +198,7 @@
     if (this->is_aborting && this->native->version < first_http2_version) {
         // h2o marks an error within a chunked body by bytes that are no chunk; a bare close says the same in
         // the protocol's own way.
-        h2o_socket_t* socket = this->native->conn->callbacks->get_socket(this->native->conn);
-        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        this->break_connection();
     }
     h2o_send(this->native, &buffer, buffers, this->is_done ? last_state : H2O_SEND_STATE_IN_PROGRESS);
 }
--- a/src/libs/runtime/httpexchange.h
+++ b/src/libs/runtime/httpexchange.h
@@ -60,6 +60,8 @@
     /// Drops what waits for a caller that reads too slowly, and closes its connection (HTTP/1.1) or leaves
     /// the end of the stream to `abort` (HTTP/2).
     void cut();
+    /// Ends a connection over HTTP/1 so that its caller can't take the answer for whole.
+    void break_connection();
     void detach();
 
     http_request incoming;
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -56,6 +56,12 @@
     return sum;
 }
 
+bool is_request_line(const http_request& request)
+{
+    return is_field_name(request.method) && is_field_value(request.path) && is_field_value(request.authority)
+        && request.path.find_first_of(" \t") == std::string::npos;
+}
+
 } // namespace
 
 struct http_server::state
@@ -240,6 +246,12 @@
         server->reject(*exchange, http_status::headers_too_large, "not-run", "the headers are too large");
         return 0;
     }
+    // What is passed on over HTTP/1 must not be read as another field, or request, there. h2o checks this of
+    // HTTP/1 alone.
+    if (!are_fields(exchange->request().headers) || !is_request_line(exchange->request())) {
+        server->reject(*exchange, http_status::bad_request, "not-run", "the head holds control bytes");
+        return 0;
+    }
     // No exception may pass through h2o's frames, and one request's must not end the others.
     try {
         server->handler(exchange);
--- a/tests/auto/relay/tst_relaymessages.cpp
+++ b/tests/auto/relay/tst_relaymessages.cpp
@@ -103,7 +103,10 @@
 {
     for (const char* text : {"x", "\nnot json\n", "\n{}\n", "\n{\"status\":\"a\",\"headers\":[]}\n",
              "\n{\"status\":200,\"headers\":[[1]]}\n", "\n[]\n", "\n{\"whole\":1,\"reason\":\"\"}\n",
-             "\n{\"whole\":true,\"reason\":\"\"}\n", "\n{\"failure\":\"f\"}\n1\na"}) {
+             "\n{\"whole\":true,\"reason\":\"\"}\n", "\n{\"failure\":\"f\"}\n1\na",
+             "\n{\"status\":0,\"headers\":[]}\n", "\n{\"status\":100,\"headers\":[]}\n",
+             "\n{\"status\":600,\"headers\":[]}\n", "\n{\"status\":200,\"headers\":[[\"x y\",\"a\"]]}\n",
+             "\n{\"status\":200,\"headers\":[[\"x\",\"a\\r\\nb: c\"]]}\n"}) {
         relay_answer_reader reader;
         EXPECT_THROW(reader.take(text), error) << text;
     }
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -74,6 +74,7 @@
             if (on_bytes) {
                 on_bytes(received);
             }
+            this->was_reset = count < 0 && errno == ECONNRESET;
             is_closed = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             return is_closed;
         });
@@ -86,6 +87,7 @@
     endpoint address;
     int rejected = 0; ///< the newest status, 0 for a connection that ended without a request
     int rejections = 0;
+    bool was_reset = false; ///< the plain connection that was used last
     std::optional<http_failure> failure;
 };
 
@@ -174,6 +176,19 @@
     EXPECT_TRUE(received.ends_with("\r\n4\r\nhalf\r\n") || received.ends_with("\r\n4\r\nhalf")) << received;
 }
 
+// Guards against a part of an answer that a caller takes for whole: over HTTP/1.0 the close is its end.
+TEST_F(http_test, a_broken_off_answer_over_http_1_0_is_reset)
+{
+    const auto server = this->make_server([this](const std::shared_ptr<http_exchange>& exchange) {
+        exchange->start(200, {{"x-request-id", "1"}});
+        exchange->send("half");
+        this->loop.schedule_after(20ms, [exchange] { exchange->abort(); });
+    });
+    const std::string received = this->exchange_raw("GET / HTTP/1.0\r\nhost: a\r\n\r\n", false);
+    EXPECT_EQ(received.find("chunked"), std::string::npos);
+    EXPECT_TRUE(this->was_reset) << received;
+}
+
 TEST_F(http_test, a_kept_connection_at_rest_is_closed_and_one_at_work_is_not)
 {
     std::shared_ptr<http_exchange> open;
--- a/tests/auto/runtime/tst_httpcall.cpp
+++ b/tests/auto/runtime/tst_httpcall.cpp
@@ -101,6 +101,26 @@
 
     outcome call(const std::string& bytes, raw_peer::ending end, connection_pool* pool = nullptr,
         bool may_resend = false)
+    {
+        http_request request;
+        request.method = "GET";
+        request.path = "/";
+        request.headers = {{"host", "a"}};
+        return this->exchange(request, bytes, end, pool, may_resend);
+    }
+
+    /// Sends more than the peer reads before it answers.
+    outcome upload(const std::string& bytes, raw_peer::ending end)
+    {
+        http_request request;
+        request.method = "POST";
+        request.path = "/";
+        request.body = std::string(std::size_t{32} << 20U, 'u');
+        return this->exchange(request, bytes, end, nullptr, false);
+    }
+
+    outcome exchange(const http_request& request, const std::string& bytes, raw_peer::ending end,
+        connection_pool* pool, bool may_resend)
     {
         const auto result = std::make_shared<outcome>();
         http_call_handlers handlers;
@@ -110,10 +130,6 @@
         if (may_resend) {
             handlers.may_resend = [] { return true; };
         }
-        http_request request;
-        request.method = "GET";
-        request.path = "/";
-        request.headers = {{"host", "a"}};
         http_call_options options;
         options.pool = pool;
         http_call::start(this->loop, this->peer.address, request, options, std::move(handlers));
@@ -190,6 +206,76 @@
         this->call("rubbish that is no HTTP\r\n\r\n", raw_peer::ending::closes).ending, call_ending::broken);
 }
 
+// Guards against a part of an answer that is taken for whole: the upload's write meets the reset first, and
+// the read that follows sees the end of an orderly close.
+TEST_F(http_call_test, an_answer_that_is_reset_while_its_request_is_sent_is_broken)
+{
+    const outcome result = this->upload("HTTP/1.1 200 OK\r\n\r\npart", raw_peer::ending::resets);
+    EXPECT_EQ(result.ending, call_ending::broken) << result.body;
+}
+
+// As above, with a close whose reset follows from what the peer has not read.
+TEST_F(http_call_test, an_answer_whose_peer_closes_while_its_request_is_sent_is_broken)
+{
+    const outcome result = this->upload("HTTP/1.1 200 OK\r\n\r\npart", raw_peer::ending::closes);
+    EXPECT_EQ(result.ending, call_ending::broken) << result.body;
+}
+
+// An answer may come before its request has been read.
+TEST_F(http_call_test, an_early_answer_with_a_length_is_whole)
+{
+    const outcome result =
+        this->upload("HTTP/1.1 413 Large\r\ncontent-length: 4\r\n\r\nbody", raw_peer::ending::keeps);
+    EXPECT_EQ(result.ending, call_ending::whole);
+    EXPECT_EQ(result.status, 413);
+    EXPECT_EQ(result.body, "body");
+}
+
+// Guards against bytes that are no answer in the protocol and reach a caller as one.
+TEST_F(http_call_test, a_head_that_breaks_the_protocol_is_no_answer)
+{
+    const std::vector<std::string> heads = {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n",
+        "HTTP/9.9 200 OK\r\n", "HTTP/1.1 200 OK\r\nx y: 1\r\n", "HTTP/1.1 200 OK\r\nx : 1\r\n",
+        "HTTP/1.1 200 OK\r\nx\001: 1\r\n", "HTTP/1.1 200 OK\r\n: 1\r\n", "HTTP/1.1 200 OK\r\nx: a\001b\r\n",
+        "HTTP/1.1 200 OK\r\nx: a\rb\r\n", "HTTP/1.1 200 OK\r\nx: a\r\n b\r\n",
+        "HTTP/1.1 200 OK\r\nno colon\r\n", "HTTP/1.1 200 OK\r\ncontent-length : 4\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: +4\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 4, 4\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n",
+        "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 100 Continue\r\nx y: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+        std::string("HTTP/1.1 200 OK\r\nx: a\0b\r\n", 25)};
+    for (const std::string& head : heads) {
+        const outcome result = this->call(head + "\r\nbody", raw_peer::ending::closes);
+        EXPECT_EQ(result.ending, call_ending::broken) << head;
+        EXPECT_EQ(result.status, 0) << head;
+        EXPECT_EQ(result.body, "") << head;
+    }
+}
+
+TEST_F(http_call_test, a_chunk_whose_size_is_none_breaks_the_answer)
+{
+    for (const char* size : {"10000000000000001", "+2", "-2", "g", ""}) {
+        const outcome result = this->call(std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+                + size + "\r\nbo\r\n0\r\n\r\n",
+            raw_peer::ending::closes);
+        EXPECT_EQ(result.ending, call_ending::broken) << size;
+    }
+}
+
+TEST_F(http_call_test, a_head_with_few_words_is_an_answer)
+{
+    for (const char* head : {"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.0 200 OK\r\n",
+             "HTTP/1.1 200 \xc3\xa9\r\nx:\r\ny:a\tb\xff\r\n", "HTTP/1.1 200 OK\nx: 1\n"}) {
+        const outcome result = this->call(std::string(head) + "\r\nbody", raw_peer::ending::closes);
+        EXPECT_EQ(result.ending, call_ending::whole) << head;
+        EXPECT_EQ(result.body, "body") << head;
+    }
+}
+
 TEST_F(http_call_test, chunks_are_taken_out_and_interim_answers_passed_over)
 {
     const outcome result = this->call("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
