Delivery: nothing is sent that a planned stop would cut off

Callers saw: a 502 at the end of a stop for requests that came late in its grace, or had waited for an upstream, and were passed on right before the end; also for those that may run once only.

Cause: the stop was judged where a request arrives, by its grace, and not where it is sent.

Change: before each send the time until the stop's last answers is compared with the latency objective of the route. With less, the request is refused at once as not run, for another host to take.

--- a/src/app/sailtillerd/hostprocess.cpp
+++ b/src/app/sailtillerd/hostprocess.cpp
@@ -270,7 +270,7 @@
     this->is_stopping = true;
     this->callers.close_after_answers();
     const duration grace = std::min(this->settings.stop_grace, this->settings.longest_stop);
-    this->entry.begin_stop(grace);
+    this->entry.begin_stop(grace, this->settings.longest_stop);
     this->stop_limit = this->loop.now() + this->settings.longest_stop;
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->entry.requests_in_flight())}});
--- a/src/app/sailtillerd/sitestop.cpp
+++ b/src/app/sailtillerd/sitestop.cpp
@@ -47,7 +47,7 @@
     const duration answering = std::max(longest - stop_margin, duration::zero());
     this->limit = this->loop.now() + answering;
     grace = std::min(grace, answering);
-    this->gateway.begin_stop(grace);
+    this->gateway.begin_stop(grace, answering);
     this->relay.begin_stop();
     log_event(log_level::info, event_type::stopping,
         {{"requests_in_flight", std::to_string(this->gateway.requests_in_flight())}});
--- a/src/libs/base/plannedstop.cpp
+++ b/src/libs/base/plannedstop.cpp
@@ -4,10 +4,16 @@
 
 namespace sailtiller {
 
-void planned_stop::begin(time_point now, duration grace)
+void planned_stop::begin(time_point now, duration grace, duration answering)
 {
     this->begun = now;
     this->grace_end = now + grace;
+    this->answers_end = now + answering;
+}
+
+bool planned_stop::has_time_for(duration needed, time_point now) const
+{
+    return !this->begun || now + needed <= this->answers_end;
 }
 
 bool planned_stop::is_grace_over(time_point now) const
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -109,6 +109,11 @@
     return item;
 }
 
+bool is_stop_too_near(const delivery_context& context, const delivery_order& order)
+{
+    return context.has_time_for && !context.has_time_for(order.route->latency_objective);
+}
+
 void measure_since_arrival(
     const delivery_context& context, const delivery_order& order, request_moment moment)
 {
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -177,6 +177,8 @@
     headroom* heads = nullptr;
     /// Admission to the engines; optional.
     admission_control* admission = nullptr;
+    /// Returns false while this host stops and ends before that time has passed; optional.
+    std::function<bool(duration)> has_time_for = {};
 };
 
 /// Request with its settings from the bundle.
@@ -216,6 +218,9 @@
 /// Reason given to callers with pending requests when their host stops.
 constexpr const char* host_stopping_reason = "this host is stopping and can't wait for further answers";
 
+/// Returns true if this host stops before an answer within the order's latency objective, so that sending the
+/// order would only make it uncertain whether it has run.
+[[nodiscard]] bool is_stop_too_near(const delivery_context& context, const delivery_order& order);
 /// Records the time from the reading of the request until now.
 void measure_since_arrival(
     const delivery_context& context, const delivery_order& order, request_moment moment);
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -76,6 +76,10 @@
 
 void plain_delivery::search()
 {
+    if (is_stop_too_near(this->context, this->order)) {
+        this->refuse(host_stopping_reason, retry_elsewhere_after);
+        return;
+    }
     if (!this->context.may_send()) {
         this->refuse("this host can't confirm that its configuration is the newest");
         return;
--- a/src/libs/delivery/streamdelivery.cpp
+++ b/src/libs/delivery/streamdelivery.cpp
@@ -46,6 +46,10 @@
 void stream_delivery::search()
 {
     this->state = phase::searching;
+    if (!this->has_started && is_stop_too_near(this->context, this->order)) {
+        this->refuse_with_retry_after(host_stopping_reason, retry_elsewhere_after);
+        return;
+    }
     if (!this->context.may_send()) {
         this->wait_for_configuration();
         return;
--- a/src/libs/entry/entryservice.h
+++ b/src/libs/entry/entryservice.h
@@ -22,7 +22,10 @@
     void handle(const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] std::size_t requests_in_flight() const { return this->under_way.size(); }
     /// Starts a planned stop: new requests are refused once `grace` has passed.
-    void begin_stop(duration grace) { this->stop.begin(this->context.timers.now(), grace); }
+    void begin_stop(duration grace, duration answering)
+    {
+        this->stop.begin(this->context.timers.now(), grace, answering);
+    }
     /// Logs each request in progress at the time limit of the stop.
     void log_aborted_requests() const;
 
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -81,9 +81,12 @@
     this->refuse(exchange, request, http_status::unavailable, "no configuration yet");
 }
 
-void gateway_service::begin_stop(duration grace)
+void gateway_service::begin_stop(duration grace, duration answering)
 {
-    this->stop.begin(this->context.timers.now(), grace);
+    this->stop.begin(this->context.timers.now(), grace, answering);
+    this->context.has_time_for = [this](duration needed) {
+        return this->stop.has_time_for(needed, this->context.timers.now());
+    };
     this->early.refuse_all();
 }
 
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -42,8 +42,9 @@
     {
         return this->under_way.size() + this->early.count();
     }
-    /// Starts a planned stop: new requests are refused once `grace` has passed.
-    void begin_stop(duration grace);
+    /// Starts a planned stop: new requests are refused once `grace` has passed, and what has no answer yet
+    /// is ended when `answering` has.
+    void begin_stop(duration grace, duration answering);
     /// Ends every request in progress at the time limit of the stop, with a final answer if none has begun.
     /// Returns the number of answers cut off.
     std::size_t end_for_stop();
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -316,6 +316,34 @@
     EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
 }
 
+// Guards against requests that are passed on late in a stop and cut off at its end, so that nobody knows
+// whether they have run.
+TEST_F(plain_delivery_test, host_stop_refuses_as_not_run_what_is_not_answered_before_its_end)
+{
+    this->context->has_time_for = [this](duration needed) {
+        return needed < this->bundle->routes.front().latency_objective;
+    };
+    this->start(route_kind::single_run);
+    EXPECT_TRUE(this->sends.empty());
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
+    EXPECT_EQ(this->done, 1);
+}
+
+TEST_F(plain_delivery_test, host_stop_sends_nothing_late_that_has_waited_for_an_upstream)
+{
+    for (const char* id : {"a", "b", "c"}) {
+        this->loads.suspend(upstream_id(id), this->now + 20ms);
+    }
+    this->start(route_kind::single_run);
+    ASSERT_FALSE(this->caller.answer.has_value());
+    this->context->has_time_for = [](duration) { return false; };
+    this->pass(100ms);
+    EXPECT_TRUE(this->sends.empty());
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->status, 503);
+}
+
 TEST_F(plain_delivery_test, host_stop_leaves_a_completed_answer_unchanged)
 {
     const auto delivery = this->start(route_kind::single_run);
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -933,6 +933,15 @@
     EXPECT_EQ(this->done, 1);
 }
 
+TEST_F(stream_delivery_test, host_stop_refuses_as_not_run_what_has_no_event_before_its_end)
+{
+    this->context->has_time_for = [](duration) { return false; };
+    this->start();
+    EXPECT_TRUE(this->sends.empty());
+    EXPECT_EQ(this->caller.answer->status, 503);
+    EXPECT_EQ(find_header(this->caller.answer->headers, "retry-after"), "0.050");
+}
+
 TEST_F(stream_delivery_test, host_stop_asks_for_retry_of_a_resumable_stream_without_events)
 {
     const auto delivery = this->start();
--- a/tests/auto/entry/tst_entryservice.cpp
+++ b/tests/auto/entry/tst_entryservice.cpp
@@ -296,9 +296,9 @@
 
 TEST_F(entry_service_test, accepts_requests_during_a_stop_until_its_grace_period_ends)
 {
-    this->entry.begin_stop(1min);
+    this->entry.begin_stop(1min, 1min);
     EXPECT_EQ(this->chat().status, 200);
-    this->entry.begin_stop(0s);
+    this->entry.begin_stop(0s, 1min);
     const std::uint64_t steps = this->total(&engine_standin::steps);
     const http_response answer = this->chat();
     EXPECT_EQ(answer.status, 503);
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -516,6 +516,32 @@
     EXPECT_EQ(host.process->exit_code(), 0) << host.process->output();
 }
 
+// Guards against a request that may run once only, is passed on late in a stop and is cut off at its end.
+TEST_F(site, a_request_that_comes_too_late_in_the_grace_of_a_stop_is_refused_as_not_run)
+{
+    site_host_process& host = this->start_host("a", {"--stop-grace-ms", "1500", "--longest-stop-ms", "2000"});
+    run_until(this->loop, [&] {
+        const auto answer = this->ask(host, "r" + std::to_string(this->probes++), "/submit/x");
+        this->wait_for(answer);
+        return answer->status == 200;
+    });
+    host.process->send_signal(SIGTERM);
+    run_until(this->loop, [&host] { return has_logged(host, "stopping"); });
+    const auto early = this->ask(host, "early", "/submit/x");
+    this->wait_for(early);
+    EXPECT_EQ(early->status, 200);
+    this->pass(1400ms);
+    for (const auto& service : this->services) {
+        service->fall_silent();
+    }
+    const auto late = this->ask(host, "late", "/submit/x");
+    this->wait_for(late);
+    EXPECT_EQ(late->status, 503);
+    EXPECT_EQ(this->world.runs.count("late"), 0U);
+    run_until(this->loop, [&host] { return host.process->exit_code().has_value(); });
+    EXPECT_EQ(host.process->exit_code(), 0) << host.process->output();
+}
+
 TEST_F(site, a_stream_that_comes_in_the_grace_of_a_stop_is_taken_though_it_may_outlast_the_stop)
 {
     this->start_engines(3);
