Runtime: empty lines before a head are passed over, as before the check of heads

The check of heads ended an answer at an empty line before its status line, which the parser passes over.

--- a/src/libs/runtime/answerheadcheck.cpp
+++ b/src/libs/runtime/answerheadcheck.cpp
@@ -76,6 +76,10 @@
 std::optional<std::string> answer_head_check::take_status_line()
 {
     const std::string_view text = this->line;
+    if (text.empty()) {
+        return std::nullopt; // some servers end a body with a line's end too many; the size of a head bounds
+                             // them
+    }
     const bool has_form = text.size() >= status_end && text.starts_with(protocol)
         && is_digit(text[protocol.size()]) && text[status_begin - 1] == ' '
         && std::all_of(text.begin() + status_begin, text.begin() + status_end, &is_digit)
