Delivery: the bodies of all plain answers share one bound of memory

Cause: each answer was bounded by 64 MiB and their sum by nothing; five are more than a machine has.

Change: a budget of 64 MiB for all bodies, the first 64 KiB of each not counted. An answer that finds no room is broken off with the cause host_memory, and what it held is free again.

--- a/src/libs/base/answerfault.cpp
+++ b/src/libs/base/answerfault.cpp
@@ -16,6 +16,8 @@
         return "head_time";
     case answer_fault::body_bytes:
         return "body_bytes";
+    case answer_fault::host_memory:
+        return "host_memory";
     case answer_fault::event_bytes:
         return "event_bytes";
     case answer_fault::event_form:
--- a/src/libs/base/answerfault.h
+++ b/src/libs/base/answerfault.h
@@ -12,6 +12,7 @@
     interim_heads, ///< too many heads came before the final one
     head_time, ///< a head that has begun doesn't end
     body_bytes, ///< the body is larger than an answer to this call can be
+    host_memory, ///< the body is large, and this host's memory for the bodies of answers is used up
     event_bytes, ///< an event of a stream is too large
     event_form, ///< an event of a stream isn't one
     event_time ///< an event of a stream that has begun doesn't end
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -4,6 +4,7 @@
 #include <base/answerfault.h>
 #include <base/eventtype.h>
 #include <base/httpcallhandlers.h>
+#include <base/memorybudget.h>
 #include <base/plannedstop.h>
 #include <base/random.h>
 #include <base/timerqueue.h>
@@ -126,6 +127,10 @@
 
 struct delivery_order;
 
+/// Of the bodies of all answers that a host holds: a quarter of the memory of the machines it is made for, as
+/// a text that grows may take twice its size. The largest single answer fits.
+constexpr std::size_t max_held_answer_bytes = std::size_t{64} << 20U;
+
 /// State shared by all deliveries of this host. All referenced objects outlive the deliveries.
 struct delivery_context
 {
@@ -179,6 +184,8 @@
     admission_control* admission = nullptr;
     /// Returns false while this host stops and ends before that time has passed; optional.
     std::function<bool(duration)> has_time_for = {};
+    /// For the bodies of plain answers, which are held whole until their ends.
+    memory_budget answer_memory{max_held_answer_bytes};
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -17,6 +17,10 @@
 /// Largest body of an answer, which is held whole until its end: far above the largest request that a host
 /// takes.
 constexpr std::size_t max_answer_bytes = std::size_t{64} << 20U;
+static_assert(max_answer_bytes <= max_held_answer_bytes);
+/// Of each answer, held whatever the others take: more than most answers have, and a thousand of them are as
+/// much as the budget of all.
+constexpr std::size_t uncounted_answer_bytes = std::size_t{64} << 10U;
 
 } // namespace
 
@@ -30,6 +34,7 @@
     , call(context, this->order)
     , gate(context, this->order)
     , guard(context, this->order)
+    , body_memory(context.answer_memory, uncounted_answer_bytes)
 {
 }
 
@@ -149,7 +154,7 @@
     ++this->arrivals;
     this->guard.note_sent();
     this->answer = {};
-    this->body.clear();
+    this->drop_body();
     this->log(event_type::sent, upstream.address.value());
     this->call.start(upstream.address, this->order.make_request(upstream.id, this->context.timers.now()),
         this->make_answer_hooks());
@@ -182,12 +187,21 @@
 
 void plain_delivery::take_body(std::string_view bytes)
 {
-    if (bytes.size() <= max_answer_bytes - this->body.size()) {
+    const bool is_too_large = bytes.size() > max_answer_bytes - this->body.size();
+    if (!is_too_large && this->body_memory.grow_to(this->body.size() + bytes.size())) {
         this->body += bytes;
         return;
     }
     this->call.end();
-    this->handle_call_end(call_ending::broken, note_answer_fault(this->context, answer_fault::body_bytes));
+    this->drop_body();
+    const answer_fault fault = is_too_large ? answer_fault::body_bytes : answer_fault::host_memory;
+    this->handle_call_end(call_ending::broken, note_answer_fault(this->context, fault));
+}
+
+void plain_delivery::drop_body()
+{
+    std::string().swap(this->body); // an assignment keeps the memory
+    this->body_memory.release();
 }
 
 void plain_delivery::handle_call_end(call_ending ending, const std::string& reason)
@@ -247,7 +261,7 @@
 {
     this->log(event_type::answered, "status " + std::to_string(this->answer.status));
     measure_since_arrival(this->context, this->order, request_moment::first_event);
-    this->caller.respond({this->answer.status, this->answer.passed_on, this->body});
+    this->caller.respond({this->answer.status, this->answer.passed_on, std::move(this->body)});
     this->end();
 }
 
@@ -355,6 +369,7 @@
     this->is_done = true;
     measure_since_arrival(this->context, this->order, request_moment::ended);
     this->call.end();
+    this->drop_body();
     this->release();
     this->caller_monitor.stop();
     this->context.timers.cancel(this->search_timer);
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -39,6 +39,8 @@
     [[nodiscard]] answer_hooks make_answer_hooks();
     void handle_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
+    /// Gives the memory of the body back.
+    void drop_body();
     void handle_call_end(call_ending ending, const std::string& reason);
     void handle_complete_answer();
     void pass_on();
@@ -64,6 +66,7 @@
     std::optional<upstream_id> target; ///< of the current call
     upstream_answer answer;
     std::string body;
+    memory_share body_memory;
     std::set<upstream_id> avoided; ///< upstreams that failed this request
     unsigned sends = 0;
     unsigned arrivals = 0; ///< sends that reached an upstream or may have
--- a/tests/auto/delivery/tst_endlessanswers.cpp
+++ b/tests/auto/delivery/tst_endlessanswers.cpp
@@ -163,6 +163,50 @@
     }
 }
 
+// Guards against a host that runs out of memory, and takes all its requests along, while every single answer
+// is within its bound.
+TEST_F(endless_answers_test, many_at_once_hold_no_more_than_one_may)
+{
+    this->put_service("p1", 5);
+    std::vector<std::shared_ptr<plain_delivery>> deliveries;
+    constexpr std::size_t count = 20;
+    for (std::size_t number = 0; number < count; ++number) {
+        deliveries.push_back(std::make_shared<plain_delivery>(*this->context,
+            this->make_order(route_kind::single_run), this->make_caller(), [this] { ++this->done; }));
+        deliveries.back()->start();
+        give_head(this->last_send(), 200, signed_head());
+    }
+    ASSERT_EQ(this->sends.size(), count);
+    const std::string block(block_bytes, 'x');
+    std::size_t most_held = 0;
+    for (std::size_t round = 0; round < max_answer_blocks; ++round) {
+        for (const auto& send : this->sends) {
+            if (!send->is_cancelled) {
+                send->handlers.on_body(block);
+            }
+            most_held = std::max(most_held, this->context->answer_memory.held());
+        }
+    }
+    EXPECT_LE(most_held, max_answer_blocks * block_bytes);
+    EXPECT_FALSE(this->faults.empty());
+    EXPECT_EQ(this->faults.front(), answer_fault::host_memory);
+    EXPECT_EQ(this->done, static_cast<int>(count));
+    EXPECT_EQ(this->context->answer_memory.held(), 0U) << "what has ended holds nothing";
+}
+
+// A fault of others is no reason to lose an answer of the usual size.
+TEST_F(endless_answers_test, a_small_answer_is_whole_while_large_ones_hold_all_memory)
+{
+    this->start_plain(route_kind::single_run);
+    ASSERT_TRUE(this->context->answer_memory.take(max_held_answer_bytes));
+    give_head(this->last_send(), 200, signed_head());
+    this->last_send().handlers.on_body(std::string(block_bytes, 'x'));
+    end(this->last_send());
+    ASSERT_TRUE(this->caller.answer.has_value());
+    EXPECT_EQ(this->caller.answer->body.size(), block_bytes);
+    EXPECT_TRUE(this->faults.empty());
+}
+
 TEST_F(endless_answers_test, a_large_sound_plain_answer_is_passed_on)
 {
     this->start_plain(route_kind::repeatable);
