Base: a share of a budget of memory keeps the budget

The sanitizers found a read of freed memory in each test of plain deliveries (and the same stands in the host): timers of the loop hold deliveries longer than the host holds the context with the budget, and a delivery gives its share back as it goes. Each share keeps the budget now.

--- a/src/libs/base/memorybudget.cpp
+++ b/src/libs/base/memorybudget.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/memorybudget.h>
 
+#include <utility>
+
 namespace sailtiller {
 
 bool memory_budget::take(std::size_t bytes)
@@ -12,8 +14,8 @@
     return true;
 }
 
-memory_share::memory_share(memory_budget& budget, std::size_t free_bytes)
-    : budget(budget)
+memory_share::memory_share(std::shared_ptr<memory_budget> budget, std::size_t free_bytes)
+    : budget(std::move(budget))
     , free_bytes(free_bytes)
 {
 }
@@ -29,7 +31,7 @@
     if (counted <= this->taken) {
         return true;
     }
-    if (!this->budget.take(counted - this->taken)) {
+    if (!this->budget->take(counted - this->taken)) {
         return false;
     }
     this->taken = counted;
@@ -38,7 +40,7 @@
 
 void memory_share::release()
 {
-    this->budget.give_back(this->taken);
+    this->budget->give_back(this->taken);
     this->taken = 0;
 }
 
--- a/src/libs/base/memorybudget.h
+++ b/src/libs/base/memorybudget.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 
 namespace sailtiller {
 
@@ -28,9 +29,9 @@
 class memory_share
 {
 public:
-    /// The first `free_bytes` don't count, so that small ones are held whatever large ones take. The budget
-    /// outlives the share.
-    memory_share(memory_budget& budget, std::size_t free_bytes);
+    /// The first `free_bytes` don't count, so that small ones are held whatever large ones take. At the end
+    /// of a process timers may hold a share longer than anything holds the budget, so each share keeps it.
+    memory_share(std::shared_ptr<memory_budget> budget, std::size_t free_bytes);
     ~memory_share();
     memory_share(const memory_share&) = delete;
     memory_share& operator=(const memory_share&) = delete;
@@ -40,7 +41,7 @@
     void release();
 
 private:
-    memory_budget& budget;
+    std::shared_ptr<memory_budget> budget;
     std::size_t free_bytes;
     std::size_t taken = 0;
 };
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -185,7 +185,7 @@
     /// Returns false while this host stops and ends before that time has passed; optional.
     std::function<bool(duration)> has_time_for = {};
     /// For the bodies of plain answers, which are held whole until their ends.
-    memory_budget answer_memory{max_held_answer_bytes};
+    std::shared_ptr<memory_budget> answer_memory = std::make_shared<memory_budget>(max_held_answer_bytes);
 };
 
 /// Request with its settings from the bundle.
--- a/tests/auto/delivery/tst_endlessanswers.cpp
+++ b/tests/auto/delivery/tst_endlessanswers.cpp
@@ -184,21 +184,21 @@
             if (!send->is_cancelled) {
                 send->handlers.on_body(block);
             }
-            most_held = std::max(most_held, this->context->answer_memory.held());
+            most_held = std::max(most_held, this->context->answer_memory->held());
         }
     }
     EXPECT_LE(most_held, max_answer_blocks * block_bytes);
     EXPECT_FALSE(this->faults.empty());
     EXPECT_EQ(this->faults.front(), answer_fault::host_memory);
     EXPECT_EQ(this->done, static_cast<int>(count));
-    EXPECT_EQ(this->context->answer_memory.held(), 0U) << "what has ended holds nothing";
+    EXPECT_EQ(this->context->answer_memory->held(), 0U) << "what has ended holds nothing";
 }
 
 // A fault of others is no reason to lose an answer of the usual size.
 TEST_F(endless_answers_test, a_small_answer_is_whole_while_large_ones_hold_all_memory)
 {
     this->start_plain(route_kind::single_run);
-    ASSERT_TRUE(this->context->answer_memory.take(max_held_answer_bytes));
+    ASSERT_TRUE(this->context->answer_memory->take(max_held_answer_bytes));
     give_head(this->last_send(), 200, signed_head());
     this->last_send().handlers.on_body(std::string(block_bytes, 'x'));
     end(this->last_send());
