--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -157,8 +157,9 @@
     if (this->native->version < first_version_with_chunks) {
         // An orderly close would be the end of the body; to connect to no address resets the connection.
         const sockaddr no_address{AF_UNSPEC, {}};
-        connect(descriptor, &no_address, sizeof(no_address));
-        return;
+        if (connect(descriptor, &no_address, sizeof(no_address)) == 0) {
+            return;
+        }
     }
     shutdown(descriptor, SHUT_RDWR);
 }
