Base: an address with a NUL names no machine

The parser that replaced the check of an address's signs reads up to a NUL, as the system does, so that an entry with a NUL in its address passed, and would have gone into headers as it is. Found by reading the change again; the case of wire_entries.an_address_of_no_machine_names_none_to_use failed before.

--- a/src/libs/base/numericaddress.cpp
+++ b/src/libs/base/numericaddress.cpp
@@ -16,7 +16,8 @@
 {
     const std::string& text = address.value();
     const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
+    // The system reads up to a NUL, and passes over what stands behind it.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos) {
         return std::nullopt;
     }
     numeric_address parsed;
--- a/tests/auto/platform/tst_wireentries.cpp
+++ b/tests/auto/platform/tst_wireentries.cpp
@@ -142,6 +142,9 @@
         entry["address"] = address;
         EXPECT_FALSE(names_an_upstream(entry.dump())) << address;
     }
+    json with_nul = make_entry();
+    with_nul["address"] = std::string("10.0.0.1\0x:80", 13);
+    EXPECT_FALSE(names_an_upstream(with_nul.dump())) << "a NUL ends what the system reads";
     for (const char* address : {"10.0.0.1:80", "127.0.0.1:65535", "[::1]:80", "[fe80::1]:80"}) {
         json entry = make_entry();
         entry["address"] = address;
