Delivery, runtime, base: what the last changes wrote twice stands once

The address of a setting throws over the same search as that of a connection, not the other way round. - One lower_case and one set of bounds of a status, of which there were four and three copies. - A head's length and coding are compared once, at its end. - sailtiller explain encodes the id, which the host now decodes. - tst_site: the loss of engines is one function; tests of the stop set a stop, with the same assertions.

--- a/src/app/sailtiller/fleetcommands.cpp
+++ b/src/app/sailtiller/fleetcommands.cpp
@@ -4,6 +4,7 @@
 #include <base/error.h>
 #include <base/httpstatus.h>
 #include <base/json.h>
+#include <base/percentencoding.h>
 #include <operations/operatorsession.h>
 
 #include <iostream>
@@ -64,7 +65,8 @@
     bool is_found = false;
     for (const std::string& host : read_hosts(flags)) {
         try {
-            const http_response answer = session.fetch(endpoint(host), "/explain?request=" + request);
+            const http_response answer =
+                session.fetch(endpoint(host), "/explain?request=" + percent_encode(request));
             if (answer.status == http_status::ok) {
                 print_decisions(parse_json(answer.body));
                 is_found = true;
--- a/src/app/sailtillerd/sitepeers.cpp
+++ b/src/app/sailtillerd/sitepeers.cpp
@@ -59,11 +59,8 @@
 known_host read_record(const std::string& key, const std::string& value)
 {
     const json item = parse_json(value);
-    const endpoint address(item.at("address").get<std::string>());
-    if (!names_a_machine(address)) {
-        throw error({"read host record", key}, "its address is none in numbers with a port");
-    }
-    return {host_id(key), address, data_hall_id(item.at("data_hall").get<std::string>())};
+    return {host_id(key), read_endpoint(item.at("address").get<std::string>()),
+        data_hall_id(item.at("data_hall").get<std::string>())};
 }
 
 } // namespace
--- a/src/libs/base/httpmessage.cpp
+++ b/src/libs/base/httpmessage.cpp
@@ -3,6 +3,7 @@
 #include <base/percentencoding.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace sailtiller {
 
@@ -16,6 +17,13 @@
     return std::nullopt;
 }
 
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
+
 bool is_field_name(std::string_view text)
 {
     constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
--- a/src/libs/base/httpmessage.h
+++ b/src/libs/base/httpmessage.h
@@ -22,6 +22,8 @@
 /// The value of the first header of that name (in lower case).
 std::optional<std::string> find_header(const http_headers& headers, std::string_view name);
 
+/// Names of fields, and words in them, are the same in either case.
+std::string lower_case(std::string text);
 /// True if the text can be the name of a header field: signs of a token (RFC 9110), at least one.
 bool is_field_name(std::string_view text);
 /// True if the text can stand in the value of a header field: no control byte but tabs.
--- a/src/libs/base/httpstatus.h
+++ b/src/libs/base/httpstatus.h
@@ -19,6 +19,10 @@
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 
+/// A status is one of these; those before the first final one are of heads that precede the answer's own.
+constexpr int first = 100;
+constexpr int first_final = 200;
+constexpr int last = 599;
 /// Statuses from here on say that the server failed.
 constexpr int first_server_error = 500;
 
--- a/src/libs/base/json.cpp
+++ b/src/libs/base/json.cpp
@@ -76,11 +76,12 @@
 
     json& insert(json value)
     {
-        json& place = this->containers.empty()    ? this->root
-            : this->containers.back()->is_array() ? this->containers.back()->emplace_back()
-                                                  : (*this->containers.back())[this->field];
-        place = std::move(value);
-        return place;
+        if (this->containers.empty()) {
+            return this->root = std::move(value);
+        }
+        json& container = *this->containers.back();
+        json& place = container.is_array() ? container.emplace_back() : container[this->field];
+        return place = std::move(value);
     }
 
     std::vector<json_fault>* faults;
--- a/src/libs/base/numericaddress.h
+++ b/src/libs/base/numericaddress.h
@@ -3,24 +3,13 @@
 
 #include <base/ids.h>
 
-#include <cstdint>
-#include <optional>
-
 namespace sailtiller {
 
-/// The two parts of an endpoint in numbers.
-struct numeric_address
-{
-    std::string number;
-    std::uint16_t port = 0;
-    bool is_version_6 = false;
-};
-
-/// Splits "127.0.0.1:80" or "[::1]:80"; empty if the text is anything else, such as a short form, a name or a
-/// port of 0 or above 65535.
-std::optional<numeric_address> parse_endpoint(const endpoint& address);
-/// True if a connection can be made to the address from another machine: the address of no machine in
-/// particular, 0.0.0.0 or [::], would be this one.
+/// True if a connection can be made to the address from another machine: a number with a port, as
+/// "127.0.0.1:80" or "[::1]:80". Short forms, names, and ports of 0 or above 65535 are none; 0.0.0.0 and [::]
+/// would be this machine itself.
 bool names_a_machine(const endpoint& address);
+/// Reads an address that others have told. Throws `error`, without the text, if it names no machine.
+endpoint read_endpoint(std::string text);
 
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -111,7 +111,7 @@
 
 bool is_stop_too_near(const delivery_context& context, const delivery_order& order)
 {
-    return context.has_time_for && !context.has_time_for(order.route->latency_objective);
+    return !context.stop.has_time_for(order.route->latency_objective, context.timers.now());
 }
 
 void measure_since_arrival(
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -182,8 +182,7 @@
     headroom* heads = nullptr;
     /// Admission to the engines; optional.
     admission_control* admission = nullptr;
-    /// Returns false while this host stops and ends before that time has passed; optional.
-    std::function<bool(duration)> has_time_for = {};
+    planned_stop stop = {};
     /// For the bodies of plain answers, which are held whole until their ends.
     std::shared_ptr<memory_budget> answer_memory = std::make_shared<memory_budget>(max_held_answer_bytes);
 };
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -154,7 +154,6 @@
     ++this->arrivals;
     this->guard.note_sent();
     this->answer = {};
-    this->drop_body();
     this->log(event_type::sent, upstream.address.value());
     this->call.start(upstream.address, this->order.make_request(upstream.id, this->context.timers.now()),
         this->make_answer_hooks());
@@ -193,17 +192,10 @@
         return;
     }
     this->call.end();
-    this->drop_body();
     const answer_fault fault = is_too_large ? answer_fault::body_bytes : answer_fault::host_memory;
     this->handle_call_end(call_ending::broken, note_answer_fault(this->context, fault));
 }
 
-void plain_delivery::drop_body()
-{
-    std::string().swap(this->body); // an assignment keeps the memory
-    this->body_memory.release();
-}
-
 void plain_delivery::handle_call_end(call_ending ending, const std::string& reason)
 {
     if (ending == call_ending::not_connected) {
@@ -355,6 +347,8 @@
 void plain_delivery::release()
 {
     this->context.timers.cancel(this->slow_timer);
+    std::string().swap(this->body); // an assignment keeps the memory
+    this->body_memory.release();
     if (this->target) {
         this->context.loads.subtract(*this->target, 0);
         this->target.reset();
@@ -369,7 +363,6 @@
     this->is_done = true;
     measure_since_arrival(this->context, this->order, request_moment::ended);
     this->call.end();
-    this->drop_body();
     this->release();
     this->caller_monitor.stop();
     this->context.timers.cancel(this->search_timer);
--- a/src/libs/delivery/plaindelivery.h
+++ b/src/libs/delivery/plaindelivery.h
@@ -39,8 +39,6 @@
     [[nodiscard]] answer_hooks make_answer_hooks();
     void handle_head(int status, const http_headers& headers);
     void take_body(std::string_view bytes);
-    /// Gives the memory of the body back.
-    void drop_body();
     void handle_call_end(call_ending ending, const std::string& reason);
     void handle_complete_answer();
     void pass_on();
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -37,7 +37,7 @@
     // Checked here because every request passes through. Closing listeners and idle connections leaves
     // connections that carry a request or the start of one, whose later requests would be cut off at the end
     // of the stop.
-    if (this->stop.is_grace_over(arrived)) {
+    if (this->context.stop.is_grace_over(arrived)) {
         this->refuse_while_stopping(exchange, request);
         return;
     }
@@ -83,10 +83,7 @@
 
 void gateway_service::begin_stop(duration grace, duration answering)
 {
-    this->stop.begin(this->context.timers.now(), grace, answering);
-    this->context.has_time_for = [this](duration needed) {
-        return this->stop.has_time_for(needed, this->context.timers.now());
-    };
+    this->context.stop.begin(this->context.timers.now(), grace, answering);
     this->early.refuse_all();
 }
 
@@ -222,7 +219,7 @@
             plain->end_for_stop();
         }
         if (const std::shared_ptr<stream_delivery> stream = running.stream.lock()) {
-            const bool was_cut = stream->end_for_stop(this->stop.describe_cut(running.arrived, now));
+            const bool was_cut = stream->end_for_stop(this->context.stop.describe_cut(running.arrived, now));
             broken_off += was_cut ? 1 : 0;
         }
     }
--- a/src/libs/gateway/gatewayservice.h
+++ b/src/libs/gateway/gatewayservice.h
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <base/plannedstop.h>
 #include <delivery/deliverycontext.h>
 #include <gateway/startupqueue.h>
 #include <runtime/httpexchange.h>
@@ -84,7 +83,6 @@
 
     delivery_context& context;
     std::shared_ptr<const site_bundle> bundle;
-    planned_stop stop;
     startup_queue early;
     bool had_current_bundle = false;
     std::map<std::uint64_t, active_request> under_way;
--- a/src/libs/relay/relaymessages.cpp
+++ b/src/libs/relay/relaymessages.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
+#include <base/httpstatus.h>
 #include <base/json.h>
 #include <relay/relaymessages.h>
 
@@ -27,10 +28,6 @@
 /// each byte of which takes up to six in JSON.
 constexpr std::size_t max_line_bytes = std::size_t{512} << 10U;
 
-/// Of final answers.
-constexpr int first_final_status = 200;
-constexpr int last_status = 599;
-
 bool is_for_this_connection(const http_header& header)
 {
     return header.name.starts_with(header_prefix)
@@ -78,7 +75,8 @@
         for (const json& header : item.at("headers")) {
             head.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
         }
-        if (!are_fields(head.headers) || head.status < first_final_status || head.status > last_status) {
+        if (!are_fields(head.headers) || head.status < http_status::first_final
+            || head.status > http_status::last) {
             throw malformed_answer("the head of the upstream's answer is none");
         }
         return head;
--- a/src/libs/runtime/answerheadcheck.cpp
+++ b/src/libs/runtime/answerheadcheck.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/httpmessage.h>
+#include <base/httpstatus.h>
 #include <runtime/answerheadcheck.h>
 
 #include <algorithm>
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr unsigned first_status = 100;
-constexpr unsigned first_final_status = 200;
-constexpr unsigned last_status = 599;
 constexpr std::string_view protocol = "HTTP/1.";
 /// "HTTP/1.1 200".
 constexpr std::size_t status_begin = 9;
@@ -31,14 +29,6 @@
     return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
 }
 
-/// `lower` is in lower case.
-bool is_same_word(std::string_view text, std::string_view lower)
-{
-    return std::equal(text.begin(), text.end(), lower.begin(), lower.end(), [](char sign, char wanted) {
-        return (sign >= 'A' && sign <= 'Z' ? static_cast<char>(sign - 'A' + 'a') : sign) == wanted;
-    });
-}
-
 } // namespace
 
 std::optional<std::string> answer_head_check::take(std::string_view bytes)
@@ -67,8 +57,7 @@
         return this->take_status_line();
     }
     if (this->line.empty()) {
-        this->end_head();
-        return std::nullopt;
+        return this->end_head();
     }
     return this->take_field();
 }
@@ -90,9 +79,9 @@
     this->minor_version = static_cast<unsigned>(text[protocol.size()] - '0');
     this->status = 0;
     for (const char digit : text.substr(status_begin, status_end - status_begin)) {
-        this->status = this->status * 10 + static_cast<unsigned>(digit - '0');
+        this->status = this->status * 10 + (digit - '0');
     }
-    if (this->status < first_status || this->status > last_status) {
+    if (this->status < http_status::first || this->status > http_status::last) {
         return "its status is none";
     }
     this->is_in_head = true;
@@ -111,11 +100,11 @@
     if (!is_field_value(value)) {
         return "a field of its head holds a control byte";
     }
-    const std::string_view name = text.substr(0, colon);
-    if (is_same_word(name, "content-length")) {
+    const std::string name = lower_case(this->line.substr(0, colon));
+    if (name == "content-length") {
         return this->take_length(value);
     }
-    return is_same_word(name, "transfer-encoding") ? this->take_coding(value) : std::nullopt;
+    return name == "transfer-encoding" ? this->take_coding(value) : std::nullopt;
 }
 
 std::optional<std::string> answer_head_check::take_length(std::string_view value)
@@ -124,27 +113,29 @@
         return "its length is none, or stands twice";
     }
     this->has_length = true;
-    return this->has_coding ? std::optional<std::string>("it has a length and a transfer coding")
-                            : std::nullopt;
+    return std::nullopt;
 }
 
 std::optional<std::string> answer_head_check::take_coding(std::string_view value)
 {
     // No other coding was asked for, and a body in one would be passed on without its name.
-    if (this->has_coding || this->minor_version == 0 || !is_same_word(value, "chunked")) {
+    if (this->has_coding || this->minor_version == 0 || lower_case(std::string(value)) != "chunked") {
         return "its transfer coding is another than chunked";
     }
     this->has_coding = true;
-    return this->has_length ? std::optional<std::string>("it has a length and a transfer coding")
-                            : std::nullopt;
+    return std::nullopt;
 }
 
-void answer_head_check::end_head()
+std::optional<std::string> answer_head_check::end_head()
 {
-    this->is_done = this->status >= first_final_status;
+    if (this->has_length && this->has_coding) {
+        return "it has a length and a transfer coding";
+    }
+    this->is_done = this->status >= http_status::first_final;
     this->is_in_head = false;
     this->has_length = false;
     this->has_coding = false;
+    return std::nullopt;
 }
 
 } // namespace sailtiller
--- a/src/libs/runtime/answerheadcheck.h
+++ b/src/libs/runtime/answerheadcheck.h
@@ -24,7 +24,7 @@
     std::optional<std::string> take_field();
     std::optional<std::string> take_length(std::string_view value);
     std::optional<std::string> take_coding(std::string_view value);
-    void end_head();
+    std::optional<std::string> end_head();
 
     std::string line; ///< as far as it has come
     bool is_in_head = false; ///< the status line has come
@@ -32,7 +32,7 @@
     bool has_length = false;
     bool has_coding = false;
     unsigned minor_version = 0;
-    unsigned status = 0;
+    int status = 0;
 };
 
 } // namespace sailtiller
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <base/httpstatus.h>
 #include <base/timetext.h>
 #include <runtime/answerheadcheck.h>
 #include <runtime/eventlog.h>
@@ -8,8 +9,6 @@
 
 #include <http_parser.h>
 
-#include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -24,7 +23,6 @@
 /// Bytes that an upstream leaves without acknowledgement for this long end the connection: a machine behind a
 /// cut says nothing, and the system's own limit is many minutes.
 constexpr unsigned unacknowledged_limit_milliseconds = 2'500;
-constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
 
 std::string encode_request(const http_request& request)
@@ -80,13 +78,6 @@
     return is_known && fault == 0 ? nullptr : h2o_socket_error_conn_fail;
 }
 
-std::string lower_case(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return text;
-}
-
 } // namespace
 
 /// The state of http_parser with the headers that are being read.
@@ -140,7 +131,7 @@
         this->is_in_name = false;
         this->is_head_open = false;
         const int status = static_cast<int>(this->native.status_code);
-        if (status >= first_final_status) {
+        if (status >= http_status::first_final) {
             for (http_header& header : this->headers) {
                 header.name = lower_case(header.name);
             }
--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -4,8 +4,6 @@
 #include <runtime/httpexchange.h>
 #include <runtime/socketaddress.h>
 
-#include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <sys/socket.h>
 
@@ -21,13 +19,6 @@
     return {text.base, text.len};
 }
 
-std::string to_lower(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return text;
-}
-
 http_request read_request(h2o_req_t* native)
 {
     http_request request;
@@ -36,7 +27,7 @@
     request.protocol = native->version >= first_http2_version ? "HTTP/2" : "HTTP/1.1";
     for (std::size_t index = 0; index < native->headers.size; ++index) {
         const h2o_header_t& header = native->headers.entries[index];
-        request.headers.push_back({to_lower(to_string(*header.name)), to_string(header.value)});
+        request.headers.push_back({lower_case(to_string(*header.name)), to_string(header.value)});
     }
     request.body = to_string(native->entity);
     request.authority = to_string(native->input.authority);
--- a/src/libs/runtime/socketaddress.cpp
+++ b/src/libs/runtime/socketaddress.cpp
@@ -16,13 +16,12 @@
 
 } // namespace
 
-socket_address to_socket_address(const endpoint& address)
+std::optional<socket_address> find_socket_address(const endpoint& address)
 {
     const std::string& text = address.value();
     const std::size_t colon = text.rfind(':');
-    const error_origin origin{"read address", text};
     if (colon == std::string::npos) {
-        throw error(origin, "must be a number with a port, as 127.0.0.1:8080");
+        return std::nullopt;
     }
     std::string number = text.substr(0, colon);
     if (number.size() > 2 && number.front() == '[' && number.back() == ']') {
@@ -34,7 +33,7 @@
     hints.ai_socktype = SOCK_STREAM;
     addrinfo* found = nullptr;
     if (port.empty() || getaddrinfo(number.c_str(), port.c_str(), &hints, &found) != 0) {
-        throw error(origin, "must be a number with a port, as 127.0.0.1:8080");
+        return std::nullopt;
     }
     const std::unique_ptr<addrinfo, void (*)(addrinfo*)> owner(found, freeaddrinfo);
     socket_address result;
@@ -43,13 +42,13 @@
     return result;
 }
 
-std::optional<socket_address> find_socket_address(const endpoint& address)
+socket_address to_socket_address(const endpoint& address)
 {
-    try {
-        return to_socket_address(address);
-    } catch (const error&) {
-        return std::nullopt; // whoever connects tells that no connection was made, and why
+    const std::optional<socket_address> found = find_socket_address(address);
+    if (!found) {
+        throw error({"read address", address.value()}, "must be a number with a port, as 127.0.0.1:8080");
     }
+    return *found;
 }
 
 endpoint to_endpoint(const socket_address& address)
--- a/tests/auto/delivery/tst_plaindelivery.cpp
+++ b/tests/auto/delivery/tst_plaindelivery.cpp
@@ -320,9 +320,8 @@
 // whether they have run.
 TEST_F(plain_delivery_test, host_stop_refuses_as_not_run_what_is_not_answered_before_its_end)
 {
-    this->context->has_time_for = [this](duration needed) {
-        return needed < this->bundle->routes.front().latency_objective;
-    };
+    const duration objective = this->make_order(route_kind::single_run).route->latency_objective;
+    this->context->stop.begin(this->now, objective, objective - 1ms);
     this->start(route_kind::single_run);
     EXPECT_TRUE(this->sends.empty());
     EXPECT_EQ(this->caller.answer->status, 503);
@@ -337,7 +336,7 @@
     }
     this->start(route_kind::single_run);
     ASSERT_FALSE(this->caller.answer.has_value());
-    this->context->has_time_for = [](duration) { return false; };
+    this->context->stop.begin(this->now, 10s, 0s);
     this->pass(100ms);
     EXPECT_TRUE(this->sends.empty());
     ASSERT_TRUE(this->caller.answer.has_value());
--- a/tests/auto/delivery/tst_streamdelivery.cpp
+++ b/tests/auto/delivery/tst_streamdelivery.cpp
@@ -935,7 +935,7 @@
 
 TEST_F(stream_delivery_test, host_stop_refuses_as_not_run_what_has_no_event_before_its_end)
 {
-    this->context->has_time_for = [](duration) { return false; };
+    this->context->stop.begin(this->now, 10s, 0s);
     this->start();
     EXPECT_TRUE(this->sends.empty());
     EXPECT_EQ(this->caller.answer->status, 503);
--- a/tests/auto/system/tst_site.cpp
+++ b/tests/auto/system/tst_site.cpp
@@ -30,6 +30,18 @@
 
 class site : public site_bed
 {
+protected:
+    /// Loses an engine of each hall and waits until a new one, which comes empty, holds layers.
+    void replace_lost_engines()
+    {
+        this->engines[0]->kill();
+        this->store.put("keyed.servers", "x0", "");
+        this->engines[2]->kill();
+        this->store.put("keyed.servers", "y0", "");
+        this->engines.push_back(
+            std::make_unique<standins::path_engine>(this->loop, this->store, this->world, "new", "x"));
+        run_until(this->loop, [this] { return this->engines.back()->held_layers() > 0; });
+    }
 };
 
 TEST_F(site, places_the_layers_and_serves_whole_streams)
@@ -132,13 +144,7 @@
     this->start_engines(2);
     site_host_process& host = this->start_host("a");
     this->wait_until_served(host);
-    this->engines[0]->kill();
-    this->store.put("keyed.servers", "x0", "");
-    this->engines[2]->kill();
-    this->store.put("keyed.servers", "y0", "");
-    this->engines.push_back(
-        std::make_unique<standins::path_engine>(this->loop, this->store, this->world, "new", "x"));
-    run_until(this->loop, [this] { return this->engines.back()->held_layers() > 0; });
+    this->replace_lost_engines();
     this->wait_until_served(host);
     EXPECT_EQ(this->world.order_faults, 0U);
 }
@@ -172,13 +178,7 @@
     this->store.put("keyed.servers", "inventory",
         R"({"service":"llm","address":":8080","zone":"x","state":"ready","kind":"card"})");
     run_until(this->loop, [&host] { return has_logged(host, "upstream_entry_unusable"); });
-    this->engines[0]->kill();
-    this->store.put("keyed.servers", "x0", "");
-    this->engines[2]->kill();
-    this->store.put("keyed.servers", "y0", "");
-    this->engines.push_back(
-        std::make_unique<standins::path_engine>(this->loop, this->store, this->world, "new", "x"));
-    run_until(this->loop, [this] { return this->engines.back()->held_layers() > 0; });
+    this->replace_lost_engines();
     this->wait_until_served(host);
 }
 
