Runtime: a write that is begun outside a turn of the loop ends like any other

Callers saw: nothing on a host so far, whose writes are all begun by callbacks and timers. Seen twice in test programs that begin a write of 4 MB between two turns: h2o aborts the process (evloop.c.h:194, write_pending, `sock->super._cb.write != NULL`).

Cause: such a write is complete at once and waits for its callback. The next turn polls first, so h2o registers the connection for writing; where the buffer is too full to be reported, the callback runs, the registration stays, and the next report finds no callback.

Why this mends it: callbacks that are pending run before the poll, as they do after every action of the loop.

--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -94,6 +94,9 @@
     } else if (const std::optional<time_point> due = this->timers.next_due()) {
         wait = std::clamp(*due - read_clock(), duration::zero(), longest_wait);
     }
+    // A write that was begun outside a turn and is complete waits for its callback. h2o expects none before it
+    // polls: it would poll for a write that has no callback any more.
+    h2o_timeout__do_post_callback(this->loop);
     h2o_evloop_run(this->loop, to_poll_milliseconds(wait));
     const pending_callbacks pending(this->loop);
     this->run_posted();
