Base: every byte of a budget of memory counts, and its last part is left to small holders

Callers saw: nothing by itself; with the first 64 KiB of each answer uncounted, 4,100 answers may hold 268 MB that no bound knows, more than a machine has.

Cause: small answers were kept from being locked out by not counting them.

Now: small holders (up to 64 KiB) may use the whole budget, large ones all but its last part, so small ones have room whatever the large ones hold, and the sum is bounded. A holder may also count what it holds already.

--- a/src/libs/base/memorybudget.cpp
+++ b/src/libs/base/memorybudget.cpp
@@ -5,18 +5,17 @@
 
 namespace sailtiller {
 
-bool memory_budget::take(std::size_t bytes)
+bool memory_budget::take_within(std::size_t limit, std::size_t bytes)
 {
-    if (bytes > this->max_bytes - this->held_bytes) {
+    if (this->held_bytes > limit || bytes > limit - this->held_bytes) {
         return false;
     }
     this->held_bytes += bytes;
     return true;
 }
 
-memory_share::memory_share(std::shared_ptr<memory_budget> budget, std::size_t free_bytes)
+memory_share::memory_share(std::shared_ptr<memory_budget> budget)
     : budget(std::move(budget))
-    , free_bytes(free_bytes)
 {
 }
 
@@ -27,21 +26,23 @@
 
 bool memory_share::grow_to(std::size_t bytes)
 {
-    const std::size_t counted = bytes > this->free_bytes ? bytes - this->free_bytes : 0;
-    if (counted <= this->taken) {
+    if (bytes <= this->taken) {
         return true;
     }
-    if (!this->budget->take(counted - this->taken)) {
+    const std::size_t more = bytes - this->taken;
+    const bool is_small = bytes <= small_share_bytes;
+    if (!(is_small ? this->budget->take_small(more) : this->budget->take(more))) {
         return false;
     }
-    this->taken = counted;
+    this->taken = bytes;
     return true;
 }
 
-void memory_share::release()
+void memory_share::set(std::size_t bytes)
 {
+    this->budget->add(bytes);
     this->budget->give_back(this->taken);
-    this->taken = 0;
+    this->taken = bytes;
 }
 
 } // namespace sailtiller
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -130,6 +130,8 @@
 /// Of the bodies of all answers that a host holds: a quarter of the memory of the machines it is made for, as
 /// a text that grows may take twice its size. The largest single answer fits.
 constexpr std::size_t max_held_answer_bytes = std::size_t{64} << 20U;
+/// Beyond that, for small answers, whatever the large ones hold.
+constexpr std::size_t small_answers_bytes = std::size_t{16} << 20U;
 
 /// State shared by all deliveries of this host. All referenced objects outlive the deliveries.
 struct delivery_context
@@ -184,7 +186,8 @@
     admission_control* admission = nullptr;
     planned_stop stop = {};
     /// For the bodies of plain answers, which are held whole until their ends.
-    std::shared_ptr<memory_budget> answer_memory = std::make_shared<memory_budget>(max_held_answer_bytes);
+    std::shared_ptr<memory_budget> answer_memory =
+        std::make_shared<memory_budget>(max_held_answer_bytes + small_answers_bytes, small_answers_bytes);
 };
 
 /// Request with its settings from the bundle.
--- a/src/libs/delivery/plaindelivery.cpp
+++ b/src/libs/delivery/plaindelivery.cpp
@@ -18,9 +18,6 @@
 /// takes.
 constexpr std::size_t max_answer_bytes = std::size_t{64} << 20U;
 static_assert(max_answer_bytes <= max_held_answer_bytes);
-/// Of each answer, held whatever the others take: more than most answers have, and a thousand of them are as
-/// much as the budget of all.
-constexpr std::size_t uncounted_answer_bytes = std::size_t{64} << 10U;
 
 } // namespace
 
@@ -34,7 +31,7 @@
     , call(context, this->order)
     , gate(context, this->order)
     , guard(context, this->order)
-    , body_memory(context.answer_memory, uncounted_answer_bytes)
+    , body_memory(context.answer_memory)
 {
 }
 
