Base, runtime: the body of a request is held once, by all that refer to it

Cause: each whole request was held three times and more beside h2o's own copy: by the exchange, the order, the call that sends it, and the call that may send it again.

Now: a body is one unchanging text that all of them share, and a call sends head and body from two places.

Tests that read a body as a text ask for it by name now; no check is changed.

--- a/src/libs/base/httpmessage.h
+++ b/src/libs/base/httpmessage.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/ids.h>
+#include <base/messagebody.h>
 
 #include <optional>
 #include <string>
@@ -37,7 +38,7 @@
     std::string method;
     std::string path; ///< with the query, as sent
     http_headers headers;
-    std::string body;
+    message_body body;
     std::string protocol; ///< "HTTP/1.1" or "HTTP/2"
     endpoint peer;
     std::string authority = {}; ///< the virtual host that the caller named
--- a/src/libs/delivery/callerrequest.h
+++ b/src/libs/delivery/callerrequest.h
@@ -29,7 +29,7 @@
     std::string method;
     std::string path; ///< including the query, as sent
     std::string host; ///< virtual host
-    std::string body;
+    message_body body;
     std::optional<std::string> key; ///< API key that identifies the client account
     std::optional<duration> time_limit; ///< time that the caller waits for the answer
     std::optional<event_id> last_event; ///< resumes the stream after this event; as the caller sent it
--- a/src/libs/delivery/deliverycontext.cpp
+++ b/src/libs/delivery/deliverycontext.cpp
@@ -81,7 +81,7 @@
 {
     const std::string caller = this->account ? this->account->value() : std::string();
     std::string text;
-    for (const std::string* part : {&this->request.path, &caller, &this->request.body}) {
+    for (const std::string* part : {&this->request.path, &caller, &this->request.body.text()}) {
         text += std::to_string(part->size()) + ":" + *part; // lengths keep the texts distinct
     }
     return request_content(digest_of(text).value().substr(0, content_digits));
--- a/src/libs/runtime/httpcall.cpp
+++ b/src/libs/runtime/httpcall.cpp
@@ -9,6 +9,7 @@
 
 #include <http_parser.h>
 
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -25,7 +26,7 @@
 constexpr unsigned unacknowledged_limit_milliseconds = 2'500;
 constexpr int switching_protocols = 101;
 
-std::string encode_request(const http_request& request)
+std::string encode_head(const http_request& request)
 {
     std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
     for (const http_header& header : request.headers) {
@@ -35,7 +36,7 @@
     if (has_body) {
         text += "content-length: " + std::to_string(request.body.size()) + "\r\n";
     }
-    return text + "\r\n" + request.body;
+    return text + "\r\n";
 }
 
 void set_connection_options(h2o_socket_t* socket)
@@ -214,7 +215,8 @@
     call->self = call;
     call->work = loop.add_work([started = call.get()] { started->abandon(); });
     call->began = loop.now();
-    call->outgoing = encode_request(request);
+    call->head = encode_head(request);
+    call->body = request.body;
     call->is_head_request = request.method == "HEAD";
     h2o_socket_t* kept = options.pool == nullptr ? nullptr : options.pool->take(target);
     if (kept != nullptr) {
@@ -310,11 +312,13 @@
     this->incoming = std::make_unique<parser>(*this, this->is_head_request);
     this->is_sent = false;
     this->has_received = false;
-    h2o_iovec_t buffer = h2o_iovec_init(this->outgoing.data(), this->outgoing.size());
-    h2o_socket_write(this->socket, &buffer, 1, [](h2o_socket_t* native, const char* failure) {
-        // A failed write shows as a failed read, which may still bring an answer given before the close.
-        static_cast<http_call*>(native->data)->is_sent = failure == nullptr;
-    });
+    std::array<h2o_iovec_t, 2> parts{h2o_iovec_init(this->head.data(), this->head.size()),
+        h2o_iovec_init(this->body.text().data(), this->body.size())};
+    h2o_socket_write(this->socket, parts.data(), this->body.empty() ? 1 : parts.size(),
+        [](h2o_socket_t* native, const char* failure) {
+            // A failed write shows as a failed read, which may still bring an answer given before the close.
+            static_cast<http_call*>(native->data)->is_sent = failure == nullptr;
+        });
     h2o_socket_read_start(this->socket, [](h2o_socket_t* native, const char* read_failure) {
         static_cast<http_call*>(native->data)->guard(&http_call::take_bytes, read_failure);
     });
--- a/src/libs/runtime/httpcall.h
+++ b/src/libs/runtime/httpcall.h
@@ -87,7 +87,8 @@
     endpoint target;
     http_call_options options;
     http_call_handlers handlers;
-    std::string outgoing;
+    std::string head;
+    message_body body;
     struct st_h2o_socket_t* socket = nullptr;
     std::unique_ptr<parser> incoming;
     timer_id connect_timer = 0;
--- a/tests/auto/platform/tst_wire.cpp
+++ b/tests/auto/platform/tst_wire.cpp
@@ -387,7 +387,7 @@
     const request_codec codec = make_request_codec();
     const http_request sent = codec.encode_path_change({upstream_id("i-1"), endpoint("10.0.0.1:80"),
         request_id("id1"), {{endpoint("10.0.0.1:80"), 0, 20}, {endpoint("10.0.0.3:80"), 20, 80}}});
-    const json body = json::parse(sent.body);
+    const json body = json::parse(sent.body.text());
     EXPECT_EQ(body.at("op"), "repath");
     EXPECT_EQ(body.at("id"), "id1");
     EXPECT_EQ(body.at("path"), "10.0.0.1:80=0-20,10.0.0.3:80=20-80");
@@ -405,7 +405,7 @@
     const order_codec codec = make_order_codec();
     const http_request sent = codec.encode_order(
         {upstream_id("i"), endpoint("10.0.0.1:80"), {20, 31}, fencing_token(9), std::nullopt, true});
-    const json body = json::parse(sent.body);
+    const json body = json::parse(sent.body.text());
     EXPECT_EQ(body.at("from"), 20);
     EXPECT_EQ(body.at("target-version"), 31);
     EXPECT_EQ(body.at("how"), "cut");
@@ -468,7 +468,7 @@
 {
     const store_codec codec = make_store_codec();
     const http_request sent = codec.encode_join(host_id("h"), 1800ms, group_generation(3));
-    EXPECT_EQ(json::parse(sent.body).at("ttl_ms"), 1800);
+    EXPECT_EQ(json::parse(sent.body.text()).at("ttl_ms"), 1800);
     const group_membership membership =
         codec.decode_join({200, {}, R"({"generation":7,"ttl_ms":1800,"parts":[["t",0,0],["t",4,0]]})"});
     EXPECT_EQ(membership.generation.value(), 7U);
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -95,7 +95,7 @@
 {
     const auto server = this->make_server([](const std::shared_ptr<http_exchange>& exchange) {
         exchange->respond({201, {{"x-request-id", "1"}, {"x-seen", exchange->request().path}},
-            exchange->request().body + "!"});
+            exchange->request().body.text() + "!"});
     });
     const http_response answer = this->get("/a?b=c", "body");
     EXPECT_EQ(answer.status, 201);
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -37,7 +37,7 @@
     if (route == "/engine/v1/step") {
         this->handle_step(exchange);
     } else if (route == "/engine/v1/release") {
-        const json item = json::from_cbor(exchange->request().body);
+        const json item = json::from_cbor(exchange->request().body.text());
         const std::string prefix =
             item["stream"].get<std::string>() + "/" + std::to_string(item["attempt"].get<int>()) + "/";
         std::erase_if(this->states, [&](const auto& entry) { return entry.first.starts_with(prefix); });
@@ -54,7 +54,7 @@
     static const std::map<std::string, engine_fault> names{{"none", engine_fault::none},
         {"stall", engine_fault::stall}, {"error", engine_fault::error}, {"refuse", engine_fault::refuse},
         {"reject", engine_fault::reject}, {"wrong_stream", engine_fault::wrong_stream}};
-    const auto found = names.find(exchange->request().body);
+    const auto found = names.find(exchange->request().body.text());
     if (found == names.end()) {
         exchange->respond(make_response(400, "unknown fault"));
         return;
@@ -90,7 +90,7 @@
         exchange->respond(refusal);
         return;
     }
-    const step_request step = decode_step_request(exchange->request().body);
+    const step_request step = decode_step_request(exchange->request().body.text());
     std::optional<step_answer> answer = this->run(step);
     if (!answer) {
         exchange->respond(make_response(409, "the step doesn't follow what this attempt left here"));
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -207,7 +207,7 @@
 
 void path_engine::take_order(const std::shared_ptr<http_exchange>& exchange)
 {
-    const json body = json::parse(exchange->request().body);
+    const json body = json::parse(exchange->request().body.text());
     if (body.at("op") == "repath") {
         this->change_path(exchange, body.at("id").get<std::string>(), body.at("path").get<std::string>());
         return;
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -184,7 +184,7 @@
         this->respond(exchange, {412, {}, json({{"end", end}}).dump()});
         return;
     }
-    std::string_view body = request.body;
+    std::string_view body = request.body.text();
     std::uint64_t count = 0;
     while (!body.empty()) {
         const std::size_t size = from_big_endian(body.substr(0, 4));
@@ -207,7 +207,7 @@
 
 void platform_store::join(const std::shared_ptr<http_exchange>& exchange)
 {
-    const json body = json::parse(exchange->request().body);
+    const json body = json::parse(exchange->request().body.text());
     this->drop_silent_members();
     const auto [place, is_new] = this->members.try_emplace(body.at("member").get<std::string>());
     this->generation += is_new ? 1 : 0;
@@ -226,7 +226,7 @@
 
 void platform_store::leave(const std::shared_ptr<http_exchange>& exchange)
 {
-    const json body = json::parse(exchange->request().body);
+    const json body = json::parse(exchange->request().body.text());
     this->generation += this->members.erase(body.at("member").get<std::string>());
     this->respond_json(exchange, json::object());
 }
