Runtime, sailtillerd: large blocks are given back to the system when they are freed

Cause: glibc raises the size of blocks that it keeps apart from the heap with each such block that is freed. After a few large bodies all of them land in the heap, where they stay.

--- a/src/app/sailtillerd/main.cpp
+++ b/src/app/sailtillerd/main.cpp
@@ -3,6 +3,7 @@
 #include "sitehost.h"
 
 #include <base/error.h>
+#include <runtime/allocator.h>
 #include <runtime/programsettings.h>
 
 #include <cstdlib>
@@ -28,6 +29,7 @@
 int main(int argc, char** argv)
 {
     using namespace sailtiller;
+    configure_allocator();
     try {
         const daemon_settings settings = read_daemon_settings({argv + 1, argv + argc});
         set_up_log(settings.log);
