Runtime: one budget of memory for all that a host holds for its callers

Callers saw: a host of 260 MB that is gone after some 65 bodies, and the requests of all others with it. It takes no more than bodies of legal size that stop short of their end, heads without one, some streams over three connections of HTTP/2, or large answers that their callers leave unread.

Cause: every single request, head and answer has a bound, and nothing bounds their sum. h2o collects a request before anybody else sees a byte of it; answers that wait for slow callers count for nobody.

Now one memory_budget, half of the new setting memory-mb, counts requests that aren't whole (a look after a turn of the loop, the sooner the less room is left), bodies until their requests are answered, bodies of plain answers, and what waits for callers. Past half of it requests that aren't whole end, those first that have held the most for the longest, so that whoever stands still or trickles locks nobody out; small ones stay while there is room. Over HTTP/1.1 they are told 503, not run, which is true as nobody has seen them. Answers of which nothing was taken for two seconds give way too. A whole request without room is refused before it is sent. A head that exceeds its limit is refused before its end. Receive buffers are bounded, so that one turn can't bring more than the other half bears; h2o's copy of a whole body is given back at once.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t most_body_bytes = 1LL << 30;
+constexpr std::int64_t least_memory_mb = 64;
+constexpr std::int64_t most_memory_mb = 1'000'000;
+constexpr std::size_t bytes_per_mb = 1'000'000;
 constexpr std::int64_t most_request_time = 600'000;
 constexpr std::int64_t most_stop_time = 86'400'000;
 /// Each request of the window is remembered.
@@ -47,6 +50,8 @@
     flags.declare("retry-window-ms", "the window over which repeated sends are counted", "10000");
     flags.declare("most-body-bytes", "largest request body", "4194304");
     flags.declare("most-header-bytes", "largest sum of a request's headers", "32768");
+    flags.declare(
+        "memory-mb", "memory of this process; half of it may be held for callers and upstreams", "260");
     flags.declare("request-time-ms", "time in which a caller must have sent its request", "10000");
     flags.declare("stop-grace-ms", "time for the balancer to notice, before connections are refused", "3000");
     flags.declare("longest-stop-ms", "streams that still run after this are cut off", "3600000");
@@ -161,6 +166,8 @@
         static_cast<std::size_t>(flags.integer("most-body-bytes", 1024, most_body_bytes));
     settings.limits.most_header_bytes =
         static_cast<std::size_t>(flags.integer("most-header-bytes", 1024, most_body_bytes));
+    settings.limits.memory = make_memory_budget(
+        bytes_per_mb * static_cast<std::size_t>(flags.integer("memory-mb", least_memory_mb, most_memory_mb)));
     settings.limits.request_time = flags.milliseconds("request-time-ms", 100, most_request_time);
     settings.stop_grace = flags.milliseconds("stop-grace-ms", 0, most_stop_time);
     settings.longest_stop = flags.milliseconds("longest-stop-ms", 0, most_stop_time);
--- a/src/app/sailtillerd/sitehost.cpp
+++ b/src/app/sailtillerd/sitehost.cpp
@@ -132,8 +132,8 @@
         },
         [this](suspect_kind kind) { this->admin.count_suspect_refusal(kind); },
         [this](const upstream_id& id) { return !this->link.unreachable_since(id).has_value(); },
-        [this](answer_fault fault) { this->admin.count_answer_fault(fault); }, &this->heads,
-        &this->admission};
+        [this](answer_fault fault) { this->admin.count_answer_fault(fault); }, &this->heads, &this->admission,
+        {}, this->settings.limits.memory};
 }
 
 void site_host::log_call(const delivery_event& event)
--- a/src/libs/delivery/deliverycontext.h
+++ b/src/libs/delivery/deliverycontext.h
@@ -30,7 +30,7 @@
 struct caller_hooks
 {
     /// Sends a complete answer.
-    std::function<void(const http_response&)> respond;
+    std::function<void(http_response)> respond;
     /// Starts an answer of unknown length.
     std::function<void(int status, const http_headers&)> start;
     /// Sends a part of the body of a started answer.
--- a/src/libs/gateway/gatewayservice.cpp
+++ b/src/libs/gateway/gatewayservice.cpp
@@ -164,7 +164,7 @@
 caller_hooks gateway_service::make_caller_hooks(const std::shared_ptr<http_exchange>& exchange)
 {
     caller_hooks caller;
-    caller.respond = [exchange](const http_response& response) { exchange->respond(response); };
+    caller.respond = [exchange](http_response response) { exchange->respond(std::move(response)); };
     caller.start = [exchange](int status, const http_headers& headers) { exchange->start(status, headers); };
     caller.send = [exchange](std::string_view bytes) { exchange->send(bytes); };
     caller.finish = [exchange] { exchange->finish(); };
--- a/src/libs/runtime/connectionentry.cpp
+++ b/src/libs/runtime/connectionentry.cpp
@@ -7,22 +7,24 @@
 
 namespace sailtiller {
 
-namespace {
-
-/// True if the headers of a request have begun and not ended; its body waits behind them in the same buffer.
 bool has_open_headers(const h2o_socket_t& socket)
 {
     const std::string_view bytes(socket.input->bytes, socket.input->size);
-    return !bytes.empty() && bytes.find("\r\n\r\n") == std::string_view::npos;
+    for (std::size_t end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n', end + 1)) {
+        const std::string_view next = bytes.substr(end + 1);
+        if (next.starts_with("\r\n") || next.starts_with('\n')) {
+            return false;
+        }
+    }
+    return !bytes.empty();
 }
 
-} // namespace
-
 connection_entry& note_request(h2o_req_t* request)
 {
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
     auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
     entry.has_request = true;
+    entry.is_http2 = request->version >= first_http2_version;
     return entry;
 }
 
@@ -47,6 +49,16 @@
     shutdown(h2o_socket_get_fd(&socket), SHUT_RDWR);
 }
 
+void end_connection(h2o_socket_t& socket, const connection_entry& entry)
+{
+    if (entry.is_http2) {
+        // What is being written would keep the connection until its caller takes it.
+        shutdown(h2o_socket_get_fd(&socket), SHUT_RDWR);
+    }
+    const h2o_socket_cb on_read = socket._cb.read;
+    on_read(&socket, h2o_socket_error_closed);
+}
+
 endpoint peer_of(h2o_socket_t* socket)
 {
     socket_address peer;
--- a/src/libs/runtime/connectionentry.h
+++ b/src/libs/runtime/connectionentry.h
@@ -6,6 +6,7 @@
 #include <runtime/h2oheaders.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace sailtiller {
@@ -21,6 +22,17 @@
     time_point rests_since{}; ///< its last request ended, or it was opened
     std::optional<time_point> headers_since; ///< bytes of a request's headers wait for the rest of them
     bool is_closing = false; ///< this side has closed it
+
+    // What it holds of the host's memory; see connection_memory.
+    bool is_http2 = false;
+    std::size_t open_streams = 0; ///< over HTTP/2: requests that aren't whole, when last counted
+    std::uint64_t whole_until = 0; ///< over HTTP/2: bytes received of requests that are whole
+    std::size_t discarded_bytes = 0; ///< of the input, by the request that is being answered
+    std::size_t counted_bytes = 0; ///< of requests that aren't whole, in the budget
+    std::optional<time_point> counted_since;
+    std::size_t unread_answer_bytes = 0; ///< of answers that wait for their caller; they count by themselves
+    std::uint64_t taken_before = 0; ///< bytes that the caller had taken at `unread_since`
+    time_point unread_since{}; ///< the caller has taken nothing of what waits since
 };
 
 /// The entry of a request's connection, which has now brought a request, so that its end is no event.
@@ -35,6 +47,13 @@
 /// A request that crosses this close is refused as not run.
 void close_connection(h2o_socket_t& socket, connection_entry& entry);
 
+/// Ends a connection at once, as if its caller had gone; its descriptor and memory are free after this. Not
+/// within a callback of the same connection, and only while it is being read.
+void end_connection(h2o_socket_t& socket, const connection_entry& entry);
+
+/// True if the headers of a request have begun and not ended; its body waits behind them in the same buffer.
+bool has_open_headers(const h2o_socket_t& socket);
+
 /// The caller's address.
 endpoint peer_of(h2o_socket_t* socket);
 
--- a/src/libs/runtime/eventloop.cpp
+++ b/src/libs/runtime/eventloop.cpp
@@ -94,11 +94,14 @@
     } else if (const std::optional<time_point> due = this->timers.next_due()) {
         wait = std::clamp(*due - read_clock(), duration::zero(), longest_wait);
     }
-    // A write that was begun outside a turn and is complete waits for its callback. h2o expects none before it
-    // polls: it would poll for a write that has no callback any more.
+    // A write that was begun outside a turn and is complete waits for its callback. h2o expects none before
+    // it polls: it would poll for a write that has no callback any more.
     h2o_timeout__do_post_callback(this->loop);
     h2o_evloop_run(this->loop, to_poll_milliseconds(wait));
     const pending_callbacks pending(this->loop);
+    for (const auto& [id, action] : this->turn_actions) {
+        action();
+    }
     this->run_posted();
     this->timers.run_due(read_clock());
 }
@@ -124,6 +127,12 @@
     this->posted.push_back(std::move(action));
 }
 
+turn_action_id event_loop::add_turn_action(std::function<void()> action)
+{
+    this->turn_actions.emplace(++this->last_turn_action, std::move(action));
+    return this->last_turn_action;
+}
+
 work_id event_loop::add_work(std::function<void()> cancel)
 {
     this->work.emplace(++this->last_work, std::move(cancel));
--- a/src/libs/runtime/eventloop.h
+++ b/src/libs/runtime/eventloop.h
@@ -14,6 +14,8 @@
 
 /// Names work that an event loop cancels at its end.
 using work_id = std::uint64_t;
+/// Names an action at the end of each turn.
+using turn_action_id = std::uint64_t;
 
 /// The one loop on the one thread: h2o's sockets and our timers.
 class event_loop
@@ -37,6 +39,9 @@
     void cancel(timer_id timer) { this->timers.cancel(timer); }
     /// Runs `action` after the present turn, outside of any callback of h2o's.
     void post(std::function<void()> action);
+    /// Runs `action` in each turn, after the connections were read.
+    turn_action_id add_turn_action(std::function<void()> action);
+    void remove_turn_action(turn_action_id id) { this->turn_actions.erase(id); }
     /// Adds work that lives by itself, such as a call over a connection of its own; `cancel` ends it without
     /// running its handlers.
     work_id add_work(std::function<void()> cancel);
@@ -61,6 +66,8 @@
     st_h2o_evloop_t* loop;
     timer_queue timers;
     std::deque<std::function<void()>> posted;
+    std::map<turn_action_id, std::function<void()>> turn_actions;
+    turn_action_id last_turn_action = 0;
     std::map<work_id, std::function<void()>> work; ///< how to cancel each
     work_id last_work = 0;
     std::function<void(const std::string&)> on_task_fault;
--- a/src/libs/runtime/h2oheaders.h
+++ b/src/libs/runtime/h2oheaders.h
@@ -14,3 +14,11 @@
 #include <h2o/http1client.h>
 #include <h2o/http2.h>
 #pragma GCC diagnostic pop
+
+namespace sailtiller {
+
+/// Versions of the protocol as h2o writes them.
+constexpr int first_http2_version = 0x200;
+constexpr int first_version_with_chunks = 0x101;
+
+} // namespace sailtiller
--- a/src/libs/runtime/httpexchange.cpp
+++ b/src/libs/runtime/httpexchange.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <runtime/allocator.h>
+#include <runtime/connectionentry.h>
 #include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httpexchange.h>
@@ -11,8 +13,8 @@
 
 namespace {
 
-constexpr int first_http2_version = 0x200;
-constexpr int first_version_with_chunks = 0x101;
+/// What an exchange costs beside the bytes of its bodies, with the delivery behind it.
+constexpr std::size_t exchange_bytes = std::size_t{8} << 10U;
 
 std::string to_string(h2o_iovec_t text)
 {
@@ -29,7 +31,6 @@
         const h2o_header_t& header = native->headers.entries[index];
         request.headers.push_back({lower_case(to_string(*header.name)), to_string(header.value)});
     }
-    request.body = to_string(native->entity);
     request.authority = to_string(native->input.authority);
     socket_address peer;
     peer.length = native->conn->callbacks->get_peername(native->conn, peer.pointer());
@@ -49,6 +50,8 @@
     {
         http_exchange& exchange = **reinterpret_cast<generator*>(self)->exchange;
         exchange.is_sending = false;
+        std::string().swap(exchange.sending); // clearing it would keep the memory
+        exchange.count_answer();
         exchange.flush();
     }
 
@@ -60,19 +63,33 @@
     }
 };
 
-http_exchange::http_exchange(h2o_req_t* native, std::shared_ptr<const bool> is_closing)
+http_exchange::http_exchange(h2o_req_t* native, exchange_context context)
     : incoming(read_request(native))
     , native(native)
-    , is_closing(std::move(is_closing))
+    , connection(&note_request(native))
+    , context(std::move(context))
+    , held(this->context.memory)
 {
+    this->read_body();
+}
+
+void http_exchange::read_body()
+{
+    const h2o_iovec_t entity = this->native->entity;
+    auto share = std::make_unique<memory_share>(this->context.memory);
+    this->has_no_room = !this->held.grow_to(exchange_bytes) || !share->grow_to(entity.len);
+    if (!this->has_no_room) {
+        this->incoming.body = message_body(to_string(entity), std::move(share));
+    }
+    // h2o keeps its copy until the answer has ended, and doesn't look at it any more.
+    this->connection->discarded_bytes = discard_bytes(entity.base, entity.len);
 }
 
 http_exchange::~http_exchange() = default;
 
-std::shared_ptr<http_exchange> http_exchange::create(
-    h2o_req_t* native, std::shared_ptr<const bool> is_closing)
+std::shared_ptr<http_exchange> http_exchange::create(h2o_req_t* native, exchange_context context)
 {
-    std::shared_ptr<http_exchange> exchange(new http_exchange(native, std::move(is_closing)));
+    std::shared_ptr<http_exchange> exchange(new http_exchange(native, std::move(context)));
     void* memory = h2o_mem_alloc_shared(&native->pool, sizeof(generator), &generator::dispose);
     exchange->source = static_cast<generator*>(memory);
     exchange->source->super = {&generator::proceed, nullptr};
@@ -80,14 +97,15 @@
     return exchange;
 }
 
-void http_exchange::respond(const http_response& response)
+void http_exchange::respond(http_response response)
 {
     if (this->native == nullptr) {
         return;
     }
     this->native->res.content_length = response.body.size();
     this->start(response.status, response.headers);
-    this->pending = response.body;
+    this->pending = std::move(response.body);
+    this->count_answer();
     this->finish();
 }
 
@@ -97,7 +115,7 @@
         return;
     }
     this->started = true;
-    if (*this->is_closing) {
+    if (*this->context.is_closing) {
         this->close_connection_after();
     }
     this->native->res.status = status;
@@ -123,20 +141,36 @@
         return;
     }
     if (this->pending.size() + bytes.size() > max_unread_bytes) {
-        this->cut();
+        this->cut("more than " + std::to_string(max_unread_bytes) + " bytes of it are unread");
+        return;
+    }
+    if (!this->held.grow_to(exchange_bytes + this->sending.size() + this->pending.size() + bytes.size())) {
+        this->cut("the host has no memory left for what is unread");
         return;
     }
     this->pending += bytes;
+    this->count_answer();
     this->flush();
 }
 
-void http_exchange::cut()
+void http_exchange::count_answer()
+{
+    const std::size_t bytes = this->sending.size() + this->pending.size();
+    this->held.set(exchange_bytes + bytes);
+    if (this->native != nullptr) {
+        std::size_t& unread = this->connection->unread_answer_bytes;
+        unread = unread + bytes - this->waiting;
+        this->waiting = bytes;
+    }
+}
+
+void http_exchange::cut(const std::string& reason)
 {
     this->is_cut = true;
     std::string().swap(this->pending); // an assignment keeps the memory
+    this->count_answer();
     log_event(log_level::info, event_type::caller_left,
-        {{"step", "send answer"}, {"peer", this->incoming.peer.value()},
-            {"reason", "more than " + std::to_string(max_unread_bytes) + " bytes of it are unread"}});
+        {{"step", "send answer"}, {"peer", this->incoming.peer.value()}, {"reason", reason}});
     if (this->native->version < first_http2_version) {
         this->break_connection();
     }
@@ -177,7 +211,7 @@
     this->pending.clear();
     this->is_sending = true;
     this->is_done = this->is_ending;
-    if (this->is_done && *this->is_closing) {
+    if (this->is_done && *this->context.is_closing) {
         // The head may have promised to keep the connection: its caller must not send the next request to a
         // process that is about to end.
         this->close_connection_after();
@@ -197,7 +231,11 @@
 
 void http_exchange::detach()
 {
+    std::string().swap(this->pending);
+    std::string().swap(this->sending);
+    this->count_answer();
     this->native = nullptr;
+    this->connection = nullptr;
     this->source = nullptr;
     if (!this->is_done && this->on_abandoned) {
         this->is_done = true;
--- a/src/libs/runtime/httprejection.cpp
+++ b/src/libs/runtime/httprejection.cpp
@@ -20,6 +20,8 @@
         return "the body is too large; send a smaller one";
     case http_status::headers_too_large:
         return "the headers are too large; send smaller ones";
+    case http_status::unavailable:
+        return "the host has no memory left for the request; send it again later";
     case http_status::internal_error:
         return "the host failed at this request; operators find the reason in its log";
     default:
@@ -56,6 +58,18 @@
     return body.dump();
 }
 
+std::string write_rejection(int status, const std::string& retry_seconds)
+{
+    const char* outcome = "not-run";
+    const std::string body = error_body_of(status, outcome);
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Error\r\nconnection: close\r\n"
+        + "content-type: application/json\r\nx-request-id: none\r\nx-sailtiller-outcome: " + outcome + "\r\n";
+    if (status == http_status::unavailable) {
+        text += "retry-after: " + retry_seconds + "\r\n";
+    }
+    return text + "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 void set_up_rejection(h2o_req_t* request, h2o_ostream_t**& slot)
 {
     constexpr int first_error_status = 400;
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <base/error.h>
 #include <base/httpstatus.h>
+#include <runtime/allocator.h>
 #include <runtime/connectionentry.h>
+#include <runtime/connectionmemory.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httprejection.h>
 #include <runtime/httpserver.h>
@@ -25,6 +27,15 @@
 constexpr int most_accepts_a_turn = 32;
 /// Between two looks at what rests or is sent too slowly: small against the limits, which are seconds.
 constexpr duration connection_look_interval = std::chrono::milliseconds(250);
+/// What h2o may have read of a head beyond its counted bytes: marks between fields, and the request line.
+constexpr std::size_t most_uncounted_head_bytes = std::size_t{4} << 10U;
+/// Bytes of one connection that wait in the system, and come in one turn. What is not read yet holds its
+/// sender back.
+constexpr int receive_buffer_bytes = 128 << 10;
+/// What a host holds is worth a look at the allocator's free pages once it has been so much, and is half.
+constexpr std::size_t least_freed_bytes = std::size_t{8} << 20U;
+/// A caller that was refused for want of memory may come back after this.
+constexpr const char* memory_retry_seconds = "1";
 /// Turns of the loop in which connections that were told to end must have closed.
 constexpr int most_closing_turns = 100;
 
@@ -47,11 +58,11 @@
     return context;
 }
 
-std::size_t header_bytes_of(const http_request& request)
+std::size_t header_bytes_of(const h2o_req_t& request)
 {
-    std::size_t sum = request.path.size();
-    for (const http_header& header : request.headers) {
-        sum += header.name.size() + header.value.size();
+    std::size_t sum = request.path.len;
+    for (std::size_t index = 0; index < request.headers.size; ++index) {
+        sum += request.headers.entries[index].name->len + request.headers.entries[index].value.len;
     }
     return sum;
 }
@@ -71,6 +82,7 @@
         , limits(server_limits)
         , handler(std::move(on_request))
         , tls(nullptr, SSL_CTX_free)
+        , memory(server_limits.memory ? server_limits.memory : make_memory_budget(default_process_bytes))
     {
     }
 
@@ -79,12 +91,15 @@
 
     /// Answers a request in the handler's place.
     void reject(http_exchange& exchange, int status, const char* outcome, const std::string& reason);
+    /// Answers a request that isn't whole, as far as its protocol allows it, and ends its connection.
+    void refuse(h2o_socket_t& socket, connection_entry& entry, int status, const std::string& reason);
 
     static int handle(h2o_handler_t* self, h2o_req_t* request);
     static void filter(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
     static void log(h2o_logger_t* self, h2o_req_t* request);
     void limit_unread_time(h2o_socket_t* socket) const;
     static void accept(h2o_socket_t* listener, const char* failure);
+    void add_connection(h2o_socket_t* socket);
     static void forget(void* data);
 
     /// Gives the limits to h2o, as far as it knows them.
@@ -95,6 +110,14 @@
     [[nodiscard]] bool is_overdue(h2o_socket_t& socket, const connection_entry& entry, time_point now) const;
     void end_connections();
 
+    /// Most that all holders together have while requests are read; one at the limits fits in any case.
+    [[nodiscard]] std::size_t most_bytes_while_reading() const;
+    /// Counts what the connections hold, once that is due, and ends those that are too much.
+    void look_at_memory();
+    void count_open_streams();
+    [[nodiscard]] bool has_too_large_head(const h2o_socket_t& socket, const connection_entry& entry) const;
+    void return_freed_memory();
+
     event_loop& loop;
     http_server_limits limits;
     request_handler handler;
@@ -107,6 +130,10 @@
     std::set<h2o_socket_t*> connections;
     std::shared_ptr<bool> is_closing = std::make_shared<bool>(false);
     timer_id look_timer = 0;
+    turn_action_id turn_action = 0;
+    connection_memory memory;
+    time_point next_count{};
+    std::size_t most_held = 0; ///< since free memory was given back
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
 };
 
@@ -184,14 +211,14 @@
 
 void http_server::state::schedule_look()
 {
-    const bool is_needed = this->limits.idle_time || this->limits.header_time;
-    if (!is_needed || this->look_timer != 0) {
+    if (this->look_timer != 0) {
         return;
     }
     this->look_timer = this->loop.schedule_after(connection_look_interval, [this] {
         this->look_timer = 0;
         this->schedule_look();
         this->look_at_connections();
+        this->return_freed_memory();
     });
 }
 
@@ -222,9 +249,13 @@
 void http_server::state::reject(
     http_exchange& exchange, int status, const char* outcome, const std::string& reason)
 {
-    exchange.respond({status,
+    http_response response{status,
         {{"x-request-id", "none"}, {"content-type", "application/json"}, {"x-sailtiller-outcome", outcome}},
-        error_body_of(status, outcome)});
+        error_body_of(status, outcome)};
+    if (status == http_status::unavailable) {
+        response.headers.push_back({"retry-after", memory_retry_seconds});
+    }
+    exchange.respond(std::move(response));
     if (this->on_rejected) {
         this->on_rejected({status, exchange.request().peer, reason});
     }
@@ -236,16 +267,26 @@
     connection_entry& connection = note_request(request);
     ++connection.open_requests;
     server->handled.insert(request);
-    const std::shared_ptr<http_exchange> exchange = http_exchange::create(request, server->is_closing);
+    const std::size_t header_bytes = header_bytes_of(*request);
+    if (header_bytes > server->limits.most_header_bytes) {
+        request->headers.size = 0; // one byte over HTTP/2 may stand for thousands, which nobody is to copy
+    }
+    server->memory.note_whole_request(connection, request->entity.len);
+    const std::shared_ptr<http_exchange> exchange =
+        http_exchange::create(request, {server->is_closing, server->memory.budget()});
     if (connection.is_closing) {
         // It crossed the close: its caller sees that nobody took it, so nobody may.
         exchange->respond({http_status::unavailable, {}, ""});
         return 0;
     }
-    if (header_bytes_of(exchange->request()) > server->limits.most_header_bytes) {
+    if (header_bytes > server->limits.most_header_bytes) {
         server->reject(*exchange, http_status::headers_too_large, "not-run", "the headers are too large");
         return 0;
     }
+    if (exchange->lacks_memory()) {
+        server->reject(*exchange, http_status::unavailable, "not-run", "the host has no memory left for it");
+        return 0;
+    }
     // What is passed on over HTTP/1 must not be read as another field, or request, there. h2o checks this of
     // HTTP/1 alone.
     if (!are_fields(exchange->request().headers) || !is_request_line(exchange->request())) {
@@ -267,13 +308,38 @@
     connection_entry& connection = note_request(request);
     const bool is_own_answer = server->handled.erase(request) != 0;
     connection.open_requests -= is_own_answer ? 1 : 0;
+    connection.discarded_bytes = 0;
     connection.rests_since = server->loop.now();
-    if (request->res.status == 0 || is_own_answer || !server->on_rejected) {
+    if (request->res.status == 0 || is_own_answer) {
+        return;
+    }
+    if (!server->on_rejected) {
         return;
     }
     server->on_rejected({request->res.status, connection.peer, "refused while it was read"});
 }
 
+void http_server::state::refuse(
+    h2o_socket_t& socket, connection_entry& entry, int status, const std::string& reason)
+{
+    if (h2o_socket_is_reading(&socket) == 0) {
+        return; // h2o answers it already
+    }
+    const bool can_answer = this->tls == nullptr && !entry.is_http2 && entry.open_requests == 0
+        && h2o_socket_is_writing(&socket) == 0;
+    if (can_answer) {
+        const int descriptor = h2o_socket_get_fd(&socket);
+        const std::string answer = write_rejection(status, memory_retry_seconds);
+        // A caller that leaves no room for so little sees the connection's end alone.
+        send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    entry.has_request = true; // it has had its event
+    if (this->on_rejected) {
+        this->on_rejected({can_answer ? status : 0, entry.peer, reason});
+    }
+    end_connection(socket, entry);
+}
+
 /// The system closes a connection whose peer takes nothing, or acknowledges nothing, of what waits for it for
 /// so long.
 void http_server::state::limit_unread_time(h2o_socket_t* socket) const
@@ -295,17 +361,104 @@
         if (socket == nullptr) {
             return;
         }
-        auto* entry = new connection_entry;
-        entry->server = server;
-        entry->socket = socket;
-        entry->peer = peer_of(socket);
-        entry->rests_since = server->loop.now();
-        server->connections.insert(socket);
-        server->limit_unread_time(socket);
-        socket->on_close.cb = &state::forget;
-        socket->on_close.data = entry;
-        h2o_accept(&server->accept_context, socket);
+        server->add_connection(socket);
+    }
+}
+
+void http_server::state::add_connection(h2o_socket_t* socket)
+{
+    auto* entry = new connection_entry;
+    entry->server = this;
+    entry->socket = socket;
+    entry->peer = peer_of(socket);
+    entry->rests_since = this->loop.now();
+    this->connections.insert(socket);
+    this->limit_unread_time(socket);
+    socket->on_close.cb = &state::forget;
+    socket->on_close.data = entry;
+    h2o_accept(&this->accept_context, socket);
+}
+
+std::size_t http_server::state::most_bytes_while_reading() const
+{
+    return std::max(this->memory.budget()->max_bytes() / 2,
+        this->limits.most_body_bytes + this->limits.most_header_bytes);
+}
+
+void http_server::state::look_at_memory()
+{
+    if (this->connections.empty()) {
+        return;
+    }
+    const time_point now = this->loop.now();
+    if (now < this->next_count) {
+        return;
+    }
+    this->count_open_streams();
+    std::vector<h2o_socket_t*> too_large;
+    for (h2o_socket_t* socket : this->connections) {
+        auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+        this->memory.count(*socket, entry, now);
+        if (this->has_too_large_head(*socket, entry)) {
+            too_large.push_back(socket);
+        }
+    }
+    for (h2o_socket_t* socket : too_large) {
+        this->refuse(*socket, *static_cast<connection_entry*>(socket->on_close.data),
+            http_status::headers_too_large, "the headers are too large");
+    }
+    const std::size_t most_bytes = this->most_bytes_while_reading();
+    for (h2o_socket_t* socket : this->memory.find_excess(this->connections, most_bytes, now)) {
+        auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+        if (entry.open_requests > 0 && !entry.is_http2) {
+            close_connection(*socket, entry); // its caller leaves an answer unread
+        } else {
+            this->refuse(
+                *socket, entry, http_status::unavailable, "the host has no memory left for the rest of it");
+        }
     }
+    this->most_held = std::max(this->most_held, this->memory.budget()->held());
+    this->next_count = now + this->memory.time_to_next_count(most_bytes);
+}
+
+void http_server::state::count_open_streams()
+{
+    if (h2o_linklist_is_empty(&this->context.http2._conns) != 0) {
+        return;
+    }
+    for (h2o_socket_t* socket : this->connections) {
+        static_cast<connection_entry*>(socket->on_close.data)->open_streams = 0;
+    }
+    H2O_HTTP2_CALLBACKS.foreach_request(
+        &this->context,
+        [](h2o_req_t* request, void* data) {
+            h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
+            auto& entry = *static_cast<connection_entry*>(socket->on_close.data);
+            entry.is_http2 = true;
+            // Streams may also stand for priorities alone.
+            const bool has_head = request->input.method.len > 0;
+            const bool is_whole = static_cast<const state*>(data)->handled.count(request) != 0;
+            entry.open_streams += has_head && !is_whole ? 1 : 0;
+            return 0;
+        },
+        this);
+}
+
+bool http_server::state::has_too_large_head(const h2o_socket_t& socket, const connection_entry& entry) const
+{
+    return !entry.is_http2 && entry.open_requests == 0
+        && socket.input->size > this->limits.most_header_bytes + most_uncounted_head_bytes
+        && has_open_headers(socket);
+}
+
+void http_server::state::return_freed_memory()
+{
+    const std::size_t held = this->memory.budget()->held();
+    if (this->most_held < least_freed_bytes || held > this->most_held / 2) {
+        return;
+    }
+    return_free_memory();
+    this->most_held = held;
 }
 
 void http_server::state::forget(void* data)
@@ -313,6 +466,7 @@
     const std::unique_ptr<connection_entry> entry(static_cast<connection_entry*>(data));
     auto* server = static_cast<state*>(entry->server);
     server->connections.erase(entry->socket);
+    server->memory.forget(*entry);
     if (!entry->has_request && server->on_rejected) {
         server->on_rejected({0, entry->peer, "the connection ended before a whole request came"});
     }
@@ -337,6 +491,8 @@
     }
     this->inner->configure();
     this->inner->schedule_look();
+    this->inner->turn_action =
+        loop.add_turn_action([server = this->inner.get()] { server->look_at_memory(); });
 }
 
 void http_server::set_limits(const http_server_limits& limits)
@@ -349,6 +505,7 @@
 http_server::~http_server()
 {
     this->inner->loop.cancel(this->inner->look_timer);
+    this->inner->loop.remove_turn_action(this->inner->turn_action);
     this->close_listeners();
     this->inner->end_connections();
     if (this->inner->connections.empty()) {
@@ -365,6 +522,8 @@
 endpoint http_server::listen(const endpoint& address)
 {
     const listening_socket bound = open_listening_socket(address);
+    // Its connections have the same; the system's own choice is sound too, but larger.
+    setsockopt(bound.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof(receive_buffer_bytes));
     h2o_socket_t* listener =
         h2o_evloop_socket_create(this->inner->loop.native(), bound.descriptor, H2O_SOCKET_FLAG_DONT_READ);
     listener->data = this->inner.get();
@@ -373,6 +532,12 @@
     return bound.address;
 }
 
+std::shared_ptr<memory_budget> make_memory_budget(std::size_t process_bytes)
+{
+    const std::size_t bytes = process_bytes / 2;
+    return std::make_shared<memory_budget>(bytes, bytes / 4);
+}
+
 void http_server::when_rejected(std::function<void(const http_server_event&)> action)
 {
     this->inner->on_rejected = std::move(action);
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -18,8 +18,17 @@
     /// A connection whose caller takes nothing of what waits for it is closed after this. Callers that have
     /// lost their way for a while come back within seconds.
     duration unread_time = std::chrono::seconds(60);
+    /// For all that the server holds for its callers, shared with whoever else holds memory for them; without
+    /// it, the server has one of its own.
+    std::shared_ptr<memory_budget> memory{};
 };
 
+/// The part of a process's memory that may be held for callers and upstreams: half of it. The rest is for the
+/// process itself, for what one turn of the loop may read, and for the parts of pages that nothing uses.
+std::shared_ptr<memory_budget> make_memory_budget(std::size_t process_bytes);
+/// The memory of a process unless its settings say otherwise: what the smallest machines give.
+constexpr std::size_t default_process_bytes = 260'000'000;
+
 /// Paths of a certificate chain and its key, in PEM form.
 struct tls_files
 {
@@ -51,7 +60,7 @@
     /// Throws `error` if the address can't be listened on. Port 0 lets the system choose; returns the
     /// address.
     endpoint listen(const endpoint& address);
-    /// Holds for all that comes from now on, on open connections too.
+    /// Holds for all that comes from now on, on open connections too; but the memory stays as it was.
     void set_limits(const http_server_limits& limits);
     /// Called for each answer that the handler did not give, such as to a body that is too large.
     void when_rejected(std::function<void(const http_server_event&)> action);
--- a/tests/standins/pathengine.cpp
+++ b/tests/standins/pathengine.cpp
@@ -85,9 +85,14 @@
     return true;
 }
 
+/// Stand-ins take whatever hosts send them.
+constexpr std::size_t stand_in_memory_bytes = std::size_t{4} << 30U;
+
 std::unique_ptr<http_server> make_server(event_loop& loop, http_server::request_handler handler)
 {
-    return std::make_unique<http_server>(loop, http_server_limits{}, std::nullopt, std::move(handler));
+    http_server_limits limits;
+    limits.memory = std::make_shared<memory_budget>(stand_in_memory_bytes);
+    return std::make_unique<http_server>(loop, limits, std::nullopt, std::move(handler));
 }
 
 } // namespace
