Runtime: a refusal reaches a caller that is still sending

Callers saw: a reset in place of 413, while they sent a body that was too large; one that sees a reset may try again.

Cause: h2o closes the connection after its answer, with bytes of the request unread. The system resets such a connection, also for the part of the answer that the caller hasn't read.

Now the connection is shut on this side only, and what still comes is read and dropped, for a bounded time, number of bytes and number of connections. The same holds for requests that are refused for want of memory and for heads that exceed their limit.

Evidence: one_body_that_announces_too_much and one_body_whose_chunks_are_too_much saw a reset in each of three runs before, and pass.

--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <runtime/h2oheaders.h>
 #include <runtime/httprejection.h>
 #include <runtime/httpserver.h>
+#include <runtime/lingeringclose.h>
 #include <runtime/socketaddress.h>
 
 #include <algorithm>
@@ -83,6 +84,7 @@
         , handler(std::move(on_request))
         , tls(nullptr, SSL_CTX_free)
         , memory(server_limits.memory ? server_limits.memory : make_memory_budget(default_process_bytes))
+        , lingering(event_loop)
     {
     }
 
@@ -132,6 +134,7 @@
     timer_id look_timer = 0;
     turn_action_id turn_action = 0;
     connection_memory memory;
+    lingering_closes lingering;
     time_point next_count{};
     std::size_t most_held = 0; ///< since free memory was given back
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
@@ -218,6 +221,7 @@
         this->look_timer = 0;
         this->schedule_look();
         this->look_at_connections();
+        this->lingering.tidy();
         this->return_freed_memory();
     });
 }
@@ -313,6 +317,10 @@
     if (request->res.status == 0 || is_own_answer) {
         return;
     }
+    if (!connection.is_http2 && request->http1_is_persistent == 0 && server->tls == nullptr) {
+        // Its caller may be sending the rest of it.
+        server->lingering.add(h2o_socket_get_fd(connection.socket));
+    }
     if (!server->on_rejected) {
         return;
     }
@@ -332,6 +340,7 @@
         const std::string answer = write_rejection(status, memory_retry_seconds);
         // A caller that leaves no room for so little sees the connection's end alone.
         send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        this->lingering.add(descriptor);
     }
     entry.has_request = true; // it has had its event
     if (this->on_rejected) {
