Runtime: callers' connections leave descriptors for upstreams

Callers saw: 503 for an ordinary request, or 11.6 s without an answer, beside callers that open connections and send nothing, until the idle ones are closed.

Cause: callers' connections may take every descriptor of the process. None is left for an upstream, and new callers wait in the system's queue, while the loop is told of them without end.

Now callers' connections take three quarters of the descriptors, by the new setting max-descriptors or the system's limit if that is lower. Beyond that a new one takes the place of the one that has rested for the longest time without a request under way. If accepting fails all the same, the listeners pause for 100 ms.

--- a/src/app/sailtillerd/daemonsettings.cpp
+++ b/src/app/sailtillerd/daemonsettings.cpp
@@ -5,6 +5,9 @@
 #include <runtime/programsettings.h>
 #include <runtime/textfile.h>
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace sailtiller {
 
 namespace {
@@ -13,6 +16,8 @@
 constexpr std::int64_t least_memory_mb = 64;
 constexpr std::int64_t most_memory_mb = 1'000'000;
 constexpr std::size_t bytes_per_mb = 1'000'000;
+constexpr std::int64_t least_descriptors = 64;
+constexpr std::int64_t most_descriptors = 1'000'000;
 constexpr std::int64_t most_request_time = 600'000;
 constexpr std::int64_t most_stop_time = 86'400'000;
 /// Each request of the window is remembered.
@@ -52,6 +57,8 @@
     flags.declare("most-header-bytes", "largest sum of a request's headers", "32768");
     flags.declare(
         "memory-mb", "memory of this process; half of it may be held for callers and upstreams", "260");
+    flags.declare("max-descriptors",
+        "descriptors of this process; a quarter is kept for other uses than callers", "4100");
     flags.declare("request-time-ms", "time in which a caller must have sent its request", "10000");
     flags.declare("stop-grace-ms", "time for the balancer to notice, before connections are refused", "3000");
     flags.declare("longest-stop-ms", "streams that still run after this are cut off", "3600000");
@@ -59,6 +66,18 @@
     flags.declare("log-layout", "text or json", "text");
 }
 
+/// Connections of callers, so that descriptors are left for upstreams, the store and other hosts.
+std::size_t read_most_connections(program_settings& flags)
+{
+    auto count =
+        static_cast<std::size_t>(flags.integer("max-descriptors", least_descriptors, most_descriptors));
+    rlimit system{};
+    if (getrlimit(RLIMIT_NOFILE, &system) == 0) {
+        count = std::min<std::size_t>(count, system.rlim_cur);
+    }
+    return count - count / 4;
+}
+
 std::vector<public_key> read_keys(program_settings& flags)
 {
     std::vector<public_key> keys;
@@ -168,6 +187,7 @@
         static_cast<std::size_t>(flags.integer("most-header-bytes", 1024, most_body_bytes));
     settings.limits.memory = make_memory_budget(
         bytes_per_mb * static_cast<std::size_t>(flags.integer("memory-mb", least_memory_mb, most_memory_mb)));
+    settings.limits.most_connections = read_most_connections(flags);
     settings.limits.request_time = flags.milliseconds("request-time-ms", 100, most_request_time);
     settings.stop_grace = flags.milliseconds("stop-grace-ms", 0, most_stop_time);
     settings.longest_stop = flags.milliseconds("longest-stop-ms", 0, most_stop_time);
--- a/src/libs/runtime/connectionentry.h
+++ b/src/libs/runtime/connectionentry.h
@@ -7,10 +7,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <optional>
 
 namespace sailtiller {
 
+/// Connections by when they came to rest, the first one first.
+using resting_connections = std::list<h2o_socket_t*>;
+
 /// A connection with a way back to the server, for the moment when h2o closes it.
 struct connection_entry
 {
@@ -22,6 +26,8 @@
     time_point rests_since{}; ///< its last request ended, or it was opened
     std::optional<time_point> headers_since; ///< bytes of a request's headers wait for the rest of them
     bool is_closing = false; ///< this side has closed it
+    /// Its place among those at rest; none while it has open requests.
+    std::optional<resting_connections::iterator> resting;
 
     // What it holds of the host's memory; see connection_memory.
     bool is_http2 = false;
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -4,6 +4,7 @@
 #include <runtime/allocator.h>
 #include <runtime/connectionentry.h>
 #include <runtime/connectionmemory.h>
+#include <runtime/eventlog.h>
 #include <runtime/h2oheaders.h>
 #include <runtime/httprejection.h>
 #include <runtime/httpserver.h>
@@ -11,6 +12,7 @@
 #include <runtime/socketaddress.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -35,6 +37,9 @@
 constexpr int receive_buffer_bytes = 128 << 10;
 /// What a host holds is worth a look at the allocator's free pages once it has been so much, and is half.
 constexpr std::size_t least_freed_bytes = std::size_t{8} << 20U;
+/// Until a listener that the system gives no descriptor for is asked again; it would be reported all the
+/// time.
+constexpr duration accept_pause = std::chrono::milliseconds(100);
 /// A caller that was refused for want of memory may come back after this.
 constexpr const char* memory_retry_seconds = "1";
 /// Turns of the loop in which connections that were told to end must have closed.
@@ -102,6 +107,11 @@
     void limit_unread_time(h2o_socket_t* socket) const;
     static void accept(h2o_socket_t* listener, const char* failure);
     void add_connection(h2o_socket_t* socket);
+    /// Ends the connection that has rested for the longest time; false if there is none.
+    bool end_resting_connection();
+    void pause_accepting();
+    void note_rest(connection_entry& entry);
+    void note_use(connection_entry& entry);
     static void forget(void* data);
 
     /// Gives the limits to h2o, as far as it knows them.
@@ -132,9 +142,11 @@
     std::set<h2o_socket_t*> connections;
     std::shared_ptr<bool> is_closing = std::make_shared<bool>(false);
     timer_id look_timer = 0;
+    timer_id accept_timer = 0;
     turn_action_id turn_action = 0;
     connection_memory memory;
     lingering_closes lingering;
+    resting_connections resting;
     time_point next_count{};
     std::size_t most_held = 0; ///< since free memory was given back
     std::set<const h2o_req_t*> handled; ///< requests that the handler answers, not h2o by itself
@@ -270,6 +282,7 @@
     auto* server = static_cast<state*>(reinterpret_cast<server_handler*>(self)->server);
     connection_entry& connection = note_request(request);
     ++connection.open_requests;
+    server->note_use(connection);
     server->handled.insert(request);
     const std::size_t header_bytes = header_bytes_of(*request);
     if (header_bytes > server->limits.most_header_bytes) {
@@ -314,6 +327,7 @@
     connection.open_requests -= is_own_answer ? 1 : 0;
     connection.discarded_bytes = 0;
     connection.rests_since = server->loop.now();
+    server->note_rest(connection);
     if (request->res.status == 0 || is_own_answer) {
         return;
     }
@@ -327,6 +341,22 @@
     server->on_rejected({request->res.status, connection.peer, "refused while it was read"});
 }
 
+void http_server::state::note_rest(connection_entry& entry)
+{
+    if (entry.open_requests == 0) {
+        this->note_use(entry);
+        entry.resting = this->resting.insert(this->resting.end(), entry.socket);
+    }
+}
+
+void http_server::state::note_use(connection_entry& entry)
+{
+    if (entry.resting) {
+        this->resting.erase(*entry.resting);
+        entry.resting.reset();
+    }
+}
+
 void http_server::state::refuse(
     h2o_socket_t& socket, connection_entry& entry, int status, const std::string& reason)
 {
@@ -368,6 +398,9 @@
     for (int count = 0; count < most_accepts_a_turn; ++count) {
         h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK) {
+                server->pause_accepting();
+            }
             return;
         }
         server->add_connection(socket);
@@ -376,18 +409,52 @@
 
 void http_server::state::add_connection(h2o_socket_t* socket)
 {
+    if (this->connections.size() >= this->limits.most_connections && !this->end_resting_connection()) {
+        h2o_socket_close(socket); // all others are being answered
+        return;
+    }
     auto* entry = new connection_entry;
     entry->server = this;
     entry->socket = socket;
     entry->peer = peer_of(socket);
     entry->rests_since = this->loop.now();
     this->connections.insert(socket);
+    this->note_rest(*entry);
     this->limit_unread_time(socket);
     socket->on_close.cb = &state::forget;
     socket->on_close.data = entry;
     h2o_accept(&this->accept_context, socket);
 }
 
+bool http_server::state::end_resting_connection()
+{
+    for (h2o_socket_t* socket : this->resting) {
+        if (h2o_socket_is_reading(socket) != 0) {
+            end_connection(*socket, *static_cast<connection_entry*>(socket->on_close.data));
+            return true;
+        }
+    }
+    return false;
+}
+
+void http_server::state::pause_accepting()
+{
+    if (this->accept_timer != 0) {
+        return;
+    }
+    log_event(log_level::warning, event_type::request_refused,
+        {{"step", "accept connection"}, {"reason", std::strerror(errno)}});
+    for (h2o_socket_t* listener : this->listeners) {
+        h2o_socket_read_stop(listener);
+    }
+    this->accept_timer = this->loop.schedule_after(accept_pause, [this] {
+        this->accept_timer = 0;
+        for (h2o_socket_t* listener : this->listeners) {
+            h2o_socket_read_start(listener, &state::accept);
+        }
+    });
+}
+
 std::size_t http_server::state::most_bytes_while_reading() const
 {
     return std::max(this->memory.budget()->max_bytes() / 2,
@@ -475,6 +542,7 @@
     const std::unique_ptr<connection_entry> entry(static_cast<connection_entry*>(data));
     auto* server = static_cast<state*>(entry->server);
     server->connections.erase(entry->socket);
+    server->note_use(*entry);
     server->memory.forget(*entry);
     if (!entry->has_request && server->on_rejected) {
         server->on_rejected({0, entry->peer, "the connection ended before a whole request came"});
@@ -514,6 +582,7 @@
 http_server::~http_server()
 {
     this->inner->loop.cancel(this->inner->look_timer);
+    this->inner->loop.cancel(this->inner->accept_timer);
     this->inner->loop.remove_turn_action(this->inner->turn_action);
     this->close_listeners();
     this->inner->end_connections();
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -3,6 +3,8 @@
 
 #include <runtime/httpexchange.h>
 
+#include <limits>
+
 namespace sailtiller {
 
 /// Limits on what a caller may send.
@@ -21,6 +23,8 @@
     /// For all that the server holds for its callers, shared with whoever else holds memory for them; without
     /// it, the server has one of its own.
     std::shared_ptr<memory_budget> memory{};
+    /// Beyond these, a new connection takes the place of the one that has rested for the longest time.
+    std::size_t most_connections = std::numeric_limits<std::size_t>::max();
 };
 
 /// The part of a process's memory that may be held for callers and upstreams: half of it. The rest is for the
--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -43,7 +43,7 @@
             {"listen.readiness", ip + ":0"}, {"internal-ports.0", "0"}, {"internal-ports.1", "0"},
             {"bounds.grace-s", "8"}, {"bounds.config-apply-ms", "2000"}, {"bounds.revoke-ms", "5000"},
             {"bounds.retry-budget-ratio", "0.2"}, {"bounds.retry-slack", "202"},
-            {"bounds.retry-window-s", "10"}, {"limits.memory-mb", "260"}};
+            {"bounds.retry-window-s", "10"}, {"limits.memory-mb", "260"}, {"limits.max-fds", "4100"}};
         this->gate = std::make_unique<http_server>(this->loop, http_server_limits{}, std::nullopt,
             [this](const std::shared_ptr<http_exchange>& exchange) { this->store.handle(exchange, true); });
         this->fields["platform.address"] = this->gate->listen(endpoint("127.0.0.1:0")).value();
@@ -84,7 +84,7 @@
 {
     for (const char* name :
         {"bounds.grace-s", "bounds.config-apply-ms", "bounds.revoke-ms", "bounds.retry-budget-ratio",
-            "bounds.retry-slack", "bounds.retry-window-s", "limits.memory-mb"}) {
+            "bounds.retry-slack", "bounds.retry-window-s", "limits.memory-mb", "limits.max-fds"}) {
         const std::string usual = this->fields[name];
         for (const char* figure : {"7.5", "2000.0", "0.5", "1e3", "1e300", "0", "", "true", "soon"}) {
             this->fields[name] = figure;
