--- a/src/libs/base/messagebody.cpp
+++ b/src/libs/base/messagebody.cpp
@@ -8,6 +8,12 @@
 
 struct message_body::storage
 {
+    storage(std::string bytes, std::unique_ptr<memory_share> counted)
+        : text(std::move(bytes))
+        , share(std::move(counted))
+    {
+    }
+
     std::string text;
     std::unique_ptr<memory_share> share;
 };
--- a/src/libs/runtime/connectionmemory.cpp
+++ b/src/libs/runtime/connectionmemory.cpp
@@ -75,8 +75,13 @@
 
 void connection_memory::note_whole_request(connection_entry& entry, std::size_t bytes)
 {
-    entry.whole_until += bytes;
-    this->set_counted(entry, entry.is_http2 ? entry.counted_bytes - std::min(entry.counted_bytes, bytes) : 0);
+    if (entry.is_http2) {
+        entry.whole_until += bytes;
+        this->set_counted(entry, entry.counted_bytes - std::min(entry.counted_bytes, bytes));
+        return;
+    }
+    this->set_counted(entry, 0);
+    entry.counted_since.reset();
 }
 
 void connection_memory::forget(connection_entry& entry)
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -83,7 +83,7 @@
 
 struct http_server::state
 {
-    state(event_loop& event_loop, http_server_limits server_limits, request_handler on_request)
+    state(event_loop& event_loop, const http_server_limits& server_limits, request_handler on_request)
         : loop(event_loop)
         , limits(server_limits)
         , handler(std::move(on_request))
@@ -398,7 +398,7 @@
     for (int count = 0; count < most_accepts_a_turn; ++count) {
         h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr) {
-            if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
                 server->pause_accepting();
             }
             return;
@@ -559,8 +559,8 @@
     }
 }
 
-http_server::http_server(
-    event_loop& loop, http_server_limits limits, const std::optional<tls_files>& tls, request_handler handler)
+http_server::http_server(event_loop& loop, const http_server_limits& limits,
+    const std::optional<tls_files>& tls, request_handler handler)
     : inner(std::make_unique<state>(loop, limits, std::move(handler)))
 {
     if (tls) {
--- a/src/libs/runtime/httpserver.h
+++ b/src/libs/runtime/httpserver.h
@@ -55,7 +55,7 @@
     using request_handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
     /// Throws `error` if the certificate or the key can't be used.
-    http_server(event_loop& loop, http_server_limits limits, const std::optional<tls_files>& tls,
+    http_server(event_loop& loop, const http_server_limits& limits, const std::optional<tls_files>& tls,
         request_handler handler);
     ~http_server();
     http_server(const http_server&) = delete;
--- a/tests/auto/runtime/tst_http.cpp
+++ b/tests/auto/runtime/tst_http.cpp
@@ -24,7 +24,7 @@
 {
 protected:
     std::unique_ptr<http_server> make_server(
-        http_server::request_handler handler, http_server_limits limits = {})
+        http_server::request_handler handler, const http_server_limits& limits = {})
     {
         auto server = std::make_unique<http_server>(this->loop, limits, std::nullopt, std::move(handler));
         this->address = server->listen(endpoint("127.0.0.1:0"));
--- a/tests/auto/system/streamcrowd.cpp
+++ b/tests/auto/system/streamcrowd.cpp
@@ -60,6 +60,7 @@
         const std::map<std::string, std::string> fields{{":method", "POST"}, {":scheme", "http"},
             {":path", "/submit/x"}, {":authority", "a.example"}, {"authorization", "Bearer key-1"}};
         std::vector<nghttp2_nv> list;
+        list.reserve(fields.size());
         for (const auto& [name, value] : fields) {
             list.push_back(field(name, value));
         }
