--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -410,7 +410,10 @@
 void http_server::state::add_connection(h2o_socket_t* socket)
 {
     if (this->connections.size() >= this->limits.most_connections && !this->end_resting_connection()) {
-        h2o_socket_close(socket); // all others are being answered
+        if (this->on_rejected) {
+            this->on_rejected({0, peer_of(socket), "all other connections are being answered"});
+        }
+        h2o_socket_close(socket);
         return;
     }
     auto* entry = new connection_entry;
