--- a/tests/auto/system/tst_settings.cpp
+++ b/tests/auto/system/tst_settings.cpp
@@ -2,6 +2,7 @@
 // Hosts that are started from the settings file that the platform writes.
 #include "sitebed.h"
 
+#include <algorithm>
 #include <runtime/textfile.h>
 
 #include <csignal>
@@ -24,7 +25,10 @@
 {
     for (std::size_t begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{", begin)) {
         const std::size_t end = text.find("}}", begin);
-        const auto field = fields.find(text.substr(begin + 2, end - begin - 2));
+        std::string name = text.substr(begin + 2, end - begin - 2);
+        name.resize(
+            std::min(name.find('|'), name.size())); // how it is rendered; figures are the same in JSON
+        const auto field = fields.find(name);
         text.replace(begin, end + 2 - begin, field == fields.end() ? "" : field->second);
     }
     return text;
