--- a/tests/auto/system/tst_callercrowds.cpp
+++ b/tests/auto/system/tst_callercrowds.cpp
@@ -330,11 +330,54 @@
     this->expect_sound_in_calm();
 }
 
+TEST_F(caller_crowds, small_streams_over_many_connections)
+{
+    this->start();
+    {
+        stream_crowd crowd(this->host->callers, 1'000, 100, 10);
+        this->play(crowd);
+        this->expect_sound("beside the crowd");
+    }
+    this->expect_sound_in_calm();
+}
+
 TEST_F(caller_crowds, header_blocks_without_an_end)
 {
     this->play_and_check(10, {endless_header_block_begin(), header_block_continuation(), 40'000'000});
 }
 
+TEST_F(caller_crowds, bodies_that_expect_to_be_asked_for)
+{
+    this->play_and_check(1'000,
+        {head_of("expect: 100-continue\r\ncontent-length: 4194304\r\n\r\n"), std::string(chunk_bytes, 'x'),
+            500'000});
+}
+
+TEST_F(caller_crowds, chunk_extensions_without_an_end)
+{
+    this->play_and_check(crowd_size, {chunked_head() + "1;", std::string(chunk_bytes, 'x'), 10'000'000});
+}
+
+TEST_F(caller_crowds, trailers_without_an_end)
+{
+    const std::string trailer = "x-more: " + std::string(990, 'x') + "\r\n";
+    this->play_and_check(crowd_size, {chunked_head() + "1\r\nx\r\n0\r\n", trailer, 10'000 * trailer.size()});
+}
+
+TEST_F(caller_crowds, requests_sent_ahead_of_their_answers)
+{
+    const std::string request = "POST /submit/x HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: ahead\r\n"
+                                "authorization: Bearer key-1\r\ncontent-length: 0\r\n\r\n";
+    this->start();
+    {
+        caller_crowd crowd(this->host->callers, crowd_size, {"", request, 20'000 * request.size()});
+        crowd.set_reading(false);
+        this->play(crowd);
+        this->expect_sound("beside the crowd");
+    }
+    this->expect_sound_in_calm();
+}
+
 TEST_F(caller_crowds, answers_that_are_left_unread)
 {
     this->start();
