--- a/src/app/sailtillerd/siterelay.cpp
+++ b/src/app/sailtillerd/siterelay.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-site_relay::site_relay(event_loop& loop, http_server_limits limits, upstream_link& link,
+site_relay::site_relay(event_loop& loop, const http_server_limits& limits, upstream_link& link,
     const upstream_directory& upstreams, const upstream_pauses& pauses, site_relay_hooks hooks)
     : loop(loop)
     , link(link)
--- a/src/app/sailtillerd/siterelay.h
+++ b/src/app/sailtillerd/siterelay.h
@@ -25,7 +25,7 @@
 class site_relay
 {
 public:
-    site_relay(event_loop& loop, http_server_limits limits, upstream_link& link,
+    site_relay(event_loop& loop, const http_server_limits& limits, upstream_link& link,
         const upstream_directory& upstreams, const upstream_pauses& pauses, site_relay_hooks hooks);
 
     /// Listens at the address. Throws `error` if it can't be listened on.
--- a/tests/auto/runtime/tst_slowcallers.cpp
+++ b/tests/auto/runtime/tst_slowcallers.cpp
@@ -60,7 +60,7 @@
 class slow_callers_test : public testing::Test
 {
 protected:
-    void start_server(http_server_limits limits = {})
+    void start_server(const http_server_limits& limits = {})
     {
         this->server = std::make_unique<http_server>(this->loop, limits, std::nullopt,
             [this](const std::shared_ptr<http_exchange>& taken) { this->exchange = taken; });
