Runtime: answers without the handler are made in one place

Reading the change again: the head of a refusal stood twice, once for requests that are whole and once, written by hand, for those that aren't; and the time after which a refused caller may return was passed from one file to the other. make_rejection makes both. An unused count of lingering connections goes, and a comment named a parameter that isn't there. What callers get is unchanged.

--- a/src/libs/runtime/httprejection.cpp
+++ b/src/libs/runtime/httprejection.cpp
@@ -29,6 +29,18 @@
     }
 }
 
+/// A caller that was refused for want of memory may come back after this.
+constexpr const char* memory_retry_seconds = "1";
+
+std::string error_body_of(int status, const char* outcome)
+{
+    const bool is_ours = status >= http_status::internal_error;
+    const json body = {{"error",
+        {{"message", advice_for(status)}, {"type", is_ours ? "server_error" : "invalid_request_error"},
+            {"code", nullptr}, {"param", nullptr}, {"outcome", outcome}}}};
+    return body.dump();
+}
+
 /// Replaces the body of h2o's own error answers by ours.
 struct rejection_stream
 {
@@ -49,25 +61,25 @@
 
 } // namespace
 
-std::string error_body_of(int status, const char* outcome)
+http_response make_rejection(int status, const char* outcome)
 {
-    const bool is_ours = status >= http_status::internal_error;
-    const json body = {{"error",
-        {{"message", advice_for(status)}, {"type", is_ours ? "server_error" : "invalid_request_error"},
-            {"code", nullptr}, {"param", nullptr}, {"outcome", outcome}}}};
-    return body.dump();
+    http_response response{status,
+        {{"x-request-id", "none"}, {"content-type", "application/json"}, {"x-sailtiller-outcome", outcome}},
+        error_body_of(status, outcome)};
+    if (status == http_status::unavailable) {
+        response.headers.push_back({"retry-after", memory_retry_seconds});
+    }
+    return response;
 }
 
-std::string write_rejection(int status, const std::string& retry_seconds)
+std::string write_rejection(int status)
 {
-    const char* outcome = "not-run";
-    const std::string body = error_body_of(status, outcome);
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " Error\r\nconnection: close\r\n"
-        + "content-type: application/json\r\nx-request-id: none\r\nx-sailtiller-outcome: " + outcome + "\r\n";
-    if (status == http_status::unavailable) {
-        text += "retry-after: " + retry_seconds + "\r\n";
+    const http_response response = make_rejection(status, "not-run");
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Error\r\nconnection: close\r\n";
+    for (const http_header& header : response.headers) {
+        text += header.name + ": " + header.value + "\r\n";
     }
-    return text + "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return text + "content-length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
 }
 
 void set_up_rejection(h2o_req_t* request, h2o_ostream_t**& slot)
--- a/src/libs/runtime/httpserver.cpp
+++ b/src/libs/runtime/httpserver.cpp
@@ -40,8 +40,6 @@
 /// Until a listener that the system gives no descriptor for is asked again; it would be reported all the
 /// time.
 constexpr duration accept_pause = std::chrono::milliseconds(100);
-/// A caller that was refused for want of memory may come back after this.
-constexpr const char* memory_retry_seconds = "1";
 /// Turns of the loop in which connections that were told to end must have closed.
 constexpr int most_closing_turns = 100;
 
@@ -265,13 +263,7 @@
 void http_server::state::reject(
     http_exchange& exchange, int status, const char* outcome, const std::string& reason)
 {
-    http_response response{status,
-        {{"x-request-id", "none"}, {"content-type", "application/json"}, {"x-sailtiller-outcome", outcome}},
-        error_body_of(status, outcome)};
-    if (status == http_status::unavailable) {
-        response.headers.push_back({"retry-after", memory_retry_seconds});
-    }
-    exchange.respond(std::move(response));
+    exchange.respond(make_rejection(status, outcome));
     if (this->on_rejected) {
         this->on_rejected({status, exchange.request().peer, reason});
     }
@@ -367,7 +359,7 @@
         && h2o_socket_is_writing(&socket) == 0;
     if (can_answer) {
         const int descriptor = h2o_socket_get_fd(&socket);
-        const std::string answer = write_rejection(status, memory_retry_seconds);
+        const std::string answer = write_rejection(status);
         // A caller that leaves no room for so little sees the connection's end alone.
         send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         this->lingering.add(descriptor);
--- a/src/libs/runtime/lingeringclose.h
+++ b/src/libs/runtime/lingeringclose.h
@@ -24,7 +24,6 @@
     void add(int descriptor);
     /// Closes what has lingered for long enough.
     void tidy();
-    [[nodiscard]] std::size_t count() const { return this->connections.size(); }
 
 private:
     struct connection
--- a/tests/auto/system/streamcrowd.h
+++ b/tests/auto/system/streamcrowd.h
@@ -28,8 +28,8 @@
     std::vector<std::unique_ptr<connection>> connections;
 };
 
-/// What opens a connection over HTTP/2 and begins a header block that takes `block_bytes` in all, in frames
-/// that say that more of it follow.
+/// What opens a connection over HTTP/2 and begins a header block, in a frame that says that more of it
+/// follows.
 std::string endless_header_block_begin();
 /// One frame that goes on with that block.
 std::string header_block_continuation();
